--- /dev/null
+++ b/src/http/httpclient.cpp
@@ -0,0 +1,294 @@
+#include "http/httpclient.h"
+
+#include "http/httpcodec.h"
+
+#include <QHostAddress>
+#include <QTcpSocket>
+#include <QTimer>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::size_t DefaultConnectionLimit = 64;
+/** Shorter than the idle time that servers usually grant, so that a request seldom meets a closing connection. */
+constexpr std::chrono::seconds IdleTime{4};
+constexpr std::chrono::milliseconds SweepPeriod{500};
+constexpr qint64 ReadBufferBytes = 64 * 1024;
+
+/** One outgoing connection; it carries one request at a time. */
+struct ClientConnection {
+    Endpoint endpoint;
+    QTcpSocket *socket = nullptr;
+    std::unique_ptr<HttpResponseDecoder> decoder;
+    std::string buffer;
+    std::string unsentBytes; ///< The request, until the connection is open.
+    SendId send = 0; ///< Zero while idle.
+    bool isRequestSent = false;
+    bool isHead = false;
+    TimePoint deadline; ///< Of the request, or of idleness.
+};
+
+}
+
+class HttpClient::Private : public QObject
+{
+public:
+    Private(HttpClient *client, const HttpLimits &limits) : q(client), m_limits(limits)
+    {
+        m_deadlineTimer.setSingleShot(true);
+        m_deadlineTimer.setTimerType(Qt::PreciseTimer);
+        connect(&m_deadlineTimer, &QTimer::timeout, this, &Private::expireDeadlines);
+        connect(&m_sweep, &QTimer::timeout, this, &Private::closeIdle);
+        m_sweep.start(SweepPeriod);
+    }
+
+    SendId send(const Endpoint &endpoint, const HttpRequest &request, TimePoint deadline)
+    {
+        const SendId id = ++m_lastSend;
+        ClientConnection *connection = takeIdle(endpoint);
+        const bool isReused = connection != nullptr;
+        if (!isReused) {
+            connection = open(endpoint);
+        }
+        if (connection == nullptr) {
+            QMetaObject::invokeMethod(
+                this,
+                [this, id] {
+                    Q_EMIT q->finished(id, {.outcome = SendOutcome::NotSent, .response = {}});
+                },
+                Qt::QueuedConnection);
+            return id;
+        }
+        connection->send = id;
+        connection->deadline = deadline;
+        connection->isRequestSent = false;
+        connection->isHead = request.method == "HEAD";
+        connection->decoder = std::make_unique<HttpResponseDecoder>(m_limits, connection->isHead);
+        connection->buffer.clear();
+        connection->unsentBytes = encodeRequest(request, toString(endpoint));
+        m_sends.emplace(id, connection);
+        addDeadline(deadline, id);
+        if (isReused) {
+            writeRequest(*connection);
+        }
+        return id;
+    }
+
+    ClientConnection *takeIdle(const Endpoint &endpoint)
+    {
+        auto &idle = m_idle[endpoint];
+        while (!idle.empty()) {
+            ClientConnection *connection = idle.back();
+            idle.pop_back();
+            const bool isUsable = connection->socket->state() == QAbstractSocket::ConnectedState && connection->socket->bytesAvailable() == 0;
+            if (isUsable) {
+                return connection;
+            }
+            remove(connection);
+        }
+        return nullptr;
+    }
+
+    ClientConnection *open(const Endpoint &endpoint)
+    {
+        const auto limit = m_limitOf.find(endpoint);
+        std::size_t &count = m_openCount[endpoint];
+        if (count >= (limit == m_limitOf.end() ? DefaultConnectionLimit : limit->second)) {
+            return nullptr;
+        }
+        ++count;
+        auto connection = std::make_unique<ClientConnection>();
+        connection->endpoint = endpoint;
+        connection->socket = new QTcpSocket(this);
+        connection->socket->setReadBufferSize(ReadBufferBytes);
+        ClientConnection *raw = connection.get();
+        m_connections.emplace(raw, std::move(connection));
+        connect(raw->socket, &QTcpSocket::connected, this, [this, raw] {
+            raw->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+            writeRequest(*raw);
+        });
+        connect(raw->socket, &QTcpSocket::readyRead, this, [this, raw] {
+            receive(raw);
+        });
+        connect(raw->socket, &QTcpSocket::errorOccurred, this, [this, raw](QAbstractSocket::SocketError error) {
+            handleClosed(raw, error == QAbstractSocket::RemoteHostClosedError);
+        });
+        raw->socket->connectToHost(QHostAddress(QString::fromStdString(endpoint.address)), endpoint.port);
+        return raw;
+    }
+
+    void writeRequest(ClientConnection &connection)
+    {
+        if (connection.send == 0) {
+            return;
+        }
+        connection.isRequestSent = true;
+        connection.socket->write(connection.unsentBytes.data(), static_cast<qint64>(connection.unsentBytes.size()));
+        connection.unsentBytes.clear();
+    }
+
+    void receive(ClientConnection *connection)
+    {
+        const QByteArray bytes = connection->socket->readAll();
+        if (connection->send == 0) {
+            // Bytes that no request asked for make the connection unusable.
+            removeFromIdle(connection);
+            remove(connection);
+            return;
+        }
+        connection->buffer.append(bytes.constData(), static_cast<std::size_t>(bytes.size()));
+        const DecodeState state = connection->decoder->decode(connection->buffer);
+        if (state == DecodeState::Incomplete) {
+            return;
+        }
+        if (state != DecodeState::Complete) {
+            finish(connection, SendOutcome::Lost, false);
+            return;
+        }
+        const bool isKept = connection->decoder->isKeepAlive() && connection->buffer.empty();
+        finish(connection, SendOutcome::Answered, isKept);
+    }
+
+    void handleClosed(ClientConnection *connection, bool isOrderly)
+    {
+        if (connection->send == 0) {
+            removeFromIdle(connection);
+            remove(connection);
+            return;
+        }
+        if (!connection->isRequestSent) {
+            finish(connection, SendOutcome::NotSent, false);
+            return;
+        }
+        const bool isWhole = isOrderly && connection->decoder->finish() == DecodeState::Complete;
+        finish(connection, isWhole ? SendOutcome::Answered : SendOutcome::Lost, false);
+    }
+
+    void finish(ClientConnection *connection, SendOutcome outcome, bool isKept)
+    {
+        const SendId id = connection->send;
+        SendResult result{.outcome = outcome, .response = {}};
+        if (outcome == SendOutcome::Answered) {
+            result.response = connection->decoder->takeResponse();
+        }
+        release(connection, isKept);
+        Q_EMIT q->finished(id, result);
+    }
+
+    /** Ends the request of @p connection and keeps or closes the connection. */
+    void release(ClientConnection *connection, bool isKept)
+    {
+        m_deadlines.erase({connection->deadline, connection->send});
+        m_sends.erase(connection->send);
+        connection->send = 0;
+        if (!isKept) {
+            remove(connection);
+            return;
+        }
+        connection->deadline = Clock::now() + IdleTime;
+        m_idle[connection->endpoint].push_back(connection);
+    }
+
+    void removeFromIdle(ClientConnection *connection)
+    {
+        auto &idle = m_idle[connection->endpoint];
+        idle.erase(std::remove(idle.begin(), idle.end(), connection), idle.end());
+    }
+
+    void remove(ClientConnection *connection)
+    {
+        connection->socket->disconnect(this);
+        connection->socket->abort();
+        connection->socket->deleteLater();
+        --m_openCount[connection->endpoint];
+        m_connections.erase(connection);
+    }
+
+    void cancel(SendId id)
+    {
+        const auto found = m_sends.find(id);
+        if (found != m_sends.end()) {
+            release(found->second, false);
+        }
+    }
+
+    void addDeadline(TimePoint deadline, SendId id)
+    {
+        m_deadlines.insert({deadline, id});
+        if (m_deadlines.begin()->second == id) {
+            armDeadlineTimer();
+        }
+    }
+
+    void armDeadlineTimer()
+    {
+        if (m_deadlines.empty()) {
+            return;
+        }
+        const auto remaining = m_deadlines.begin()->first - Clock::now();
+        m_deadlineTimer.start(std::max(std::chrono::ceil<std::chrono::milliseconds>(remaining), std::chrono::milliseconds(0)));
+    }
+
+    void expireDeadlines()
+    {
+        const TimePoint now = Clock::now();
+        while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+            ClientConnection *connection = m_sends.at(m_deadlines.begin()->second);
+            finish(connection, connection->isRequestSent ? SendOutcome::DeadlinePassed : SendOutcome::NotSent, false);
+        }
+        armDeadlineTimer();
+    }
+
+    void closeIdle()
+    {
+        const TimePoint now = Clock::now();
+        std::vector<ClientConnection *> overdue;
+        for (auto &[endpoint, idle] : m_idle) {
+            std::copy_if(idle.begin(), idle.end(), std::back_inserter(overdue), [now](const ClientConnection *connection) {
+                return connection->deadline <= now;
+            });
+        }
+        for (ClientConnection *connection : overdue) {
+            removeFromIdle(connection);
+            remove(connection);
+        }
+    }
+
+    HttpClient *q;
+    HttpLimits m_limits;
+    QTimer m_deadlineTimer;
+    QTimer m_sweep;
+    SendId m_lastSend = 0;
+    std::map<Endpoint, std::size_t> m_limitOf;
+    std::map<Endpoint, std::size_t> m_openCount;
+    std::map<Endpoint, std::vector<ClientConnection *>> m_idle;
+    std::unordered_map<ClientConnection *, std::unique_ptr<ClientConnection>> m_connections;
+    std::unordered_map<SendId, ClientConnection *> m_sends;
+    std::set<std::pair<TimePoint, SendId>> m_deadlines;
+};
+
+HttpClient::HttpClient(const HttpLimits &limits, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, limits)) { }
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::setConnectionLimit(const Endpoint &endpoint, std::size_t limit)
+{
+    d->m_limitOf[endpoint] = limit;
+}
+
+SendId HttpClient::send(const Endpoint &endpoint, const HttpRequest &request, TimePoint deadline)
+{
+    return d->send(endpoint, request, deadline);
+}
+
+void HttpClient::cancel(SendId id)
+{
+    d->cancel(id);
+}
+
+}
--- /dev/null
+++ b/src/http/httpcodec.cpp
@@ -0,0 +1,255 @@
+#include "http/httpcodec.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace Plantainweir {
+namespace {
+
+/** Fields that describe one connection and are never passed on (RFC 9110, section 7.6.1). */
+bool isConnectionField(http::field field)
+{
+    switch (field) {
+    case http::field::connection:
+    case http::field::content_length:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::expect:
+        return true;
+    default:
+        return false;
+    }
+}
+
+template<typename Message>
+HttpFields takeFields(const Message &message)
+{
+    HttpFields fields;
+    for (const auto &field : message) {
+        if (!isConnectionField(field.name())) {
+            fields.push_back({.name = std::string(field.name_string()), .value = std::string(field.value())});
+        }
+    }
+    return fields;
+}
+
+template<typename Message>
+void insertFields(Message &message, const HttpFields &fields)
+{
+    for (const HttpField &field : fields) {
+        if (!isConnectionField(http::string_to_field(field.name))) {
+            message.insert(field.name, field.value);
+        }
+    }
+}
+
+template<bool IsRequest>
+std::string serialize(http::message<IsRequest, http::string_body> &message)
+{
+    std::string bytes;
+    http::serializer<IsRequest, http::string_body> serializer(message);
+    beast::error_code error;
+    while (!serializer.is_done()) {
+        serializer.next(error, [&](beast::error_code &nextError, const auto &buffers) {
+            nextError = {};
+            bytes.append(beast::buffers_to_string(buffers));
+            serializer.consume(beast::buffer_bytes(buffers));
+        });
+        if (error) {
+            break;
+        }
+    }
+    return bytes;
+}
+
+DecodeState stateOf(const beast::error_code &error)
+{
+    if (error == http::error::header_limit) {
+        return DecodeState::HeaderTooLarge;
+    }
+    if (error == http::error::body_limit) {
+        return DecodeState::BodyTooLarge;
+    }
+    return DecodeState::Malformed;
+}
+
+/** Feeds @p buffer to @p parser until the message is complete or bytes run out. */
+template<typename Parser>
+DecodeState feed(Parser &parser, std::string &buffer, const HttpLimits &limits)
+{
+    std::size_t consumed = 0;
+    beast::error_code error;
+    while (!parser.is_done() && consumed < buffer.size()) {
+        const std::size_t count = parser.put(boost::asio::buffer(buffer.data() + consumed, buffer.size() - consumed), error);
+        consumed += count;
+        if (error == http::error::need_more) {
+            break;
+        }
+        if (error) {
+            return stateOf(error);
+        }
+    }
+    buffer.erase(0, consumed);
+    if (parser.is_done()) {
+        return DecodeState::Complete;
+    }
+    // A header that is not complete is not consumed, so that the buffer shows its size.
+    if (!parser.is_header_done() && buffer.size() > limits.headerBytes) {
+        return DecodeState::HeaderTooLarge;
+    }
+    return DecodeState::Incomplete;
+}
+
+template<typename Parser>
+void applyLimits(Parser &parser, const HttpLimits &limits)
+{
+    parser.eager(true);
+    parser.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser.body_limit(limits.bodyBytes);
+}
+
+}
+
+std::string encodeRequest(const HttpRequest &request, const std::string &host)
+{
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    insertFields(message, request.fields);
+    message.set(http::field::host, host);
+    message.body() = request.body;
+    if (!request.body.empty() || message.method() != http::verb::get) {
+        message.content_length(request.body.size());
+    }
+    return serialize(message);
+}
+
+std::string encodeResponse(const HttpResponse &response, bool keepAlive)
+{
+    http::response<http::string_body> message;
+    message.result(static_cast<unsigned>(response.status));
+    message.version(11);
+    insertFields(message, response.fields);
+    message.keep_alive(keepAlive);
+    message.body() = response.body;
+    message.content_length(response.body.size());
+    return serialize(message);
+}
+
+class HttpRequestDecoder::Private
+{
+public:
+    explicit Private(const HttpLimits &limits) : m_limits(limits)
+    {
+        applyLimits(m_parser, limits);
+    }
+
+    HttpLimits m_limits;
+    http::request_parser<http::string_body> m_parser;
+};
+
+HttpRequestDecoder::HttpRequestDecoder(const HttpLimits &limits) : d(std::make_unique<Private>(limits)) { }
+
+HttpRequestDecoder::~HttpRequestDecoder() = default;
+
+DecodeState HttpRequestDecoder::decode(std::string &buffer)
+{
+    return feed(d->m_parser, buffer, d->m_limits);
+}
+
+bool HttpRequestDecoder::isKeepAlive() const
+{
+    return d->m_parser.get().keep_alive();
+}
+
+bool HttpRequestDecoder::isContinueExpected() const
+{
+    return d->m_parser.is_header_done() && beast::iequals(d->m_parser.get()[http::field::expect], "100-continue");
+}
+
+HttpRequest HttpRequestDecoder::takeRequest()
+{
+    auto &message = d->m_parser.get();
+    return {
+        .method = std::string(message.method_string()),
+        .target = std::string(message.target()),
+        .fields = takeFields(message),
+        .body = std::move(message.body()),
+    };
+}
+
+class HttpResponseDecoder::Private
+{
+public:
+    Private(const HttpLimits &limits, bool isHead) : m_limits(limits), m_isHead(isHead)
+    {
+        restart();
+    }
+
+    void restart()
+    {
+        m_parser.emplace();
+        applyLimits(*m_parser, m_limits);
+        m_parser->skip(m_isHead);
+    }
+
+    bool isInterim() const
+    {
+        const unsigned status = m_parser->get().result_int();
+        return status >= 100 && status < 200;
+    }
+
+    HttpLimits m_limits;
+    bool m_isHead;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+};
+
+HttpResponseDecoder::HttpResponseDecoder(const HttpLimits &limits, bool isHead) : d(std::make_unique<Private>(limits, isHead)) { }
+
+HttpResponseDecoder::~HttpResponseDecoder() = default;
+
+DecodeState HttpResponseDecoder::decode(std::string &buffer)
+{
+    DecodeState state = feed(*d->m_parser, buffer, d->m_limits);
+    while (state == DecodeState::Complete && d->isInterim()) {
+        d->restart();
+        state = feed(*d->m_parser, buffer, d->m_limits);
+    }
+    return state;
+}
+
+DecodeState HttpResponseDecoder::finish()
+{
+    beast::error_code error;
+    if (!d->m_parser->is_done()) {
+        d->m_parser->put_eof(error);
+    }
+    return !error && d->m_parser->is_done() ? DecodeState::Complete : DecodeState::Malformed;
+}
+
+bool HttpResponseDecoder::isKeepAlive() const
+{
+    return d->m_parser->get().keep_alive();
+}
+
+HttpResponse HttpResponseDecoder::takeResponse()
+{
+    auto &message = d->m_parser->get();
+    return {
+        .status = static_cast<int>(message.result_int()),
+        .fields = takeFields(message),
+        .body = std::move(message.body()),
+    };
+}
+
+}
--- /dev/null
+++ b/src/http/httpserver.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "http/httpmessage.h"
+
+#include <QObject>
+
+#include <memory>
+
+namespace Plantainweir {
+
+/** Names one request that waits for its response; never used twice by one server. */
+using ExchangeId = quint64;
+
+/**
+ * Task that owns a listening port and its connections.
+ *
+ * Bounds header size, body size, the number of connections, the time to a whole request (10 s) and the idle time
+ * (60 s) before anything is buffered beyond them. Takes one request of a connection at a time.
+ */
+class HttpServer : public QObject
+{
+    Q_OBJECT
+
+public:
+    explicit HttpServer(const HttpLimits &limits, QObject *parent = nullptr);
+    ~HttpServer() override;
+
+    /** Starts to listen on @p endpoint; port 0 picks a free one. Returns whether the port is open. */
+    bool listen(const Endpoint &endpoint);
+    /** Returns the port that the server listens on. */
+    quint16 port() const;
+    /** Returns the number of open connections. */
+    std::size_t connectionCount() const;
+    /** Returns the number of requests that wait for their responses. */
+    std::size_t exchangeCount() const;
+
+    /** Sends @p response; does nothing if the requester has gone. */
+    void respond(ExchangeId exchange, const HttpResponse &response);
+    /** Closes the connection of @p exchange without a response, after the first @p bytes of @p partial. */
+    void abandon(ExchangeId exchange, const std::string &partial = {});
+    /** Stops to listen, closes idle connections and each other one after its response, then emits drained(). */
+    void drain();
+
+Q_SIGNALS:
+    /** A whole request has come; exactly one respond() or abandon() must follow. */
+    void requestReceived(ExchangeId exchange, const HttpRequest &request);
+    /** The requester closed its connection before the response; a response will reach nobody. */
+    void requesterGone(ExchangeId exchange);
+    /** No connection is open any more after drain(). */
+    void drained();
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/http/operatorsport.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/endpoint.h"
+
+#include <QObject>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Plantainweir {
+
+class Metrics;
+
+/**
+ * Task that serves `/metrics`, `/healthz`, `/readyz` and `/status` to operators.
+ *
+ * Meant for loopback. `/healthz` says that the process answers; `/readyz` answers 503 until the program is ready;
+ * `/status` is the program's own JSON.
+ */
+class OperatorsPort : public QObject
+{
+    Q_OBJECT
+
+public:
+    /** @param status returns the JSON text of `/status`, called from this task's event loop. */
+    OperatorsPort(const Metrics &metrics, std::function<std::string()> status, QObject *parent = nullptr);
+    ~OperatorsPort() override;
+
+    /** Starts to listen; returns whether the port is open. */
+    bool listen(const Endpoint &endpoint);
+    quint16 port() const;
+    /** Sets what `/readyz` answers. */
+    void setReady(bool isReady);
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/observability/logevents.cpp
@@ -0,0 +1,72 @@
+#include "observability/logevents.h"
+
+#include <fmt/chrono.h>
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+
+namespace Plantainweir {
+namespace {
+
+const LogEventDescription &descriptionOf(LogEvent event)
+{
+    const auto &events = logEvents();
+    return *std::find_if(events.begin(), events.end(), [event](const LogEventDescription &row) {
+        return row.event == event;
+    });
+}
+
+std::string quoted(const std::string &value)
+{
+    const bool isPlain = !value.empty() && value.find_first_of(" \"=\n\r\t") == std::string::npos;
+    if (isPlain) {
+        return value;
+    }
+    std::string text = "\"";
+    for (const char letter : value) {
+        if (letter == '"' || letter == '\\') {
+            text.push_back('\\');
+        }
+        text.push_back(letter == '\n' || letter == '\r' ? ' ' : letter);
+    }
+    return text + '"';
+}
+
+}
+
+const std::vector<LogEventDescription> &logEvents()
+{
+    using enum LogSeverity;
+    static const std::vector<LogEventDescription> s_events = {
+        {LogEvent::ProgramStarted, Info, "program_started", "The program has read its settings and starts its work."},
+        {LogEvent::ProgramStopping, Info, "program_stopping", "A signal asked the program to stop; what is in flight is finished first."},
+        {LogEvent::ProgramStopped, Info, "program_stopped", "The program ends."},
+        {LogEvent::ListenFailed, Error, "listen_failed", "A port cannot be opened; the program ends."},
+        {LogEvent::ConfigurationInForce, Info, "configuration_in_force", "entryd uses a configuration with the versions given."},
+        {LogEvent::ControlLost, Warning, "control_lost", "entryd lost controld and goes on with its last state."},
+        {LogEvent::ControlConnected, Info, "control_connected", "entryd receives state from controld."},
+        {LogEvent::UpstreamEjected, Warning, "upstream_ejected", "An upstream failed or was slow against its peers and receives trial calls only."},
+        {LogEvent::UpstreamReturned, Info, "upstream_returned", "An ejected upstream passed its trial calls and receives work again."},
+    };
+    return s_events;
+}
+
+void logEvent(LogEvent event, const std::vector<LogField> &fields)
+{
+    const LogEventDescription &description = descriptionOf(event);
+    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    std::string line = fmt::format("E{:04} {:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {}",
+                                   static_cast<int>(event),
+                                   fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                                   now.time_since_epoch().count() % 1000,
+                                   nameOf(description.severity),
+                                   description.name);
+    for (const LogField &field : fields) {
+        line += fmt::format(" {}={}", field.key, quoted(field.value));
+    }
+    fmt::print(stderr, "{}\n", line);
+}
+
+}
--- /dev/null
+++ b/src/observability/logevents.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/enumnames.h"
+
+#include <fmt/format.h>
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+/** Numbered log events. `docs/EVENTS.md` is their catalogue; a test proves that both agree. */
+namespace Plantainweir {
+
+enum class LogSeverity {
+    Info,
+    Warning,
+    Error,
+};
+
+constexpr std::array<EnumName<LogSeverity>, 3> enumNames(LogSeverity)
+{
+    return {{
+        {LogSeverity::Info, "info"},
+        {LogSeverity::Warning, "warning"},
+        {LogSeverity::Error, "error"},
+    }};
+}
+static_assert(isEnumTableOrdered<LogSeverity>());
+
+/** Each event has its number for ever; a number that is not used any more is not given again. */
+enum class LogEvent {
+    // 1000 to 1099: all programs
+    ProgramStarted = 1000,
+    ProgramStopping = 1001,
+    ProgramStopped = 1002,
+    ListenFailed = 1003,
+    // 1100 to 1199: entryd
+    ConfigurationInForce = 1100,
+    ControlLost = 1101,
+    ControlConnected = 1102,
+    UpstreamEjected = 1103,
+    UpstreamReturned = 1104,
+    // 1200 to 1299: controld
+    // 1300 to 1399: plantainweirctl
+    // 1400 to 1499: plantainweir-call
+};
+
+/** A row of the table of events. */
+struct LogEventDescription {
+    LogEvent event;
+    LogSeverity severity;
+    std::string_view name; ///< The event's word in the log line.
+    std::string_view meaning; ///< One sentence for the catalogue.
+};
+
+/** Returns all events in the order of their numbers. */
+const std::vector<LogEventDescription> &logEvents();
+
+/** One key=value field of a log line. */
+struct LogField {
+    template<typename Value>
+    LogField(std::string_view fieldKey, const Value &fieldValue) : key(fieldKey), value(fmt::format("{}", fieldValue))
+    {
+    }
+
+    std::string_view key;
+    std::string value;
+};
+
+/** Writes one line to standard error: event number, time, severity, the event's word and the fields. */
+void logEvent(LogEvent event, const std::vector<LogField> &fields = {});
+
+}
--- /dev/null
+++ b/tests/commandlinetest.cpp
@@ -0,0 +1,79 @@
+#include "core/commandline.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+namespace Plantainweir {
+namespace {
+
+void addSettings(CommandLine &commandLine)
+{
+    commandLine.addEndpoint("caller-port", "where callers connect", "127.0.0.1:8080");
+    commandLine.addInteger("members", "number of members", 1, 18, 3);
+    commandLine.addSwitch("verbose", "more output");
+    commandLine.addEndpointList("seeds", "first members");
+    commandLine.addPositional("COMMAND", "what to do", 2);
+}
+
+std::optional<ExitStatus> parse(CommandLine &commandLine, std::vector<const char *> arguments)
+{
+    arguments.insert(arguments.begin(), "example");
+    return commandLine.parse(static_cast<int>(arguments.size()), arguments.data());
+}
+
+TEST(CommandLine, UsesDefaults)
+{
+    CommandLine commandLine("example", "An example.");
+    addSettings(commandLine);
+    EXPECT_EQ(parse(commandLine, {}), std::nullopt);
+    EXPECT_EQ(commandLine.endpoint("caller-port"), (Endpoint{"127.0.0.1", 8080}));
+    EXPECT_EQ(commandLine.integer("members"), 3);
+    EXPECT_FALSE(commandLine.isOn("verbose"));
+    EXPECT_TRUE(commandLine.endpointList("seeds").empty());
+}
+
+TEST(CommandLine, FlagGoesBeforeEnvironment)
+{
+    ::setenv("PLANTAINWEIR_MEMBERS", "5", 1);
+    CommandLine fromEnvironment("example", "An example.");
+    addSettings(fromEnvironment);
+    EXPECT_EQ(parse(fromEnvironment, {}), std::nullopt);
+    EXPECT_EQ(fromEnvironment.integer("members"), 5);
+    CommandLine fromFlag("example", "An example.");
+    addSettings(fromFlag);
+    EXPECT_EQ(parse(fromFlag, {"--members", "7"}), std::nullopt);
+    EXPECT_EQ(fromFlag.integer("members"), 7);
+    ::unsetenv("PLANTAINWEIR_MEMBERS");
+}
+
+TEST(CommandLine, NamesFlagValueAndWhatIsAllowed)
+{
+    CommandLine commandLine("example", "An example.");
+    addSettings(commandLine);
+    testing::internal::CaptureStderr();
+    EXPECT_EQ(parse(commandLine, {"--members", "99"}), ExitStatus::Usage);
+    EXPECT_EQ(testing::internal::GetCapturedStderr(), "example: --members is \"99\"; allowed: a whole number from 1 to 18\n");
+}
+
+TEST(CommandLine, RejectsNamesInPlaceOfIpNumbers)
+{
+    CommandLine commandLine("example", "An example.");
+    addSettings(commandLine);
+    testing::internal::CaptureStderr();
+    EXPECT_EQ(parse(commandLine, {"--caller-port", "localhost:80"}), ExitStatus::Usage);
+    EXPECT_NE(testing::internal::GetCapturedStderr().find("localhost:80"), std::string::npos);
+}
+
+TEST(CommandLine, ReadsPositionalWordsAndSwitches)
+{
+    CommandLine commandLine("example", "An example.");
+    addSettings(commandLine);
+    EXPECT_EQ(parse(commandLine, {"apply", "--verbose", "--seeds", "127.0.0.1:1,[::1]:2"}), std::nullopt);
+    EXPECT_EQ(commandLine.positional(), std::vector<std::string>{"apply"});
+    EXPECT_TRUE(commandLine.isOn("verbose"));
+    EXPECT_EQ(commandLine.endpointList("seeds").size(), 2U);
+}
+
+}
+}
