Dispatch the subcommands of plantainweir-bench

Cause: the benches for policies, decisions, the path and the controllers share one program. Change: a table in bench/main.cpp with one row for each subcommand; rows land with their sources.

--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,56 @@
+#include "core/commandline.h"
+#include "subcommands.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <string_view>
+#include <vector>
+
+namespace Plantainweir {
+namespace {
+
+/** A subcommand, selected by the first word of the command line. */
+struct Subcommand {
+    std::string_view name;
+    std::string_view summary;
+    int (*run)(int argc, char **argv);
+};
+
+std::vector<Subcommand> subcommands()
+{
+    return {
+        // Controllers.
+        // Time of a decision.
+        // Request path.
+        // Policies.
+    };
+}
+
+void printUsage()
+{
+    fmt::print(stderr, "usage: plantainweir-bench SUBCOMMAND [--help] [FLAG]...\n");
+    for (const Subcommand &subcommand : subcommands()) {
+        fmt::print(stderr, "  {:<10} {}\n", subcommand.name, subcommand.summary);
+    }
+}
+
+int dispatch(int argc, char **argv)
+{
+    const std::string_view name = argc > 1 ? argv[1] : "";
+    for (const Subcommand &subcommand : subcommands()) {
+        if (subcommand.name == name) {
+            return subcommand.run(argc - 1, argv + 1);
+        }
+    }
+    printUsage();
+    return static_cast<int>(name == "--help" ? ExitStatus::Success : ExitStatus::Usage);
+}
+
+}
+}
+
+int main(int argc, char **argv)
+{
+    return Plantainweir::dispatch(argc, argv);
+}
