Add the conversions between Control messages and structs

entryd and controld both need them, so they stand in src/rpc. A message may hold anything: fromMessage() returns nothing for a field that is out of its range.

--- /dev/null
+++ b/src/rpc/controlmessages.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "decision/ownership.h"
+
+#include "control.pb.h"
+
+#include <optional>
+
+/**
+ * Conversions between the messages of proto/control.proto and the plain structs of the decisions.
+ *
+ * A message from another process may hold anything: fromMessage() returns nothing if a field is out of its range, an
+ * address is not an IP number or a word is not in its table.
+ */
+namespace Plantainweir {
+
+namespace ControlProtocol = plantainweir::control::v1;
+
+ControlProtocol::Endpoint toMessage(const Endpoint &endpoint);
+ControlProtocol::Upstream toMessage(const Upstream &upstream);
+ControlProtocol::Service toMessage(const Service &service);
+ControlProtocol::WorkKind toMessage(const WorkKind &workKind);
+ControlProtocol::Rules toMessage(const Rules &rules);
+ControlProtocol::EntryMember toMessage(const EntryMember &member);
+
+std::optional<Endpoint> fromMessage(const ControlProtocol::Endpoint &message);
+std::optional<Upstream> fromMessage(const ControlProtocol::Upstream &message);
+std::optional<Service> fromMessage(const ControlProtocol::Service &message);
+std::optional<WorkKind> fromMessage(const ControlProtocol::WorkKind &message);
+std::optional<Rules> fromMessage(const ControlProtocol::Rules &message);
+std::optional<EntryMember> fromMessage(const ControlProtocol::EntryMember &message);
+
+}
