Add hand-over between owners to the decision events

Work moves between the owners of a service: PeersAssigned, PeerReport and a returning upstream are events, HandOverCall and SendPeerReport are actions. A handed-over call is an attempt like any other and ends with AttemptFinished. The step does not use them yet.

--- a/src/decision/dispatch.cpp
+++ b/src/decision/dispatch.cpp
@@ -211,11 +211,15 @@
 {
     for (UpstreamState &upstream : context.state.upstreams) {
         if (upstream.upstream.name == event.upstream) {
-            upstream.isLeaving = true;
+            upstream.isLeaving = event.isLeaving;
         }
     }
 }
 
+void handle(StepContext &, const PeersAssigned &) { }
+
+void handle(StepContext &, const PeerReport &) { }
+
 void handle(StepContext &context, const TimerFired &)
 {
     auto &deadlines = context.state.deadlines;
