Add controld with the Control interface for entryd

controld serves Control.Subscribe: everything first, then merged changes, nothing before the configuration is known. Membership, distribution and the platform plug into its setters.

--- a/src/rpc/controlmessages.cpp
+++ b/src/rpc/controlmessages.cpp
@@ -70,6 +70,26 @@
     return message;
 }
 
+ControlProtocol::UpstreamStatus toMessage(const UpstreamStatus &status)
+{
+    ControlProtocol::UpstreamStatus message;
+    message.set_service(status.service);
+    message.set_upstream(status.upstream);
+    message.set_leaving(status.isLeaving);
+    return message;
+}
+
+ControlProtocol::EntryState toMessage(const EntryState &state)
+{
+    ControlProtocol::EntryState message;
+    *message.mutable_self() = toMessage(state.self);
+    message.set_ready(state.isReady);
+    for (const UpstreamStatus &status : state.upstreamStatuses) {
+        *message.add_upstream_statuses() = toMessage(status);
+    }
+    return message;
+}
+
 std::optional<Endpoint> fromMessage(const ControlProtocol::Endpoint &message)
 {
     if (message.port() > std::numeric_limits<std::uint16_t>::max()) {
@@ -153,4 +173,29 @@
                        .isLeaving = message.leaving()};
 }
 
+std::optional<UpstreamStatus> fromMessage(const ControlProtocol::UpstreamStatus &message)
+{
+    if (message.service().empty() || message.upstream().empty()) {
+        return std::nullopt;
+    }
+    return UpstreamStatus{.service = message.service(), .upstream = message.upstream(), .isLeaving = message.leaving()};
+}
+
+std::optional<EntryState> fromMessage(const ControlProtocol::EntryState &message)
+{
+    const auto self = fromMessage(message.self());
+    if (!self) {
+        return std::nullopt;
+    }
+    EntryState state{.self = *self, .isReady = message.ready(), .upstreamStatuses = {}};
+    for (const ControlProtocol::UpstreamStatus &row : message.upstream_statuses()) {
+        const auto status = fromMessage(row);
+        if (!status) {
+            return std::nullopt;
+        }
+        state.upstreamStatuses.push_back(*status);
+    }
+    return state;
+}
+
 }
--- /dev/null
+++ b/src/tasks/controlserver.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "rpc/controlmessages.h"
+
+#include <QObject>
+
+#include <memory>
+
+namespace Plantainweir {
+
+/**
+ * Task of controld that serves the Control interface to the entryd of the same VM.
+ *
+ * Keeps what entryd shall know and sends it over each open stream: everything first, then changes only. Changes that
+ * come while a write is under way are merged into the next one, so that a slow entryd costs no memory. Nothing is sent
+ * before setComplete(): a fresh controld shall not report an outdated configuration.
+ */
+class ControlServer : public QObject
+{
+    Q_OBJECT
+
+public:
+    explicit ControlServer(QObject *parent = nullptr);
+    ~ControlServer() override;
+
+    /** Starts to listen on @p endpoint; port 0 picks a free one. Returns whether the port is open. */
+    bool listen(const Endpoint &endpoint);
+    /** Returns the port that the server listens on. */
+    quint16 port() const;
+    /** Returns whether an entryd is connected. */
+    bool hasEntry() const;
+
+    /** Says that the configuration is known; streams receive their first update. */
+    void setComplete();
+    void setRules(const Rules &rules);
+    void setService(const Service &service);
+    void setMembers(const std::vector<EntryMember> &members);
+    void setUpstreamStatuses(const std::vector<UpstreamStatus> &statuses);
+
+Q_SIGNALS:
+    /** The connected entryd described itself. */
+    void entryStateReceived(const EntryState &state);
+    /** The last stream of an entryd has ended. */
+    void entryGone();
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
