Take a connection closed before the header for a lost answer

Cause: Beast's put_eof() on a parser that has not read its status line marks the message complete, so that an upstream that read a request and closed made HttpClient report an answer with status 0 instead of a lost connection. Ruled out: the client's own state; a close in the middle of an answer with a length was reported as lost. Change: the response decoder's finish() is complete only after a whole header. Measured: fakeupstreamtest's close-before-run and close-after-run cases gave Answered before and give Lost now; responsedecodertest cuts a response at each part.

--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -230,6 +230,10 @@
 
 DecodeState HttpResponseDecoder::finish()
 {
+    // Beast takes the end of the stream before a status line for the end of a complete message.
+    if (!d->m_parser->is_header_done()) {
+        return DecodeState::Malformed;
+    }
     beast::error_code error;
     if (!d->m_parser->is_done()) {
         d->m_parser->put_eof(error);
