Add the policy bench: decisions under load and faults in virtual time

Change: plantainweir-bench policy runs random, round-robin, least-outstanding, two-choices-reported, the product's step() and an oracle on the same seeded arrivals, through sixteen scenarios; it reports each rank as callers see it.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -24,6 +24,7 @@
         // Time of a decision.
         // Request path.
         // Policies.
+        {.name = "policy", .summary = "the decisions under load and faults in virtual time", .run = runPolicy},
     };
 }
 
--- /dev/null
+++ b/bench/policydriver.cpp
@@ -0,0 +1,664 @@
+#include "policydriver.h"
+
+#include "decision/ownership.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <deque>
+#include <limits>
+#include <memory>
+#include <numeric>
+#include <optional>
+#include <unordered_map>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::chrono::seconds DirectoryTimeToLive{2};
+constexpr std::chrono::milliseconds ConnectTimeout{50};
+constexpr std::chrono::milliseconds LossDetection{1000};
+constexpr std::chrono::milliseconds LossDetectionSpread{10}; ///< Between one entry VM and the next.
+constexpr std::chrono::milliseconds ReportInterval{5};
+constexpr std::chrono::microseconds TimerResolution{10};
+constexpr std::size_t AddressesInAnswer = 4;
+constexpr std::size_t NoUpstreamIndex = std::numeric_limits<std::size_t>::max();
+
+/** An attempt on its way, at an upstream or at a co-owner. */
+struct Ticket {
+    CallId call = 0;
+    std::size_t entry = 0;
+    AttemptId attempt = 0;
+    std::size_t upstream = NoUpstreamIndex; ///< Among those of all services; none for a hand-over.
+    std::size_t peer = 0; ///< The co-owner of a hand-over.
+    bool isEnded = false;
+    AttemptOutcome outcome = AttemptOutcome::Lost;
+};
+
+/** One service at one entry VM. */
+struct ServiceAtEntry {
+    ServiceState product;
+    BaselineState baseline;
+    std::optional<TimePoint> wakeUp;
+    std::unordered_map<AttemptId, std::size_t> tickets;
+    std::unordered_map<CallId, std::size_t> handedOver; ///< Tickets of calls that co-owners handed over to this one.
+    std::vector<std::size_t> owners; ///< As this entry VM knows them.
+};
+
+struct Entry {
+    std::size_t availabilityZone = 0;
+    bool isLost = false;
+    std::vector<bool> isMember; ///< Of the entry VMs, as this one knows them.
+    std::vector<ServiceAtEntry> services;
+};
+
+/** What a caller remembers of its latest directory answer for one service. */
+struct DirectoryAnswer {
+    TimePoint expiresAt{};
+    std::vector<std::size_t> addresses{};
+    std::size_t current = 0; ///< Moves on when an address cannot be reached.
+};
+
+/** The loads of all upstreams at one time. */
+struct LoadSnapshot {
+    TimePoint takenAt;
+    std::vector<std::uint32_t> loads{};
+};
+
+class Driver
+{
+public:
+    explicit Driver(RunRecord &record);
+    void run();
+
+private:
+    // Callers
+    void sendFromCaller(CallId call);
+    std::size_t addressOf(CallId call);
+    DirectoryAnswer &directoryAnswer(const Arrival &arrival);
+    void onConnectTimeout(CallId call, std::size_t entry);
+    void answerCaller(CallId call, std::size_t entry, const CallResult &result);
+
+    // Entry VMs
+    void receiveCall(CallId call, std::size_t entry);
+    void acceptCall(CallId call, std::size_t entry, const std::string &handedOverBy = {});
+    void deliver(std::size_t entry, std::size_t service, const ServiceEvent &event);
+    void scheduleWakeUp(std::size_t entry, std::size_t service);
+    void assignUpstreams(std::size_t entry, std::size_t service);
+    void loseEntry(std::size_t entry);
+    void apply(const UpstreamChange &change);
+
+    // Actions
+    void perform(std::size_t entry, std::size_t service, const StartAttempt &action);
+    void perform(std::size_t entry, std::size_t service, const HandOverCall &action);
+    void perform(std::size_t entry, std::size_t service, const SendPeerReport &action);
+    void perform(std::size_t entry, std::size_t service, const CancelAttempt &action);
+    void perform(std::size_t entry, std::size_t service, const AnswerCall &action);
+    void perform(std::size_t entry, std::size_t service, const RefuseCall &action);
+    void perform(std::size_t entry, std::size_t service, const ReportUnknown &action);
+    void perform(std::size_t entry, std::size_t service, const CountRetry &action);
+    void perform(std::size_t entry, std::size_t service, const EjectionChanged &action);
+    std::size_t addTicket(const Ticket &ticket, std::size_t service, TimePoint deadline);
+    void finishTicket(std::size_t ticket, AttemptOutcome outcome, const std::optional<LoadReport> &report);
+    bool finishHandOver(std::size_t entry, std::size_t service, CallId call, AttemptOutcome outcome);
+    void onAnswered(std::size_t ticket, AttemptOutcome outcome, const LoadReport &report);
+
+    // Load reports of two-choices-reported
+    void takeSnapshot();
+    void updateReports(std::size_t entry, std::size_t service);
+
+    Duration delay(std::size_t fromEntry, std::size_t toEntry) const;
+    Duration delayToUpstream(std::size_t entry, std::size_t upstream) const;
+    Upstream inventoryRow(std::size_t service, std::size_t upstream) const;
+    static std::size_t numberIn(const std::string &name);
+
+    RunRecord &m_record;
+    const DeploymentModel &m_model;
+    EventQueue m_events;
+    RandomGenerator m_random;
+    UpstreamFakes m_upstreams;
+    std::vector<Entry> m_entries;
+    std::vector<std::vector<bool>> m_isInInventory; ///< For each service and upstream.
+    std::vector<std::vector<DirectoryAnswer>> m_answers; ///< For each caller and service.
+    std::vector<Ticket> m_tickets;
+    std::deque<LoadSnapshot> m_snapshots;
+};
+
+Driver::Driver(RunRecord &record)
+    : m_record(record)
+    , m_model(record.model)
+    , m_random(record.settings.seed)
+    , m_upstreams(m_events,
+                  m_model,
+                  record.arrivals.size(),
+                  [this](std::size_t ticket, AttemptOutcome outcome, const LoadReport &report) {
+                      onAnswered(ticket, outcome, report);
+                  })
+    , m_entries(m_model.entries)
+    , m_answers(UsualCallers + FloodCallers, std::vector<DirectoryAnswer>(m_model.services.size()))
+{
+    for (const ServiceModel &service : m_model.services) {
+        m_isInInventory.emplace_back(service.upstreams, true);
+    }
+    for (const UpstreamChange &change : record.plan.changes) {
+        if (change.kind == ChangeKind::Assigned) {
+            m_isInInventory[change.service][change.upstream] = false;
+        }
+        m_events.schedule(TimePoint{} + change.at, [this, change] {
+            apply(change);
+        });
+    }
+    for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+        m_entries[entry].availabilityZone = availabilityZoneOfEntry(m_model, entry);
+        m_entries[entry].isMember.assign(m_entries.size(), true);
+        m_entries[entry].services.resize(m_model.services.size());
+        for (std::size_t service = 0; service < m_model.services.size(); ++service) {
+            m_entries[entry].services[service].baseline.policy = record.policy;
+            assignUpstreams(entry, service);
+        }
+    }
+}
+
+void Driver::run()
+{
+    if (m_record.plan.entryLostAt) {
+        m_events.schedule(TimePoint{} + *m_record.plan.entryLostAt, [this] {
+            loseEntry(m_entries[0].services[0].owners[0]);
+        });
+    }
+    if (m_record.policy == Policy::TwoChoicesReported) {
+        takeSnapshot();
+    }
+    for (CallId call = 0; call < m_record.arrivals.size(); ++call) {
+        m_events.schedule(m_record.arrivals[call].sentAt, [this, call] {
+            sendFromCaller(call);
+        });
+    }
+    while (m_events.runNext()) {
+    }
+    for (CallId call = 0; call < m_record.arrivals.size(); ++call) {
+        m_record.executions.push_back(m_upstreams.executionsOf(call));
+    }
+}
+
+/** Returns the caller's directory answer for the call's service, a new one if it has expired. */
+DirectoryAnswer &Driver::directoryAnswer(const Arrival &arrival)
+{
+    DirectoryAnswer &answer = m_answers[arrival.caller][arrival.service];
+    if (answer.expiresAt > m_events.now()) {
+        return answer;
+    }
+    std::size_t asked = arrival.caller % m_entries.size();
+    while (m_entries[asked].isLost) {
+        asked = (asked + 1) % m_entries.size();
+    }
+    answer = {.expiresAt = m_events.now() + DirectoryTimeToLive};
+    if (m_record.policy == Policy::Product) {
+        answer.addresses = m_entries[asked].services[arrival.service].owners;
+        std::rotate(
+            answer.addresses.begin(), answer.addresses.begin() + static_cast<std::ptrdiff_t>(arrival.caller % answer.addresses.size()), answer.addresses.end());
+    }
+    for (std::size_t offset = 0; answer.addresses.size() < AddressesInAnswer; ++offset) {
+        const std::size_t candidate = (asked + offset * (arrival.caller % 7 + 1)) % m_entries.size();
+        if (m_entries[asked].isMember[candidate]) {
+            answer.addresses.push_back(candidate);
+        }
+    }
+    return answer;
+}
+
+std::size_t Driver::addressOf(CallId call)
+{
+    const Arrival &arrival = m_record.arrivals[call];
+    const DirectoryAnswer &answer = directoryAnswer(arrival);
+    const std::size_t misdirected = call % m_entries.size();
+    if (arrival.isMisdirected && !m_entries[misdirected].isLost) {
+        return misdirected;
+    }
+    return answer.addresses[answer.current];
+}
+
+void Driver::sendFromCaller(CallId call)
+{
+    const std::size_t entry = addressOf(call);
+    if (m_entries[entry].isLost) {
+        m_events.schedule(m_events.now() + ConnectTimeout, [this, call, entry] {
+            onConnectTimeout(call, entry);
+        });
+        return;
+    }
+    m_record.results[call].contactedEntry = entry;
+    m_events.schedule(m_events.now() + m_model.toCaller, [this, call, entry] {
+        receiveCall(call, entry);
+    });
+}
+
+void Driver::onConnectTimeout(CallId call, std::size_t entry)
+{
+    const Arrival &arrival = m_record.arrivals[call];
+    DirectoryAnswer &answer = directoryAnswer(arrival);
+    if (answer.addresses[answer.current] == entry) {
+        answer.current = (answer.current + 1) % answer.addresses.size();
+    }
+    if (m_events.now() < deadlineAtEntry(m_model, arrival)) {
+        sendFromCaller(call);
+    }
+}
+
+/** Takes a result to the caller, from the entry VM that decided by way of the one that the caller reached. */
+void Driver::answerCaller(CallId call, std::size_t entry, const CallResult &result)
+{
+    const std::size_t contacted = m_record.results[call].contactedEntry;
+    if (m_entries[contacted].isLost) {
+        return;
+    }
+    CallResult final = result;
+    final.contactedEntry = contacted;
+    final.endedAt = m_events.now() + delay(entry, contacted) + m_model.toCaller;
+    if (final.end == CallEnd::Answered) {
+        final.network = 2 * (m_model.toCaller + delayToUpstream(contacted, final.upstream));
+    }
+    m_record.results[call] = final;
+}
+
+void Driver::receiveCall(CallId call, std::size_t entry)
+{
+    const Arrival &arrival = m_record.arrivals[call];
+    const auto &owners = m_entries[entry].services[arrival.service].owners;
+    const bool isOwner = std::find(owners.begin(), owners.end(), entry) != owners.end();
+    if (m_record.policy != Policy::Product || isOwner) {
+        acceptCall(call, entry);
+        return;
+    }
+    const std::size_t owner = owners[arrival.caller % owners.size()];
+    m_events.schedule(m_events.now() + delay(entry, owner), [this, call, owner] {
+        acceptCall(call, owner);
+    });
+}
+
+void Driver::acceptCall(CallId call, std::size_t entry, const std::string &handedOverBy)
+{
+    const Arrival &arrival = m_record.arrivals[call];
+    const WorkKind &kind = m_model.workKinds[static_cast<std::size_t>(arrival.rank)];
+    if (m_record.policy == Policy::TwoChoicesReported) {
+        updateReports(entry, arrival.service);
+    }
+    CallArrived event{
+        .call = call,
+        .rank = arrival.rank,
+        .repeatability = kind.repeatability,
+        .worth = kind.worth,
+        .deadline = deadlineAtEntry(m_model, arrival),
+        .caller = arrival.caller,
+        .handedOverBy = handedOverBy,
+    };
+    deliver(entry, arrival.service, event);
+}
+
+void Driver::deliver(std::size_t entry, std::size_t service, const ServiceEvent &event)
+{
+    if (m_entries[entry].isLost) {
+        return;
+    }
+    ServiceAtEntry &state = m_entries[entry].services[service];
+    ServiceActions actions;
+    if (m_record.policy == Policy::Product) {
+        step(state.product, event, m_events.now(), m_random, actions);
+    } else {
+        step(state.baseline, event, m_events.now(), m_random, actions);
+    }
+    for (const ServiceAction &action : actions) {
+        std::visit(
+            [this, entry, service](const auto &specific) {
+                perform(entry, service, specific);
+            },
+            action);
+    }
+    if (m_record.policy == Policy::Product) {
+        scheduleWakeUp(entry, service);
+    }
+}
+
+void Driver::scheduleWakeUp(std::size_t entry, std::size_t service)
+{
+    ServiceAtEntry &state = m_entries[entry].services[service];
+    const auto next = nextWakeUp(state.product);
+    if (!next || (state.wakeUp && *state.wakeUp <= *next)) {
+        return;
+    }
+    const TimePoint at = std::max(*next, m_events.now() + TimerResolution);
+    state.wakeUp = at;
+    m_events.schedule(at, [this, entry, service, at] {
+        ServiceAtEntry &woken = m_entries[entry].services[service];
+        if (woken.wakeUp != at) {
+            return;
+        }
+        woken.wakeUp.reset();
+        const auto due = nextWakeUp(woken.product);
+        if (due && *due <= m_events.now()) {
+            deliver(entry, service, TimerFired{});
+        } else {
+            scheduleWakeUp(entry, service);
+        }
+    });
+}
+
+Upstream Driver::inventoryRow(std::size_t service, std::size_t upstream) const
+{
+    const ServiceModel &model = m_model.services[service];
+    return {
+        .name = fmt::format("{}-{}", model.name, upstream),
+        .endpoint = {},
+        .availabilityZone = fmt::format("zone-{}", upstream % m_model.availabilityZones),
+        .slots = model.slots,
+        .connectionLimit = model.connectionLimit,
+    };
+}
+
+/** Returns the number at the end of a name such as "entry-3". */
+std::size_t Driver::numberIn(const std::string &name)
+{
+    return std::stoul(name.substr(name.rfind('-') + 1));
+}
+
+/** Gives the entry VM its share of the upstreams by the members that it knows. */
+void Driver::assignUpstreams(std::size_t entry, std::size_t service)
+{
+    Service configuration{.name = m_model.services[service].name, .version = 1, .upstreams = {}};
+    for (std::size_t upstream = 0; upstream < m_model.services[service].upstreams; ++upstream) {
+        if (m_isInInventory[service][upstream]) {
+            configuration.upstreams.push_back(inventoryRow(service, upstream));
+        }
+    }
+    std::vector<EntryMember> members;
+    for (std::size_t member = 0; member < m_entries.size(); ++member) {
+        if (m_entries[entry].isMember[member]) {
+            EntryMember &known = members.emplace_back();
+            known.name = fmt::format("entry-{}", member);
+            known.availabilityZone = fmt::format("zone-{}", availabilityZoneOfEntry(m_model, member));
+        }
+    }
+    const ServiceOwners assignment = assignOwners(configuration, members);
+    ServiceAtEntry &state = m_entries[entry].services[service];
+    state.owners.clear();
+    UpstreamsAssigned assigned;
+    PeersAssigned peers;
+    for (const EntryMember &owner : assignment.owners) {
+        state.owners.push_back(numberIn(owner.name));
+        if (state.owners.back() != entry) {
+            peers.peers.push_back(owner.name);
+        }
+    }
+    for (std::size_t row = 0; row < configuration.upstreams.size(); ++row) {
+        const bool isOwn = state.owners[assignment.ownerOf[row]] == entry;
+        if (isOwn || m_record.policy != Policy::Product) {
+            assigned.upstreams.push_back(configuration.upstreams[row]);
+        }
+    }
+    const bool isOwner = peers.peers.size() < state.owners.size();
+    deliver(entry, service, assigned);
+    deliver(entry, service, isOwner ? peers : PeersAssigned{});
+}
+
+/** Loses an entry VM without a word; the others notice after some time, not all at once. */
+void Driver::loseEntry(std::size_t entry)
+{
+    m_entries[entry].isLost = true;
+    for (std::size_t other = 0; other < m_entries.size(); ++other) {
+        m_events.schedule(m_events.now() + LossDetection + other * LossDetectionSpread, [this, entry, other] {
+            m_entries[other].isMember[entry] = false;
+            for (std::size_t service = 0; service < m_model.services.size(); ++service) {
+                assignUpstreams(other, service);
+            }
+        });
+    }
+}
+
+void Driver::apply(const UpstreamChange &change)
+{
+    m_upstreams.apply(change);
+    if (change.kind == ChangeKind::Assigned) {
+        m_isInInventory[change.service][change.upstream] = true;
+    }
+    for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+        if (change.kind == ChangeKind::Assigned) {
+            assignUpstreams(entry, change.service);
+        }
+        if (change.kind == ChangeKind::LeavingAnnounced) {
+            deliver(entry, change.service, UpstreamLeaving{.upstream = inventoryRow(change.service, change.upstream).name});
+        }
+    }
+}
+
+/** Records an attempt, which ends at its deadline at the latest. */
+std::size_t Driver::addTicket(const Ticket &ticket, std::size_t service, TimePoint deadline)
+{
+    const std::size_t number = m_tickets.size();
+    m_tickets.push_back(ticket);
+    m_entries[ticket.entry].services[service].tickets.emplace(ticket.attempt, number);
+    m_events.schedule(deadline, [this, number] {
+        const Ticket &due = m_tickets[number];
+        if (due.isEnded) {
+            return;
+        }
+        if (due.upstream != NoUpstreamIndex) {
+            m_upstreams.cancel(due.upstream, number);
+        }
+        finishTicket(number, AttemptOutcome::DeadlinePassed, std::nullopt);
+    });
+    return number;
+}
+
+void Driver::finishTicket(std::size_t ticket, AttemptOutcome outcome, const std::optional<LoadReport> &report)
+{
+    Ticket &finished = m_tickets[ticket];
+    if (finished.isEnded) {
+        return;
+    }
+    finished.isEnded = true;
+    finished.outcome = outcome;
+    deliver(finished.entry, m_record.arrivals[finished.call].service, AttemptFinished{.attempt = finished.attempt, .outcome = outcome, .report = report});
+}
+
+void Driver::onAnswered(std::size_t ticket, AttemptOutcome outcome, const LoadReport &report)
+{
+    const Ticket &sent = m_tickets[ticket];
+    m_events.schedule(m_events.now() + delayToUpstream(sent.entry, sent.upstream), [this, ticket, outcome, report] {
+        finishTicket(ticket, outcome, report);
+    });
+}
+
+void Driver::perform(std::size_t entry, std::size_t service, const StartAttempt &action)
+{
+    const std::size_t upstream = m_upstreams.indexOf(service, numberIn(action.upstream));
+    const std::size_t ticket = addTicket({.call = action.call, .entry = entry, .attempt = action.attempt, .upstream = upstream}, service, action.deadline);
+    const UpstreamFakes::Request request{
+        .ticket = ticket,
+        .call = action.call,
+        .work = m_record.arrivals[action.call].work,
+        .deadline = action.deadline,
+    };
+    m_events.schedule(m_events.now() + delayToUpstream(entry, upstream), [this, upstream, request] {
+        m_upstreams.receive(upstream, request);
+    });
+}
+
+void Driver::perform(std::size_t entry, std::size_t service, const HandOverCall &action)
+{
+    const std::size_t peer = numberIn(action.peer);
+    const std::size_t ticket = addTicket({.call = action.call, .entry = entry, .attempt = action.attempt, .peer = peer}, service, action.deadline);
+    ++m_record.handOvers;
+    m_events.schedule(m_events.now() + delay(entry, peer), [this, entry, service, peer, ticket, call = action.call] {
+        m_entries[peer].services[service].handedOver[call] = ticket;
+        acceptCall(call, peer, fmt::format("entry-{}", entry));
+    });
+}
+
+void Driver::perform(std::size_t entry, std::size_t service, const SendPeerReport &action)
+{
+    const std::size_t peer = numberIn(action.peer);
+    const PeerReport report{
+        .peer = fmt::format("entry-{}", entry),
+        .freeSlots = action.freeSlots,
+        .queuedCalls = action.queuedCalls,
+        .handOversReceived = action.handOversReceived,
+    };
+    m_events.schedule(m_events.now() + delay(entry, peer), [this, peer, service, report] {
+        deliver(peer, service, report);
+    });
+}
+
+void Driver::perform(std::size_t entry, std::size_t service, const CancelAttempt &action)
+{
+    const std::size_t ticket = m_entries[entry].services[service].tickets.at(action.attempt);
+    Ticket &cancelled = m_tickets[ticket];
+    cancelled.isEnded = true;
+    if (cancelled.upstream == NoUpstreamIndex) {
+        m_events.schedule(m_events.now() + delay(entry, cancelled.peer), [this, service, peer = cancelled.peer, call = cancelled.call] {
+            deliver(peer, service, CallAbandoned{.call = call});
+        });
+        return;
+    }
+    m_events.schedule(m_events.now() + delayToUpstream(entry, cancelled.upstream), [this, ticket, upstream = cancelled.upstream] {
+        m_upstreams.cancel(upstream, ticket);
+    });
+}
+
+/** Takes the end of a call that was handed over back to the co-owner. @return false if the call is this owner's own. */
+bool Driver::finishHandOver(std::size_t entry, std::size_t service, CallId call, AttemptOutcome outcome)
+{
+    auto &handedOver = m_entries[entry].services[service].handedOver;
+    const auto found = handedOver.find(call);
+    if (found == handedOver.end()) {
+        return false;
+    }
+    const std::size_t ticket = found->second;
+    handedOver.erase(found);
+    m_events.schedule(m_events.now() + delay(entry, m_tickets[ticket].entry), [this, ticket, outcome] {
+        finishTicket(ticket, outcome, std::nullopt);
+    });
+    return true;
+}
+
+void Driver::perform(std::size_t entry, std::size_t service, const AnswerCall &action)
+{
+    const Ticket &ticket = m_tickets[m_entries[entry].services[service].tickets.at(action.attempt)];
+    m_record.results[action.call].upstream = ticket.upstream != NoUpstreamIndex ? ticket.upstream : m_record.results[action.call].upstream;
+    if (finishHandOver(entry, service, action.call, ticket.outcome)) {
+        return;
+    }
+    CallResult result = m_record.results[action.call];
+    result.end = ticket.outcome == AttemptOutcome::Succeeded ? CallEnd::Answered : CallEnd::ServerError;
+    answerCaller(action.call, entry, result);
+}
+
+void Driver::perform(std::size_t entry, std::size_t service, const RefuseCall &action)
+{
+    if (!finishHandOver(entry, service, action.call, AttemptOutcome::Shed)) {
+        answerCaller(action.call, entry, {.end = CallEnd::NotRun, .refusal = action.reason});
+    }
+}
+
+void Driver::perform(std::size_t entry, std::size_t service, const ReportUnknown &action)
+{
+    const bool isLate = action.reason == UnknownReason::DeadlinePassed;
+    if (!finishHandOver(entry, service, action.call, isLate ? AttemptOutcome::DeadlinePassed : AttemptOutcome::Lost)) {
+        answerCaller(action.call, entry, {.end = CallEnd::Unknown, .unknown = action.reason});
+    }
+}
+
+void Driver::perform(std::size_t, std::size_t, const CountRetry &action)
+{
+    ++m_record.retries[static_cast<std::size_t>(action.reason)];
+}
+
+void Driver::perform(std::size_t, std::size_t, const EjectionChanged &action)
+{
+    m_record.ejections += action.isEjected ? 1 : 0;
+}
+
+/** Notes all loads and counts one report of each upstream to each entry VM as measuring. */
+void Driver::takeSnapshot()
+{
+    LoadSnapshot snapshot{.takenAt = m_events.now()};
+    for (std::size_t service = 0; service < m_model.services.size(); ++service) {
+        for (std::size_t upstream = 0; upstream < m_model.services[service].upstreams; ++upstream) {
+            const LoadReport report = m_upstreams.reportOf(m_upstreams.indexOf(service, upstream));
+            snapshot.loads.push_back(report.busySlots + report.queuedCalls);
+        }
+    }
+    const auto second = static_cast<std::size_t>(std::chrono::floor<std::chrono::seconds>(m_events.now().time_since_epoch()).count());
+    m_record.probesPerSecond[second] += snapshot.loads.size() * m_entries.size();
+    m_snapshots.push_front(std::move(snapshot));
+    if (m_snapshots.size() > 3) {
+        m_snapshots.pop_back();
+    }
+    if (m_events.now() + ReportInterval < TimePoint{} + m_record.plan.duration) {
+        m_events.schedule(m_events.now() + ReportInterval, [this] {
+            takeSnapshot();
+        });
+    }
+}
+
+/** Gives the entry VM the latest reports that have had time to arrive. */
+void Driver::updateReports(std::size_t entry, std::size_t service)
+{
+    for (BaselineUpstream &known : m_entries[entry].services[service].baseline.upstreams) {
+        const std::size_t upstream = m_upstreams.indexOf(service, numberIn(known.upstream.name));
+        const TimePoint newest = m_events.now() - delayToUpstream(entry, upstream);
+        const auto snapshot = std::find_if(m_snapshots.begin(), m_snapshots.end(), [newest](const LoadSnapshot &candidate) {
+            return candidate.takenAt <= newest;
+        });
+        known.reportedLoad = snapshot != m_snapshots.end() ? snapshot->loads[upstream] : 0;
+    }
+}
+
+Duration Driver::delay(std::size_t fromEntry, std::size_t toEntry) const
+{
+    if (fromEntry == toEntry) {
+        return {};
+    }
+    return delayBetween(m_model, m_entries[fromEntry].availabilityZone, m_entries[toEntry].availabilityZone);
+}
+
+Duration Driver::delayToUpstream(std::size_t entry, std::size_t upstream) const
+{
+    return delayBetween(m_model, m_entries[entry].availabilityZone, m_upstreams.availabilityZoneOf(upstream));
+}
+
+}
+
+Duration delayBetween(const DeploymentModel &model, std::size_t from, std::size_t to)
+{
+    return from == to ? model.withinAvailabilityZone : model.betweenAvailabilityZones;
+}
+
+std::size_t availabilityZoneOfEntry(const DeploymentModel &model, std::size_t entry)
+{
+    return entry % model.availabilityZones;
+}
+
+TimePoint deadlineAtEntry(const DeploymentModel &model, const Arrival &arrival)
+{
+    return arrival.sentAt + model.workKinds[static_cast<std::size_t>(arrival.rank)].target - model.toCaller;
+}
+
+RunRecord runScenario(const RunSettings &settings, Policy policy)
+{
+    RunRecord record;
+    record.settings = settings;
+    record.policy = policy;
+    record.model = modelOf(settings.deployment);
+    record.plan = planOf(settings);
+    record.arrivals = makeArrivals(record.model, record.plan, settings.seed);
+    record.results.resize(record.arrivals.size());
+    record.probesPerSecond.resize(static_cast<std::size_t>(std::chrono::ceil<std::chrono::seconds>(record.plan.duration).count()));
+    if (policy == Policy::Oracle) {
+        runOracle(record);
+    } else {
+        Driver(record).run();
+    }
+    return record;
+}
+
+}
--- /dev/null
+++ b/bench/policyoracle.cpp
@@ -0,0 +1,208 @@
+#include "policydriver.h"
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+
+namespace Plantainweir {
+namespace {
+
+constexpr double UsableSpeed = 0.5;
+/** A call with less time left gives way to those behind it: 99% of calls need less service time. */
+constexpr std::chrono::milliseconds AmpleTime{75};
+
+/** The one queue of a service, best rank first. */
+struct OracleQueue {
+    std::array<std::deque<CallId>, enumCount<Rank>()> waiting;
+    std::vector<std::uint32_t> bound; ///< Calls bound to each upstream, on their way there or running.
+};
+
+class Oracle
+{
+public:
+    explicit Oracle(RunRecord &record);
+    void run();
+
+private:
+    void receive(CallId call);
+    void bindCalls(std::size_t service);
+    std::optional<std::size_t> freeUpstream(std::size_t service) const;
+    std::uint32_t freeSlots(std::size_t service, std::size_t upstream) const;
+    std::optional<CallId> takeNext(std::size_t service);
+    void bind(CallId call, std::size_t upstream);
+    void onAnswered(CallId call, AttemptOutcome outcome);
+    void apply(const UpstreamChange &change);
+    void takeBack(std::size_t service, std::size_t upstream);
+    Duration delayTo(CallId call, std::size_t service, std::size_t upstream) const;
+
+    RunRecord &m_record;
+    EventQueue m_events;
+    UpstreamFakes m_upstreams;
+    std::vector<OracleQueue> m_queues;
+    std::vector<std::optional<std::size_t>> m_boundTo; ///< Upstream of each call.
+};
+
+Oracle::Oracle(RunRecord &record)
+    : m_record(record)
+    , m_upstreams(m_events,
+                  record.model,
+                  record.arrivals.size(),
+                  [this](std::size_t call, AttemptOutcome outcome, const LoadReport &) {
+                      onAnswered(call, outcome);
+                  })
+    , m_queues(record.model.services.size())
+    , m_boundTo(record.arrivals.size())
+{
+    for (std::size_t service = 0; service < m_queues.size(); ++service) {
+        m_queues[service].bound.assign(record.model.services[service].upstreams, 0);
+    }
+}
+
+void Oracle::run()
+{
+    for (const UpstreamChange &change : m_record.plan.changes) {
+        m_events.schedule(TimePoint{} + change.at, [this, change] {
+            apply(change);
+        });
+    }
+    for (CallId call = 0; call < m_record.arrivals.size(); ++call) {
+        const Arrival &arrival = m_record.arrivals[call];
+        m_record.results[call].contactedEntry = arrival.caller % m_record.model.entries;
+        m_events.schedule(arrival.sentAt + m_record.model.toCaller, [this, call] {
+            receive(call);
+        });
+    }
+    while (m_events.runNext()) {
+    }
+    for (CallId call = 0; call < m_record.arrivals.size(); ++call) {
+        m_record.executions.push_back(m_upstreams.executionsOf(call));
+    }
+}
+
+void Oracle::receive(CallId call)
+{
+    const Arrival &arrival = m_record.arrivals[call];
+    m_queues[arrival.service].waiting[static_cast<std::size_t>(arrival.rank)].push_back(call);
+    bindCalls(arrival.service);
+}
+
+/** Returns the slots that are neither busy nor awaited by a call on its way; a slot of a faulty or slow upstream is none. */
+std::uint32_t Oracle::freeSlots(std::size_t service, std::size_t upstream) const
+{
+    const std::size_t index = m_upstreams.indexOf(service, upstream);
+    const std::uint32_t slots = m_upstreams.slotsOf(index);
+    const std::uint32_t bound = m_queues[service].bound[upstream];
+    const bool isUsable = !m_upstreams.isFaulty(index) && m_upstreams.speedOf(index) >= UsableSpeed;
+    return isUsable && bound < slots ? slots - bound : 0;
+}
+
+std::optional<std::size_t> Oracle::freeUpstream(std::size_t service) const
+{
+    std::optional<std::size_t> best;
+    std::uint32_t bestFree = 0;
+    for (std::size_t upstream = 0; upstream < m_queues[service].bound.size(); ++upstream) {
+        const std::uint32_t free = freeSlots(service, upstream);
+        if (free > bestFree) {
+            best = upstream;
+            bestFree = free;
+        }
+    }
+    return best;
+}
+
+std::optional<CallId> Oracle::takeNext(std::size_t service)
+{
+    for (auto &waiting : m_queues[service].waiting) {
+        while (!waiting.empty()) {
+            const CallId call = waiting.front();
+            waiting.pop_front();
+            const Duration left = deadlineAtEntry(m_record.model, m_record.arrivals[call]) - m_events.now();
+            if (left > AmpleTime || (waiting.empty() && left > Duration::zero())) {
+                return call;
+            }
+            m_record.results[call].end = CallEnd::NotRun;
+            m_record.results[call].refusal = RefusalReason::DeadlineUnreachable;
+            m_record.results[call].endedAt = m_events.now() + m_record.model.toCaller;
+        }
+    }
+    return std::nullopt;
+}
+
+void Oracle::bindCalls(std::size_t service)
+{
+    while (const auto upstream = freeUpstream(service)) {
+        const auto call = takeNext(service);
+        if (!call) {
+            return;
+        }
+        bind(*call, *upstream);
+    }
+}
+
+/** Runs the call in the slot; a call that has waited longer than its way there starts at once. */
+void Oracle::bind(CallId call, std::size_t upstream)
+{
+    const Arrival &arrival = m_record.arrivals[call];
+    const std::size_t index = m_upstreams.indexOf(arrival.service, upstream);
+    const TimePoint reachesUpstream = arrival.sentAt + m_record.model.toCaller + delayTo(call, arrival.service, upstream);
+    ++m_queues[arrival.service].bound[upstream];
+    m_boundTo[call] = upstream;
+    m_events.schedule(reachesUpstream, [this, call, index] {
+        m_upstreams.receive(index, {.ticket = call, .call = call, .work = m_record.arrivals[call].work, .deadline = TimePoint::max()});
+    });
+}
+
+void Oracle::onAnswered(CallId call, AttemptOutcome outcome)
+{
+    const Arrival &arrival = m_record.arrivals[call];
+    const std::size_t upstream = *m_boundTo[call];
+    const Duration way = delayTo(call, arrival.service, upstream);
+    CallResult &result = m_record.results[call];
+    result.end = outcome == AttemptOutcome::Succeeded ? CallEnd::Answered : CallEnd::ServerError;
+    result.upstream = m_upstreams.indexOf(arrival.service, upstream);
+    result.endedAt = m_events.now() + way + m_record.model.toCaller;
+    result.network = 2 * (way + m_record.model.toCaller);
+    --m_queues[arrival.service].bound[upstream];
+    m_boundTo[call].reset();
+    bindCalls(arrival.service);
+}
+
+void Oracle::apply(const UpstreamChange &change)
+{
+    m_upstreams.apply(change);
+    if (change.kind == ChangeKind::Speed && change.value < UsableSpeed) {
+        takeBack(change.service, change.upstream);
+    }
+    bindCalls(change.service);
+}
+
+/** Takes idempotent calls back from an upstream that has just become slow, and queues them first. */
+void Oracle::takeBack(std::size_t service, std::size_t upstream)
+{
+    for (CallId call = 0; call < m_boundTo.size(); ++call) {
+        const Arrival &arrival = m_record.arrivals[call];
+        const bool isHere = m_boundTo[call] == upstream && arrival.service == service;
+        const auto rank = static_cast<std::size_t>(arrival.rank);
+        if (isHere && m_record.model.workKinds[rank].repeatability == Repeatability::Idempotent
+            && m_upstreams.withdraw(m_upstreams.indexOf(service, upstream), call)) {
+            --m_queues[service].bound[upstream];
+            m_boundTo[call].reset();
+            m_queues[service].waiting[rank].push_front(call);
+        }
+    }
+}
+
+Duration Oracle::delayTo(CallId call, std::size_t service, std::size_t upstream) const
+{
+    const std::size_t entryZone = availabilityZoneOfEntry(m_record.model, m_record.results[call].contactedEntry);
+    return delayBetween(m_record.model, entryZone, m_upstreams.availabilityZoneOf(m_upstreams.indexOf(service, upstream)));
+}
+
+}
+
+void runOracle(RunRecord &record)
+{
+    Oracle(record).run();
+}
+
+}
--- /dev/null
+++ b/bench/policyreport.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "policydriver.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/** Sums a run of the policy bench up, as its callers saw it. */
+namespace Plantainweir {
+
+/** The calls of one rank; times are from sending to receipt at the caller, over answered calls. */
+struct RankSummary {
+    std::size_t offered = 0;
+    std::size_t answeredInTime = 0;
+    std::size_t answeredLate = 0;
+    std::size_t serverErrors = 0;
+    std::size_t unanswered = 0; ///< The caller gave up at its deadline.
+    std::array<std::size_t, enumCount<RefusalReason>()> notRun{};
+    std::array<std::size_t, enumCount<UnknownReason>()> unknown{};
+    double p50Milliseconds = 0.0;
+    double p99Milliseconds = 0.0;
+    double p999Milliseconds = 0.0;
+    double waitP99Milliseconds = 0.0; ///< Beyond the service time and the network between caller, entry VM and upstream.
+    std::size_t windowOffered = 0; ///< Sent while the scenario's fault or flood lasted.
+    std::size_t windowInTime = 0; ///< Of those, answered in time.
+
+    std::size_t notRunTotal() const;
+    std::size_t unknownTotal() const;
+    /** Returns the share of calls that were answered in time; 1 if none was offered. */
+    double inTimeShare() const;
+    /** Returns the share of calls that had no answer in time, for whatever reason. */
+    double missedShare() const;
+};
+
+/** A run as a whole. */
+struct RunSummary {
+    std::array<RankSummary, enumCount<Rank>()> ranks;
+    std::vector<std::array<RankSummary, enumCount<Rank>()>> services;
+    std::size_t doubledExecutions = 0; ///< At-most-once calls that ran more than once.
+    std::size_t falseNotRun = 0; ///< Calls that the caller was told had not run, and that had.
+    std::uint64_t mostProbesPerSecond = 0;
+    std::size_t secondsOverBudget = 0;
+    double worth = 0.0; ///< Of the calls answered in time.
+    double worthOffered = 0.0;
+    double windowSeconds = 0.0;
+};
+
+RunSummary summarise(const RunRecord &record);
+
+/** Returns the summary as a JSON object with the run's settings. */
+std::string toJson(const RunRecord &record, const RunSummary &summary);
+
+/** Returns one comma-separated line for each call: when it was sent, what became of it, where it ran and how long it waited. */
+std::string traceOf(const RunRecord &record);
+
+}
