--- a/src/configuration/configurationjson.cpp
+++ b/src/configuration/configurationjson.cpp
@@ -215,7 +215,7 @@
     BOOST_LEAF_ASSIGN(service.name, textMember(object, "name"));
     BOOST_LEAF_ASSIGN(service.isRemoved, switchMember(object, "removed"));
     BOOST_LEAF_AUTO(upstreams, arrayMember(object, "upstreams"));
-    for (const QJsonValue &value : upstreams) {
+    for (const QJsonValue value : upstreams) {
         BOOST_LEAF_AUTO(upstream, decodeUpstream(value.toObject()));
         service.upstreams.push_back(std::move(upstream));
     }
@@ -227,7 +227,7 @@
     BOOST_LEAF_AUTO(object, parseObject(text));
     Rules rules;
     BOOST_LEAF_AUTO(kinds, arrayMember(object, "workKinds"));
-    for (const QJsonValue &value : kinds) {
+    for (const QJsonValue value : kinds) {
         BOOST_LEAF_AUTO(kind, decodeWorkKind(value.toObject()));
         rules.workKinds.push_back(std::move(kind));
     }
@@ -239,7 +239,7 @@
 {
     std::vector<RememberedWrite> writes;
     const QJsonDocument document = QJsonDocument::fromJson(QByteArray(text.data(), static_cast<qsizetype>(text.size())));
-    for (const QJsonValue &value : document.object().value(WritesMember).toArray()) {
+    for (const QJsonValue value : document.object().value(WritesMember).toArray()) {
         const double base = value.toObject().value("base").toDouble(-1.0);
         if (base >= 0.0 && base <= MaximumExactInteger && writes.size() < MaximumRememberedWrites) {
             writes.push_back({.base = static_cast<std::uint64_t>(base), .id = value.toObject().value("id").toString().toStdString()});
--- a/src/tasks/platformapi.cpp
+++ b/src/tasks/platformapi.cpp
@@ -90,7 +90,7 @@
     BOOST_LEAF_AUTO(body, decodeBody(result));
     PlatformObjects objects;
     objects.revision = integerMember(body, "revision");
-    for (const QJsonValue &value : body.value("objects").toArray()) {
+    for (const QJsonValue value : body.value("objects").toArray()) {
         const QJsonObject object = value.toObject();
         objects.objects.push_back({.name = textMember(object, "name"),
                                    .version = integerMember(object, "version"),
@@ -103,7 +103,7 @@
 {
     BOOST_LEAF_AUTO(body, decodeBody(result));
     std::vector<VirtualMachine> machines;
-    for (const QJsonValue &value : body.value("vms").toArray()) {
+    for (const QJsonValue value : body.value("vms").toArray()) {
         const QJsonObject object = value.toObject();
         const auto state = valueNamed<VirtualMachineState>(textMember(object, "state"));
         if (!state) {
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -283,7 +283,7 @@
     HttpResponse setVirtualMachines(const QJsonArray &list)
     {
         std::vector<VirtualMachine> machines;
-        for (const QJsonValue &value : list) {
+        for (const QJsonValue value : list) {
             const QJsonObject object = value.toObject();
             const auto state = valueNamed<VirtualMachineState>(object.value("state").toString().toStdString());
             if (!state) {
