--- /dev/null
+++ b/src/decision/admission.cpp
@@ -0,0 +1,129 @@
+#include "decision/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Plantainweir {
+namespace {
+
+/** Time over which the use by each rank is averaged. */
+constexpr std::chrono::milliseconds UsageWindow{200};
+/** Share of the slots that a rank can count on at least, so that a wait is never infinite. */
+constexpr double MinimumShare = 0.01;
+constexpr std::uint32_t MaximumQueuedCalls = 100'000;
+
+std::size_t indexOf(Rank rank)
+{
+    return static_cast<std::size_t>(rank);
+}
+
+double usageShare(const ServiceState &state, Rank rank, TimePoint now)
+{
+    const RankUsage &usage = state.usages[indexOf(rank)];
+    const double windows = toMilliseconds(now - usage.updatedAt) / toMilliseconds(UsageWindow);
+    const double capacity = static_cast<double>(std::max(state.slots, 1U)) * static_cast<double>(Duration{UsageWindow}.count());
+    return usage.nanoseconds * std::exp(-windows) / capacity;
+}
+
+double slotTimeOf(const ServiceState &state, Rank rank, std::uint32_t calls)
+{
+    return state.latencies[indexOf(rank)].meanNanoseconds * calls;
+}
+
+/** Slot time of the waiting calls that go before a new one. */
+struct WorkAhead {
+    double higherRanks = 0.0;
+    double ownRank = 0.0;
+    double higherShare = 0.0; ///< Share of the slots that the higher ranks use.
+};
+
+WorkAhead workAhead(const ServiceState &state, Rank rank, std::uint64_t caller, TimePoint now)
+{
+    WorkAhead ahead;
+    for (std::size_t index = 0; index < indexOf(rank); ++index) {
+        const auto higher = static_cast<Rank>(index);
+        ahead.higherRanks += slotTimeOf(state, higher, state.queue.ranks[index].size);
+        ahead.higherShare += usageShare(state, higher, now);
+    }
+    ahead.ownRank = slotTimeOf(state, rank, callsAhead(state.queue.ranks[indexOf(rank)], caller));
+    return ahead;
+}
+
+/** Returns the wait in nanoseconds: in the order of the ranks, or by the rank's floor if that is sooner. */
+double waitBehind(const ServiceState &state, const WorkAhead &ahead, Rank rank)
+{
+    const double slots = std::max(state.slots, 1U);
+    const double floor = std::max(floorShare(rank), MinimumShare);
+    const double inOrder = (ahead.higherRanks + ahead.ownRank) / (slots * std::max(1.0 - ahead.higherShare, floor));
+    const double byFloor = ahead.ownRank / (slots * floor);
+    return std::min(inOrder, ahead.higherShare >= 1.0 - floor ? byFloor : inOrder);
+}
+
+RefusalReason reasonOf(const ServiceState &state, const WorkAhead &ahead, Rank rank)
+{
+    const WorkAhead alone{.ownRank = ahead.ownRank};
+    return waitBehind(state, alone, rank) * 2.0 < waitBehind(state, ahead, rank) ? RefusalReason::OverRankLimit : RefusalReason::QueueFull;
+}
+
+}
+
+std::array<Duration, enumCount<Rank>()> meanServiceTimes(const ServiceState &state)
+{
+    std::array<Duration, enumCount<Rank>()> times{};
+    for (std::size_t index = 0; index < times.size(); ++index) {
+        times[index] = meanServiceTime(state.latencies[index]);
+    }
+    return times;
+}
+
+Duration expectedWait(const ServiceState &state, Rank rank, std::uint64_t caller, TimePoint now)
+{
+    if (state.queue.size == 0 && state.freeSlots > 0) {
+        return Duration::zero();
+    }
+    const WorkAhead ahead = workAhead(state, rank, caller, now);
+    const double nextCompletion = state.latencies[indexOf(rank)].meanNanoseconds / std::max(state.slots, 1U);
+    return Duration{static_cast<std::int64_t>(waitBehind(state, ahead, rank) + nextCompletion)};
+}
+
+std::optional<RefusalReason> refusalOf(const ServiceState &state, const CallArrived &arrival, TimePoint now)
+{
+    if (state.usableUpstreams == 0) {
+        return RefusalReason::NoUpstream;
+    }
+    const LatencyQuantiles &service = state.latencies[indexOf(arrival.rank)].quantiles;
+    if (arrival.deadline <= now + service.p5) {
+        return RefusalReason::DeadlineUnreachable;
+    }
+    if (state.queue.size == 0) {
+        return std::nullopt;
+    }
+    if (state.queue.size >= MaximumQueuedCalls) {
+        return RefusalReason::QueueFull;
+    }
+    const Duration wait = expectedWait(state, arrival.rank, arrival.caller, now);
+    if (now + wait + service.p95 <= arrival.deadline) {
+        return std::nullopt;
+    }
+    if (now + service.p95 > arrival.deadline) {
+        return RefusalReason::DeadlineUnreachable;
+    }
+    return reasonOf(state, workAhead(state, arrival.rank, arrival.caller, now), arrival.rank);
+}
+
+TimePoint latestStart(const ServiceState &state, const CallArrived &arrival)
+{
+    const LatencyQuantiles &service = state.latencies[indexOf(arrival.rank)].quantiles;
+    const bool isIdempotent = arrival.repeatability == Repeatability::Idempotent;
+    return arrival.deadline - (isIdempotent ? service.p50 : service.p90);
+}
+
+void recordUsage(ServiceState &state, Rank rank, Duration serviceTime, TimePoint now)
+{
+    RankUsage &usage = state.usages[indexOf(rank)];
+    const double windows = toMilliseconds(now - usage.updatedAt) / toMilliseconds(UsageWindow);
+    usage.nanoseconds = usage.nanoseconds * std::exp(-windows) + static_cast<double>(serviceTime.count());
+    usage.updatedAt = now;
+}
+
+}
--- /dev/null
+++ b/src/decision/binding.cpp
@@ -0,0 +1,269 @@
+#include "decision/binding.h"
+
+#include "decision/admission.h"
+#include "decision/hedging.h"
+#include "decision/upstreams.h"
+
+#include <algorithm>
+
+namespace Plantainweir {
+namespace {
+
+/** Shortest and longest time after which a refused caller is asked to come again. */
+constexpr std::chrono::milliseconds ShortestRetryTime{10};
+constexpr std::chrono::milliseconds LongestRetryTime{1000};
+/** What a call loses by the way to a co-owner and back. */
+constexpr std::chrono::microseconds HandOverCost{2500};
+
+RankQueue &queueOf(ServiceState &state, Rank rank)
+{
+    return state.queue.ranks[static_cast<std::size_t>(rank)];
+}
+
+/** Returns the waiting call of the entry, or null if it has left the queue. */
+CallState *waitingCall(ServiceState &state, const QueueEntry &entry)
+{
+    const auto found = state.calls.find(entry.call);
+    const bool isWaiting = found != state.calls.end() && found->second.ticket == entry.ticket;
+    return isWaiting ? &found->second : nullptr;
+}
+
+/** Takes the next call that can still be started out of the queue, or returns null. */
+CallState *takeNextCall(StepContext &context)
+{
+    ServiceState &state = context.state;
+    const auto serviceTimes = meanServiceTimes(state);
+    while (const auto rank = nextRank(state.queue, serviceTimes)) {
+        const QueueEntry entry = popFirst(queueOf(state, *rank));
+        CallState *call = waitingCall(state, entry);
+        if (call == nullptr) {
+            continue;
+        }
+        const bool isTooLate = latestStart(state, call->arrival) < context.now && state.queue.size > 1;
+        if (isTooLate) {
+            expire(context, *call, RefusalReason::DeadlinePassed);
+            continue;
+        }
+        leaveQueue(state, *call);
+        return call;
+    }
+    return nullptr;
+}
+
+/** Takes an upstream that waits for a trial call if the call may serve as one. */
+std::optional<UpstreamIndex> takeTrial(ServiceState &state, const CallState &call)
+{
+    const bool isSuitable = call.arrival.repeatability == Repeatability::Idempotent && call.attempts == 0 && call.runningCount == 0;
+    while (isSuitable && !state.trials.empty()) {
+        const UpstreamIndex upstream = state.trials.back();
+        state.trials.pop_back();
+        if (state.upstreams[upstream].health.state == HealthState::Trial) {
+            return upstream;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<UpstreamIndex> upstreamFor(ServiceState &state, const CallState &call)
+{
+    if (const auto trial = takeTrial(state, call)) {
+        return trial;
+    }
+    const auto other = cheapest(state.free, call.lastUpstream);
+    return other || call.runningCount > 0 ? other : cheapest(state.free);
+}
+
+/** Returns whether the queue is long enough that the way to the upstream and back shows in its throughput. */
+bool isPipelineWorthwhile(const ServiceState &state, UpstreamIndex upstream)
+{
+    const double network = static_cast<double>(state.upstreams[upstream].health.shortestLatency.count());
+    double waiting = 0.0;
+    for (std::size_t index = 0; index < state.queue.ranks.size(); ++index) {
+        waiting += state.latencies[index].meanNanoseconds * state.queue.ranks[index].size;
+    }
+    return waiting > network * std::max(state.slots, 1U);
+}
+
+void bindAhead(StepContext &context)
+{
+    ServiceState &state = context.state;
+    while (state.queue.size > 0) {
+        const auto upstream = cheapest(state.pipelined);
+        if (!upstream || !isPipelineWorthwhile(state, *upstream)) {
+            return;
+        }
+        CallState *call = takeNextCall(context);
+        if (call == nullptr) {
+            return;
+        }
+        startAttempt(context, *call, *upstream);
+    }
+}
+
+void startHandOver(StepContext &context, CallState &call, PeerState &peer)
+{
+    ServiceState &state = context.state;
+    const AttemptId attempt = ++state.lastAttempt;
+    ++peer.handOversSent;
+    call.wasHandedOver = true;
+    call.running[call.runningCount++] = attempt;
+    state.attempts.emplace(attempt, AttemptState{.call = call.arrival.call, .peer = peer.name, .rank = call.arrival.rank, .startedAt = context.now});
+    context.actions.emplace_back(HandOverCall{
+        .attempt = attempt,
+        .call = call.arrival.call,
+        .peer = peer.name,
+        .deadline = call.arrival.deadline,
+    });
+}
+
+bool mayBeHandedOver(const CallState &call)
+{
+    return call.arrival.handedOverBy.empty() && !call.wasHandedOver && call.runningCount == 0;
+}
+
+bool isWaitLong(const ServiceState &state)
+{
+    double waiting = 0.0;
+    for (std::size_t index = 0; index < state.queue.ranks.size(); ++index) {
+        waiting += state.latencies[index].meanNanoseconds * state.queue.ranks[index].size;
+    }
+    return waiting > static_cast<double>(Duration{HandOverCost}.count()) * state.slots;
+}
+
+/** Takes one of the last waiting calls that may be handed over, or returns null. */
+CallState *takeLastCall(ServiceState &state)
+{
+    for (std::size_t index = state.queue.ranks.size(); index-- > 0;) {
+        RankQueue &rank = state.queue.ranks[index];
+        while (rank.size > 0) {
+            const QueueEntry entry = rank.entries.back();
+            CallState *call = waitingCall(state, entry);
+            if (call != nullptr && !mayBeHandedOver(*call)) {
+                break;
+            }
+            popLast(rank);
+            if (call != nullptr) {
+                leaveQueue(state, *call);
+                return call;
+            }
+        }
+    }
+    return nullptr;
+}
+
+}
+
+void enqueue(StepContext &context, CallState &call, bool isAgain)
+{
+    call.ticket = push(context.state.queue, call.arrival, isAgain);
+    schedule(context.state.timers,
+             {
+                 .due = std::max(latestStart(context.state, call.arrival), context.now),
+                 .kind = TimerKind::QueuedCall,
+                 .id = call.arrival.call,
+                 .ticket = call.ticket,
+             });
+}
+
+void leaveQueue(ServiceState &state, CallState &call)
+{
+    if (call.ticket == 0) {
+        return;
+    }
+    call.ticket = 0;
+    leave(state.queue, call.arrival);
+}
+
+AttemptState &startAttempt(StepContext &context, CallState &call, UpstreamIndex upstream)
+{
+    ServiceState &state = context.state;
+    const Duration service = meanServiceTime(state.latencies[static_cast<std::size_t>(call.arrival.rank)]);
+    const AttemptId attempt = ++state.lastAttempt;
+    ++state.upstreams[upstream].inFlight;
+    ++call.attempts;
+    call.running[call.runningCount++] = attempt;
+    call.lastUpstream = upstream;
+    recordUsage(state, call.arrival.rank, service, context.now);
+    chargeSlotTime(state.queue, call.arrival.rank, service);
+    refreshUpstream(state, upstream, context.now);
+    context.actions.emplace_back(StartAttempt{
+        .attempt = attempt,
+        .call = call.arrival.call,
+        .upstream = state.upstreams[upstream].upstream.name,
+        .deadline = call.arrival.deadline,
+    });
+    AttemptState &added = state.attempts[attempt];
+    added = {.call = call.arrival.call, .upstream = upstream, .rank = call.arrival.rank, .startedAt = context.now};
+    added.isTrial = state.upstreams[upstream].health.state == HealthState::Trial;
+    scheduleCheck(context, attempt, added);
+    return added;
+}
+
+void bindCalls(StepContext &context)
+{
+    ServiceState &state = context.state;
+    while (state.queue.size > 0 && !state.free.heap.empty()) {
+        CallState *call = takeNextCall(context);
+        if (call == nullptr) {
+            return;
+        }
+        const auto upstream = upstreamFor(state, *call);
+        if (!upstream) {
+            enqueue(context, *call, true);
+            return;
+        }
+        startAttempt(context, *call, *upstream);
+    }
+    bindAhead(context);
+}
+
+void cancelAttempts(StepContext &context, CallState &call, AttemptId kept)
+{
+    ServiceState &state = context.state;
+    for (std::uint32_t index = 0; index < call.runningCount; ++index) {
+        const AttemptId attempt = call.running[index];
+        const auto found = state.attempts.find(attempt);
+        if (attempt == kept || found == state.attempts.end()) {
+            continue;
+        }
+        const AttemptState cancelled = found->second;
+        state.attempts.erase(found);
+        context.actions.emplace_back(CancelAttempt{.attempt = attempt});
+        if (cancelled.upstream) {
+            recordCancellation(context, cancelled);
+        }
+    }
+    call.runningCount = 0;
+}
+
+void expire(StepContext &context, CallState &call, RefusalReason reason)
+{
+    const CallId id = call.arrival.call;
+    const Duration wait = expectedWait(context.state, call.arrival.rank, call.arrival.caller, context.now);
+    leaveQueue(context.state, call);
+    if (call.runningCount > 0) {
+        return;
+    }
+    if (call.mayHaveRun) {
+        context.actions.emplace_back(ReportUnknown{.call = id, .reason = UnknownReason::DeadlinePassed});
+    } else {
+        const Duration retryTime = std::clamp<Duration>(wait, ShortestRetryTime, LongestRetryTime);
+        context.actions.emplace_back(RefuseCall{.call = id, .reason = reason, .retryAt = context.now + retryTime});
+    }
+    context.state.calls.erase(id);
+}
+
+void handOverCalls(StepContext &context)
+{
+    ServiceState &state = context.state;
+    while (state.queue.size > 0 && isWaitLong(state)) {
+        PeerState *peer = peerWithFreeSlot(state.handOver);
+        CallState *call = peer != nullptr ? takeLastCall(state) : nullptr;
+        if (call == nullptr) {
+            return;
+        }
+        startHandOver(context, *call, *peer);
+    }
+}
+
+}
--- a/src/decision/dispatch.cpp
+++ b/src/decision/dispatch.cpp
@@ -1,162 +1,177 @@
 #include "decision/dispatch.h"
 
+#include "decision/admission.h"
+#include "decision/binding.h"
+#include "decision/hedging.h"
+#include "decision/upstreams.h"
+
 #include <algorithm>
 
 namespace Plantainweir {
 namespace {
 
-constexpr std::chrono::milliseconds RetryAfterRefusal{100};
-constexpr std::uint32_t MaximumAttempts = 3;
-
-/** The arguments that every handler of an event shares. */
-struct StepContext {
-    ServiceState &state;
-    TimePoint now;
-    ServiceActions &actions;
-};
+/** Attempts of one call, those that certainly did not run included. */
+constexpr std::uint32_t MaximumAttempts = 8;
+constexpr std::chrono::milliseconds PeerReportInterval{1};
+constexpr std::chrono::milliseconds RetryTimeAfterFailure{100};
 
-bool isUsable(const UpstreamState &upstream)
+std::optional<RetryReason> retryReasonOf(AttemptOutcome outcome)
 {
-    return upstream.isAssigned && !upstream.isLeaving && !upstream.upstream.isDraining;
+    switch (outcome) {
+    case AttemptOutcome::ServerError:
+        return RetryReason::UpstreamError;
+    case AttemptOutcome::Shed:
+        return RetryReason::UpstreamShed;
+    case AttemptOutcome::NotSent:
+        return RetryReason::ConnectFailed;
+    case AttemptOutcome::Lost:
+        return RetryReason::ConnectionLost;
+    case AttemptOutcome::Succeeded:
+    case AttemptOutcome::DeadlinePassed:
+        return std::nullopt;
+    }
+    return std::nullopt;
 }
 
-/** Returns the index of a usable upstream with the most free slots, or nothing. */
-std::optional<std::size_t> findFreeUpstream(const ServiceState &state)
+bool isCertainlyNotRun(AttemptOutcome outcome)
 {
-    std::optional<std::size_t> best;
-    std::uint32_t bestFree = 0;
-    for (std::size_t index = 0; index < state.upstreams.size(); ++index) {
-        const UpstreamState &upstream = state.upstreams[index];
-        const bool hasFreeSlot = isUsable(upstream) && upstream.inFlight < upstream.upstream.slots;
-        const std::uint32_t free = hasFreeSlot ? upstream.upstream.slots - upstream.inFlight : 0;
-        if (free > bestFree) {
-            best = index;
-            bestFree = free;
-        }
-    }
-    return best;
+    return outcome == AttemptOutcome::Shed || outcome == AttemptOutcome::NotSent;
 }
 
-void refuse(StepContext &context, CallId call, RefusalReason reason)
+void forgetRunning(CallState &call, AttemptId attempt)
 {
-    context.actions.emplace_back(RefuseCall{.call = call, .reason = reason, .retryAt = context.now + RetryAfterRefusal});
-    context.state.calls.erase(call);
+    const auto begin = call.running.begin();
+    const auto end = begin + call.runningCount;
+    const auto found = std::find(begin, end, attempt);
+    if (found != end) {
+        *found = *(end - 1);
+        --call.runningCount;
+    }
 }
 
-void enqueue(StepContext &context, const CallArrived &arrival)
+/** Returns whether the call is sent once more after an attempt that did not succeed, and takes that from the budget. */
+bool takeRetry(StepContext &context, const CallState &call, const AttemptState &attempt, AttemptOutcome outcome)
 {
-    context.state.queues[static_cast<std::size_t>(arrival.rank)].push_back(arrival.call);
-    context.state.deadlines.emplace(arrival.deadline, arrival.call);
+    ServiceState &state = context.state;
+    const bool isRepeatable = call.arrival.repeatability == Repeatability::Idempotent || isCertainlyNotRun(outcome);
+    const bool hasTime = latestStart(state, call.arrival) > context.now;
+    if (!retryReasonOf(outcome) || !isRepeatable || !hasTime || call.attempts >= MaximumAttempts || state.usableUpstreams == 0) {
+        return false;
+    }
+    if (!attempt.upstream) {
+        return true;
+    }
+    return withdraw(isCertainlyNotRun(outcome) ? state.notRunBudget : state.retryBudget);
 }
 
-std::optional<CallId> takeNextCall(ServiceState &state)
+void refuse(StepContext &context, const CallState &call, RefusalReason reason)
 {
-    for (auto &queue : state.queues) {
-        while (!queue.empty()) {
-            const CallId call = queue.front();
-            queue.pop_front();
-            const auto found = state.calls.find(call);
-            if (found != state.calls.end() && found->second.attemptsInFlight == 0) {
-                return call;
-            }
-        }
-    }
-    return std::nullopt;
+    const CallId id = call.arrival.call;
+    context.actions.emplace_back(RefuseCall{.call = id, .reason = reason, .retryAt = context.now + RetryTimeAfterFailure});
 }
 
-void startAttempt(StepContext &context, CallId call, std::size_t upstreamIndex)
+void reportUnknown(StepContext &context, const CallState &call, UnknownReason reason)
 {
-    ServiceState &state = context.state;
-    UpstreamState &upstream = state.upstreams[upstreamIndex];
-    CallState &callState = state.calls.at(call);
-    const AttemptId attempt = ++state.lastAttempt;
-    ++upstream.inFlight;
-    ++callState.attempts;
-    ++callState.attemptsInFlight;
-    state.attempts.emplace(attempt, AttemptState{.call = call, .upstream = upstreamIndex});
-    context.actions.emplace_back(StartAttempt{
-        .attempt = attempt,
-        .call = call,
-        .upstream = upstream.upstream.name,
-        .deadline = callState.arrival.deadline,
-    });
+    context.actions.emplace_back(ReportUnknown{.call = call.arrival.call, .reason = reason});
 }
 
-/** Binds queued calls to free slots, best rank first. */
-void bindCalls(StepContext &context)
+/** Ends the call with what its last attempt brought. */
+void finishCall(StepContext &context, const CallState &call, const AttemptState &attempt, const AttemptFinished &event)
 {
-    while (const auto upstream = findFreeUpstream(context.state)) {
-        const auto call = takeNextCall(context.state);
-        if (!call) {
-            return;
+    const CallId id = call.arrival.call;
+    switch (event.outcome) {
+    case AttemptOutcome::Succeeded:
+    case AttemptOutcome::ServerError:
+        context.actions.emplace_back(AnswerCall{.call = id, .attempt = event.attempt});
+        break;
+    case AttemptOutcome::Shed:
+    case AttemptOutcome::NotSent:
+        if (call.mayHaveRun) {
+            reportUnknown(context, call, UnknownReason::ConnectionLost);
+            break;
         }
-        startAttempt(context, *call, *upstream);
+        refuse(context, call, event.outcome == AttemptOutcome::Shed ? RefusalReason::UpstreamShed : RefusalReason::ConnectFailed);
+        break;
+    case AttemptOutcome::Lost:
+        reportUnknown(context, call, attempt.upstream ? UnknownReason::ConnectionLost : UnknownReason::OwnerConnectionLost);
+        break;
+    case AttemptOutcome::DeadlinePassed:
+        reportUnknown(context, call, UnknownReason::DeadlinePassed);
+        break;
     }
+    context.state.calls.erase(id);
 }
 
-void handle(StepContext &context, const CallArrived &event)
+void onSuccess(StepContext &context, CallState &call, const AttemptState &attempt, const AttemptFinished &event)
 {
-    context.state.calls.emplace(event.call, CallState{.arrival = event});
-    const bool hasUpstream = std::any_of(context.state.upstreams.begin(), context.state.upstreams.end(), isUsable);
-    if (!hasUpstream) {
-        refuse(context, event.call, RefusalReason::NoUpstream);
-        return;
+    if (attempt.isHedge && call.runningCount > 0) {
+        recordHedgeWin(context.state);
     }
-    enqueue(context, event);
+    cancelAttempts(context, call, event.attempt);
+    leaveQueue(context.state, call);
+    finishCall(context, call, attempt, event);
 }
 
-void handle(StepContext &context, const CallAbandoned &event)
+void onFailure(StepContext &context, CallState &call, const AttemptState &attempt, const AttemptFinished &event)
 {
-    const auto found = context.state.calls.find(event.call);
-    if (found != context.state.calls.end() && found->second.attemptsInFlight == 0) {
-        context.state.calls.erase(found);
+    call.mayHaveRun = call.mayHaveRun || !isCertainlyNotRun(event.outcome);
+    const bool goesOn = call.runningCount > 0 || call.ticket != 0;
+    if (goesOn) {
+        return;
     }
+    if (!takeRetry(context, call, attempt, event.outcome)) {
+        finishCall(context, call, attempt, event);
+        return;
+    }
+    if (attempt.upstream) {
+        context.actions.emplace_back(CountRetry{.reason = *retryReasonOf(event.outcome)});
+    }
+    enqueue(context, call, true);
 }
 
-std::optional<RetryReason> retryReasonOf(AttemptOutcome outcome)
+void learnServiceTime(ServiceState &state, const AttemptState &attempt, Duration elapsed)
 {
-    switch (outcome) {
-    case AttemptOutcome::ServerError:
-        return RetryReason::UpstreamError;
-    case AttemptOutcome::Shed:
-        return RetryReason::UpstreamShed;
-    case AttemptOutcome::NotSent:
-        return RetryReason::ConnectFailed;
-    case AttemptOutcome::Lost:
-        return RetryReason::ConnectionLost;
-    case AttemptOutcome::Succeeded:
-    case AttemptOutcome::DeadlinePassed:
-        return std::nullopt;
+    if (attempt.upstream && state.upstreams[*attempt.upstream].health.state == HealthState::Healthy) {
+        addSample(state.latencies[static_cast<std::size_t>(attempt.rank)], elapsed);
     }
-    return std::nullopt;
 }
 
-bool isCertainlyNotRun(AttemptOutcome outcome)
+void handle(StepContext &context, const CallArrived &event)
 {
-    return outcome == AttemptOutcome::Shed || outcome == AttemptOutcome::NotSent;
+    ServiceState &state = context.state;
+    if (!event.handedOverBy.empty()) {
+        recordArrival(state.handOver, event.handedOverBy);
+    }
+    const auto reason = refusalOf(state, event, context.now);
+    if (reason) {
+        CallState refused{.arrival = event};
+        expire(context, refused, *reason);
+        return;
+    }
+    deposit(state.retryBudget);
+    deposit(state.notRunBudget);
+    deposit(state.hedgeBudget);
+    const auto [added, isNew] = state.calls.try_emplace(event.call, CallState{.arrival = event});
+    if (isNew) {
+        enqueue(context, added->second, false);
+    }
 }
 
-void finishCall(StepContext &context, CallId call, const AttemptFinished &event)
+void handle(StepContext &context, const CallAbandoned &event)
 {
-    switch (event.outcome) {
-    case AttemptOutcome::Succeeded:
-    case AttemptOutcome::ServerError:
-        context.actions.emplace_back(AnswerCall{.call = call, .attempt = event.attempt});
-        break;
-    case AttemptOutcome::Shed:
-        refuse(context, call, RefusalReason::UpstreamShed);
+    ServiceState &state = context.state;
+    const auto found = state.calls.find(event.call);
+    if (found == state.calls.end()) {
         return;
-    case AttemptOutcome::NotSent:
-        refuse(context, call, RefusalReason::ConnectFailed);
+    }
+    CallState &call = found->second;
+    const bool mustGoOn = call.arrival.repeatability == Repeatability::AtMostOnce && call.runningCount > 0;
+    if (mustGoOn) {
         return;
-    case AttemptOutcome::Lost:
-        context.actions.emplace_back(ReportUnknown{.call = call, .reason = UnknownReason::ConnectionLost});
-        break;
-    case AttemptOutcome::DeadlinePassed:
-        context.actions.emplace_back(ReportUnknown{.call = call, .reason = UnknownReason::DeadlinePassed});
-        break;
     }
-    context.state.calls.erase(call);
+    leaveQueue(state, call);
+    cancelAttempts(context, call, 0);
+    state.calls.erase(found);
 }
 
 void handle(StepContext &context, const AttemptFinished &event)
@@ -168,91 +183,126 @@
     }
     const AttemptState attempt = found->second;
     state.attempts.erase(found);
-    UpstreamState &upstream = state.upstreams[attempt.upstream];
-    --upstream.inFlight;
-    if (event.report && event.report->isDraining) {
-        upstream.isLeaving = true;
+    if (attempt.upstream) {
+        if (event.outcome == AttemptOutcome::Succeeded) {
+            learnServiceTime(state, attempt, context.now - attempt.startedAt);
+        }
+        recordAttemptEnd(context, attempt, event.outcome);
+        if (event.report && event.report->isDraining) {
+            changeLeaving(context, {.upstream = state.upstreams[*attempt.upstream].upstream.name});
+        }
     }
     const auto call = state.calls.find(attempt.call);
     if (call == state.calls.end()) {
         return;
     }
-    --call->second.attemptsInFlight;
-    const auto reason = retryReasonOf(event.outcome);
-    const bool isRepeatable = call->second.arrival.repeatability == Repeatability::Idempotent || isCertainlyNotRun(event.outcome);
-    const bool hasTime = call->second.arrival.deadline > context.now;
-    if (reason && isRepeatable && hasTime && call->second.attempts < MaximumAttempts) {
-        context.actions.emplace_back(CountRetry{.reason = *reason});
-        enqueue(context, call->second.arrival);
+    forgetRunning(call->second, event.attempt);
+    if (event.outcome == AttemptOutcome::Succeeded) {
+        onSuccess(context, call->second, attempt, event);
         return;
     }
-    finishCall(context, attempt.call, event);
+    onFailure(context, call->second, attempt, event);
 }
 
 void handle(StepContext &context, const UpstreamsAssigned &event)
 {
-    for (UpstreamState &upstream : context.state.upstreams) {
-        upstream.isAssigned = false;
-    }
-    for (const Upstream &assigned : event.upstreams) {
-        const auto found = std::find_if(context.state.upstreams.begin(), context.state.upstreams.end(), [&assigned](const UpstreamState &known) {
-            return known.upstream.name == assigned.name;
-        });
-        if (found == context.state.upstreams.end()) {
-            context.state.upstreams.push_back({.upstream = assigned});
-            continue;
-        }
-        found->upstream = assigned;
-        found->isAssigned = true;
-    }
+    assignUpstreams(context, event);
 }
 
 void handle(StepContext &context, const UpstreamLeaving &event)
 {
-    for (UpstreamState &upstream : context.state.upstreams) {
-        if (upstream.upstream.name == event.upstream) {
-            upstream.isLeaving = event.isLeaving;
-        }
-    }
+    changeLeaving(context, event);
 }
 
-void handle(StepContext &, const PeersAssigned &) { }
+void handle(StepContext &context, const PeersAssigned &event)
+{
+    assignPeers(context.state.handOver, event);
+}
 
-void handle(StepContext &, const PeerReport &) { }
+void handle(StepContext &context, const PeerReport &event)
+{
+    recordReport(context.state.handOver, event);
+}
 
-void handle(StepContext &context, const TimerFired &)
+void handle(StepContext &, const TimerFired &)
 {
-    auto &deadlines = context.state.deadlines;
-    while (!deadlines.empty() && deadlines.begin()->first <= context.now) {
-        const CallId call = deadlines.begin()->second;
-        deadlines.erase(deadlines.begin());
-        const auto found = context.state.calls.find(call);
-        if (found != context.state.calls.end() && found->second.attemptsInFlight == 0) {
-            refuse(context, call, RefusalReason::DeadlinePassed);
+    // Every step looks at the timers.
+}
+
+void onQueuedCallTimer(StepContext &context, const Timer &timer)
+{
+    const auto call = context.state.calls.find(timer.id);
+    if (call != context.state.calls.end() && call->second.ticket == timer.ticket) {
+        expire(context, call->second, RefusalReason::DeadlinePassed);
+    }
+}
+
+/** Returns whether a timer was due. */
+bool handleTimers(StepContext &context)
+{
+    bool wasDue = false;
+    while (const auto timer = takeDue(context.state.timers, context.now)) {
+        wasDue = true;
+        switch (timer->kind) {
+        case TimerKind::QueuedCall:
+            onQueuedCallTimer(context, *timer);
+            break;
+        case TimerKind::Attempt:
+            checkAttempt(context, timer->id);
+            break;
+        case TimerKind::Upstream:
+            onUpstreamTimer(context, static_cast<UpstreamIndex>(timer->id));
+            break;
+        case TimerKind::PeerReport:
+            context.state.handOver.isReportScheduled = false;
+            break;
         }
     }
+    return wasDue;
+}
+
+/** Reports to the co-owners when the slots to spare have changed, at most once an interval. */
+void reportToPeers(StepContext &context)
+{
+    HandOverState &handOver = context.state.handOver;
+    const std::uint32_t slots = slotsToReport(context.state.freeSlots, context.state.queue.size);
+    const bool hasNews = slots != handOver.reportedFreeSlots || handOver.hasUnreportedArrivals;
+    if (handOver.peers.empty() || handOver.isReportScheduled || !hasNews) {
+        return;
+    }
+    if (context.now < handOver.nextReportAt) {
+        handOver.isReportScheduled = true;
+        schedule(context.state.timers, {.due = handOver.nextReportAt, .kind = TimerKind::PeerReport});
+        return;
+    }
+    handOver.nextReportAt = context.now + PeerReportInterval;
+    reportToPeers(handOver, context.state.freeSlots, context.state.queue.size, context.actions);
 }
 
 }
 
 void step(ServiceState &state, const ServiceEvent &event, TimePoint now, RandomGenerator &random, ServiceActions &actions)
 {
-    static_cast<void>(random);
-    StepContext context{.state = state, .now = now, .actions = actions};
+    StepContext context{.state = state, .now = now, .random = random, .actions = actions};
     std::visit(
         [&context](const auto &specific) {
             handle(context, specific);
         },
         event);
     bindCalls(context);
+    if (handleTimers(context)) {
+        bindCalls(context);
+    }
+    handOverCalls(context);
+    reportToPeers(context);
 }
 
 std::optional<TimePoint> nextWakeUp(const ServiceState &state)
 {
-    if (state.deadlines.empty()) {
+    if (state.timers.timers.empty()) {
         return std::nullopt;
     }
-    return state.deadlines.begin()->first;
+    return state.timers.timers.front().due;
 }
 
 }
--- /dev/null
+++ b/src/decision/hedging.cpp
@@ -0,0 +1,110 @@
+#include "decision/hedging.h"
+
+#include "decision/binding.h"
+#include "decision/upstreams.h"
+
+#include <algorithm>
+
+namespace Plantainweir {
+namespace {
+
+/** First look at an attempt before service times are learnt. */
+constexpr std::chrono::milliseconds FirstCheckUnlearnt{100};
+constexpr std::chrono::milliseconds ShortestCheckInterval{1};
+/** Age at which an attempt is overdue, as a multiple of the 95th percentile. */
+constexpr double OverdueFactor = 1.5;
+/** Age at which a call is hedged though nothing speaks against its upstream, as a multiple of the 95th percentile. */
+constexpr double UnprovokedHedgeFactor = 3.0;
+/** Share of the slots that hedges leave free for new calls. */
+constexpr std::uint32_t SlotsForOneReserved = 10;
+constexpr std::uint32_t MaximumAttempts = 3;
+
+const LatencyEstimate &estimateOf(const ServiceState &state, Rank rank)
+{
+    return state.latencies[static_cast<std::size_t>(rank)];
+}
+
+bool isSuspect(const ServiceState &state, const AttemptState &attempt)
+{
+    if (!attempt.upstream) {
+        return false;
+    }
+    const UpstreamState &upstream = state.upstreams[*attempt.upstream];
+    return attempt.isTrial || isStalled(upstream) || upstream.health.state != HealthState::Healthy;
+}
+
+bool isHedgeDue(const StepContext &context, const AttemptState &attempt)
+{
+    const Duration p95 = estimateOf(context.state, attempt.rank).quantiles.p95;
+    const Duration age = context.now - attempt.startedAt;
+    return isSuspect(context.state, attempt) || toMilliseconds(age) >= UnprovokedHedgeFactor * toMilliseconds(p95);
+}
+
+bool mayHedge(const CallState &call)
+{
+    const bool isIdempotent = call.arrival.repeatability == Repeatability::Idempotent;
+    return isIdempotent && call.runningCount == 1 && call.ticket == 0 && call.attempts < MaximumAttempts;
+}
+
+void countHedge(StepContext &context)
+{
+    context.actions.emplace_back(CountRetry{.reason = RetryReason::Hedge});
+}
+
+/** Starts a hedge in an idle slot; behind a queue, only the calls of a suspect upstream wait for a second slot. */
+void hedge(StepContext &context, const AttemptState &attempt, CallState &call)
+{
+    ServiceState &state = context.state;
+    const std::uint32_t reserved = 1 + state.slots / SlotsForOneReserved;
+    const bool hasIdleSlots = state.queue.size == 0 && state.freeSlots > reserved;
+    const auto upstream = hasIdleSlots ? cheapest(state.free, attempt.upstream) : std::nullopt;
+    const bool isUrgent = isSuspect(state, attempt);
+    if ((!upstream && !isUrgent) || !withdraw(state.hedgeBudget)) {
+        return;
+    }
+    countHedge(context);
+    if (upstream) {
+        startAttempt(context, call, *upstream).isHedge = true;
+        return;
+    }
+    enqueue(context, call, true);
+}
+
+}
+
+void scheduleCheck(StepContext &context, AttemptId id, const AttemptState &attempt)
+{
+    const LatencyEstimate &estimate = estimateOf(context.state, attempt.rank);
+    const Duration p95 = isLearnt(estimate) ? estimate.quantiles.p95 : Duration{FirstCheckUnlearnt};
+    const TimePoint first = attempt.startedAt + p95;
+    const TimePoint next = context.now + std::max<Duration>(p95 / 2, ShortestCheckInterval);
+    schedule(context.state.timers, {.due = first > context.now ? first : next, .kind = TimerKind::Attempt, .id = id});
+}
+
+void checkAttempt(StepContext &context, AttemptId id)
+{
+    ServiceState &state = context.state;
+    const auto found = state.attempts.find(id);
+    if (found == state.attempts.end()) {
+        return;
+    }
+    AttemptState &attempt = found->second;
+    const LatencyEstimate &estimate = estimateOf(state, attempt.rank);
+    const Duration age = context.now - attempt.startedAt;
+    if (attempt.upstream && toMilliseconds(age) >= OverdueFactor * toMilliseconds(estimate.quantiles.p95)) {
+        recordOverdue(context, attempt);
+    }
+    const auto call = state.calls.find(attempt.call);
+    const bool isHedged = isLearnt(estimate) && call != state.calls.end() && mayHedge(call->second) && isHedgeDue(context, attempt);
+    scheduleCheck(context, id, attempt);
+    if (isHedged) {
+        hedge(context, AttemptState{attempt}, call->second);
+    }
+}
+
+void recordHedgeWin(ServiceState &state)
+{
+    state.hedgeBudget.tokens = std::min(state.hedgeBudget.capacity, state.hedgeBudget.tokens + 1.0);
+}
+
+}
--- /dev/null
+++ b/src/decision/outlierdetection.cpp
@@ -0,0 +1,145 @@
+#include "decision/outlierdetection.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Plantainweir {
+namespace {
+
+constexpr double LatencyWeight = 1.0 / 32.0;
+constexpr std::uint32_t SamplesForLatency = 32;
+constexpr std::uint32_t ShortestLatencyWindow = 64;
+constexpr double SlowRatio = 2.0;
+constexpr double OutlierRatio = 3.0;
+constexpr double FailureWeight = 1.0 / 8.0;
+constexpr std::uint32_t SamplesForFailures = 8;
+constexpr std::uint32_t OutlierConsecutiveFailures = 3;
+constexpr double OutlierFailureShare = 0.4;
+constexpr double FailureShareOverPeers = 2.0;
+constexpr std::chrono::milliseconds FirstEjection{500};
+constexpr std::uint32_t MaximumDoublings = 5;
+constexpr double EjectionJitter = 0.2;
+constexpr std::uint32_t TrialSuccessesToReturn = 3;
+constexpr std::chrono::seconds HealthyTimeToForget{30};
+
+double median(std::vector<double> &values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+void recordShortest(UpstreamHealth &health, Duration latency)
+{
+    const bool startsWindow = health.latencySamples % ShortestLatencyWindow == 1;
+    if (startsWindow) {
+        health.shortestLatency = health.latencySamples == 1 ? latency : health.shortestInWindow;
+        health.shortestInWindow = latency;
+    }
+    health.shortestInWindow = std::min(health.shortestInWindow, latency);
+    health.shortestLatency = std::min(health.shortestLatency, latency);
+}
+
+bool isFailureOutlier(const UpstreamHealth &health, const PeerReference &reference)
+{
+    const double peers = reference.isKnown ? reference.failureShare : 0.0;
+    if (health.failureShare < FailureShareOverPeers * peers) {
+        return false;
+    }
+    const bool failsOften = health.failureSamples >= SamplesForFailures && health.failureShare > OutlierFailureShare;
+    return failsOften || health.consecutiveFailures >= OutlierConsecutiveFailures;
+}
+
+}
+
+void recordLatency(UpstreamHealth &health, Duration latency)
+{
+    const double logarithm = std::log(static_cast<double>(std::max<std::int64_t>(latency.count(), 1)));
+    ++health.latencySamples;
+    const double weight = std::max(LatencyWeight, 1.0 / health.latencySamples);
+    health.logLatency += weight * (logarithm - health.logLatency);
+    recordShortest(health, latency);
+}
+
+void recordResult(UpstreamHealth &health, bool hasFailed)
+{
+    ++health.failureSamples;
+    health.failureShare += FailureWeight * ((hasFailed ? 1.0 : 0.0) - health.failureShare);
+    health.consecutiveFailures = hasFailed ? health.consecutiveFailures + 1 : 0;
+}
+
+PeerReference referenceOf(const std::vector<const UpstreamHealth *> &healths)
+{
+    std::vector<double> latencies;
+    std::vector<double> failures;
+    for (const UpstreamHealth *health : healths) {
+        if (health->latencySamples >= SamplesForLatency) {
+            latencies.push_back(health->logLatency);
+        }
+        if (health->failureSamples >= SamplesForFailures) {
+            failures.push_back(health->failureShare);
+        }
+    }
+    PeerReference reference;
+    reference.isKnown = latencies.size() >= 2;
+    reference.logLatency = latencies.empty() ? 0.0 : median(latencies);
+    reference.failureShare = failures.empty() ? 0.0 : median(failures);
+    return reference;
+}
+
+double latencyRatio(const UpstreamHealth &health, const PeerReference &reference)
+{
+    if (!reference.isKnown || health.latencySamples < SamplesForLatency) {
+        return 1.0;
+    }
+    return std::exp(health.logLatency - reference.logLatency);
+}
+
+bool isSlow(const UpstreamHealth &health, const PeerReference &reference)
+{
+    return latencyRatio(health, reference) > SlowRatio;
+}
+
+bool isOutlier(const UpstreamHealth &health, const PeerReference &reference)
+{
+    return latencyRatio(health, reference) > OutlierRatio || isFailureOutlier(health, reference);
+}
+
+std::size_t maximumEjected(std::size_t upstreams)
+{
+    if (upstreams == 0) {
+        return 0;
+    }
+    return std::min((upstreams + 1) / 2, upstreams - 1);
+}
+
+void eject(UpstreamHealth &health, TimePoint now, RandomGenerator &random)
+{
+    if (health.state == HealthState::Healthy && now - health.healthySince > HealthyTimeToForget) {
+        health.ejections = 0;
+    }
+    const std::uint32_t doublings = std::min(health.ejections, MaximumDoublings);
+    const double jitter = std::uniform_real_distribution<double>(1.0 - EjectionJitter, 1.0 + EjectionJitter)(random);
+    health.ejectedUntil = now + fromMilliseconds(toMilliseconds(FirstEjection) * static_cast<double>(1U << doublings) * jitter);
+    health.state = HealthState::Ejected;
+    health.trialSuccesses = 0;
+    ++health.ejections;
+}
+
+bool recordTrialSuccess(UpstreamHealth &health, const PeerReference &reference, TimePoint now)
+{
+    if (++health.trialSuccesses < TrialSuccessesToReturn) {
+        return false;
+    }
+    health.state = HealthState::Healthy;
+    health.healthySince = now;
+    health.logLatency = reference.logLatency;
+    health.latencySamples = reference.isKnown ? SamplesForLatency : 0;
+    health.failureShare = 0.0;
+    health.failureSamples = 0;
+    health.consecutiveFailures = 0;
+    health.overdueInRow = 0;
+    return true;
+}
+
+}
--- a/src/decision/serviceevents.h
+++ b/src/decision/serviceevents.h
@@ -25,7 +25,7 @@
     double worth = 1.0;
     TimePoint deadline;
     std::uint64_t caller = 0; ///< Hash of the caller's name, for fairness.
-    std::string handedOverBy; ///< The co-owner that handed the call over; empty for a call of a caller. It is not handed on.
+    std::string handedOverBy{}; ///< The co-owner that handed the call over; empty for a call of a caller. It is not handed on.
 };
 
 /**
@@ -72,7 +72,7 @@
 struct AttemptFinished {
     AttemptId attempt = 0;
     AttemptOutcome outcome = AttemptOutcome::Lost;
-    std::optional<LoadReport> report;
+    std::optional<LoadReport> report{};
 };
 
 /** The upstreams whose slots this owner holds, complete; those that are missing receive no new work. */
--- /dev/null
+++ b/src/decision/upstreams.cpp
@@ -0,0 +1,399 @@
+#include "decision/upstreams.h"
+
+#include "decision/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::uint32_t OverdueAttemptsOfStall = 3;
+constexpr std::uint32_t OverdueAttemptsToEject = 5;
+constexpr std::uint32_t MaximumHoldDoublings = 4;
+constexpr std::uint32_t CompletionsBetweenReferences = 32;
+constexpr std::chrono::milliseconds DefaultHold{5};
+/** Time for which no call is sent ahead of a free slot after one was shed. */
+constexpr std::chrono::seconds PipelineHold{5};
+/** Time after which an upstream whose slots were all busy when its trial was due is looked at again. */
+constexpr std::chrono::milliseconds TrialPostponement{100};
+/** Weight in the cost of an upstream of its share of busy slots, as a share of the mean service time. */
+constexpr double BusyWeight = 0.1;
+/** Shares of one slot below this are not worth a call sent ahead. */
+constexpr double MinimumPipeline = 0.1;
+
+bool isUsable(const UpstreamState &upstream)
+{
+    return upstream.isAssigned && !upstream.isLeaving && !upstream.upstream.isDraining;
+}
+
+double meanNanoseconds(const ServiceState &state)
+{
+    double sum = 0.0;
+    double samples = 0.0;
+    for (const LatencyEstimate &estimate : state.latencies) {
+        sum += estimate.meanNanoseconds * estimate.total;
+        samples += estimate.total;
+    }
+    return samples > 0.0 ? sum / samples : 0.0;
+}
+
+/** Returns how well the upstream is suited to the next call; lower is better. */
+double costOf(const ServiceState &state, const UpstreamState &upstream)
+{
+    const double service = meanNanoseconds(state);
+    const double network = static_cast<double>(upstream.health.shortestLatency.count());
+    const double busy = static_cast<double>(upstream.inFlight) / std::max(upstream.upstream.slots, 1U);
+    const double ratio = isSlow(upstream.health, state.reference) ? latencyRatio(upstream.health, state.reference) : 0.0;
+    return network + service * (BusyWeight * busy + ratio + upstream.health.overdueInRow);
+}
+
+/** Returns the calls that fit on the way to the upstream and back while its slots are busy (bandwidth-delay product). */
+std::uint32_t pipelineOf(const ServiceState &state, const UpstreamState &upstream, TimePoint now)
+{
+    const double service = meanNanoseconds(state);
+    const bool isWarm = allowedCalls(upstream.limit) >= upstream.limit.slots;
+    if (service <= 0.0 || !isWarm || now < upstream.pipelineHeldUntil) {
+        return 0;
+    }
+    const double onTheWay = upstream.limit.slots * static_cast<double>(upstream.health.shortestLatency.count()) / service;
+    return onTheWay < MinimumPipeline ? 0 : std::min(static_cast<std::uint32_t>(std::ceil(onTheWay)), upstream.limit.slots);
+}
+
+void countSlots(ServiceState &state, UpstreamState &upstream, std::uint32_t slots, std::uint32_t freeSlots)
+{
+    state.slots += slots - upstream.countedSlots;
+    state.freeSlots += freeSlots - upstream.countedFreeSlots;
+    upstream.countedSlots = slots;
+    upstream.countedFreeSlots = freeSlots;
+}
+
+void hold(StepContext &context, UpstreamIndex index, Duration duration)
+{
+    UpstreamState &upstream = context.state.upstreams[index];
+    upstream.heldUntil = std::max(upstream.heldUntil, context.now + duration);
+    schedule(context.state.timers, {.due = upstream.heldUntil, .kind = TimerKind::Upstream, .id = index});
+}
+
+/** Holds the slot of a failed call for as long as an ordinary call would have taken it, so that it never looks idle. */
+void holdAfterFailure(StepContext &context, UpstreamIndex index, Duration elapsed)
+{
+    const UpstreamHealth &health = context.state.upstreams[index].health;
+    const Duration service{static_cast<std::int64_t>(meanNanoseconds(context.state))};
+    const std::uint32_t doublings = std::min(std::max(health.consecutiveFailures, 1U) - 1, MaximumHoldDoublings);
+    const Duration duration = std::max<Duration>(service, DefaultHold) * (1U << doublings) - elapsed;
+    if (duration > Duration::zero()) {
+        hold(context, index, duration);
+    }
+}
+
+void refreshReference(ServiceState &state)
+{
+    if (state.reference.updatesUntilRefresh > 0) {
+        --state.reference.updatesUntilRefresh;
+        return;
+    }
+    std::vector<const UpstreamHealth *> healths;
+    for (const UpstreamState &upstream : state.upstreams) {
+        if (isUsable(upstream) && upstream.health.state == HealthState::Healthy) {
+            healths.push_back(&upstream.health);
+        }
+    }
+    state.reference = referenceOf(healths);
+    state.reference.updatesUntilRefresh = std::max(CompletionsBetweenReferences, static_cast<std::uint32_t>(state.upstreams.size()));
+}
+
+void returnToService(StepContext &context, UpstreamIndex index)
+{
+    UpstreamState &upstream = context.state.upstreams[index];
+    upstream.limit = slowStart(upstream.upstream.slots);
+    --context.state.ejectedUpstreams;
+    context.actions.emplace_back(EjectionChanged{.upstream = upstream.upstream.name, .isEjected = false});
+}
+
+void scheduleReturn(StepContext &context, UpstreamIndex index)
+{
+    schedule(context.state.timers, {.due = context.state.upstreams[index].health.ejectedUntil, .kind = TimerKind::Upstream, .id = index});
+}
+
+void ejectAgain(StepContext &context, UpstreamIndex index)
+{
+    eject(context.state.upstreams[index].health, context.now, context.random);
+    scheduleReturn(context, index);
+}
+
+void recordTrialEnd(StepContext &context, UpstreamIndex index, bool isGood)
+{
+    UpstreamState &upstream = context.state.upstreams[index];
+    if (upstream.health.state != HealthState::Trial) {
+        return;
+    }
+    if (!isGood) {
+        ejectAgain(context, index);
+        return;
+    }
+    if (recordTrialSuccess(upstream.health, context.state.reference, context.now)) {
+        returnToService(context, index);
+        return;
+    }
+    context.state.trials.push_back(index);
+}
+
+void recordSuccessOf(StepContext &context, const AttemptState &attempt, Duration elapsed)
+{
+    ServiceState &state = context.state;
+    const UpstreamIndex index = *attempt.upstream;
+    UpstreamState &upstream = state.upstreams[index];
+    recordLatency(upstream.health, elapsed);
+    recordResult(upstream.health, false);
+    refreshReference(state);
+    if (!attempt.isOverdue) {
+        upstream.health.overdueInRow = 0;
+    }
+    recordSuccess(upstream.limit, isSlow(upstream.health, state.reference));
+    const Duration limit = state.latencies[static_cast<std::size_t>(attempt.rank)].quantiles.p90;
+    recordTrialEnd(context, index, elapsed <= limit);
+}
+
+void recordFailureOf(StepContext &context, UpstreamIndex index, Duration elapsed)
+{
+    recordResult(context.state.upstreams[index].health, true);
+    holdAfterFailure(context, index, elapsed);
+    recordTrialEnd(context, index, false);
+}
+
+void recordShedOf(StepContext &context, UpstreamIndex index)
+{
+    UpstreamState &upstream = context.state.upstreams[index];
+    if (upstream.inFlight >= upstream.limit.slots) {
+        upstream.pipelineHeldUntil = context.now + PipelineHold;
+    } else {
+        recordShed(upstream.limit, upstream.inFlight);
+    }
+    if (upstream.inFlight == 0) {
+        const Duration service{static_cast<std::int64_t>(meanNanoseconds(context.state))};
+        hold(context, index, std::max<Duration>(service, DefaultHold));
+    }
+    recordTrialEnd(context, index, false);
+}
+
+/** Takes an attempt that ended or was given up off the upstream. */
+void endAttempt(UpstreamState &upstream, const AttemptState &attempt)
+{
+    --upstream.inFlight;
+    if (attempt.isOverdue) {
+        --upstream.overdueInFlight;
+    }
+}
+
+/** Forgets what was learnt of an upstream that takes no calls for now; it comes back cold. */
+void forget(ServiceState &state, UpstreamState &upstream)
+{
+    if (upstream.health.state != HealthState::Healthy) {
+        --state.ejectedUpstreams;
+    }
+    upstream.health = {};
+    upstream.limit = slowStart(upstream.upstream.slots);
+}
+
+UpstreamIndex addUpstream(ServiceState &state, const Upstream &upstream, bool isWarm)
+{
+    const auto unused = std::find_if(state.upstreams.begin(), state.upstreams.end(), [](const UpstreamState &known) {
+        return !known.isAssigned && known.inFlight == 0;
+    });
+    const auto index = static_cast<UpstreamIndex>(unused - state.upstreams.begin());
+    if (unused == state.upstreams.end()) {
+        state.upstreams.emplace_back();
+    } else {
+        state.upstreamByName.erase(unused->upstream.name);
+    }
+    UpstreamState &added = state.upstreams[index];
+    countSlots(state, added, 0, 0);
+    added = UpstreamState{.upstream = upstream, .limit = isWarm ? fullLimit(upstream.slots) : slowStart(upstream.slots)};
+    added.isLeaving = state.leavingUpstreams.contains(upstream.name);
+    state.upstreamByName[upstream.name] = index;
+    return index;
+}
+
+void refreshAll(ServiceState &state, TimePoint now)
+{
+    state.usableUpstreams = 0;
+    for (std::size_t index = 0; index < state.upstreams.size(); ++index) {
+        UpstreamState &upstream = state.upstreams[index];
+        if (isUsable(upstream)) {
+            ++state.usableUpstreams;
+        } else {
+            forget(state, upstream);
+        }
+        refreshUpstream(state, static_cast<UpstreamIndex>(index), now);
+    }
+}
+
+}
+
+bool isStalled(const UpstreamState &upstream)
+{
+    const std::uint32_t threshold = std::min(OverdueAttemptsOfStall, std::max(upstream.limit.slots, 1U));
+    return upstream.overdueInFlight >= threshold;
+}
+
+void refreshUpstream(ServiceState &state, UpstreamIndex index, TimePoint now)
+{
+    UpstreamState &upstream = state.upstreams[index];
+    const bool takesCalls = isUsable(upstream) && upstream.health.state == HealthState::Healthy && !isStalled(upstream);
+    const std::uint32_t slots = takesCalls ? allowedCalls(upstream.limit) : 0;
+    const bool isHeld = now < upstream.heldUntil;
+    const std::uint32_t freeSlots = !isHeld && slots > upstream.inFlight ? slots - upstream.inFlight : 0;
+    countSlots(state, upstream, slots, freeSlots);
+    if (freeSlots > 0) {
+        insertOrMove(state.free, index, costOf(state, upstream));
+    } else {
+        remove(state.free, index);
+    }
+    const bool isPipelined = takesCalls && !isHeld && freeSlots == 0 && upstream.inFlight < slots + pipelineOf(state, upstream, now);
+    if (isPipelined) {
+        insertOrMove(state.pipelined, index, costOf(state, upstream));
+    } else {
+        remove(state.pipelined, index);
+    }
+}
+
+void assignUpstreams(StepContext &context, const UpstreamsAssigned &event)
+{
+    ServiceState &state = context.state;
+    const bool isFirst = state.upstreams.empty();
+    for (UpstreamState &upstream : state.upstreams) {
+        upstream.isAssigned = false;
+    }
+    std::vector<const Upstream *> added;
+    for (const Upstream &upstream : event.upstreams) {
+        const auto known = state.upstreamByName.find(upstream.name);
+        if (known == state.upstreamByName.end()) {
+            added.push_back(&upstream);
+            continue;
+        }
+        UpstreamState &assigned = state.upstreams[known->second];
+        assigned.upstream = upstream;
+        assigned.isAssigned = true;
+        changeSlots(assigned.limit, upstream.slots);
+    }
+    for (const Upstream *upstream : added) {
+        addUpstream(state, *upstream, isFirst);
+    }
+    refreshAll(state, context.now);
+}
+
+void changeLeaving(StepContext &context, const UpstreamLeaving &event)
+{
+    ServiceState &state = context.state;
+    if (event.isLeaving) {
+        state.leavingUpstreams.insert(event.upstream);
+    } else {
+        state.leavingUpstreams.erase(event.upstream);
+    }
+    const auto found = state.upstreamByName.find(event.upstream);
+    if (found == state.upstreamByName.end() || state.upstreams[found->second].isLeaving == event.isLeaving) {
+        return;
+    }
+    UpstreamState &upstream = state.upstreams[found->second];
+    const bool wasUsable = isUsable(upstream);
+    upstream.isLeaving = event.isLeaving;
+    if (event.isLeaving) {
+        forget(state, upstream);
+    }
+    state.usableUpstreams += static_cast<std::uint32_t>(isUsable(upstream)) - static_cast<std::uint32_t>(wasUsable);
+    refreshUpstream(state, found->second, context.now);
+}
+
+void recordAttemptEnd(StepContext &context, const AttemptState &attempt, AttemptOutcome outcome)
+{
+    const UpstreamIndex index = *attempt.upstream;
+    UpstreamState &upstream = context.state.upstreams[index];
+    const Duration elapsed = context.now - attempt.startedAt;
+    endAttempt(upstream, attempt);
+    switch (outcome) {
+    case AttemptOutcome::Succeeded:
+        recordSuccessOf(context, attempt, elapsed);
+        break;
+    case AttemptOutcome::Shed:
+        recordShedOf(context, index);
+        break;
+    case AttemptOutcome::DeadlinePassed:
+        recordLatency(upstream.health, elapsed);
+        recordTrialEnd(context, index, false);
+        break;
+    case AttemptOutcome::ServerError:
+    case AttemptOutcome::NotSent:
+    case AttemptOutcome::Lost:
+        recordFailureOf(context, index, elapsed);
+        break;
+    }
+    if (isOutlier(upstream.health, context.state.reference)) {
+        tryEject(context, index);
+    }
+    refreshUpstream(context.state, index, context.now);
+}
+
+void recordCancellation(StepContext &context, const AttemptState &attempt)
+{
+    const UpstreamIndex index = *attempt.upstream;
+    UpstreamState &upstream = context.state.upstreams[index];
+    endAttempt(upstream, attempt);
+    if (attempt.isOverdue) {
+        recordLatency(upstream.health, context.now - attempt.startedAt);
+    }
+    if (attempt.isTrial) {
+        recordTrialEnd(context, index, false);
+    }
+    if (isOutlier(upstream.health, context.state.reference)) {
+        tryEject(context, index);
+    }
+    refreshUpstream(context.state, index, context.now);
+}
+
+void recordOverdue(StepContext &context, AttemptState &attempt)
+{
+    UpstreamState &upstream = context.state.upstreams[*attempt.upstream];
+    if (!attempt.isOverdue) {
+        attempt.isOverdue = true;
+        ++upstream.overdueInFlight;
+        ++upstream.health.overdueInRow;
+    }
+    if (upstream.health.overdueInRow >= OverdueAttemptsToEject) {
+        tryEject(context, *attempt.upstream);
+    }
+    refreshUpstream(context.state, *attempt.upstream, context.now);
+}
+
+void tryEject(StepContext &context, UpstreamIndex index)
+{
+    ServiceState &state = context.state;
+    UpstreamState &upstream = state.upstreams[index];
+    const bool isAllowed = state.ejectedUpstreams < maximumEjected(state.usableUpstreams);
+    if (upstream.health.state != HealthState::Healthy || !isUsable(upstream) || !isAllowed) {
+        return;
+    }
+    ++state.ejectedUpstreams;
+    ejectAgain(context, index);
+    context.actions.emplace_back(EjectionChanged{.upstream = upstream.upstream.name, .isEjected = true});
+    refreshUpstream(state, index, context.now);
+}
+
+void onUpstreamTimer(StepContext &context, UpstreamIndex index)
+{
+    ServiceState &state = context.state;
+    UpstreamState &upstream = state.upstreams[index];
+    const bool isTrialDue = upstream.health.state == HealthState::Ejected && context.now >= upstream.health.ejectedUntil;
+    const bool hasFreeSlot = upstream.inFlight < upstream.upstream.slots;
+    if (isTrialDue && !hasFreeSlot) {
+        schedule(state.timers, {.due = context.now + TrialPostponement, .kind = TimerKind::Upstream, .id = index});
+        return;
+    }
+    if (isTrialDue) {
+        upstream.health.state = HealthState::Trial;
+        state.trials.push_back(index);
+    }
+    refreshUpstream(state, index, context.now);
+}
+
+}
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -49,12 +49,6 @@
         {LogEvent::ControlConnected, Info, "control_connected", "entryd receives state from controld."},
         {LogEvent::UpstreamEjected, Warning, "upstream_ejected", "An upstream failed or was slow against its peers and receives trial calls only."},
         {LogEvent::UpstreamReturned, Info, "upstream_returned", "An ejected upstream passed its trial calls and receives work again."},
-        {LogEvent::PlatformUp, Info, "platform_up", "The platform answers."},
-        {LogEvent::PlatformDown, Warning, "platform_down", "Calls to the platform fail in a row; the last configuration stays in force."},
-        {LogEvent::ConfigurationRejected,
-         Error,
-         "configuration_rejected",
-         "A configuration object arrived with a fault; the last good version stays in force."},
     };
     return s_events;
 }
