Add plantainweir-call

What to do after each try is a pure function (callprogress): the key and its owner stay once a byte may have been received, a new key only if nothing ran; "unknown" of at-most-once work is never tried again. The load is an open loop on a millisecond grid, latencies count from when a call was due.

--- /dev/null
+++ b/src/caller/callertask.cpp
@@ -0,0 +1,294 @@
+#include "caller/callertask.h"
+
+#include "caller/callprogress.h"
+#include "caller/directoryanswer.h"
+#include "http/headers.h"
+#include "http/httpclient.h"
+#include "observability/logevents.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::chrono::seconds DirectoryTimeout{1};
+/** Time of a call that leaves its deadline to the work kind's target. */
+constexpr std::chrono::seconds LongestCall{60};
+/** How long after the deadline the caller still listens, since the outcome of a late call comes after its deadline. */
+constexpr std::chrono::seconds OutcomeGrace{2};
+constexpr std::size_t ConnectionLimit = 4096;
+
+using LocalCallId = std::uint64_t;
+
+/** One call on its way. */
+struct ActiveCall {
+    OutgoingCall call;
+    CallProgress progress;
+    std::vector<DirectoryEntry> entries; ///< In the order to try, from the answer that the call began with.
+    int status = 0;
+    std::string body;
+};
+
+/** The directory's answer for one service, and who waits for a newer one. */
+struct DirectoryState {
+    std::optional<DirectoryAnswer> answer;
+    bool isAsked = false;
+    std::size_t failures = 0; ///< Entry VMs asked in a row without an answer.
+    std::vector<LocalCallId> waiting;
+};
+
+UnixMilliseconds unixNow()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+TryResult tryResultOf(const SendResult &result)
+{
+    switch (result.outcome) {
+    case SendOutcome::NotSent:
+        return {.outcome = TryOutcome::NotSent, .callOutcome = CallOutcome::NotRun, .reason = {}};
+    case SendOutcome::Lost:
+    case SendOutcome::DeadlinePassed:
+        return {.outcome = TryOutcome::Lost, .callOutcome = CallOutcome::Unknown, .reason = {}};
+    case SendOutcome::Answered:
+        break;
+    }
+    const auto outcome = valueNamed<CallOutcome>(fieldValue(result.response.fields, Headers::Outcome));
+    if (!outcome) {
+        return {.outcome = TryOutcome::Replied, .callOutcome = CallOutcome::Unknown, .reason = std::string(nameOf(CallerReason::NoOutcome))};
+    }
+    return {.outcome = TryOutcome::Replied, .callOutcome = *outcome, .reason = std::string(fieldValue(result.response.fields, Headers::Reason))};
+}
+
+}
+
+class CallerTask::Private : public QObject
+{
+public:
+    Private(CallerTask *task, const CallerSettings &settings, std::uint64_t seed) : q(task), m_settings(settings), m_random(seed), m_client(HttpLimits{})
+    {
+        connect(&m_client, &HttpClient::finished, this, &Private::handleFinished);
+    }
+
+    void start(const OutgoingCall &call)
+    {
+        const LocalCallId id = ++m_lastCall;
+        ActiveCall active{.call = call, .progress = {}, .entries = {}, .status = 0, .body = {}};
+        active.progress.repeatability = call.kind.repeatability;
+        const bool hasTimeout = m_settings.timeout > Duration::zero();
+        active.progress.deadline = call.due + (hasTimeout ? m_settings.timeout : Duration(LongestCall));
+        m_calls.emplace(id, std::move(active));
+        beginWhenDirectoryIsKnown(id);
+    }
+
+    void beginWhenDirectoryIsKnown(LocalCallId id)
+    {
+        const std::string service = m_calls.at(id).call.kind.service;
+        DirectoryState &directory = m_directories[service];
+        const bool isFresh = directory.answer && Clock::now() < directory.answer->expiresAt;
+        if (isFresh) {
+            begin(id, *directory.answer);
+            return;
+        }
+        directory.waiting.push_back(id);
+        askDirectory(service);
+    }
+
+    void askDirectory(const std::string &service)
+    {
+        DirectoryState &directory = m_directories[service];
+        if (directory.isAsked) {
+            return;
+        }
+        directory.isAsked = true;
+        const Endpoint &entry = m_settings.entries[m_nextDirectoryEntry % m_settings.entries.size()];
+        const HttpRequest request{.method = "GET", .target = "/directory/" + service, .fields = {}, .body = {}};
+        m_directorySends.emplace(m_client.send(entry, request, Clock::now() + DirectoryTimeout), service);
+    }
+
+    void handleFinished(SendId id, const SendResult &result)
+    {
+        if (const auto asked = m_directorySends.find(id); asked != m_directorySends.end()) {
+            const std::string service = asked->second;
+            m_directorySends.erase(asked);
+            handleDirectory(service, result);
+            return;
+        }
+        const auto sent = m_sends.find(id);
+        const LocalCallId call = sent->second;
+        m_sends.erase(sent);
+        handleTry(call, result);
+    }
+
+    void handleDirectory(const std::string &service, const SendResult &result)
+    {
+        DirectoryState &directory = m_directories[service];
+        directory.isAsked = false;
+        const bool isAnswered = result.outcome == SendOutcome::Answered && result.response.status == 200;
+        const auto answer = isAnswered ? parse(result.response.body) : std::nullopt;
+        if (!answer) {
+            handleDirectoryFailure(service, directory);
+            return;
+        }
+        directory.failures = 0;
+        directory.answer = answer;
+        for (const LocalCallId id : std::exchange(directory.waiting, {})) {
+            begin(id, *answer);
+        }
+    }
+
+    std::optional<DirectoryAnswer> parse(const std::string &body) const
+    {
+        return valueOr(
+            [&body]() -> Result<std::optional<DirectoryAnswer>> {
+                BOOST_LEAF_AUTO(answer, parseDirectoryAnswer(body, Clock::now()));
+                return std::optional(answer);
+            },
+            [](const Error &error) {
+                logEvent(LogEvent::DirectoryMalformed, {{"error", error.message}});
+                return std::optional<DirectoryAnswer>();
+            });
+    }
+
+    /** Asks the next entry VM; after one round without an answer the waiting calls end. */
+    void handleDirectoryFailure(const std::string &service, DirectoryState &directory)
+    {
+        ++m_nextDirectoryEntry;
+        if (++directory.failures < m_settings.entries.size()) {
+            askDirectory(service);
+            return;
+        }
+        directory.failures = 0;
+        logEvent(LogEvent::DirectoryUnavailable, {{"service", service}});
+        for (const LocalCallId id : std::exchange(directory.waiting, {})) {
+            finish(id, {.step = NextStep::Finish, .outcome = CallOutcome::NotRun, .reason = std::string(nameOf(CallerReason::NoDirectory))});
+        }
+    }
+
+    void begin(LocalCallId id, const DirectoryAnswer &answer)
+    {
+        ActiveCall &active = m_calls.at(id);
+        active.entries = answer.entries;
+        assignKey(active, active.entries.front());
+        send(id, active.entries.front());
+    }
+
+    void assignKey(ActiveCall &active, const DirectoryEntry &entry)
+    {
+        active.progress.key = makeUuidV7(unixNow(), m_random);
+        active.progress.keyOwner = entry.keyOwner;
+        active.progress.maybeReceived = false;
+    }
+
+    void send(LocalCallId id, const DirectoryEntry &entry)
+    {
+        const ActiveCall &active = m_calls.at(id);
+        m_client.setConnectionLimit(entry.address, ConnectionLimit);
+        const TimePoint now = Clock::now();
+        const TimePoint wholeCall = active.progress.deadline + OutcomeGrace;
+        const bool hasTryTimeout = m_settings.tryTimeout > Duration::zero();
+        const TimePoint deadline = hasTryTimeout ? std::min(wholeCall, now + m_settings.tryTimeout) : wholeCall;
+        m_sends.emplace(m_client.send(entry.address, makeRequest(active, now), deadline), id);
+    }
+
+    HttpRequest makeRequest(const ActiveCall &active, TimePoint now) const
+    {
+        const std::string key = toString(active.progress.key);
+        const char separator = active.call.target.find('?') == std::string::npos ? '?' : '&';
+        HttpRequest request{
+            .method = active.call.method,
+            .target = fmt::format("/call/{}{}{}call={}", active.call.kind.service, active.call.target, separator, key),
+            .fields = {{Headers::WorkKind, active.call.kind.name}, {Headers::Caller, m_settings.caller}},
+            .body = active.call.body,
+        };
+        if (m_settings.timeout > Duration::zero()) {
+            const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(active.progress.deadline - now);
+            request.fields.push_back({.name = Headers::TimeoutMs, .value = std::to_string(std::max<std::int64_t>(0, remaining.count()))});
+        }
+        if (active.call.kind.repeatability == Repeatability::AtMostOnce) {
+            request.fields.push_back({.name = Headers::IdempotencyKey, .value = key});
+            request.fields.push_back({.name = Headers::KeyOwner, .value = active.progress.keyOwner});
+        }
+        return request;
+    }
+
+    void handleTry(LocalCallId id, const SendResult &result)
+    {
+        ActiveCall &active = m_calls.at(id);
+        const TryResult tried = tryResultOf(result);
+        if (tried.outcome == TryOutcome::Replied) {
+            active.status = result.response.status;
+            active.body = result.response.body;
+        } else {
+            expireDirectory(active.call.kind.service);
+        }
+        const CallDecision decision = decideAfterTry(active.progress, tried, m_settings.maximumTries, Clock::now());
+        if (decision.step == NextStep::Finish) {
+            finish(id, decision);
+            return;
+        }
+        const DirectoryEntry &next = active.entries[active.progress.tries % active.entries.size()];
+        if (decision.step == NextStep::RetryNewKey) {
+            active.progress.earlierKeys.push_back(active.progress.key);
+            assignKey(active, next);
+        }
+        send(id, next);
+    }
+
+    /** An entry VM that cannot be reached makes the directory's answer doubtful. */
+    void expireDirectory(const std::string &service)
+    {
+        DirectoryState &directory = m_directories[service];
+        if (directory.answer) {
+            directory.answer->expiresAt = Clock::now();
+        }
+    }
+
+    void finish(LocalCallId id, const CallDecision &decision)
+    {
+        const ActiveCall &active = m_calls.at(id);
+        const FinishedCall finished{
+            .kind = active.call.kind,
+            .key = active.progress.key,
+            .earlierKeys = active.progress.earlierKeys,
+            .outcome = decision.outcome,
+            .reason = decision.reason,
+            .status = active.status,
+            .body = active.body,
+            .latency = Clock::now() - active.call.due,
+            .tries = active.progress.tries,
+        };
+        m_calls.erase(id);
+        Q_EMIT q->finished(finished);
+    }
+
+    CallerTask *q;
+    CallerSettings m_settings;
+    std::mt19937_64 m_random;
+    HttpClient m_client;
+    LocalCallId m_lastCall = 0;
+    std::size_t m_nextDirectoryEntry = 0;
+    std::unordered_map<LocalCallId, ActiveCall> m_calls;
+    std::unordered_map<SendId, LocalCallId> m_sends;
+    std::unordered_map<SendId, std::string> m_directorySends;
+    std::unordered_map<std::string, DirectoryState> m_directories;
+};
+
+CallerTask::CallerTask(const CallerSettings &settings, std::uint64_t seed, QObject *parent)
+    : QObject(parent), d(std::make_unique<Private>(this, settings, seed))
+{
+}
+
+CallerTask::~CallerTask() = default;
+
+void CallerTask::call(const OutgoingCall &call)
+{
+    d->start(call);
+}
+
+}
--- /dev/null
+++ b/src/caller/callreport.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "caller/workmix.h"
+#include "core/outcome.h"
+#include "core/time.h"
+#include "core/uuidv7.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/** What a caller reports of its calls. */
+namespace Plantainweir {
+
+/** A call that has its outcome. */
+struct FinishedCall {
+    MixedKind kind;
+    UuidV7 key;
+    std::vector<UuidV7> earlierKeys; ///< Keys of earlier tries; of at-most-once work only those that no entry VM ran.
+    CallOutcome outcome = CallOutcome::Unknown;
+    std::string reason; ///< Empty if answered.
+    int status = 0; ///< HTTP status of the last response; zero if there was none.
+    std::string body; ///< Of the upstream, if answered.
+    Duration latency{}; ///< From the time at which the call was due.
+    std::uint32_t tries = 0;
+};
+
+/** The calls of one rank. */
+struct RankReport {
+    std::uint64_t sent = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t serverErrors = 0; ///< Answered with a status of 500 or more.
+    std::uint64_t wrongAnswers = 0; ///< Answered with another call's answer.
+    std::uint64_t retried = 0; ///< Calls that took more than one try.
+    std::map<std::string, std::uint64_t> notRun; ///< By reason.
+    std::map<std::string, std::uint64_t> unknown; ///< By reason.
+    std::vector<double> latenciesMs; ///< Of answered calls.
+};
+
+struct CallReport {
+    std::map<std::string, RankReport> ranks;
+};
+
+/** Adds @p call to @p report; @p isWrongAnswer says that its answer belongs to another call. */
+void addCall(CallReport &report, const FinishedCall &call, bool isWrongAnswer);
+
+/** Returns the report as a table for a terminal. */
+std::string toTable(const CallReport &report);
+/** Returns the report as one JSON object. */
+std::string toJson(const CallReport &report);
+/** Returns @p call as one line of JSON, without the line feed. */
+std::string toJson(const FinishedCall &call, bool isWrongAnswer);
+/** Returns the outcome of @p call in words. */
+std::string toWords(const FinishedCall &call);
+
+}
--- /dev/null
+++ b/src/caller/directoryanswer.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/result.h"
+#include "core/time.h"
+
+#include <string>
+#include <vector>
+
+/** What the directory of an entry VM tells callers: which entry VMs to use for a service; see docs/CALLERS.md. */
+namespace Plantainweir {
+
+/** One entry VM that a caller may connect to. */
+struct DirectoryEntry {
+    Endpoint address;
+    std::string availabilityZone;
+    std::string keyOwner; ///< Incarnation that owns the keys made for this entry VM.
+    bool operator==(const DirectoryEntry &) const = default;
+};
+
+/** The entry VMs for one service, in the order to try. */
+struct DirectoryAnswer {
+    std::string service;
+    TimePoint expiresAt;
+    std::vector<DirectoryEntry> entries;
+};
+
+/** Reads the JSON text of a directory's answer that came at @p now; fails if it is malformed or names no entry VM. */
+Result<DirectoryAnswer> parseDirectoryAnswer(const std::string &text, TimePoint now);
+
+}
--- /dev/null
+++ b/src/caller/workmix.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/result.h"
+#include "core/work.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+/** The mix of work kinds that a caller sends. */
+namespace Plantainweir {
+
+/** One kind of work in a mix. */
+struct MixedKind {
+    std::string name;
+    double share = 1.0; ///< Relative to the other kinds.
+    std::string service;
+    std::string rank; ///< Heading under which the kind is reported; the kind's name if no rank is given.
+    Repeatability repeatability = Repeatability::Idempotent;
+};
+
+/** The texts of the settings that describe a mix. */
+struct MixSettings {
+    std::string mix; ///< `KIND=SHARE,…`
+    std::string service; ///< Of kinds that serviceOf does not name.
+    std::string serviceOf; ///< `KIND=SERVICE,…`
+    std::string rankOf; ///< `KIND=RANK,…`
+    std::string atMostOnce; ///< `KIND,…`
+};
+
+/** Reads a mix; fails with a message that names the setting, its value and what is allowed. */
+Result<std::vector<MixedKind>> parseMix(const MixSettings &settings);
+
+/** Draws a kind by its share. */
+const MixedKind &drawKind(const std::vector<MixedKind> &mix, std::mt19937_64 &random);
+
+}
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -49,6 +49,9 @@
         {LogEvent::ControlConnected, Info, "control_connected", "entryd receives state from controld."},
         {LogEvent::UpstreamEjected, Warning, "upstream_ejected", "An upstream failed or was slow against its peers and receives trial calls only."},
         {LogEvent::UpstreamReturned, Info, "upstream_returned", "An ejected upstream passed its trial calls and receives work again."},
+        {LogEvent::DirectoryUnavailable, Warning, "directory_unavailable", "No entry VM gave a directory answer; the calls that waited for it are not run."},
+        {LogEvent::DirectoryMalformed, Warning, "directory_malformed", "A directory answer cannot be understood."},
+        {LogEvent::RecordFailed, Error, "record_failed", "The file for the calls' records cannot be written; the program ends."},
     };
     return s_events;
 }
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -44,6 +44,9 @@
     // 1200 to 1299: controld
     // 1300 to 1399: plantainweirctl
     // 1400 to 1499: plantainweir-call
+    DirectoryUnavailable = 1400,
+    DirectoryMalformed = 1401,
+    RecordFailed = 1402,
 };
 
 /** A row of the table of events. */
--- /dev/null
+++ b/src/programs/plantainweircall.cpp
@@ -0,0 +1,196 @@
+#include "caller/callertask.h"
+#include "caller/loadtask.h"
+#include "core/commandline.h"
+#include "observability/logevents.h"
+
+#include <QCoreApplication>
+#include <fmt/core.h>
+
+#include <cstdio>
+#include <fstream>
+
+using namespace Plantainweir;
+
+namespace {
+
+void addSettings(CommandLine &commandLine)
+{
+    commandLine.addEndpointList("entries", "entry VMs whose directories are asked");
+    commandLine.addText("mix", "kinds of work and their shares, as KIND=SHARE separated by commas");
+    commandLine.addText("service", "service of the kinds that --service-of does not name", "");
+    commandLine.addText("service-of", "services of kinds, as KIND=SERVICE separated by commas", "");
+    commandLine.addText("rank-of", "headings of the report, as KIND=RANK separated by commas", "");
+    commandLine.addText("at-most-once", "kinds that carry an idempotency key, separated by commas", "");
+    commandLine.addInteger("count", "number of calls", 1, 100'000'000, 1);
+    commandLine.addNumber("rate", "calls a second, in an open loop", 0.001, 1'000'000.0, 100.0);
+    commandLine.addInteger("timeout-ms", "time of a call in milliseconds; 0 leaves it to the work kind's target", 0, 600'000, 2000);
+    commandLine.addInteger("try-timeout-ms", "time of one try in milliseconds; 0 for the whole call", 0, 600'000, 0);
+    commandLine.addInteger("tries", "how often a call is tried at most", 1, 100, 4);
+    commandLine.addText("caller", "name of the caller", "plantainweir-call");
+    commandLine.addText("method", "HTTP method", "POST");
+    commandLine.addText("target", "what the upstream gets; / stands for /KIND", "/");
+    commandLine.addText("body", "body of each call", "");
+    commandLine.addText("record", "file that gets one line of JSON for each call", "");
+    commandLine.addSwitch("check-answers", "count an answer that does not hold the call's key as wrong");
+    commandLine.addInteger("seed", "seed of kinds and times; 0 takes a random one", 0, 1'000'000'000, 0);
+    commandLine.addChoice("output", "form of the result", {"text", "json"}, "text");
+}
+
+CallerSettings callerSettings(const CommandLine &commandLine)
+{
+    return {
+        .entries = commandLine.endpointList("entries"),
+        .caller = commandLine.text("caller"),
+        .timeout = std::chrono::milliseconds(commandLine.integer("timeout-ms")),
+        .tryTimeout = std::chrono::milliseconds(commandLine.integer("try-timeout-ms")),
+        .maximumTries = static_cast<std::uint32_t>(commandLine.integer("tries")),
+    };
+}
+
+MixSettings mixSettings(const CommandLine &commandLine)
+{
+    return {
+        .mix = commandLine.text("mix"),
+        .service = commandLine.text("service"),
+        .serviceOf = commandLine.text("service-of"),
+        .rankOf = commandLine.text("rank-of"),
+        .atMostOnce = commandLine.text("at-most-once"),
+    };
+}
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+/** Collects the calls of one run and prints them at its end. */
+class Collector
+{
+public:
+    explicit Collector(const CommandLine &commandLine)
+        : m_isJson(commandLine.text("output") == "json"), m_isSingle(commandLine.integer("count") == 1), m_isAnswerChecked(commandLine.isOn("check-answers"))
+    {
+        if (!commandLine.text("record").empty()) {
+            m_record.open(commandLine.text("record"));
+            m_isRecordBroken = !m_record.is_open();
+        }
+    }
+
+    void add(const FinishedCall &call)
+    {
+        const bool isAnswered = call.outcome == CallOutcome::Answered;
+        const bool isWrong = m_isAnswerChecked && isAnswered && call.status == 200 && call.body.find(toString(call.key)) == std::string::npos;
+        m_areAllAnswered = m_areAllAnswered && isAnswered;
+        addCall(m_report, call, isWrong);
+        const std::string line = toJson(call, isWrong);
+        if (m_record.is_open()) {
+            m_record << line << '\n';
+        }
+        if (m_isSingle) {
+            fmt::print("{}\n", m_isJson ? line : toWords(call));
+            fmt::print("{}", m_isJson ? "" : call.body);
+        }
+    }
+
+    void printReport() const
+    {
+        if (m_isSingle) {
+            return;
+        }
+        fmt::print("{}", m_isJson ? toJson(m_report) + "\n" : toTable(m_report));
+    }
+
+    /** Writes out the record and returns whether it is whole. */
+    bool closeRecord()
+    {
+        if (m_record.is_open()) {
+            m_record.close();
+            m_isRecordBroken = m_isRecordBroken || m_record.fail();
+        }
+        return !m_isRecordBroken;
+    }
+
+    bool isRecordBroken() const
+    {
+        return m_isRecordBroken;
+    }
+
+    ExitStatus status() const
+    {
+        return m_areAllAnswered ? ExitStatus::Success : ExitStatus::Failure;
+    }
+
+private:
+    bool m_isJson;
+    bool m_isSingle;
+    bool m_isAnswerChecked;
+    bool m_isRecordBroken = false;
+    bool m_areAllAnswered = true;
+    std::ofstream m_record;
+    CallReport m_report;
+};
+
+int fail(ExitStatus status, const std::string &message)
+{
+    fmt::print(stderr, "plantainweir-call: {}\n", message);
+    return static_cast<int>(status);
+}
+
+int run(const CommandLine &commandLine, const std::vector<MixedKind> &mix)
+{
+    Collector collector(commandLine);
+    if (collector.isRecordBroken()) {
+        logEvent(LogEvent::RecordFailed, {{"file", commandLine.text("record")}});
+        return static_cast<int>(ExitStatus::Failure);
+    }
+    CallerTask caller(callerSettings(commandLine), randomSeed());
+    const auto seed = static_cast<std::uint64_t>(commandLine.integer("seed"));
+    const LoadSettings settings{
+        .mix = mix,
+        .callsPerSecond = commandLine.number("rate"),
+        .count = static_cast<std::uint64_t>(commandLine.integer("count")),
+        .prototype = {.kind = {}, .method = commandLine.text("method"), .target = commandLine.text("target"), .body = commandLine.text("body"), .due = {}},
+    };
+    LoadTask load(settings, &caller, seed == 0 ? randomSeed() : seed);
+    QObject::connect(&load, &LoadTask::callFinished, &load, [&collector](const FinishedCall &call) {
+        collector.add(call);
+    });
+    QObject::connect(&load, &LoadTask::finished, QCoreApplication::instance(), &QCoreApplication::quit, Qt::QueuedConnection);
+    load.start();
+    QCoreApplication::exec();
+    collector.printReport();
+    if (!collector.closeRecord()) {
+        logEvent(LogEvent::RecordFailed, {{"file", commandLine.text("record")}});
+        return static_cast<int>(ExitStatus::Failure);
+    }
+    return static_cast<int>(collector.status());
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    const QCoreApplication application(argc, argv);
+    CommandLine commandLine("plantainweir-call",
+                            "Sends calls through the entry VMs as a caller does, and reports their outcomes. "
+                            "Exits with 0 if each call was answered, else with 1.");
+    addSettings(commandLine);
+    if (const auto status = commandLine.parse(argc, argv)) {
+        return static_cast<int>(*status);
+    }
+    if (commandLine.endpointList("entries").empty()) {
+        return fail(ExitStatus::Usage, "--entries is empty; allowed: IP:port, several separated by commas");
+    }
+    if (commandLine.text("target").front() != '/') {
+        return fail(ExitStatus::Usage, fmt::format("--target is \"{}\"; allowed: text that begins with /", commandLine.text("target")));
+    }
+    return valueOr(
+        [&commandLine]() -> Result<int> {
+            BOOST_LEAF_AUTO(mix, parseMix(mixSettings(commandLine)));
+            return run(commandLine, mix);
+        },
+        [](const Error &error) {
+            return fail(ExitStatus::Usage, error.message);
+        });
+}
