--- /dev/null
+++ b/src/controllers/platformbudget.cpp
@@ -0,0 +1,168 @@
+#include "controllers/platformbudget.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace Plantainweir {
+namespace {
+
+using Actions = std::vector<PlatformBudgetAction>;
+
+/** Everything that one step needs. */
+struct Step {
+    PlatformBudget &budget;
+    const PlatformBudgetSettings &settings;
+    TimePoint now;
+    std::mt19937_64 &random;
+    Actions actions;
+};
+
+Duration tokenPeriod(const PlatformBudgetSettings &settings)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1.0 / settings.callsPerSecond));
+}
+
+/** Returns when the token bucket allows the next call. */
+TimePoint nextTokenAt(const Step &step)
+{
+    return step.budget.bucketFullAt - tokenPeriod(step.settings) * (step.settings.burst - 1);
+}
+
+void takeToken(Step &step)
+{
+    step.budget.bucketFullAt = std::max(step.budget.bucketFullAt, step.now) + tokenPeriod(step.settings);
+}
+
+/** Draws a pause by "full jitter": uniform up to a bound that doubles with each failure in a row. */
+Duration drawBackoff(Step &step)
+{
+    constexpr std::uint32_t MaximumDoublings = 20;
+    const std::uint32_t doublings = std::min(step.budget.failuresInRow - 1, MaximumDoublings);
+    const Duration bound = std::min(step.settings.maximumBackoff, step.settings.minimumBackoff * (1 << doublings));
+    std::uniform_int_distribution<Duration::rep> pauses(step.settings.minimumBackoff.count() / 2, bound.count());
+    return Duration(pauses(step.random));
+}
+
+void submit(Step &step, const PlatformCallSubmitted &call)
+{
+    if (waitingCount(step.budget) >= step.settings.queueLimit) {
+        step.actions.emplace_back(RejectPlatformCall{.id = call.id, .reason = PlatformRejection::QueueFull});
+        return;
+    }
+    step.budget.waiting[static_cast<std::size_t>(call.kind)].push_back({.id = call.id, .deadline = call.deadline});
+}
+
+void finish(Step &step, const PlatformCallFinished &call)
+{
+    step.budget.inFlight.erase(call.id);
+    const bool isTrial = step.budget.trial == call.id;
+    if (isTrial) {
+        step.budget.trial.reset();
+    }
+    if (call.isAnswered) {
+        step.budget.failuresInRow = 0;
+        step.budget.breaker = BreakerState::Closed;
+        step.budget.pausedUntil = step.now;
+        return;
+    }
+    ++step.budget.failuresInRow;
+    step.budget.pausedUntil = std::max(step.budget.pausedUntil, step.now + drawBackoff(step));
+    const bool hasFailedTooOften = step.budget.breaker == BreakerState::Closed && step.budget.failuresInRow >= step.settings.failuresToOpen;
+    if (isTrial || hasFailedTooOften) {
+        step.budget.breaker = BreakerState::Open;
+    }
+}
+
+void rejectExpired(Step &step)
+{
+    for (auto &queue : step.budget.waiting) {
+        const auto isExpired = [&step](const WaitingPlatformCall &call) {
+            if (call.deadline > step.now) {
+                return false;
+            }
+            step.actions.emplace_back(RejectPlatformCall{.id = call.id, .reason = PlatformRejection::DeadlinePassed});
+            return true;
+        };
+        std::erase_if(queue, isExpired);
+    }
+}
+
+bool hasRoomInFlight(const Step &step)
+{
+    // A half-open breaker sends its trial also beside calls that still wait for their answers from before.
+    return step.budget.breaker == BreakerState::HalfOpen ? !step.budget.trial : step.budget.inFlight.size() < step.settings.callsInFlight;
+}
+
+void endPause(Step &step)
+{
+    if (step.budget.breaker == BreakerState::Open && step.now >= step.budget.pausedUntil) {
+        step.budget.breaker = BreakerState::HalfOpen;
+    }
+}
+
+bool maySend(const Step &step)
+{
+    return step.now >= step.budget.pausedUntil && step.now >= nextTokenAt(step) && hasRoomInFlight(step);
+}
+
+void sendAllowed(Step &step)
+{
+    for (const auto &row : enumNames(PlatformCallKind{})) {
+        auto &queue = step.budget.waiting[static_cast<std::size_t>(row.value)];
+        while (!queue.empty() && maySend(step)) {
+            step.budget.inFlight.emplace(queue.front().id, row.value);
+            if (step.budget.breaker == BreakerState::HalfOpen) {
+                step.budget.trial = queue.front().id;
+            }
+            step.actions.emplace_back(SendPlatformCall{queue.front().id});
+            queue.pop_front();
+            takeToken(step);
+        }
+    }
+}
+
+std::optional<TimePoint> nextTimer(const Step &step)
+{
+    std::optional<TimePoint> next;
+    for (const auto &queue : step.budget.waiting) {
+        for (const WaitingPlatformCall &call : queue) {
+            next = std::min(next.value_or(call.deadline), call.deadline);
+        }
+    }
+    if (next && hasRoomInFlight(step)) {
+        next = std::min(*next, std::max(step.budget.pausedUntil, nextTokenAt(step)));
+    }
+    return next;
+}
+
+}
+
+std::size_t waitingCount(const PlatformBudget &budget)
+{
+    std::size_t count = 0;
+    for (const auto &queue : budget.waiting) {
+        count += queue.size();
+    }
+    return count;
+}
+
+std::vector<PlatformBudgetAction>
+step(PlatformBudget &budget, const PlatformBudgetSettings &settings, const PlatformBudgetEvent &event, TimePoint now, std::mt19937_64 &random)
+{
+    Step step{.budget = budget, .settings = settings, .now = now, .random = random, .actions = {}};
+    if (const auto *submitted = std::get_if<PlatformCallSubmitted>(&event)) {
+        submit(step, *submitted);
+    }
+    if (const auto *finished = std::get_if<PlatformCallFinished>(&event)) {
+        finish(step, *finished);
+    }
+    rejectExpired(step);
+    endPause(step);
+    sendAllowed(step);
+    if (const auto timer = nextTimer(step)) {
+        step.actions.emplace_back(SchedulePlatformTimer{*timer});
+    }
+    return step.actions;
+}
+
+}
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -42,6 +42,9 @@
     UpstreamEjected = 1103,
     UpstreamReturned = 1104,
     // 1200 to 1299: controld
+    PlatformUp = 1250,
+    PlatformDown = 1251,
+    ConfigurationRejected = 1252,
     // 1300 to 1399: plantainweirctl
     // 1400 to 1499: plantainweir-call
     DirectoryUnavailable = 1400,
