--- /dev/null
+++ b/src/configuration/rulesfile.cpp
@@ -0,0 +1,212 @@
+#include "configuration/rulesfile.h"
+
+#include "configuration/configurationcheck.h"
+#include "core/parsenumber.h"
+
+#include <fmt/format.h>
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <set>
+
+namespace Plantainweir {
+namespace {
+
+using Field = ConfigurationField;
+
+/** A rules file is short; the parser's memory is bounded by this. */
+constexpr std::size_t MaximumRulesBytes = 256 * 1024;
+constexpr std::array RulesKeys{Field::ProbesPerSecond, Field::WorkKinds};
+constexpr std::array WorkKindKeys{Field::Name, Field::Rank, Field::TargetMs, Field::Worth, Field::Repeatability};
+
+std::size_t lineOf(const YAML::Mark &mark)
+{
+    return mark.is_null() ? 0 : static_cast<std::size_t>(mark.line) + 1;
+}
+
+template<typename Keys>
+std::string allowedKeys(const Keys &keys)
+{
+    std::string text;
+    for (const Field key : keys) {
+        text += fmt::format("{}{}", text.empty() ? "" : ", ", nameOf(key));
+    }
+    return text;
+}
+
+template<typename Enum>
+std::string allowedNames()
+{
+    std::string text;
+    for (const auto &row : enumNames(Enum{})) {
+        text += fmt::format("{}{}", text.empty() ? "" : ", ", row.name);
+    }
+    return text;
+}
+
+/** Reads the nodes of the file and collects faults with their lines. */
+class RulesReader
+{
+public:
+    explicit RulesReader(const std::string &file) : m_file(file) { }
+
+    void read(const YAML::Node &root)
+    {
+        if (!root.IsMap()) {
+            addFault(1, fmt::format("the file is no mapping; allowed keys: {}", allowedKeys(RulesKeys)));
+            return;
+        }
+        checkKeys(root, RulesKeys);
+        m_rules.probesPerSecond = readNumber(root, Field::ProbesPerSecond, std::nullopt);
+        readWorkKinds(root);
+        addContentFaults(root);
+    }
+
+    void addFault(std::size_t line, std::string message)
+    {
+        m_faults.push_back({.file = m_file, .line = line, .message = std::move(message)});
+    }
+
+    std::vector<FileFault> &faults()
+    {
+        return m_faults;
+    }
+
+    const Rules &rules() const
+    {
+        return m_rules;
+    }
+
+private:
+    template<typename Keys>
+    void checkKeys(const YAML::Node &node, const Keys &keys)
+    {
+        std::set<std::string> seen;
+        for (const auto &entry : node) {
+            const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : std::string();
+            const bool isAllowed = std::any_of(keys.begin(), keys.end(), [&key](Field allowed) {
+                return nameOf(allowed) == key;
+            });
+            if (!isAllowed) {
+                addFault(lineOf(entry.first.Mark()), fmt::format("key is \"{}\"; allowed: {}", key, allowedKeys(keys)));
+            }
+            if (!seen.insert(key).second) {
+                addFault(lineOf(entry.first.Mark()), fmt::format("key {} stands twice; allowed: once", key));
+            }
+        }
+    }
+
+    void readWorkKinds(const YAML::Node &root)
+    {
+        const YAML::Node list = root[std::string(nameOf(Field::WorkKinds))];
+        if (!list.IsDefined() || !list.IsSequence()) {
+            addFault(list.IsDefined() ? lineOf(list.Mark()) : 1, "work_kinds is no list; allowed: a list of work kinds");
+            m_unread.emplace(std::nullopt, Field::WorkKinds);
+            return;
+        }
+        for (const YAML::Node &node : list) {
+            const std::size_t item = m_rules.workKinds.size();
+            m_lines.push_back(lineOf(node.Mark()));
+            m_rules.workKinds.push_back(node.IsMap() ? readWorkKind(node, item) : WorkKind{});
+            if (!node.IsMap()) {
+                addFault(m_lines.back(), fmt::format("the work kind is no mapping; allowed keys: {}", allowedKeys(WorkKindKeys)));
+                for (const Field key : WorkKindKeys) {
+                    m_unread.emplace(item, key);
+                }
+            }
+        }
+    }
+
+    WorkKind readWorkKind(const YAML::Node &node, std::size_t item)
+    {
+        checkKeys(node, WorkKindKeys);
+        WorkKind kind;
+        kind.name = readText(node, Field::Name, item).value_or(std::string());
+        kind.rank = readNamed<Rank>(node, Field::Rank, item);
+        const double targetMs = readNumber(node, Field::TargetMs, item);
+        // Checked in floating point first: a huge number does not fit a duration.
+        const bool isInRange = targetMs > 0.0 && targetMs <= toMilliseconds(MaximumTarget);
+        kind.target = isInRange ? std::chrono::round<std::chrono::microseconds>(fromMilliseconds(targetMs)) : Duration::zero();
+        kind.worth = readNumber(node, Field::Worth, item);
+        kind.repeatability = readNamed<Repeatability>(node, Field::Repeatability, item);
+        return kind;
+    }
+
+    std::optional<std::string> readText(const YAML::Node &node, Field key, std::optional<std::size_t> item)
+    {
+        const YAML::Node value = node[std::string(nameOf(key))];
+        if (value.IsDefined() && value.IsScalar()) {
+            return value.Scalar();
+        }
+        addFault(lineOf(value.IsDefined() ? value.Mark() : node.Mark()), fmt::format("{} is missing; allowed: one value", nameOf(key)));
+        m_unread.emplace(item, key);
+        return std::nullopt;
+    }
+
+    double readNumber(const YAML::Node &node, Field key, std::optional<std::size_t> item)
+    {
+        const auto text = readText(node, key, item);
+        const auto number = text ? parseNumber<double>(*text) : std::nullopt;
+        if (text && !number) {
+            addFault(lineOf(node[std::string(nameOf(key))].Mark()), fmt::format("{} is \"{}\"; allowed: a number", nameOf(key), *text));
+            m_unread.emplace(item, key);
+        }
+        return number.value_or(0.0);
+    }
+
+    template<typename Enum>
+    Enum readNamed(const YAML::Node &node, Field key, std::optional<std::size_t> item)
+    {
+        const auto text = readText(node, key, item);
+        const auto value = text ? valueNamed<Enum>(*text) : std::nullopt;
+        if (text && !value) {
+            addFault(lineOf(node[std::string(nameOf(key))].Mark()), fmt::format("{} is \"{}\"; allowed: {}", nameOf(key), *text, allowedNames<Enum>()));
+        }
+        return value.value_or(Enum{});
+    }
+
+    void addContentFaults(const YAML::Node &root)
+    {
+        for (const ConfigurationFault &fault : faultsOf(m_rules)) {
+            if (!m_unread.contains({fault.item, fault.field})) {
+                addFault(fault.item ? m_lines.at(*fault.item) : lineOf(root.Mark()), fault.message);
+            }
+        }
+    }
+
+    std::string m_file;
+    Rules m_rules;
+    std::vector<std::size_t> m_lines; ///< Of each work kind.
+    std::set<std::pair<std::optional<std::size_t>, Field>> m_unread; ///< Fields without a value of their type; reported already.
+    std::vector<FileFault> m_faults;
+};
+
+}
+
+Result<Rules> parseRules(std::string_view text, const std::string &file)
+{
+    RulesReader reader(file);
+    if (text.size() > MaximumRulesBytes) {
+        reader.addFault(0, fmt::format("the file has {} bytes; allowed: at most {}", text.size(), MaximumRulesBytes));
+        return fileFailure(reader.faults());
+    }
+    try { // yaml-cpp reports through exceptions only; they end here.
+        reader.read(YAML::Load(std::string(text)));
+    } catch (const YAML::Exception &error) {
+        reader.addFault(lineOf(error.mark), fmt::format("the file is no YAML: {}", error.msg));
+    }
+    if (!reader.faults().empty()) {
+        return fileFailure(reader.faults());
+    }
+    return reader.rules();
+}
+
+Result<Rules> readRules(const std::string &path)
+{
+    BOOST_LEAF_AUTO(text, readSourceFile(path));
+    return parseRules(text, path);
+}
+
+}
--- /dev/null
+++ b/src/configuration/sourcefile.cpp
@@ -0,0 +1,37 @@
+#include "configuration/sourcefile.h"
+
+#include <QFile>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Plantainweir {
+
+std::string toString(const FileFault &fault)
+{
+    return fault.line == 0 ? fmt::format("{}: {}", fault.file, fault.message) : fmt::format("{}:{}: {}", fault.file, fault.line, fault.message);
+}
+
+Result<std::string> readSourceFile(const std::string &path)
+{
+    QFile file(QString::fromStdString(path));
+    if (!file.open(QIODevice::ReadOnly)) {
+        return fileFailure({{.file = path, .line = 0, .message = fmt::format("the file cannot be read: {}", file.errorString().toStdString())}});
+    }
+    const QByteArray bytes = file.read(MaximumSourceFileBytes + 1);
+    if (static_cast<std::size_t>(bytes.size()) > MaximumSourceFileBytes) {
+        return fileFailure({{.file = path, .line = 0, .message = fmt::format("the file is too large; allowed: at most {} bytes", MaximumSourceFileBytes)}});
+    }
+    return bytes.toStdString();
+}
+
+leaf::error_id fileFailure(std::vector<FileFault> faults)
+{
+    std::stable_sort(faults.begin(), faults.end(), [](const FileFault &left, const FileFault &right) {
+        return left.line < right.line;
+    });
+    return leaf::new_error(FileFaults{std::move(faults)});
+}
+
+}
