Add membership and failure detection after SWIM as a pure step

Heartbeats, indirect pings, suspicion, incarnations and refutation over plain structs; news is passed on a bounded number of times, the rest is mended by bucket digests. Idle gossip deadlines no longer count as a pause.

--- /dev/null
+++ b/src/controllers/membership.cpp
@@ -0,0 +1,655 @@
+#include "controllers/membership.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace Plantainweir {
+namespace {
+
+/** How a record came to this member. */
+enum class RecordSource {
+    News, ///< Told by a datagram.
+    Exchange, ///< Part of another member's table, maybe of a part of the fleet that was cut off.
+};
+
+struct StepContext {
+    Membership &membership;
+    MembershipActions &actions;
+    TimePoint now;
+    std::mt19937_64 &random;
+};
+
+constexpr std::size_t RelayLimit = 256;
+constexpr std::uint64_t IncarnationJump = 65'536;
+
+std::size_t randomIndex(std::size_t count, std::mt19937_64 &random)
+{
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+}
+
+/** Returns a duration from zero to @p limit. */
+Duration randomDuration(Duration limit, std::mt19937_64 &random)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, limit.count())(random));
+}
+
+/** Returns the decimal logarithm of the number of members, rounded up, at least one. */
+std::uint32_t fleetLogarithm(const Membership &membership)
+{
+    const auto members = static_cast<double>(membership.probeOrder.size() + 2);
+    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::ceil(std::log10(members))));
+}
+
+std::uint32_t transmissionLimit(const Membership &membership)
+{
+    return membership.settings.transmissionFactor * fleetLogarithm(membership);
+}
+
+Duration suspicionTime(const Membership &membership)
+{
+    return membership.settings.period * (membership.settings.suspicionPeriods * fleetLogarithm(membership));
+}
+
+const MemberRecord *findRecord(const Membership &membership, const std::string &name)
+{
+    const auto found = membership.members.find(name);
+    return found == membership.members.end() ? nullptr : &found->second.record;
+}
+
+bool isLiveMember(const Membership &membership, const std::string &name)
+{
+    const MemberRecord *record = findRecord(membership, name);
+    return record != nullptr && isLive(record->state);
+}
+
+void toggleDigest(Membership &membership, const MemberRecord &record)
+{
+    if (isLive(record.state)) {
+        toggleItem(membership.digests, record.name, record.incarnation);
+    }
+}
+
+void queueRecord(Membership &membership, const std::string &name)
+{
+    membership.news.records[name] = transmissionLimit(membership);
+}
+
+void insertIntoProbeOrder(Membership &membership, const std::string &name, std::mt19937_64 &random)
+{
+    auto &order = membership.probeOrder;
+    const std::size_t position = randomIndex(order.size() + 1, random);
+    order.insert(order.begin() + static_cast<std::ptrdiff_t>(position), name);
+}
+
+TimePoint deadlineOf(const Membership &membership, MemberState state, TimePoint now)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return TimePoint::max();
+    case MemberState::Suspect:
+        return now + suspicionTime(membership);
+    case MemberState::Dead:
+    case MemberState::Left:
+        break;
+    }
+    return now + membership.settings.retention;
+}
+
+/** Puts @p record in the place of what is known of its member; the one place where a record changes. */
+void replaceRecord(const StepContext &context, const MemberRecord &record)
+{
+    Membership &membership = context.membership;
+    const MemberRecord *known = findRecord(membership, record.name);
+    const bool wasLive = known != nullptr && isLive(known->state);
+    if (known != nullptr) {
+        toggleDigest(membership, *known);
+    }
+    membership.members[record.name] = {.record = record, .deadline = deadlineOf(membership, record.state, context.now)};
+    toggleDigest(membership, record);
+    if (record.state == MemberState::Suspect) {
+        membership.suspects.insert(record.name);
+    } else {
+        membership.suspects.erase(record.name);
+    }
+    if (!wasLive && isLive(record.state) && record.name != membership.self) {
+        insertIntoProbeOrder(membership, record.name, context.random);
+    }
+    membership.lastChangeAt = context.now;
+    context.actions.changes.push_back(record);
+}
+
+/** Publishes a change of this member's own record. */
+void announceSelf(const StepContext &context, MemberRecord record)
+{
+    ++record.incarnation;
+    replaceRecord(context, record);
+    queueRecord(context.membership, record.name);
+}
+
+void refuteIfContradicted(const StepContext &context, const MemberRecord &claim)
+{
+    MemberRecord record = selfRecord(context.membership);
+    const bool isContradicted = std::tie(claim.incarnation, claim.state) > std::tie(record.incarnation, record.state);
+    if (!isContradicted) {
+        return;
+    }
+    const bool isOfEarlierRun = claim.incarnation > record.incarnation;
+    if (isOfEarlierRun) {
+        // The earlier run may have gone further than this claim; its incarnations shall not be used again.
+        record.incarnation = claim.incarnation + randomIndex(IncarnationJump, context.random);
+    }
+    announceSelf(context, record);
+    context.actions.isRefuted = true;
+}
+
+bool isAcceptable(const Membership &membership, const MemberRecord &record, RecordSource source)
+{
+    const MemberRecord *known = findRecord(membership, record.name);
+    if (known != nullptr) {
+        return std::tie(record.incarnation, record.state) > std::tie(known->incarnation, known->state);
+    }
+    // Learning of the dead from tables would keep their records going round for ever.
+    const bool isWanted = isLive(record.state) || source == RecordSource::News;
+    return isWanted && membership.members.size() < membership.settings.maximumMembers;
+}
+
+void mergeRecord(const StepContext &context, MemberRecord record, RecordSource source)
+{
+    Membership &membership = context.membership;
+    if (record.name == membership.self) {
+        refuteIfContradicted(context, record);
+        return;
+    }
+    // Another part of the fleet may hold dead who is alive here: the member gets the time to refute.
+    const bool isSoftened = source == RecordSource::Exchange && record.state == MemberState::Dead && isLiveMember(membership, record.name);
+    if (isSoftened) {
+        record.state = MemberState::Suspect;
+    }
+    if (!isAcceptable(membership, record, source)) {
+        return;
+    }
+    replaceRecord(context, record);
+    if (source == RecordSource::News || isSoftened) {
+        queueRecord(membership, record.name);
+    }
+}
+
+/** Changes the state of a member at the incarnation that is known, and tells the others. */
+void declare(const StepContext &context, const std::string &name, MemberState state)
+{
+    MemberRecord record = context.membership.members.at(name).record;
+    record.state = state;
+    replaceRecord(context, record);
+    queueRecord(context.membership, name);
+}
+
+/** Completes @p datagram with the news that fits and sends it. */
+void send(const StepContext &context, const Endpoint &to, MembershipDatagram datagram)
+{
+    Membership &membership = context.membership;
+    datagram.sender = membership.self;
+    datagram.membersDigest = combine(membership.digests);
+    datagram.objectsDigest = membership.objectsDigest;
+    const auto recordOf = [&membership](const std::string &name) {
+        return findRecord(membership, name);
+    };
+    addNews(membership.news, recordOf, membership.settings.payloadBytes, datagram);
+    context.actions.datagrams.push_back({to, std::move(datagram)});
+}
+
+/** Returns up to @p count different live members other than @p excluded, at random. */
+std::vector<std::string> pickPeers(const StepContext &context, std::size_t count, const std::string &excluded)
+{
+    const auto &order = context.membership.probeOrder;
+    std::vector<std::string> peers;
+    const std::size_t attempts = order.empty() ? 0 : 4 * count;
+    for (std::size_t attempt = 0; attempt < attempts && peers.size() < count; ++attempt) {
+        const std::string &name = order[randomIndex(order.size(), context.random)];
+        const bool isPicked = std::find(peers.begin(), peers.end(), name) != peers.end();
+        if (!isPicked && name != excluded && isLiveMember(context.membership, name)) {
+            peers.push_back(name);
+        }
+    }
+    return peers;
+}
+
+/** Adds what the receiver @p name needs to refute, if this member does not hold it alive. */
+void addClaimAbout(const Membership &membership, const std::string &name, MembershipDatagram &datagram)
+{
+    const MemberRecord *record = findRecord(membership, name);
+    if (record != nullptr && record->state != MemberState::Alive) {
+        datagram.records.push_back(*record);
+    }
+}
+
+MembershipDatagram makePing(const StepContext &context, const std::string &target)
+{
+    MembershipDatagram ping;
+    ping.kind = DatagramKind::Ping;
+    ping.sequence = ++context.membership.lastSequence;
+    ping.target = target;
+    addClaimAbout(context.membership, target, ping);
+    return ping;
+}
+
+/** Pings a member that may not know this one, and so sends its own record along. */
+void sendIntroduction(const StepContext &context, const std::string &target, const Endpoint &endpoint)
+{
+    MembershipDatagram ping = makePing(context, target);
+    ping.records.push_back(selfRecord(context.membership));
+    send(context, endpoint, std::move(ping));
+}
+
+/** Forgets members whose retention has ended and shuffles the live ones for the next round of pings. */
+void startRound(const StepContext &context)
+{
+    Membership &membership = context.membership;
+    std::erase_if(membership.members, [&context, &membership](const auto &row) {
+        return !isLive(row.second.record.state) && row.first != membership.self && row.second.deadline <= context.now;
+    });
+    membership.probeOrder.clear();
+    for (const auto &[name, member] : membership.members) {
+        if (isLive(member.record.state) && name != membership.self) {
+            membership.probeOrder.push_back(name);
+        }
+    }
+    std::shuffle(membership.probeOrder.begin(), membership.probeOrder.end(), context.random);
+    membership.nextProbe = 0;
+}
+
+std::optional<std::string> nextInRound(Membership &membership)
+{
+    while (membership.nextProbe < membership.probeOrder.size()) {
+        const std::string &name = membership.probeOrder[membership.nextProbe++];
+        if (isLiveMember(membership, name)) {
+            return name;
+        }
+    }
+    return std::nullopt;
+}
+
+void startProbe(const StepContext &context)
+{
+    Membership &membership = context.membership;
+    membership.probe.reset();
+    auto target = nextInRound(membership);
+    if (!target) {
+        startRound(context);
+        target = nextInRound(membership);
+    }
+    if (!target) {
+        return;
+    }
+    MembershipDatagram ping = makePing(context, *target);
+    membership.probe = Probe{.target = *target, .sequence = ping.sequence, .isIndirect = false, .nextStepAt = context.now + membership.settings.ackTime};
+    send(context, membership.members.at(*target).record.membershipEndpoint, std::move(ping));
+}
+
+void askOthers(const StepContext &context, Probe &probe)
+{
+    Membership &membership = context.membership;
+    probe.isIndirect = true;
+    probe.nextStepAt = std::max(context.now, membership.nextPeriodAt);
+    const Endpoint endpoint = membership.members.at(probe.target).record.membershipEndpoint;
+    for (const std::string &peer : pickPeers(context, membership.settings.indirectPings, probe.target)) {
+        MembershipDatagram request;
+        request.kind = DatagramKind::PingRequest;
+        request.sequence = probe.sequence;
+        request.target = probe.target;
+        request.targetEndpoint = endpoint;
+        send(context, membership.members.at(peer).record.membershipEndpoint, std::move(request));
+    }
+}
+
+void advanceProbe(const StepContext &context)
+{
+    auto &probe = context.membership.probe;
+    if (!probe || context.now < probe->nextStepAt) {
+        return;
+    }
+    const MemberRecord *target = findRecord(context.membership, probe->target);
+    if (target == nullptr || !isLive(target->state)) {
+        probe.reset();
+        return;
+    }
+    if (!probe->isIndirect) {
+        askOthers(context, *probe);
+        return;
+    }
+    if (target->state == MemberState::Alive) {
+        declare(context, probe->target, MemberState::Suspect);
+    }
+    probe.reset();
+}
+
+void declareOverdueSuspects(const StepContext &context)
+{
+    const std::set<std::string> suspects = context.membership.suspects;
+    for (const std::string &name : suspects) {
+        if (context.membership.members.at(name).deadline <= context.now) {
+            declare(context, name, MemberState::Dead);
+        }
+    }
+}
+
+/** Pings a member that is held dead, or a seed that is no member, so that parts of the fleet find each other again. */
+void reconnect(const StepContext &context)
+{
+    const Membership &membership = context.membership;
+    std::set<Endpoint> liveEndpoints;
+    std::vector<std::pair<std::string, Endpoint>> targets;
+    for (const auto &[name, member] : membership.members) {
+        if (isLive(member.record.state)) {
+            liveEndpoints.insert(member.record.membershipEndpoint);
+        }
+        if (member.record.state == MemberState::Dead) {
+            targets.emplace_back(name, member.record.membershipEndpoint);
+        }
+    }
+    for (const Endpoint &seed : membership.seeds) {
+        if (!liveEndpoints.contains(seed)) {
+            targets.emplace_back(std::string(), seed);
+        }
+    }
+    if (!targets.empty()) {
+        const auto &[name, endpoint] = targets[randomIndex(targets.size(), context.random)];
+        sendIntroduction(context, name, endpoint);
+    }
+}
+
+void startPeriod(const StepContext &context)
+{
+    Membership &membership = context.membership;
+    if (context.now < membership.nextPeriodAt) {
+        return;
+    }
+    membership.nextPeriodAt = context.now + membership.settings.period;
+    std::erase_if(membership.relays, [&context](const auto &row) {
+        return row.second.expiresAt <= context.now;
+    });
+    if (!isLive(selfRecord(membership).state)) {
+        return;
+    }
+    startProbe(context);
+    const bool isAlone = !membership.probe;
+    if (isAlone || membership.periodsToReconnect == 0) {
+        membership.periodsToReconnect = membership.settings.reconnectPeriods;
+        reconnect(context);
+    }
+    --membership.periodsToReconnect;
+}
+
+void gossip(const StepContext &context)
+{
+    Membership &membership = context.membership;
+    if (!hasNews(membership.news) || context.now < membership.nextGossipAt) {
+        return;
+    }
+    membership.nextGossipAt = context.now + membership.settings.gossipInterval;
+    for (const std::string &peer : pickPeers(context, membership.settings.gossipFanout, std::string())) {
+        MembershipDatagram datagram;
+        datagram.target = peer;
+        addClaimAbout(membership, peer, datagram);
+        send(context, membership.members.at(peer).record.membershipEndpoint, std::move(datagram));
+    }
+}
+
+/** A process that did not run for a while accuses nobody: the acks that it missed were not late, it was. */
+void noticePause(const StepContext &context)
+{
+    Membership &membership = context.membership;
+    if (context.now <= nextDeadline(membership) + membership.settings.period) {
+        return;
+    }
+    membership.probe.reset();
+    membership.nextPeriodAt = context.now;
+    for (const std::string &name : membership.suspects) {
+        membership.members.at(name).deadline = context.now + suspicionTime(membership);
+    }
+    context.actions.isResumed = true;
+}
+
+void acknowledge(const StepContext &context, const Endpoint &to, const MembershipDatagram &ping)
+{
+    MembershipDatagram ack;
+    ack.kind = DatagramKind::Ack;
+    ack.sequence = ping.sequence;
+    ack.target = ping.sender;
+    addClaimAbout(context.membership, ping.sender, ack);
+    const bool isStranger = !isLiveMember(context.membership, ping.sender);
+    if (isStranger || ping.target.empty()) {
+        ack.records.push_back(selfRecord(context.membership));
+    }
+    send(context, to, std::move(ack));
+}
+
+void relayPing(const StepContext &context, const Endpoint &from, const MembershipDatagram &request)
+{
+    Membership &membership = context.membership;
+    if (membership.relays.size() >= RelayLimit) {
+        return;
+    }
+    MembershipDatagram ping = makePing(context, request.target);
+    membership.relays[ping.sequence] = {.requester = from, .requesterSequence = request.sequence, .expiresAt = context.now + membership.settings.period};
+    send(context, request.targetEndpoint, std::move(ping));
+}
+
+void takeAck(const StepContext &context, std::uint64_t sequence)
+{
+    Membership &membership = context.membership;
+    if (membership.probe && membership.probe->sequence == sequence) {
+        membership.probe.reset();
+        return;
+    }
+    const auto relay = membership.relays.find(sequence);
+    if (relay == membership.relays.end()) {
+        return;
+    }
+    MembershipDatagram ack;
+    ack.kind = DatagramKind::Ack;
+    ack.sequence = relay->second.requesterSequence;
+    const Endpoint requester = relay->second.requester;
+    membership.relays.erase(relay);
+    send(context, requester, std::move(ack));
+}
+
+/** Asks for an exchange of records when the sender's table differs and this one has been quiet for a while. */
+void considerExchange(const StepContext &context, const MembershipDatagram &datagram)
+{
+    Membership &membership = context.membership;
+    const MembershipSettings &settings = membership.settings;
+    const bool isEqual = datagram.membersDigest == combine(membership.digests);
+    const bool isQuiet = !membership.isSynchronized || context.now >= membership.lastChangeAt + 2 * settings.period;
+    if (isEqual || !isQuiet || context.now < membership.nextSynchronizeAt || !isLiveMember(membership, datagram.sender)) {
+        return;
+    }
+    const Duration wait = membership.isSynchronized ? settings.synchronizePeriod + randomDuration(settings.synchronizePeriod, context.random) : settings.period;
+    membership.nextSynchronizeAt = context.now + wait;
+    context.actions.synchronizeWith = membership.members.at(datagram.sender).record.exchangeEndpoint;
+}
+
+void answer(const StepContext &context, const DatagramReceived &event)
+{
+    switch (event.datagram.kind) {
+    case DatagramKind::Ping:
+        acknowledge(context, event.from, event.datagram);
+        return;
+    case DatagramKind::PingRequest:
+        relayPing(context, event.from, event.datagram);
+        return;
+    case DatagramKind::Ack:
+        takeAck(context, event.datagram.sequence);
+        return;
+    case DatagramKind::Gossip:
+        return;
+    }
+}
+
+void handle(const StepContext &context, const MembershipTimerFired &)
+{
+    advanceProbe(context);
+    declareOverdueSuspects(context);
+    startPeriod(context);
+    gossip(context);
+}
+
+void handle(const StepContext &context, const DatagramReceived &event)
+{
+    Membership &membership = context.membership;
+    const MembershipDatagram &datagram = event.datagram;
+    const bool isForOther = datagram.kind == DatagramKind::Ping && !datagram.target.empty() && datagram.target != membership.self;
+    if (isForOther || datagram.sender == membership.self) {
+        return;
+    }
+    for (const MemberRecord &record : datagram.records) {
+        mergeRecord(context, record, RecordSource::News);
+    }
+    answer(context, event);
+    considerExchange(context, datagram);
+    const MemberRecord *sender = findRecord(membership, datagram.sender);
+    if (sender != nullptr && isLive(sender->state)) {
+        context.actions.objectNews = ObjectNews{sender->exchangeEndpoint, datagram.objectsDigest, datagram.rumours};
+    }
+}
+
+void handle(const StepContext &context, const EntryChanged &event)
+{
+    MemberRecord record = selfRecord(context.membership);
+    std::optional<EntryMember> entry = event.entry;
+    if (entry) {
+        entry->name = record.name;
+        entry->availabilityZone = record.availabilityZone;
+    }
+    if (record.entry == entry || record.state == MemberState::Left) {
+        return;
+    }
+    record.entry = entry;
+    announceSelf(context, record);
+}
+
+void handle(const StepContext &context, const LeaveRequested &)
+{
+    MemberRecord record = selfRecord(context.membership);
+    if (record.state == MemberState::Left) {
+        return;
+    }
+    record.state = MemberState::Left;
+    record.entry.reset();
+    announceSelf(context, record);
+}
+
+void handle(const StepContext &context, const SeedsChanged &event)
+{
+    context.membership.seeds = event.seeds;
+}
+
+void handle(const StepContext &context, const RecordsLearned &event)
+{
+    context.membership.isSynchronized = true;
+    for (const MemberRecord &record : event.records) {
+        mergeRecord(context, record, RecordSource::Exchange);
+    }
+}
+
+void handle(const StepContext &context, const ObjectsChanged &event)
+{
+    Membership &membership = context.membership;
+    membership.objectsDigest = event.digest;
+    for (const ObjectVersion &rumour : event.rumours) {
+        membership.news.rumours[rumour.key] = {.version = rumour.version, .transmissionsLeft = transmissionLimit(membership)};
+    }
+}
+
+}
+
+Membership makeMembership(const MemberRecord &self, const MembershipSettings &settings, TimePoint now, std::mt19937_64 &random)
+{
+    Membership membership;
+    membership.settings = settings;
+    membership.self = self.name;
+    membership.lastSequence = random();
+    membership.nextPeriodAt = now;
+    membership.nextGossipAt = now;
+    membership.nextSynchronizeAt = now;
+    MembershipActions actions;
+    replaceRecord({membership, actions, now, random}, self);
+    queueRecord(membership, self.name);
+    return membership;
+}
+
+MembershipActions step(Membership &membership, const MembershipEvent &event, TimePoint now, std::mt19937_64 &random)
+{
+    MembershipActions actions;
+    const StepContext context{membership, actions, now, random};
+    noticePause(context);
+    std::visit(
+        [&context](const auto &alternative) {
+            handle(context, alternative);
+        },
+        event);
+    // A deadline that lay idle is not a missed one.
+    membership.nextGossipAt = std::max(membership.nextGossipAt, now);
+    return actions;
+}
+
+TimePoint nextDeadline(const Membership &membership)
+{
+    TimePoint deadline = membership.nextPeriodAt;
+    if (membership.probe) {
+        deadline = std::min(deadline, membership.probe->nextStepAt);
+    }
+    if (hasNews(membership.news) && !membership.probeOrder.empty()) {
+        deadline = std::min(deadline, membership.nextGossipAt);
+    }
+    for (const std::string &name : membership.suspects) {
+        deadline = std::min(deadline, membership.members.at(name).deadline);
+    }
+    return deadline;
+}
+
+const MemberRecord &selfRecord(const Membership &membership)
+{
+    return membership.members.at(membership.self).record;
+}
+
+bool isSelfPending(const Membership &membership)
+{
+    return membership.news.records.contains(membership.self);
+}
+
+std::vector<EntryMember> servingEntries(const Membership &membership)
+{
+    std::vector<EntryMember> entries;
+    for (const auto &[name, member] : membership.members) {
+        if (isLive(member.record.state) && member.record.entry) {
+            entries.push_back(*member.record.entry);
+        }
+    }
+    return entries;
+}
+
+std::vector<std::string> liveMembers(const Membership &membership)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, member] : membership.members) {
+        if (isLive(member.record.state)) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::vector<MemberRecord> recordsInDifferingBuckets(const Membership &membership, const BucketDigests &digests)
+{
+    std::vector<MemberRecord> records;
+    for (const auto &[name, member] : membership.members) {
+        const std::size_t bucket = bucketOf(name);
+        if (membership.digests.at(bucket) != digests.at(bucket)) {
+            records.push_back(member.record);
+        }
+    }
+    return records;
+}
+
+}
--- /dev/null
+++ b/src/controllers/membershipnews.cpp
@@ -0,0 +1,108 @@
+#include "controllers/membershipnews.h"
+
+#include <algorithm>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::size_t RecordOverheadBytes = 60;
+constexpr std::size_t RumourOverheadBytes = 16;
+
+std::size_t encodedBytes(const MemberRecord &record)
+{
+    std::size_t bytes = RecordOverheadBytes + record.name.size() + record.availabilityZone.size();
+    bytes += record.membershipEndpoint.address.size() + record.exchangeEndpoint.address.size();
+    if (record.entry) {
+        bytes += record.entry->incarnation.size() + record.entry->callerEndpoint.address.size() + record.entry->peerEndpoint.address.size();
+    }
+    return bytes;
+}
+
+std::uint32_t &transmissionsLeft(std::uint32_t &left)
+{
+    return left;
+}
+
+std::uint32_t &transmissionsLeft(PendingRumour &rumour)
+{
+    return rumour.transmissionsLeft;
+}
+
+/** Calls @p take(key, item) for the items by transmissions left; an item that it takes counts as transmitted once. */
+template<typename Items, typename Take>
+void takeByUrgency(Items &items, Take take)
+{
+    std::vector<typename Items::iterator> order;
+    for (auto row = items.begin(); row != items.end(); ++row) {
+        order.push_back(row);
+    }
+    std::stable_sort(order.begin(), order.end(), [](const auto &first, const auto &second) {
+        return transmissionsLeft(first->second) > transmissionsLeft(second->second);
+    });
+    for (const auto &row : order) {
+        if (!take(row->first, row->second)) {
+            continue;
+        }
+        if (--transmissionsLeft(row->second) == 0) {
+            items.erase(row);
+        }
+    }
+}
+
+bool isIncluded(const MembershipDatagram &datagram, const std::string &name)
+{
+    return std::any_of(datagram.records.begin(), datagram.records.end(), [&name](const MemberRecord &record) {
+        return record.name == name;
+    });
+}
+
+void addRecords(MembershipNews &news, const RecordLookup &recordOf, std::size_t &bytesLeft, MembershipDatagram &datagram)
+{
+    takeByUrgency(news.records, [&](const std::string &name, std::uint32_t) {
+        const MemberRecord *record = recordOf(name);
+        if (record == nullptr || isIncluded(datagram, name)) {
+            return true;
+        }
+        const std::size_t bytes = encodedBytes(*record);
+        if (bytes > bytesLeft) {
+            return false;
+        }
+        datagram.records.push_back(*record);
+        bytesLeft -= bytes;
+        return true;
+    });
+}
+
+void addRumours(MembershipNews &news, std::size_t bytesLeft, MembershipDatagram &datagram)
+{
+    takeByUrgency(news.rumours, [&](const std::string &key, const PendingRumour &rumour) {
+        const std::size_t bytes = RumourOverheadBytes + key.size();
+        if (bytes > bytesLeft) {
+            return false;
+        }
+        datagram.rumours.push_back({key, rumour.version});
+        bytesLeft -= bytes;
+        return true;
+    });
+}
+
+}
+
+bool hasNews(const MembershipNews &news)
+{
+    return !news.records.empty() || !news.rumours.empty();
+}
+
+void addNews(MembershipNews &news, const RecordLookup &recordOf, std::size_t payloadBytes, MembershipDatagram &datagram)
+{
+    std::size_t bytesLeft = payloadBytes;
+    for (const MemberRecord &record : datagram.records) {
+        bytesLeft -= std::min(bytesLeft, encodedBytes(record));
+    }
+    const std::size_t reserved = news.rumours.empty() ? 0 : std::min(bytesLeft, payloadBytes / 3);
+    std::size_t bytesForRecords = bytesLeft - reserved;
+    addRecords(news, recordOf, bytesForRecords, datagram);
+    addRumours(news, bytesForRecords + reserved, datagram);
+}
+
+}
--- /dev/null
+++ b/tests/membershipexplorationtest.cpp
@@ -0,0 +1,343 @@
+#include "controllers/membership.h"
+#include "exploration.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <queue>
+#include <set>
+
+namespace Plantainweir {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t Interleavings = 20'000;
+constexpr Duration FaultTime = 8s;
+constexpr Duration ConvergenceTime = 180s;
+
+/** A message under way; exchanges run over a connection, datagrams may be lost, doubled and reordered. */
+struct Delivery {
+    TimePoint at;
+    std::uint64_t order = 0;
+    std::size_t from = 0;
+    std::size_t to = 0;
+    std::optional<MembershipDatagram> datagram;
+    std::optional<BucketDigests> request;
+    std::optional<std::vector<MemberRecord>> reply;
+
+    bool operator>(const Delivery &other) const
+    {
+        return std::tie(at, order) > std::tie(other.at, other.order);
+    }
+};
+
+struct Process {
+    Membership membership;
+    TimePoint pausedUntil;
+    bool hasLeft = false;
+    std::map<std::string, std::pair<std::uint64_t, MemberState>> seen; ///< Newest order of each record in this run.
+    std::set<std::string> seenLeaving; ///< Entry incarnations that were seen leaving in this run.
+};
+
+/** A fleet of members, the messages between them and the faults, in virtual time. */
+class Fleet
+{
+public:
+    explicit Fleet(std::uint64_t seed) : m_random(seed)
+    {
+        m_processes.resize(std::uniform_int_distribution<std::size_t>(2, 4)(m_random));
+        for (std::size_t index = 0; index < m_processes.size(); ++index) {
+            restart(index);
+        }
+    }
+
+    std::optional<std::string> run()
+    {
+        m_lossPercent = number(0, 40);
+        const TimePoint faultsEnd = m_now + FaultTime;
+        TimePoint nextFaultAt = m_now;
+        while (m_now < faultsEnd && !m_failure) {
+            if (m_now >= nextFaultAt) {
+                injectFault();
+                nextFaultAt = m_now + std::chrono::milliseconds(number(50, 3000));
+            }
+            advance(std::min(nextFaultAt, faultsEnd));
+        }
+        endFaults();
+        const TimePoint end = m_now + ConvergenceTime;
+        while (!m_failure && !hasConverged()) {
+            if (m_now >= end) {
+                return "the fleet did not converge";
+            }
+            advance(m_now + 500ms);
+        }
+        return m_failure;
+    }
+
+private:
+    std::uint64_t number(std::uint64_t minimum, std::uint64_t maximum)
+    {
+        return std::uniform_int_distribution<std::uint64_t>(minimum, maximum)(m_random);
+    }
+
+    static std::string nameOfProcess(std::size_t index)
+    {
+        return "m" + std::to_string(index);
+    }
+
+    static Endpoint endpointOf(std::size_t index)
+    {
+        return {"127.0.0.1", static_cast<std::uint16_t>(7000 + index)};
+    }
+
+    void restart(std::size_t index)
+    {
+        // The wall clock may have been set back since the earlier run.
+        const std::uint64_t setBack = number(0, 4) == 0 ? number(0, 5000) : 0;
+        const auto milliseconds = static_cast<std::uint64_t>(m_now.time_since_epoch() / 1ms) - setBack;
+        MemberRecord self{.name = nameOfProcess(index),
+                          .incarnation = (milliseconds << 16U) + number(0, 60'000),
+                          .state = MemberState::Alive,
+                          .membershipEndpoint = endpointOf(index),
+                          .exchangeEndpoint = endpointOf(index),
+                          .availabilityZone = "z",
+                          .entry = std::nullopt};
+        m_truth[{self.name, self.incarnation}] = self;
+        m_processes[index]
+            = Process{.membership = makeMembership(self, {}, m_now, m_random), .pausedUntil = m_now, .hasLeft = false, .seen = {}, .seenLeaving = {}};
+        std::vector<Endpoint> seeds;
+        for (std::size_t other = 0; other < m_processes.size(); ++other) {
+            seeds.push_back(endpointOf(other));
+        }
+        feed(index, SeedsChanged{seeds});
+        changeEntry(index, false);
+    }
+
+    void changeEntry(std::size_t index, bool isLeaving)
+    {
+        const auto &current = selfRecord(m_processes[index].membership).entry;
+        const std::string incarnation = isLeaving && current ? current->incarnation : "run" + std::to_string(++m_lastRun);
+        feed(index,
+             EntryChanged{EntryMember{
+                 .name = "e", .incarnation = incarnation, .callerEndpoint = {}, .peerEndpoint = {}, .availabilityZone = {}, .isLeaving = isLeaving}});
+    }
+
+    void injectFault()
+    {
+        const std::size_t index = number(0, m_processes.size() - 1);
+        Process &process = m_processes[index];
+        switch (number(0, 6)) {
+        case 0:
+            process.pausedUntil = m_now + std::chrono::milliseconds(number(50, 9000));
+            break;
+        case 1:
+            restart(index);
+            break;
+        case 2:
+            m_isCut = !m_isCut;
+            break;
+        case 3:
+            changeEntry(index, true);
+            break;
+        case 4:
+            feed(index, EntryChanged{std::nullopt});
+            break;
+        case 5:
+            changeEntry(index, false);
+            break;
+        default:
+            process.hasLeft = true;
+            feed(index, LeaveRequested{});
+        }
+    }
+
+    void endFaults()
+    {
+        m_isCut = false;
+        m_lossPercent = 0;
+        for (Process &process : m_processes) {
+            process.pausedUntil = std::min(process.pausedUntil, m_now);
+        }
+    }
+
+    bool isLost(std::size_t from, std::size_t to)
+    {
+        const bool isBetweenParts = (from == 0) != (to == 0);
+        return (m_isCut && isBetweenParts) || number(1, 100) <= m_lossPercent;
+    }
+
+    void deliverLater(Delivery delivery)
+    {
+        delivery.at = m_now + std::chrono::microseconds(number(0, m_lossPercent > 0 ? 700'000 : 5'000));
+        delivery.order = ++m_lastOrder;
+        m_deliveries.push(std::move(delivery));
+    }
+
+    void sendDatagram(std::size_t from, const OutgoingDatagram &outgoing)
+    {
+        const std::size_t to = outgoing.to.port - 7000U;
+        const std::uint64_t copies = m_lossPercent > 0 ? number(1, 2) : 1;
+        for (std::uint64_t copy = 0; copy < copies; ++copy) {
+            if (!isLost(from, to)) {
+                deliverLater({.at = {}, .order = 0, .from = from, .to = to, .datagram = outgoing.datagram, .request = {}, .reply = {}});
+            }
+        }
+    }
+
+    void feed(std::size_t index, const MembershipEvent &event)
+    {
+        const MembershipActions actions = step(m_processes[index].membership, event, m_now, m_random);
+        check(index, actions);
+        for (const OutgoingDatagram &outgoing : actions.datagrams) {
+            sendDatagram(index, outgoing);
+        }
+        if (actions.synchronizeWith && !isLost(index, actions.synchronizeWith->port - 7000U)) {
+            const std::size_t to = actions.synchronizeWith->port - 7000U;
+            deliverLater({.at = {}, .order = 0, .from = index, .to = to, .datagram = {}, .request = m_processes[index].membership.digests, .reply = {}});
+        }
+    }
+
+    void fail(const std::string &invariant)
+    {
+        m_failure = m_failure.value_or(invariant);
+    }
+
+    /** Checks the invariants at the process that made a step. */
+    void check(std::size_t index, const MembershipActions &actions)
+    {
+        Process &process = m_processes[index];
+        for (const MemberRecord &record : actions.changes) {
+            if (record.name == nameOfProcess(index)) {
+                m_truth[{record.name, record.incarnation}] = record;
+            }
+            checkRecord(process, record);
+        }
+        const MemberState ownState = selfRecord(process.membership).state;
+        if (ownState != (process.hasLeft ? MemberState::Left : MemberState::Alive)) {
+            fail("a member holds itself " + std::string(nameOf(ownState)));
+        }
+        for (const EntryMember &entry : servingEntries(process.membership)) {
+            if (entry.isLeaving) {
+                process.seenLeaving.insert(entry.incarnation);
+            } else if (process.seenLeaving.contains(entry.incarnation)) {
+                fail("a leaving entry came back into use");
+            }
+        }
+    }
+
+    void checkRecord(Process &process, const MemberRecord &record)
+    {
+        const std::pair order{record.incarnation, record.state};
+        const auto seen = process.seen.find(record.name);
+        if (seen != process.seen.end() && order <= seen->second) {
+            fail("the record of " + record.name + " went back");
+        }
+        process.seen[record.name] = order;
+        const auto truth = m_truth.find({record.name, record.incarnation});
+        if (truth == m_truth.end()) {
+            fail("an incarnation that the member never had");
+            return;
+        }
+        if (truth->second.entry != record.entry) {
+            fail("an entry that the member never announced at this incarnation");
+        }
+        if (record.state == MemberState::Left && truth->second.state != MemberState::Left) {
+            fail("a member is held left that did not leave");
+        }
+    }
+
+    bool isPaused(std::size_t index) const
+    {
+        return m_processes[index].pausedUntil > m_now;
+    }
+
+    /** Runs the next event that is due before @p limit, or moves the time there. */
+    void advance(TimePoint limit)
+    {
+        TimePoint due = limit;
+        std::optional<std::size_t> timer;
+        for (std::size_t index = 0; index < m_processes.size(); ++index) {
+            const TimePoint at = std::max({m_now, m_processes[index].pausedUntil, nextDeadline(m_processes[index].membership)});
+            if (at < due) {
+                due = at;
+                timer = index;
+            }
+        }
+        if (!m_deliveries.empty() && m_deliveries.top().at <= due) {
+            Delivery delivery = m_deliveries.top();
+            m_deliveries.pop();
+            m_now = std::max(m_now, delivery.at);
+            deliver(std::move(delivery));
+            return;
+        }
+        m_now = due;
+        if (timer) {
+            feed(*timer, MembershipTimerFired{});
+        }
+    }
+
+    void deliver(Delivery delivery)
+    {
+        const std::size_t to = delivery.to;
+        if (isPaused(to)) {
+            delivery.at = m_processes[to].pausedUntil;
+            m_deliveries.push(std::move(delivery));
+            return;
+        }
+        if (delivery.datagram) {
+            feed(to, DatagramReceived{endpointOf(delivery.from), *delivery.datagram});
+        } else if (delivery.reply) {
+            feed(to, RecordsLearned{*delivery.reply});
+        } else if (!isLost(to, delivery.from)) {
+            const auto records = recordsInDifferingBuckets(m_processes[to].membership, *delivery.request);
+            deliverLater({.at = {}, .order = 0, .from = to, .to = delivery.from, .datagram = {}, .request = {}, .reply = records});
+        }
+    }
+
+    bool hasConverged() const
+    {
+        for (const Process &viewer : m_processes) {
+            for (const Process &process : m_processes) {
+                if (!viewer.hasLeft && !holds(viewer.membership, selfRecord(process.membership))) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    static bool holds(const Membership &viewer, const MemberRecord &truth)
+    {
+        const auto found = viewer.members.find(truth.name);
+        if (truth.state == MemberState::Left) {
+            // Nobody can tell a late viewer that the member announced its end; dead is as good.
+            return found == viewer.members.end() || !isLive(found->second.record.state);
+        }
+        return found != viewer.members.end() && found->second.record == truth;
+    }
+
+    std::mt19937_64 m_random;
+    TimePoint m_now{1h};
+    std::vector<Process> m_processes;
+    std::priority_queue<Delivery, std::vector<Delivery>, std::greater<>> m_deliveries;
+    std::map<std::pair<std::string, std::uint64_t>, MemberRecord> m_truth; ///< What each member said of itself.
+    std::uint64_t m_lastOrder = 0;
+    std::uint64_t m_lastRun = 0;
+    std::uint64_t m_lossPercent = 0;
+    bool m_isCut = false; ///< Process 0 and the others do not hear each other.
+    std::optional<std::string> m_failure;
+};
+
+TEST(MembershipExploration, KeepsItsInvariantsAndConverges)
+{
+    const auto failures = explore("membership", Interleavings, [](std::uint64_t seed) {
+        return Fleet(seed).run();
+    });
+    for (const std::string &failure : failures) {
+        ADD_FAILURE() << failure;
+    }
+}
+
+}
+}
