--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -166,8 +166,10 @@
 
 TEST_F(MembershipTest, PassesNewsOnABoundedNumberOfTimesInBoundedDatagrams)
 {
+    constexpr int MemberCount = 200;
     std::vector<MemberRecord> records;
-    for (int index = 0; index < 200; ++index) {
+    records.reserve(MemberCount);
+    for (int index = 0; index < MemberCount; ++index) {
         records.push_back(makeRecord("member" + std::to_string(index), 1));
     }
     tell(records);
