Add the judge and the pages for callers and upstreams

What callers were told is compared with what the upstreams counted: doubled executions over all keys of a call, false "not run", false or wrong answers, and cut-off calls.

--- a/src/caller/callertask.cpp
+++ b/src/caller/callertask.cpp
@@ -32,6 +32,7 @@
     std::vector<DirectoryEntry> entries; ///< In the order to try, from the answer that the call began with.
     int status = 0;
     std::string body;
+    std::uint32_t lostTries = 0;
 };
 
 /** The directory's answer for one service, and who waits for a newer one. */
@@ -78,7 +79,7 @@
     void start(const OutgoingCall &call)
     {
         const LocalCallId id = ++m_lastCall;
-        ActiveCall active{.call = call, .progress = {}, .entries = {}, .status = 0, .body = {}};
+        ActiveCall active{.call = call, .progress = {}, .entries = {}, .status = 0, .body = {}, .lostTries = 0};
         active.progress.repeatability = call.kind.repeatability;
         const bool hasTimeout = m_settings.timeout > Duration::zero();
         active.progress.deadline = call.due + (hasTimeout ? m_settings.timeout : Duration(LongestCall));
@@ -221,6 +222,7 @@
     {
         ActiveCall &active = m_calls.at(id);
         const TryResult tried = tryResultOf(result);
+        active.lostTries += result.outcome == SendOutcome::Lost ? 1 : 0;
         if (tried.outcome == TryOutcome::Replied) {
             active.status = result.response.status;
             active.body = result.response.body;
@@ -262,6 +264,7 @@
             .body = active.body,
             .latency = Clock::now() - active.call.due,
             .tries = active.progress.tries,
+            .lostTries = active.lostTries,
         };
         m_calls.erase(id);
         Q_EMIT q->finished(finished);
--- a/src/caller/callreport.cpp
+++ b/src/caller/callreport.cpp
@@ -124,6 +124,7 @@
         {"status", call.status},
         {"latencyMs", toMilliseconds(call.latency)},
         {"tries", static_cast<qint64>(call.tries)},
+        {"lostTries", static_cast<qint64>(call.lostTries)},
         {"wrongAnswer", isWrongAnswer},
     });
 }
--- a/src/caller/callreport.h
+++ b/src/caller/callreport.h
@@ -24,6 +24,7 @@
     std::string body; ///< Of the upstream, if answered.
     Duration latency{}; ///< From the time at which the call was due.
     std::uint32_t tries = 0;
+    std::uint32_t lostTries = 0; ///< Tries whose connection was lost after sending; timeouts of the caller are none.
 };
 
 /** The calls of one rank. */
--- a/tests/callertest.cpp
+++ b/tests/callertest.cpp
@@ -220,6 +220,7 @@
     const FinishedCall finished = call();
     EXPECT_EQ(finished.outcome, CallOutcome::Answered);
     EXPECT_EQ(finished.tries, 2U);
+    EXPECT_EQ(finished.lostTries, 1U);
     ASSERT_EQ(entry.calls.size(), 1U);
     ASSERT_EQ(second.calls.size(), 1U);
     const HttpFields &first = entry.calls[0].fields;
--- /dev/null
+++ b/tests/fakes/judge.cpp
@@ -0,0 +1,165 @@
+#include "fakes/judge.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QString>
+#include <QStringList>
+#include <fmt/core.h>
+
+#include <algorithm>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::size_t ShownKeys = 5;
+constexpr int FirstServerError = 500;
+
+std::string textOf(const QJsonObject &object, const char *key)
+{
+    return object[QLatin1String(key)].toString().toStdString();
+}
+
+Result<CallRecord> parseRecord(const QJsonObject &object)
+{
+    const auto outcome = valueNamed<CallOutcome>(textOf(object, "outcome"));
+    const auto repeatability = valueNamed<Repeatability>(textOf(object, "repeatability"));
+    if (!outcome || !repeatability || textOf(object, "key").empty()) {
+        return failure("a record lacks its key, outcome or repeatability");
+    }
+    CallRecord record{
+        .key = textOf(object, "key"),
+        .earlierKeys = {},
+        .rank = textOf(object, "rank"),
+        .repeatability = *repeatability,
+        .outcome = *outcome,
+        .reason = textOf(object, "reason"),
+        .status = object["status"].toInt(),
+        .latencyMs = object["latencyMs"].toDouble(),
+        .lostTries = static_cast<std::uint32_t>(object["lostTries"].toInt()),
+        .isWrongAnswer = object["wrongAnswer"].toBool(),
+    };
+    for (const QJsonValue key : object["earlierKeys"].toArray()) {
+        record.earlierKeys.push_back(key.toString().toStdString());
+    }
+    return record;
+}
+
+std::uint64_t executionsOf(const ExecutionCounts &counts, const std::string &key)
+{
+    const auto found = counts.find(key);
+    return found == counts.end() ? 0 : found->second;
+}
+
+/** Returns the executions of @p record: of at-most-once work under all its keys, of other work those of its last try. */
+std::uint64_t executionsOf(const ExecutionCounts &counts, const CallRecord &record)
+{
+    std::uint64_t executions = executionsOf(counts, record.key);
+    if (record.repeatability == Repeatability::AtMostOnce) {
+        for (const std::string &key : record.earlierKeys) {
+            executions += executionsOf(counts, key);
+        }
+    }
+    return executions;
+}
+
+bool isCutOff(const CallRecord &record)
+{
+    const bool isLate = record.reason == nameOf(UnknownReason::DeadlinePassed) || record.reason == "caller_deadline_passed";
+    return record.lostTries > 0 || (record.outcome == CallOutcome::Unknown && !isLate);
+}
+
+bool isBroken(BrokenPromise promise, const CallRecord &record, std::uint64_t executions)
+{
+    switch (promise) {
+    case BrokenPromise::DoubledExecution:
+        return record.repeatability == Repeatability::AtMostOnce && executions > 1;
+    case BrokenPromise::FalseNotRun:
+        return record.outcome == CallOutcome::NotRun && executions > 0;
+    case BrokenPromise::FalseAnswer:
+        return record.outcome == CallOutcome::Answered && record.status < FirstServerError && executions == 0;
+    case BrokenPromise::WrongAnswer:
+        return record.isWrongAnswer;
+    case BrokenPromise::CutOff:
+        return isCutOff(record);
+    }
+    return true;
+}
+
+void addToReport(CallReport &report, const CallRecord &record)
+{
+    FinishedCall call;
+    call.kind.rank = record.rank;
+    call.outcome = record.outcome;
+    call.reason = record.reason;
+    call.status = record.status;
+    call.latency = fromMilliseconds(record.latencyMs);
+    addCall(report, call, record.isWrongAnswer);
+}
+
+}
+
+Result<std::vector<CallRecord>> parseRecords(const std::string &text)
+{
+    std::vector<CallRecord> records;
+    for (const QString &line : QString::fromStdString(text).split(QLatin1Char('\n'), Qt::SkipEmptyParts)) {
+        BOOST_LEAF_AUTO(record, parseRecord(QJsonDocument::fromJson(line.toUtf8()).object()));
+        records.push_back(record);
+    }
+    return records;
+}
+
+bool addExecutions(ExecutionCounts &counts, const std::string &json)
+{
+    const QJsonDocument document = QJsonDocument::fromJson(QByteArray::fromStdString(json));
+    const QJsonObject executions = document.object();
+    for (const QString &key : executions.keys()) {
+        counts[key.toStdString()] += static_cast<std::uint64_t>(executions[key].toObject()["started"].toInteger());
+    }
+    return document.isObject();
+}
+
+Verdict judge(const std::vector<CallRecord> &records, const ExecutionCounts &counts)
+{
+    Verdict verdict;
+    for (const CallRecord &record : records) {
+        addToReport(verdict.report, record);
+        const std::uint64_t executions = executionsOf(counts, record);
+        for (const auto &row : enumNames(BrokenPromise{})) {
+            if (isBroken(row.value, record, executions)) {
+                verdict.keys[static_cast<std::size_t>(row.value)].push_back(record.key);
+            }
+        }
+        verdict.doubledByRank[record.rank] += isBroken(BrokenPromise::DoubledExecution, record, executions) ? 1 : 0;
+    }
+    return verdict;
+}
+
+bool isKept(const Verdict &verdict, const std::vector<BrokenPromise> &exempted)
+{
+    const auto &promises = enumNames(BrokenPromise{});
+    return std::all_of(promises.begin(), promises.end(), [&verdict, &exempted](const auto &row) {
+        const bool isExempted = std::find(exempted.begin(), exempted.end(), row.value) != exempted.end();
+        return isExempted || verdict.count(row.value) == 0;
+    });
+}
+
+std::string toTable(const Verdict &verdict)
+{
+    std::string table = toTable(verdict.report) + "\ndoubled executions:";
+    for (const auto &[rank, doubled] : verdict.doubledByRank) {
+        table += fmt::format(" {}={}", rank, doubled);
+    }
+    table += "\n";
+    for (const auto &row : enumNames(BrokenPromise{})) {
+        const auto &keys = verdict.keys[static_cast<std::size_t>(row.value)];
+        table += fmt::format("{}: {}", row.name, keys.size());
+        for (std::size_t index = 0; index < std::min(keys.size(), ShownKeys); ++index) {
+            table += " " + keys[index];
+        }
+        table += "\n";
+    }
+    return table;
+}
+
+}
--- /dev/null
+++ b/tests/judgetest.cpp
@@ -0,0 +1,102 @@
+#include "fakes/judge.h"
+
+#include <gtest/gtest.h>
+
+namespace Plantainweir {
+namespace {
+
+CallRecord record(CallOutcome outcome, Repeatability repeatability = Repeatability::AtMostOnce)
+{
+    CallRecord record;
+    record.key = "k";
+    record.rank = "middle";
+    record.repeatability = repeatability;
+    record.outcome = outcome;
+    record.status = 200;
+    return record;
+}
+
+std::vector<BrokenPromise> brokenBy(const CallRecord &call, const ExecutionCounts &counts)
+{
+    const Verdict verdict = judge({call}, counts);
+    std::vector<BrokenPromise> broken;
+    for (const auto &row : enumNames(BrokenPromise{})) {
+        if (verdict.count(row.value) > 0) {
+            broken.push_back(row.value);
+        }
+    }
+    return broken;
+}
+
+using Broken = std::vector<BrokenPromise>;
+
+TEST(Judge, AcceptsTruthfulOutcomes)
+{
+    EXPECT_EQ(brokenBy(record(CallOutcome::Answered), {{"k", 1}}), Broken{});
+    EXPECT_EQ(brokenBy(record(CallOutcome::NotRun), {}), Broken{});
+    CallRecord late = record(CallOutcome::Unknown);
+    late.reason = "deadline_passed";
+    EXPECT_EQ(brokenBy(late, {}), Broken{});
+    EXPECT_EQ(brokenBy(late, {{"k", 1}}), Broken{});
+    EXPECT_EQ(brokenBy(record(CallOutcome::Answered, Repeatability::Idempotent), {{"k", 2}}), Broken{});
+}
+
+TEST(Judge, FindsDoubledExecutionsUnderAllKeysOfACall)
+{
+    EXPECT_EQ(brokenBy(record(CallOutcome::Answered), {{"k", 2}}), Broken{BrokenPromise::DoubledExecution});
+    CallRecord retried = record(CallOutcome::Answered);
+    retried.earlierKeys = {"j"};
+    EXPECT_EQ(brokenBy(retried, {{"k", 1}, {"j", 1}}), Broken{BrokenPromise::DoubledExecution});
+}
+
+TEST(Judge, FindsFalseOutcomes)
+{
+    EXPECT_EQ(brokenBy(record(CallOutcome::NotRun), {{"k", 1}}), Broken{BrokenPromise::FalseNotRun});
+    EXPECT_EQ(brokenBy(record(CallOutcome::NotRun, Repeatability::Idempotent), {{"k", 1}}), Broken{BrokenPromise::FalseNotRun});
+    EXPECT_EQ(brokenBy(record(CallOutcome::Answered), {}), Broken{BrokenPromise::FalseAnswer});
+    CallRecord wrong = record(CallOutcome::Answered);
+    wrong.isWrongAnswer = true;
+    EXPECT_EQ(brokenBy(wrong, {{"k", 1}}), Broken{BrokenPromise::WrongAnswer});
+}
+
+TEST(Judge, FindsCutOffCalls)
+{
+    CallRecord lost = record(CallOutcome::Answered);
+    lost.lostTries = 1;
+    EXPECT_EQ(brokenBy(lost, {{"k", 1}}), Broken{BrokenPromise::CutOff});
+    CallRecord unknown = record(CallOutcome::Unknown);
+    unknown.reason = "owner_connection_lost";
+    EXPECT_EQ(brokenBy(unknown, {{"k", 1}}), Broken{BrokenPromise::CutOff});
+    EXPECT_TRUE(isKept(judge({lost}, {{"k", 1}}), {BrokenPromise::CutOff}));
+    EXPECT_FALSE(isKept(judge({lost}, {{"k", 1}})));
+}
+
+TEST(Judge, ReadsWhatTheCallerAndTheUpstreamsWrite)
+{
+    FinishedCall call;
+    call.kind.rank = "top";
+    call.kind.repeatability = Repeatability::AtMostOnce;
+    call.outcome = CallOutcome::NotRun;
+    call.reason = "queue_full";
+    call.lostTries = 2;
+    const auto records = valueOr(
+        [&call] {
+            return parseRecords(toJson(call, false) + "\n");
+        },
+        [](const Error &) {
+            return std::vector<CallRecord>{};
+        });
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records[0].key, toString(call.key));
+    EXPECT_EQ(records[0].outcome, CallOutcome::NotRun);
+    EXPECT_EQ(records[0].reason, "queue_full");
+    EXPECT_EQ(records[0].lostTries, 2U);
+    ExecutionCounts counts;
+    EXPECT_TRUE(addExecutions(counts, R"({"k":{"workKind":"sale","started":2,"completed":1}})"));
+    EXPECT_TRUE(addExecutions(counts, R"({"k":{"workKind":"sale","started":1,"completed":1}})"));
+    EXPECT_EQ(counts["k"], 3U);
+    EXPECT_FALSE(addExecutions(counts, "not JSON"));
+}
+
+}
+}
