--- a/src/configuration/configurationjson.h
+++ b/src/configuration/configurationjson.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "configuration/configuration.h"
+#include "configuration/rememberedwrite.h"
 #include "core/result.h"
 
 #include <cstddef>
@@ -24,21 +25,6 @@
 inline constexpr std::string_view ObjectPrefix = "plantainweir/";
 /** The platform keeps no larger object. */
 inline constexpr std::size_t MaximumObjectBytes = 1024 * 1024;
-/** An object remembers its last writes, at most so many. */
-inline constexpr std::size_t MaximumRememberedWrites = 16;
-
-/**
- * One write of an object, remembered inside the object.
- *
- * Since each write is conditional on the version that it replaces, at most one write with a given base takes effect;
- * the list therefore tells whether a write whose answer was lost took effect.
- */
-struct RememberedWrite {
-    std::uint64_t base = 0; ///< Version that the write replaced; zero if it created the object.
-    std::string id; ///< Chosen by the writer, never used twice.
-    bool operator==(const RememberedWrite &) const = default;
-};
-
 /** Returns the platform's name of the object of service @p service. */
 std::string serviceObjectName(std::string_view service);
 
--- /dev/null
+++ b/src/controllers/applycontroller.cpp
@@ -0,0 +1,178 @@
+#include "controllers/applycontroller.h"
+
+#include <algorithm>
+
+namespace Plantainweir {
+namespace {
+
+using Actions = std::vector<ApplyAction>;
+
+bool isSettled(const ObjectChange &change)
+{
+    return change.state != ChangeState::Writing && change.state != ChangeState::ReadingBack;
+}
+
+void reject(ObjectChange &change, RejectionReason reason)
+{
+    change.state = ChangeState::Rejected;
+    change.rejection = reason;
+}
+
+/** Ends a change whose time is up. */
+void giveUp(ObjectChange &change)
+{
+    if (change.isAnyAnswerLost) {
+        change.state = ChangeState::NotKnown;
+        return;
+    }
+    reject(change, RejectionReason::NotSent);
+}
+
+Actions sendWrite(ObjectChange &change, std::size_t index)
+{
+    change.state = ChangeState::Writing;
+    return {SendWrite{index}};
+}
+
+Actions sendRead(ObjectChange &change, std::size_t index)
+{
+    change.state = ChangeState::ReadingBack;
+    return {SendRead{index}};
+}
+
+/** A refusal is final only if no earlier write of this change may have taken effect. */
+Actions handleRefusal(ObjectChange &change, std::size_t index, RejectionReason reason)
+{
+    if (change.isAnyAnswerLost) {
+        return sendRead(change, index);
+    }
+    reject(change, reason);
+    return {};
+}
+
+Actions handleWrite(ObjectChange &change, std::size_t index, const WriteResult &result)
+{
+    switch (result.outcome) {
+    case WriteOutcome::Accepted:
+        change.state = ChangeState::Accepted;
+        change.version = result.version;
+        return {};
+    case WriteOutcome::Conflict:
+        return handleRefusal(change, index, RejectionReason::Conflict);
+    case WriteOutcome::Refused:
+        return handleRefusal(change, index, RejectionReason::Refused);
+    case WriteOutcome::NotSent:
+        return sendWrite(change, index);
+    case WriteOutcome::AnswerLost:
+        change.isAnyAnswerLost = true;
+        return sendRead(change, index);
+    }
+    return {};
+}
+
+Actions handleRead(ObjectChange &change, std::size_t index, const std::optional<ObservedObject> &observed)
+{
+    if (!observed) {
+        return sendRead(change, index);
+    }
+    switch (settle(change.write, *observed)) {
+    case WriteSettlement::Accepted:
+        change.state = ChangeState::Accepted;
+        change.version = observed->writes.back() == change.write ? observed->version : 0;
+        return {};
+    case WriteSettlement::Superseded:
+        reject(change, RejectionReason::Conflict);
+        return {};
+    case WriteSettlement::Pending:
+        return sendWrite(change, index);
+    case WriteSettlement::Forgotten:
+        change.state = ChangeState::NotKnown;
+        return {};
+    }
+    return {};
+}
+
+Actions start(Apply &apply)
+{
+    Actions actions;
+    for (std::size_t index = 0; index < apply.changes.size(); ++index) {
+        actions.emplace_back(SendWrite{index});
+    }
+    return actions;
+}
+
+void giveUpAll(Apply &apply)
+{
+    for (ObjectChange &change : apply.changes) {
+        if (!isSettled(change)) {
+            // A write that is under way may still take effect.
+            change.isAnyAnswerLost = change.isAnyAnswerLost || change.state == ChangeState::Writing;
+            giveUp(change);
+        }
+    }
+}
+
+/** Passes an answer on to its change, and gives the change up if the time for another try is over. */
+template<typename Handler>
+Actions handleAnswer(Apply &apply, std::size_t index, TimePoint now, Handler handler)
+{
+    ObjectChange &change = apply.changes.at(index);
+    if (isSettled(change)) {
+        return {};
+    }
+    Actions actions = handler(change);
+    if (!isSettled(change) && now >= apply.deadline) {
+        giveUp(change);
+        return {};
+    }
+    return actions;
+}
+
+}
+
+WriteSettlement settle(const RememberedWrite &write, const ObservedObject &observed)
+{
+    const auto successor = std::find_if(observed.writes.begin(), observed.writes.end(), [&write](const RememberedWrite &each) {
+        return each.base == write.base;
+    });
+    if (successor != observed.writes.end()) {
+        return successor->id == write.id ? WriteSettlement::Accepted : WriteSettlement::Superseded;
+    }
+    // A read that is older than the base says as little as one at the base.
+    return observed.version <= write.base ? WriteSettlement::Pending : WriteSettlement::Forgotten;
+}
+
+std::vector<RememberedWrite> rememberWrite(std::vector<RememberedWrite> writes, const RememberedWrite &write)
+{
+    writes.push_back(write);
+    if (writes.size() > MaximumRememberedWrites) {
+        writes.erase(writes.begin(), writes.end() - static_cast<std::ptrdiff_t>(MaximumRememberedWrites));
+    }
+    return writes;
+}
+
+std::vector<ApplyAction> step(Apply &apply, const ApplyEvent &event, TimePoint now)
+{
+    if (std::holds_alternative<ApplyStarted>(event)) {
+        return start(apply);
+    }
+    if (const auto *written = std::get_if<WriteFinished>(&event)) {
+        return handleAnswer(apply, written->change, now, [written](ObjectChange &change) {
+            return handleWrite(change, written->change, written->result);
+        });
+    }
+    if (const auto *read = std::get_if<ReadFinished>(&event)) {
+        return handleAnswer(apply, read->change, now, [read](ObjectChange &change) {
+            return handleRead(change, read->change, read->observed);
+        });
+    }
+    giveUpAll(apply);
+    return {};
+}
+
+bool isFinished(const Apply &apply)
+{
+    return std::all_of(apply.changes.begin(), apply.changes.end(), isSettled);
+}
+
+}
--- /dev/null
+++ b/src/controllers/writeoutcome.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/enumnames.h"
+
+#include <cstdint>
+
+/** What becomes of a conditional write to the platform. */
+namespace Plantainweir {
+
+enum class WriteOutcome {
+    Accepted,
+    Conflict, ///< The object has another version; the write did not take effect.
+    Refused, ///< The platform rejects the request; the write did not take effect.
+    NotSent, ///< The write never left this process.
+    AnswerLost, ///< The write may have taken effect, or still may.
+};
+
+constexpr std::array<EnumName<WriteOutcome>, 5> enumNames(WriteOutcome)
+{
+    return {{
+        {WriteOutcome::Accepted, "accepted"},
+        {WriteOutcome::Conflict, "conflict"},
+        {WriteOutcome::Refused, "refused"},
+        {WriteOutcome::NotSent, "not_sent"},
+        {WriteOutcome::AnswerLost, "answer_lost"},
+    }};
+}
+static_assert(isEnumTableOrdered<WriteOutcome>());
+
+struct WriteResult {
+    WriteOutcome outcome = WriteOutcome::NotSent;
+    std::uint64_t version = 0; ///< Of the object after an accepted write.
+};
+
+}
--- a/src/tasks/platformapi.h
+++ b/src/tasks/platformapi.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "configuration/virtualmachine.h"
-#include "core/enumnames.h"
+#include "controllers/writeoutcome.h"
 #include "core/result.h"
 #include "http/httpclient.h"
 
@@ -26,32 +26,6 @@
     std::vector<PlatformObject> objects;
 };
 
-/** What became of a conditional write. */
-enum class WriteOutcome {
-    Accepted,
-    Conflict, ///< The object has another version; the write did not take effect.
-    Refused, ///< The platform rejects the request; the write did not take effect.
-    NotSent, ///< The write never left this process.
-    AnswerLost, ///< The write may have taken effect, or still may.
-};
-
-constexpr std::array<EnumName<WriteOutcome>, 5> enumNames(WriteOutcome)
-{
-    return {{
-        {WriteOutcome::Accepted, "accepted"},
-        {WriteOutcome::Conflict, "conflict"},
-        {WriteOutcome::Refused, "refused"},
-        {WriteOutcome::NotSent, "not_sent"},
-        {WriteOutcome::AnswerLost, "answer_lost"},
-    }};
-}
-static_assert(isEnumTableOrdered<WriteOutcome>());
-
-struct WriteResult {
-    WriteOutcome outcome = WriteOutcome::NotSent;
-    std::uint64_t version = 0; ///< Of the object after an accepted write.
-};
-
 HttpRequest listRequest(const std::string &prefix);
 /** A request that is answered when an object below @p prefix has changed since @p revision, or after @p wait. */
 HttpRequest watchRequest(const std::string &prefix, std::uint64_t revision, std::chrono::milliseconds wait);
