--- /dev/null
+++ b/src/configuration/configurationdiff.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "configuration/configuration.h"
+#include "core/enumnames.h"
+
+#include <string>
+#include <vector>
+
+/** Differences between two versions of a configuration object, for operators. */
+namespace Plantainweir {
+
+enum class DifferenceKind {
+    Added,
+    Removed,
+    Changed,
+};
+
+constexpr std::array<EnumName<DifferenceKind>, 3> enumNames(DifferenceKind)
+{
+    return {{
+        {DifferenceKind::Added, "added"},
+        {DifferenceKind::Removed, "removed"},
+        {DifferenceKind::Changed, "changed"},
+    }};
+}
+static_assert(isEnumTableOrdered<DifferenceKind>());
+
+/** One upstream, work kind or value that differs. */
+struct Difference {
+    DifferenceKind kind = DifferenceKind::Changed;
+    std::string item; ///< For example "upstream rinkdesk-1".
+    std::string before; ///< Empty if added.
+    std::string after; ///< Empty if removed.
+    bool operator==(const Difference &) const = default;
+};
+
+/** Returns how @p after differs from @p before, apart from the version. */
+std::vector<Difference> differences(const Service &before, const Service &after);
+std::vector<Difference> differences(const Rules &before, const Rules &after);
+
+/** Writes @p difference as one line that starts with `+`, `-` or `~`. */
+std::string toString(const Difference &difference);
+
+}
--- /dev/null
+++ b/src/operators/changeplan.cpp
@@ -0,0 +1,160 @@
+#include "operators/changeplan.h"
+
+#include "configuration/configurationcheck.h"
+#include "configuration/configurationjson.h"
+#include "controllers/applycontroller.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Plantainweir {
+namespace {
+
+template<typename Object>
+std::string firstFault(const Object &object)
+{
+    const auto faults = faultsOf(object);
+    return faults.empty() ? std::string() : faults.front().message;
+}
+
+/** Puts the decoded object into @p stored; returns its fault, empty if there is none. */
+Result<std::string> decodeInto(StoredConfiguration &stored, const PlatformObject &object)
+{
+    if (object.name == RulesObjectName) {
+        BOOST_LEAF_AUTO(rules, decodeRules(object.value));
+        rules.version = object.version;
+        stored.configuration.rules = rules;
+        return firstFault(rules);
+    }
+    BOOST_LEAF_AUTO(service, decodeService(object.value));
+    service.version = object.version;
+    stored.configuration.services[object.name.substr(ServiceObjectPrefix.size())] = service;
+    return firstFault(service);
+}
+
+/** Returns the service as stored, or an absent one of that name. */
+Service storedService(const StoredConfiguration &stored, const std::string &name)
+{
+    const auto found = stored.configuration.services.find(name);
+    if (found != stored.configuration.services.end()) {
+        return found->second;
+    }
+    Service absent;
+    absent.name = name;
+    absent.isRemoved = true;
+    return absent;
+}
+
+std::string objectNameOf(const ObjectContent &content)
+{
+    const auto *service = std::get_if<Service>(&content);
+    return service != nullptr ? serviceObjectName(service->name) : std::string(RulesObjectName);
+}
+
+std::string encode(const ObjectContent &content, const std::vector<RememberedWrite> &writes)
+{
+    const auto *service = std::get_if<Service>(&content);
+    return service != nullptr ? encodeService(*service, writes) : encodeRules(std::get<Rules>(content), writes);
+}
+
+/** Adds the write of @p wanted to @p plan unless the platform holds it already. */
+void planObject(ChangePlan &plan, const StoredConfiguration &stored, const ObjectContent &wanted, const WriteIdSource &nextId)
+{
+    const std::string name = objectNameOf(wanted);
+    const auto held = stored.objects.find(name);
+    const StoredObject object = held == stored.objects.end() ? StoredObject{} : held->second;
+    std::vector<Difference> found = differencesFrom(stored, wanted);
+    if (found.empty() && object.version != 0 && object.fault.empty()) {
+        plan.unchanged.push_back(name);
+        return;
+    }
+    const RememberedWrite write{.base = object.version, .id = nextId()};
+    plan.changes.push_back(
+        {.object = name, .write = write, .content = wanted, .value = encode(wanted, rememberWrite(object.writes, write)), .differences = std::move(found)});
+}
+
+void keepDraining(Service &wanted, const Service &held)
+{
+    for (Upstream &upstream : wanted.upstreams) {
+        upstream.isDraining = std::any_of(held.upstreams.begin(), held.upstreams.end(), [&upstream](const Upstream &each) {
+            return each.name == upstream.name && each.isDraining;
+        });
+    }
+}
+
+}
+
+StoredConfiguration decodeStoredConfiguration(const PlatformObjects &objects)
+{
+    StoredConfiguration stored;
+    for (const PlatformObject &object : objects.objects) {
+        const bool isKnown = object.name == RulesObjectName || object.name.starts_with(ServiceObjectPrefix);
+        if (!isKnown) {
+            continue;
+        }
+        const std::string fault = valueOr(
+            [&stored, &object] {
+                return decodeInto(stored, object);
+            },
+            [](const Error &error) {
+                return error.message;
+            });
+        stored.objects[object.name] = {.version = object.version, .writes = decodeRememberedWrites(object.value), .fault = fault};
+    }
+    return stored;
+}
+
+ChangePlan planApply(const StoredConfiguration &stored, const WantedConfiguration &wanted, const WriteIdSource &nextId)
+{
+    ChangePlan plan;
+    planObject(plan, stored, wanted.rules, nextId);
+    for (const auto &[name, service] : wanted.services) {
+        Service withDraining = service;
+        keepDraining(withDraining, storedService(stored, name));
+        planObject(plan, stored, withDraining, nextId);
+    }
+    for (const auto &[name, service] : stored.configuration.services) {
+        if (service.isRemoved || wanted.services.contains(name)) {
+            continue;
+        }
+        if (!wanted.isPruning) {
+            plan.kept.push_back(name);
+            continue;
+        }
+        Service tombstone;
+        tombstone.name = name;
+        tombstone.isRemoved = true;
+        planObject(plan, stored, tombstone, nextId);
+    }
+    return plan;
+}
+
+Result<ChangePlan>
+planDrain(const StoredConfiguration &stored, const std::string &service, const std::string &upstream, bool isDraining, const WriteIdSource &nextId)
+{
+    Service wanted = storedService(stored, service);
+    if (wanted.isRemoved) {
+        return failure(fmt::format("service is \"{}\"; allowed: a service that the platform holds", service));
+    }
+    const auto found = std::find_if(wanted.upstreams.begin(), wanted.upstreams.end(), [&upstream](const Upstream &each) {
+        return each.name == upstream;
+    });
+    if (found == wanted.upstreams.end()) {
+        return failure(fmt::format("upstream is \"{}\"; allowed: an upstream of service {}", upstream, service));
+    }
+    found->isDraining = isDraining;
+    ChangePlan plan;
+    planObject(plan, stored, wanted, nextId);
+    return plan;
+}
+
+std::vector<Difference> differencesFrom(const StoredConfiguration &stored, const ObjectContent &wanted)
+{
+    if (const auto *service = std::get_if<Service>(&wanted)) {
+        return differences(storedService(stored, service->name), *service);
+    }
+    return differences(stored.configuration.rules, std::get<Rules>(wanted));
+}
+
+}
--- /dev/null
+++ b/src/operators/reports.cpp
@@ -0,0 +1,335 @@
+#include "operators/reports.h"
+
+#include "configuration/configurationjson.h"
+#include "operators/texttable.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace Plantainweir {
+namespace {
+
+QString toQString(std::string_view text)
+{
+    return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
+}
+
+std::string toText(const QJsonObject &object)
+{
+    return QJsonDocument(object).toJson(QJsonDocument::Indented).toStdString();
+}
+
+QJsonArray toJson(const std::vector<std::string> &texts)
+{
+    QJsonArray array;
+    for (const std::string &text : texts) {
+        array.append(toQString(text));
+    }
+    return array;
+}
+
+QJsonArray toJson(const std::vector<Difference> &differences)
+{
+    QJsonArray array;
+    for (const Difference &difference : differences) {
+        array.append(QJsonObject{{"kind", toQString(nameOf(difference.kind))},
+                                 {"item", toQString(difference.item)},
+                                 {"before", toQString(difference.before)},
+                                 {"after", toQString(difference.after)}});
+    }
+    return array;
+}
+
+/** Returns the command that tells what became of a write, or an empty text if it is known. */
+std::string tellingCommand(const ObjectChange &change)
+{
+    if (change.state != ChangeState::NotKnown) {
+        return {};
+    }
+    return fmt::format("plantainweirctl status --write '{}'", toString(WriteReference{.object = change.object, .write = change.write}));
+}
+
+std::string versionText(std::uint64_t version)
+{
+    return version == 0 ? std::string("-") : fmt::format("{}", version);
+}
+
+std::string indented(const std::vector<Difference> &differences)
+{
+    std::string text;
+    for (const Difference &difference : differences) {
+        text += fmt::format("    {}\n", toString(difference));
+    }
+    return text;
+}
+
+std::string details(const ReportedChange &reported)
+{
+    const ObjectChange &change = reported.change;
+    std::string text = fmt::format("{}, the change from version {}:\n{}", change.object, versionText(change.write.base), indented(reported.differences));
+    if (change.rejection == RejectionReason::Conflict) {
+        text += fmt::format("  Another change came first. Yours against what the platform holds now:\n{}",
+                            reported.lostTo.empty() ? "    (no difference, or not known)\n" : indented(reported.lostTo));
+    }
+    const std::string command = tellingCommand(change);
+    if (!command.empty()) {
+        text += fmt::format("  Not known yet. This tells:\n    {}\n", command);
+    }
+    return text;
+}
+
+std::string renderTable(const ChangeReport &report)
+{
+    std::string text;
+    TextTable table{.header = {"OBJECT", "RESULT", "REASON", "VERSION"}, .rows = {}};
+    for (const ReportedChange &reported : report.changes) {
+        const ObjectChange &change = reported.change;
+        const bool hasReason = change.rejection != RejectionReason::None;
+        table.rows.push_back(
+            {change.object, std::string(nameOf(change.state)), hasReason ? std::string(nameOf(change.rejection)) : "-", versionText(change.version)});
+    }
+    for (const std::string &object : report.unchanged) {
+        table.rows.push_back({object, "unchanged", "-", "-"});
+    }
+    for (const std::string &service : report.kept) {
+        table.rows.push_back({serviceObjectName(service), "kept", "not in the inventory; --prune removes it", "-"});
+    }
+    if (!table.rows.empty()) {
+        text += renderTable(table);
+    }
+    for (const ReportedChange &reported : report.changes) {
+        text += '\n' + details(reported);
+    }
+    const std::string fault = report.fault.empty() ? std::string() : ": " + report.fault;
+    return text + fmt::format("{}{}{}\n", text.empty() ? "" : "\n", nameOf(report.result), fault);
+}
+
+QJsonObject toJson(const ReportedChange &reported)
+{
+    const ObjectChange &change = reported.change;
+    return {
+        {"object", toQString(change.object)},
+        {"state", toQString(nameOf(change.state))},
+        {"reason", toQString(nameOf(change.rejection))},
+        {"base", static_cast<double>(change.write.base)},
+        {"version", static_cast<double>(change.version)},
+        {"differences", toJson(reported.differences)},
+        {"lostTo", toJson(reported.lostTo)},
+        {"tellingCommand", toQString(tellingCommand(change))},
+    };
+}
+
+std::size_t drainingCount(const Service &service)
+{
+    return static_cast<std::size_t>(std::count_if(service.upstreams.begin(), service.upstreams.end(), [](const Upstream &upstream) {
+        return upstream.isDraining;
+    }));
+}
+
+std::string describeContent(const StoredConfiguration &stored, const std::string &name)
+{
+    if (name == RulesObjectName) {
+        return fmt::format("{} work kinds", stored.configuration.rules.workKinds.size());
+    }
+    const auto found = stored.configuration.services.find(std::string_view(name).substr(ServiceObjectPrefix.size()));
+    if (found == stored.configuration.services.end()) {
+        return "-";
+    }
+    if (found->second.isRemoved) {
+        return "removed";
+    }
+    return fmt::format("{} upstreams, {} draining", found->second.upstreams.size(), drainingCount(found->second));
+}
+
+/** Returns the object names that the platform or a daemon knows. */
+std::vector<std::string> objectNames(const StatusReport &report)
+{
+    std::map<std::string, bool> names;
+    if (report.stored) {
+        for (const auto &[name, object] : report.stored->objects) {
+            names[name] = true;
+        }
+    }
+    for (const DaemonStatus &daemon : report.daemons) {
+        for (const auto &[name, version] : daemon.versions) {
+            names[name] = true;
+        }
+    }
+    std::vector<std::string> list;
+    for (const auto &[name, isThere] : names) {
+        list.push_back(name);
+    }
+    return list;
+}
+
+std::uint64_t versionIn(const DaemonStatus &daemon, const std::string &name)
+{
+    const auto found = daemon.versions.find(name);
+    return found == daemon.versions.end() ? 0 : found->second;
+}
+
+std::vector<std::string> statusRow(const StatusReport &report, const std::string &name)
+{
+    const bool isStored = report.stored && report.stored->objects.contains(name);
+    const StoredObject object = isStored ? report.stored->objects.at(name) : StoredObject{};
+    const std::string content = isStored ? describeContent(*report.stored, name) : "-";
+    std::vector<std::string> row{name, versionText(object.version), object.fault.empty() ? content : "faulty: " + object.fault};
+    for (const DaemonStatus &daemon : report.daemons) {
+        row.push_back(daemon.fault.empty() ? versionText(versionIn(daemon, name)) : "?");
+    }
+    return row;
+}
+
+std::string_view describe(WriteSettlement settlement)
+{
+    switch (settlement) {
+    case WriteSettlement::Accepted:
+        return "accepted";
+    case WriteSettlement::Superseded:
+        return "rejected: another change came first";
+    case WriteSettlement::Pending:
+        return "not known yet: it has not taken effect so far, and may still";
+    case WriteSettlement::Forgotten:
+        return "not known: the object has changed too often since";
+    }
+    return {};
+}
+
+std::string renderTable(const StatusReport &report)
+{
+    TextTable table{.header = {"OBJECT", "PLATFORM", "CONTENT"}, .rows = {}};
+    for (const DaemonStatus &daemon : report.daemons) {
+        table.header.push_back(toString(daemon.endpoint));
+    }
+    for (const std::string &name : objectNames(report)) {
+        table.rows.push_back(statusRow(report, name));
+    }
+    std::string text = renderTable(table);
+    if (!report.stored) {
+        text += "The platform did not answer.\n";
+    }
+    for (const DaemonStatus &daemon : report.daemons) {
+        if (!daemon.fault.empty()) {
+            text += fmt::format("{}: {}\n", toString(daemon.endpoint), daemon.fault);
+        }
+    }
+    if (report.settlement) {
+        text += fmt::format("The write is {}.\n", describe(*report.settlement));
+    }
+    return text;
+}
+
+QJsonObject toJson(const StatusReport &report)
+{
+    QJsonArray objects;
+    if (report.stored) {
+        for (const auto &[name, object] : report.stored->objects) {
+            objects.append(QJsonObject{{"object", toQString(name)},
+                                       {"version", static_cast<double>(object.version)},
+                                       {"content", toQString(describeContent(*report.stored, name))},
+                                       {"fault", toQString(object.fault)}});
+        }
+    }
+    QJsonArray daemons;
+    for (const DaemonStatus &daemon : report.daemons) {
+        QJsonObject versions;
+        for (const auto &[name, version] : daemon.versions) {
+            versions.insert(toQString(name), static_cast<double>(version));
+        }
+        daemons.append(QJsonObject{{"endpoint", toQString(toString(daemon.endpoint))}, {"fault", toQString(daemon.fault)}, {"versions", versions}});
+    }
+    QJsonObject object{{"isPlatformReached", report.stored.has_value()}, {"objects", objects}, {"daemons", daemons}};
+    if (report.settlement) {
+        object.insert("write", toQString(nameOf(*report.settlement)));
+    }
+    return object;
+}
+
+}
+
+std::string render(const CheckReport &report, OutputFormat format)
+{
+    if (format == OutputFormat::Json) {
+        QJsonArray faults;
+        for (const FileFault &fault : report.faults) {
+            faults.append(QJsonObject{{"file", toQString(fault.file)}, {"line", static_cast<qint64>(fault.line)}, {"message", toQString(fault.message)}});
+        }
+        return toText({{"isSound", report.faults.empty()},
+                       {"faults", faults},
+                       {"services", static_cast<qint64>(report.services)},
+                       {"upstreams", static_cast<qint64>(report.upstreams)},
+                       {"workKinds", static_cast<qint64>(report.workKinds)}});
+    }
+    std::string text;
+    for (const FileFault &fault : report.faults) {
+        text += toString(fault) + '\n';
+    }
+    if (!report.faults.empty()) {
+        return text + fmt::format("{} faults; nothing was changed\n", report.faults.size());
+    }
+    return fmt::format("sound: {} services, {} upstreams, {} work kinds\n", report.services, report.upstreams, report.workKinds);
+}
+
+std::string render(const ChangeReport &report, OutputFormat format)
+{
+    if (format == OutputFormat::Table) {
+        return renderTable(report);
+    }
+    QJsonArray changes;
+    for (const ReportedChange &reported : report.changes) {
+        changes.append(toJson(reported));
+    }
+    return toText({{"result", toQString(nameOf(report.result))},
+                   {"fault", toQString(report.fault)},
+                   {"changes", changes},
+                   {"unchanged", toJson(report.unchanged)},
+                   {"kept", toJson(report.kept)}});
+}
+
+std::string render(const StatusReport &report, OutputFormat format)
+{
+    return format == OutputFormat::Table ? renderTable(report) : toText(toJson(report));
+}
+
+OperatorStatus exitStatusOf(const CheckReport &report)
+{
+    return report.faults.empty() ? OperatorStatus::Success : OperatorStatus::Usage;
+}
+
+OperatorStatus exitStatusOf(const ChangeReport &report)
+{
+    switch (report.result) {
+    case ChangeResult::Accepted:
+        return OperatorStatus::Success;
+    case ChangeResult::Failed:
+        return OperatorStatus::Failure;
+    case ChangeResult::Invalid:
+        return OperatorStatus::Usage;
+    case ChangeResult::Rejected:
+        return OperatorStatus::Rejected;
+    case ChangeResult::NotKnown:
+        return OperatorStatus::NotKnown;
+    }
+    return OperatorStatus::Failure;
+}
+
+OperatorStatus exitStatusOf(const StatusReport &report)
+{
+    const bool isDaemonMissing = std::any_of(report.daemons.begin(), report.daemons.end(), [](const DaemonStatus &daemon) {
+        return !daemon.fault.empty();
+    });
+    if (!report.stored || isDaemonMissing) {
+        return OperatorStatus::Failure;
+    }
+    if (!report.settlement || report.settlement == WriteSettlement::Accepted) {
+        return OperatorStatus::Success;
+    }
+    return report.settlement == WriteSettlement::Superseded ? OperatorStatus::Rejected : OperatorStatus::NotKnown;
+}
+
+}
--- /dev/null
+++ b/src/operators/reports.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "configuration/sourcefile.h"
+#include "core/enumnames.h"
+#include "operators/changetask.h"
+#include "operators/statustask.h"
+
+#include <string>
+#include <vector>
+
+/** What plantainweirctl prints, for a person or for a script. */
+namespace Plantainweir {
+
+enum class OutputFormat {
+    Table,
+    Json,
+};
+
+constexpr std::array<EnumName<OutputFormat>, 2> enumNames(OutputFormat)
+{
+    return {{
+        {OutputFormat::Table, "table"},
+        {OutputFormat::Json, "json"},
+    }};
+}
+static_assert(isEnumTableOrdered<OutputFormat>());
+
+/** Exit statuses of plantainweirctl; the first three are those of all programs. */
+enum class OperatorStatus {
+    Success = 0,
+    Failure = 1, ///< The platform or a daemon could not be reached; nothing was written.
+    Usage = 2, ///< A flag, an environment variable or a file is wrong; nothing was tried.
+    Rejected = 3, ///< A change was not made, since another came first or the platform rejects it.
+    NotKnown = 4, ///< A change may or may not have been made; the output names the command that tells.
+};
+
+/** What a check of the files found. */
+struct CheckReport {
+    std::vector<FileFault> faults;
+    std::size_t services = 0;
+    std::size_t upstreams = 0;
+    std::size_t workKinds = 0;
+};
+
+std::string render(const CheckReport &report, OutputFormat format);
+std::string render(const ChangeReport &report, OutputFormat format);
+std::string render(const StatusReport &report, OutputFormat format);
+
+OperatorStatus exitStatusOf(const CheckReport &report);
+OperatorStatus exitStatusOf(const ChangeReport &report);
+OperatorStatus exitStatusOf(const StatusReport &report);
+
+}
--- /dev/null
+++ b/src/programs/plantainweirctl.cpp
@@ -0,0 +1,260 @@
+#include "configuration/inventory.h"
+#include "configuration/rulesfile.h"
+#include "core/commandline.h"
+#include "observability/metrics.h"
+#include "operators/changetask.h"
+#include "operators/reports.h"
+#include "operators/statustask.h"
+#include "tasks/platformtask.h"
+
+#include <QCoreApplication>
+#include <QUuid>
+
+#include <fmt/core.h>
+
+#include <chrono>
+
+using namespace Plantainweir;
+
+namespace {
+
+constexpr std::string_view Program = "plantainweirctl";
+
+enum class Command {
+    Check,
+    Apply,
+    Status,
+    Drain,
+};
+
+constexpr std::array<EnumName<Command>, 4> enumNames(Command)
+{
+    return {{
+        {Command::Check, "check"},
+        {Command::Apply, "apply"},
+        {Command::Status, "status"},
+        {Command::Drain, "drain"},
+    }};
+}
+static_assert(isEnumTableOrdered<Command>());
+
+constexpr auto CommandHelp = "Commands:\n"
+                             "  check                    check the inventory and the rules; changes nothing\n"
+                             "  apply                    check both files, then put them into the platform\n"
+                             "  status                   show what the platform holds and what daemons have in force\n"
+                             "  drain SERVICE/UPSTREAM   give an upstream no new work; --undo takes it back\n"
+                             "\n"
+                             "Exit statuses: 0 done, 1 not reached and nothing written, 2 wrong input and nothing tried,\n"
+                             "3 rejected, 4 not known yet (the output names the command that tells).";
+
+/** An upstream named on the command line. */
+struct UpstreamName {
+    std::string service;
+    std::string upstream;
+};
+
+std::optional<UpstreamName> parseUpstreamName(const std::string &text)
+{
+    const std::size_t slash = text.find('/');
+    if (slash == std::string::npos || slash == 0 || slash + 1 == text.size()) {
+        return std::nullopt;
+    }
+    return UpstreamName{.service = text.substr(0, slash), .upstream = text.substr(slash + 1)};
+}
+
+int toStatus(OperatorStatus status)
+{
+    return static_cast<int>(status);
+}
+
+int failUsage(const std::string &message)
+{
+    fmt::print(stderr, "{}: {}\n", Program, message);
+    return toStatus(OperatorStatus::Usage);
+}
+
+void addSettings(CommandLine &commandLine)
+{
+    commandLine.addText("inventory", "CSV file of the upstreams, for check and apply", "");
+    commandLine.addText("rules", "YAML file of the work kinds and the measuring budget, for check and apply", "");
+    commandLine.addEndpoint("platform", "the platform", "127.0.0.1:7900");
+    commandLine.addInteger("timeout-ms", "time after which what is not settled is told as it is known", 100, 3'600'000, 30'000);
+    commandLine.addInteger("platform-calls-per-second", "calls to the platform in a second", 1, 500, 50);
+    commandLine.addChoice("output", "table for a person, json for a script", {"table", "json"}, "table");
+    commandLine.addEndpointList("entry", "operators' ports of entryds and controlds, for status");
+    commandLine.addText("write", "a write whose answer was lost, as OBJECT@BASE#ID, for status", "");
+    commandLine.addSwitch("prune", "apply removes services that the inventory does not name");
+    commandLine.addSwitch("undo", "drain takes a drain back");
+    commandLine.addPositional("COMMAND", CommandHelp, 2);
+}
+
+/** Prints a report and ends the event loop with its exit status. */
+template<typename Report>
+void finishWith(const Report &report, OutputFormat format)
+{
+    fmt::print("{}", render(report, format));
+    QCoreApplication::exit(toStatus(exitStatusOf(report)));
+}
+
+PlatformSettings platformSettings(const CommandLine &commandLine)
+{
+    const auto callsPerSecond = static_cast<std::uint32_t>(commandLine.integer("platform-calls-per-second"));
+    PlatformSettings settings;
+    settings.endpoint = commandLine.endpoint("platform");
+    settings.budget.callsPerSecond = callsPerSecond;
+    settings.budget.burst = callsPerSecond;
+    settings.budget.queueLimit = 100'000;
+    settings.budget.maximumBackoff = std::chrono::seconds(1);
+    settings.seed = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
+    return settings;
+}
+
+/** The files of the command line, read and checked. */
+struct Files {
+    CheckReport report;
+    WantedConfiguration wanted;
+};
+
+Files readFiles(const CommandLine &commandLine)
+{
+    Files files;
+    const auto services = collectFaults(
+        [&commandLine] {
+            return readInventory(commandLine.text("inventory"));
+        },
+        files.report.faults);
+    const auto rules = collectFaults(
+        [&commandLine] {
+            return readRules(commandLine.text("rules"));
+        },
+        files.report.faults);
+    files.wanted = {.services = services.value_or(ServiceMap()), .rules = rules.value_or(Rules()), .isPruning = commandLine.isOn("prune")};
+    files.report.services = files.wanted.services.size();
+    files.report.workKinds = files.wanted.rules.workKinds.size();
+    for (const auto &[name, service] : files.wanted.services) {
+        files.report.upstreams += service.upstreams.size();
+    }
+    return files;
+}
+
+std::string newWriteId()
+{
+    return QUuid::createUuid().toString(QUuid::WithoutBraces).toStdString();
+}
+
+/** Runs one command against the platform until its report is printed. */
+class Session
+{
+public:
+    Session(QCoreApplication &application, const CommandLine &commandLine)
+        : m_application(application)
+        , m_format(valueNamed<OutputFormat>(commandLine.text("output")).value_or(OutputFormat::Table))
+        , m_deadline(Clock::now() + std::chrono::milliseconds(commandLine.integer("timeout-ms")))
+        , m_platform(platformSettings(commandLine), m_metrics)
+    {
+    }
+
+    int runChange(const Planner &planner)
+    {
+        ChangeTask task(m_platform, planner, m_deadline);
+        QObject::connect(&task, &ChangeTask::finished, &m_application, [this](const ChangeReport &report) {
+            finishWith(report, m_format);
+        });
+        task.start();
+        return QCoreApplication::exec();
+    }
+
+    int runStatus(const std::vector<Endpoint> &daemons, const std::optional<WriteReference> &write)
+    {
+        StatusTask task(m_platform, daemons, write, m_deadline);
+        QObject::connect(&task, &StatusTask::finished, &m_application, [this](const StatusReport &report) {
+            finishWith(report, m_format);
+        });
+        task.start();
+        return QCoreApplication::exec();
+    }
+
+private:
+    QCoreApplication &m_application;
+    OutputFormat m_format;
+    TimePoint m_deadline;
+    Metrics m_metrics;
+    PlatformTask m_platform;
+};
+
+int check(const CommandLine &commandLine, OutputFormat format)
+{
+    const Files files = readFiles(commandLine);
+    fmt::print("{}", render(files.report, format));
+    return toStatus(exitStatusOf(files.report));
+}
+
+int apply(QCoreApplication &application, const CommandLine &commandLine, OutputFormat format)
+{
+    const Files files = readFiles(commandLine);
+    if (!files.report.faults.empty()) {
+        fmt::print("{}", render(files.report, format));
+        return toStatus(OperatorStatus::Usage);
+    }
+    Session session(application, commandLine);
+    return session.runChange([wanted = files.wanted](const StoredConfiguration &stored) -> Result<ChangePlan> {
+        return planApply(stored, wanted, newWriteId);
+    });
+}
+
+int status(QCoreApplication &application, const CommandLine &commandLine)
+{
+    const std::string text = commandLine.text("write");
+    const auto write = parseWriteReference(text);
+    if (!text.empty() && !write) {
+        return failUsage(fmt::format("--write is \"{}\"; allowed: OBJECT@BASE#ID, as apply or drain printed it", text));
+    }
+    Session session(application, commandLine);
+    return session.runStatus(commandLine.endpointList("entry"), write);
+}
+
+int drain(QCoreApplication &application, const CommandLine &commandLine)
+{
+    const std::string text = commandLine.positional().size() < 2 ? std::string() : commandLine.positional()[1];
+    const auto name = parseUpstreamName(text);
+    if (!name) {
+        return failUsage(fmt::format("the upstream is \"{}\"; allowed: SERVICE/UPSTREAM", text));
+    }
+    Session session(application, commandLine);
+    return session.runChange([name = *name, isDraining = !commandLine.isOn("undo")](const StoredConfiguration &stored) {
+        return planDrain(stored, name.service, name.upstream, isDraining, newWriteId);
+    });
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    QCoreApplication application(argc, argv);
+    CommandLine commandLine(std::string(Program), "Checks, applies and shows the configuration of plantainweir.");
+    addSettings(commandLine);
+    if (const auto exitStatus = commandLine.parse(argc, argv)) {
+        return static_cast<int>(*exitStatus);
+    }
+    const std::string word = commandLine.positional().empty() ? std::string() : commandLine.positional().front();
+    const auto command = valueNamed<Command>(word);
+    if (!command) {
+        return failUsage(fmt::format("the command is \"{}\"; allowed: check, apply, status, drain", word));
+    }
+    const OutputFormat format = valueNamed<OutputFormat>(commandLine.text("output")).value_or(OutputFormat::Table);
+    const bool needsFiles = command == Command::Check || command == Command::Apply;
+    if (needsFiles && (commandLine.text("inventory").empty() || commandLine.text("rules").empty())) {
+        return failUsage(fmt::format("--inventory and --rules are needed for {}; allowed: the path of a file each", word));
+    }
+    switch (*command) {
+    case Command::Check:
+        return check(commandLine, format);
+    case Command::Apply:
+        return apply(application, commandLine, format);
+    case Command::Status:
+        return status(application, commandLine);
+    case Command::Drain:
+        return drain(application, commandLine);
+    }
+    return toStatus(OperatorStatus::Usage);
+}
