--- a/src/operators/reports.cpp
+++ b/src/operators/reports.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 namespace Plantainweir {
 namespace {
@@ -147,24 +148,20 @@
 }
 
 /** Returns the object names that the platform or a daemon knows. */
-std::vector<std::string> objectNames(const StatusReport &report)
+std::set<std::string> objectNames(const StatusReport &report)
 {
-    std::map<std::string, bool> names;
+    std::set<std::string> names;
     if (report.stored) {
         for (const auto &[name, object] : report.stored->objects) {
-            names[name] = true;
+            names.insert(name);
         }
     }
     for (const DaemonStatus &daemon : report.daemons) {
         for (const auto &[name, version] : daemon.versions) {
-            names[name] = true;
+            names.insert(name);
         }
     }
-    std::vector<std::string> list;
-    for (const auto &[name, isThere] : names) {
-        list.push_back(name);
-    }
-    return list;
+    return names;
 }
 
 std::uint64_t versionIn(const DaemonStatus &daemon, const std::string &name)
