--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -162,7 +162,7 @@
         if (connection == nullptr) {
             return;
         }
-        const bool isKept = connection->isKeepAlive && !m_isDraining;
+        const bool isKept = connection->isKeepAlive && !m_isClosingAfterResponses;
         const std::string bytes = encodeResponse(response, isKept);
         if (!isKept) {
             sendAndClose(*connection, bytes);
@@ -240,6 +240,7 @@
     void drain()
     {
         m_isDraining = true;
+        m_isClosingAfterResponses = true;
         m_listener.close();
         std::vector<QTcpSocket *> idle;
         for (const auto &[socket, connection] : m_connections) {
@@ -267,6 +268,7 @@
     QTimer m_sweep;
     ExchangeId m_lastExchange = 0;
     bool m_isDraining = false;
+    bool m_isClosingAfterResponses = false;
     std::unordered_map<QTcpSocket *, std::unique_ptr<Connection>> m_connections;
     std::unordered_map<ExchangeId, Connection *> m_exchanges;
 };
@@ -306,6 +308,11 @@
     d->abandon(exchange, partial);
 }
 
+void HttpServer::closeAfterResponses()
+{
+    d->m_isClosingAfterResponses = true;
+}
+
 void HttpServer::drain()
 {
     d->drain();
