Add entryd: ports, dispatch task, link to controld, leaving

One path end to end: caller port, filters, key book, dispatch step, upstream port, reply. Tasks talk by queued signals. gRPC's own retries are off and a broken channel is not used, since a forwarded call must arrive at most once. Measured: entrytest passes, 60 of its cases are the ways an upstream may close (fresh and reused connection, with and without body, five methods): executions stay at most 1.

--- /dev/null
+++ b/src/tasks/controllink.cpp
@@ -0,0 +1,209 @@
+#include "tasks/controllink.h"
+
+#include "control.grpc.pb.h"
+#include "rpc/controlmessages.h"
+#include "rpc/mailbox.h"
+#include "rpc/routingmessages.h"
+
+#include <QTimer>
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace Plantainweir {
+namespace {
+
+namespace wire = plantainweir::control::v1;
+
+constexpr std::chrono::milliseconds FirstReconnect{100};
+constexpr std::chrono::milliseconds LastReconnect{2000};
+
+/** What a stream tells its link; both run in the link's thread. */
+struct StreamHandlers {
+    std::function<void(const wire::ControlUpdate &)> onUpdate;
+    std::function<void()> onWritten;
+    std::function<void()> onDone;
+};
+
+/**
+ * One stream to controld. Its reactions run on gRPC's threads and only post; it keeps itself alive until gRPC is done
+ * with it. At most one write is on its way at a time, which the link sees to.
+ */
+class ControlStream final : public grpc::ClientBidiReactor<wire::EntryState, wire::ControlUpdate>
+{
+public:
+    ControlStream(Mailbox mailbox, StreamHandlers handlers) : m_mailbox(std::move(mailbox)), m_handlers(std::move(handlers)) { }
+
+    static std::shared_ptr<ControlStream> open(wire::Control::Stub &stub, Mailbox mailbox, StreamHandlers handlers)
+    {
+        auto stream = std::make_shared<ControlStream>(std::move(mailbox), std::move(handlers));
+        stream->m_self = stream;
+        stub.async()->Subscribe(&stream->m_context, stream.get());
+        stream->StartRead(&stream->m_update);
+        stream->AddHold();
+        stream->StartCall();
+        return stream;
+    }
+
+    void write(const wire::EntryState &state)
+    {
+        m_state = state;
+        StartWrite(&m_state);
+    }
+
+    /** Ends the stream; onDone follows. Must be called once. */
+    void close()
+    {
+        m_context.TryCancel();
+        RemoveHold();
+    }
+
+    void OnReadDone(bool isOk) override
+    {
+        if (!isOk) {
+            m_mailbox.post(m_handlers.onDone);
+            return;
+        }
+        m_mailbox.post([handler = m_handlers.onUpdate, update = m_update] {
+            handler(update);
+        });
+        StartRead(&m_update);
+    }
+
+    void OnWriteDone(bool isOk) override
+    {
+        if (isOk) {
+            m_mailbox.post(m_handlers.onWritten);
+        }
+    }
+
+    void OnDone(const grpc::Status &) override
+    {
+        m_self.reset();
+    }
+
+private:
+    Mailbox m_mailbox;
+    StreamHandlers m_handlers;
+    grpc::ClientContext m_context;
+    wire::ControlUpdate m_update;
+    wire::EntryState m_state;
+    std::shared_ptr<ControlStream> m_self;
+};
+
+}
+
+class ControlLink::Private : public QObject
+{
+public:
+    Private(ControlLink *link, const Endpoint &control)
+        : q(link)
+        , m_mailbox(link)
+        , m_channel(grpc::CreateChannel(toString(control), grpc::InsecureChannelCredentials()))
+        , m_stub(wire::Control::NewStub(m_channel))
+    {
+        m_reconnect.setSingleShot(true);
+        connect(&m_reconnect, &QTimer::timeout, this, &Private::open);
+    }
+
+    void open()
+    {
+        const std::uint64_t generation = ++m_generation;
+        const auto ifCurrent = [this, generation](auto handler) {
+            return [this, generation, handler](const auto &...arguments) {
+                if (generation == m_generation) {
+                    (this->*handler)(arguments...);
+                }
+            };
+        };
+        m_stream = ControlStream::open(*m_stub,
+                                       m_mailbox,
+                                       {
+                                           .onUpdate = ifCurrent(&Private::handleUpdate),
+                                           .onWritten = ifCurrent(&Private::handleWritten),
+                                           .onDone = ifCurrent(&Private::handleDone),
+                                       });
+        m_isWriting = false;
+        m_hasUnsent = true;
+        writeReport();
+    }
+
+    void writeReport()
+    {
+        if (!m_stream || m_isWriting || !m_hasUnsent) {
+            return;
+        }
+        m_isWriting = true;
+        m_hasUnsent = false;
+        m_stream->write(toMessage(m_state));
+    }
+
+    void handleUpdate(const wire::ControlUpdate &message)
+    {
+        m_reconnectDelay = FirstReconnect;
+        setConnected(true);
+        int malformedParts = 0;
+        Q_EMIT q->updated(fromMessage(message, malformedParts));
+    }
+
+    void handleWritten()
+    {
+        m_isWriting = false;
+        writeReport();
+    }
+
+    void handleDone()
+    {
+        m_stream->close();
+        m_stream.reset();
+        setConnected(false);
+        m_reconnect.start(m_reconnectDelay);
+        m_reconnectDelay = std::min(m_reconnectDelay * 2, LastReconnect);
+    }
+
+    void setConnected(bool isConnected)
+    {
+        if (m_isConnected == isConnected) {
+            return;
+        }
+        m_isConnected = isConnected;
+        Q_EMIT q->connectedChanged(isConnected);
+    }
+
+    ControlLink *q;
+    Mailbox m_mailbox;
+    std::shared_ptr<grpc::Channel> m_channel;
+    std::unique_ptr<wire::Control::Stub> m_stub;
+    std::shared_ptr<ControlStream> m_stream;
+    EntryState m_state;
+    std::uint64_t m_generation = 0;
+    bool m_isWriting = false;
+    bool m_hasUnsent = false;
+    bool m_isConnected = false;
+    std::chrono::milliseconds m_reconnectDelay = FirstReconnect;
+    QTimer m_reconnect;
+};
+
+ControlLink::ControlLink(const Endpoint &control, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, control)) { }
+
+ControlLink::~ControlLink()
+{
+    if (d->m_stream) {
+        d->m_stream->close();
+    }
+}
+
+void ControlLink::start()
+{
+    d->open();
+}
+
+void ControlLink::report(const EntryState &state)
+{
+    d->m_state = state;
+    d->m_hasUnsent = true;
+    d->writeReport();
+}
+
+}
--- /dev/null
+++ b/src/tasks/directory.cpp
@@ -0,0 +1,54 @@
+#include "tasks/directory.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <algorithm>
+
+namespace Plantainweir {
+namespace {
+
+/** Entry VMs beyond the owners, for a caller that reaches no owner. */
+constexpr std::size_t FurtherEntries = 2;
+
+std::vector<EntryMember> entriesFor(const RoutingState &routing, const ServiceOwners &assignment)
+{
+    std::vector<EntryMember> entries = assignment.owners;
+    const std::size_t wanted = entries.size() + FurtherEntries;
+    for (const EntryMember &member : routing.members) {
+        const bool isListed = std::any_of(entries.begin(), entries.end(), [&member](const EntryMember &entry) {
+            return entry.incarnation == member.incarnation;
+        });
+        if (!isListed && !member.isLeaving && entries.size() < wanted) {
+            entries.push_back(member);
+        }
+    }
+    return entries;
+}
+
+}
+
+std::optional<std::string> directoryAnswer(const RoutingState &routing, const std::string &service)
+{
+    const auto found = routing.owners.find(service);
+    if (found == routing.owners.end()) {
+        return std::nullopt;
+    }
+    QJsonArray entries;
+    for (const EntryMember &member : entriesFor(routing, found->second)) {
+        entries.append(QJsonObject{
+            {"address", QString::fromStdString(toString(member.callerEndpoint))},
+            {"availabilityZone", QString::fromStdString(member.availabilityZone)},
+            {"keyOwner", QString::fromStdString(member.incarnation)},
+        });
+    }
+    const QJsonObject answer{
+        {"service", QString::fromStdString(service)},
+        {"validForMs", static_cast<qint64>(DirectoryValidity.count())},
+        {"entries", entries},
+    };
+    return QJsonDocument(answer).toJson(QJsonDocument::Compact).toStdString();
+}
+
+}
--- /dev/null
+++ b/src/tasks/peerport.cpp
@@ -0,0 +1,258 @@
+#include "tasks/peerport.h"
+
+#include "peer.grpc.pb.h"
+#include "rpc/mailbox.h"
+#include "rpc/peermessages.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <map>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace Plantainweir {
+namespace {
+
+namespace wire = plantainweir::peer::v1;
+
+constexpr std::chrono::milliseconds ReconnectAfter{200};
+constexpr std::chrono::milliseconds ReconnectAtMostAfter{2000};
+/** The other entry VM answers at the deadline; its answer needs this long to come back. */
+constexpr std::chrono::milliseconds ReplyGrace{250};
+/** A load report that is older is worthless. */
+constexpr std::chrono::milliseconds LoadReportTime{100};
+
+/** A call that came by gRPC and waits for its reply; gRPC keeps the reply's memory until the reactor finishes. */
+struct OpenCall {
+    wire::ForwardReply *reply = nullptr;
+    grpc::ServerUnaryReactor *reactor = nullptr;
+};
+
+/** A forwarded call on its way; lives until gRPC reports its end. */
+struct OpenForward {
+    grpc::ClientContext context;
+    wire::ForwardRequest request;
+    wire::ForwardReply reply;
+};
+
+/** A load report on its way; lives until gRPC reports its end. */
+struct OpenLoadReport {
+    grpc::ClientContext context;
+    wire::LoadReport report;
+    wire::LoadReportReceived received;
+};
+
+/** What the service tells its port; both run in the port's thread. */
+struct ServiceHandlers {
+    std::function<void(const wire::ForwardRequest &, OpenCall)> onForward;
+    std::function<void(const wire::LoadReport &)> onLoadReport;
+};
+
+/** gRPC's face of the port; its functions run on gRPC's threads and only post. */
+class PeerService final : public wire::Peer::CallbackService
+{
+public:
+    PeerService(Mailbox mailbox, ServiceHandlers handlers) : m_mailbox(std::move(mailbox)), m_handlers(std::move(handlers)) { }
+
+    grpc::ServerUnaryReactor *Forward(grpc::CallbackServerContext *context, const wire::ForwardRequest *request, wire::ForwardReply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        m_mailbox.post([this, message = *request, call = OpenCall{.reply = reply, .reactor = reactor}] {
+            m_handlers.onForward(message, call);
+        });
+        return reactor;
+    }
+
+    grpc::ServerUnaryReactor *ReportLoad(grpc::CallbackServerContext *context, const wire::LoadReport *report, wire::LoadReportReceived *) override
+    {
+        m_mailbox.post([this, message = *report] {
+            m_handlers.onLoadReport(message);
+        });
+        auto *reactor = context->DefaultReactor();
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+private:
+    Mailbox m_mailbox;
+    ServiceHandlers m_handlers;
+};
+
+std::shared_ptr<grpc::Channel> openChannel(const Endpoint &endpoint)
+{
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, static_cast<int>(ReconnectAfter.count()));
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, static_cast<int>(ReconnectAtMostAfter.count()));
+    return grpc::CreateCustomChannel(toString(endpoint), grpc::InsecureChannelCredentials(), arguments);
+}
+
+}
+
+class PeerPort::Private
+{
+public:
+    Private(PeerPort *port, const std::string &name) : q(port), m_name(name), m_mailbox(port), m_service(m_mailbox, makeHandlers()) { }
+
+    ServiceHandlers makeHandlers()
+    {
+        return {
+            .onForward =
+                [this](const wire::ForwardRequest &message, OpenCall call) {
+                    receive(message, call);
+                },
+            .onLoadReport =
+                [this](const wire::LoadReport &message) {
+                    Q_EMIT q->loadReceived(fromMessage(message));
+                },
+        };
+    }
+
+    void receive(const wire::ForwardRequest &message, OpenCall call)
+    {
+        auto forwarded = fromMessage(message, Clock::now());
+        if (!forwarded) {
+            call.reactor->Finish({grpc::StatusCode::INVALID_ARGUMENT, "unknown word"});
+            return;
+        }
+        const std::uint64_t exchange = ++m_lastExchange;
+        m_openCalls.emplace(exchange, call);
+        Q_EMIT q->callReceived({
+            .token = {.port = CallPort::Peer, .exchange = exchange},
+            .request = std::move(forwarded->request),
+            .message = std::make_shared<const RequestMessage>(std::move(forwarded->message)),
+        });
+    }
+
+    std::shared_ptr<grpc::Channel> channelTo(const Endpoint &endpoint)
+    {
+        auto &channel = m_channels[endpoint];
+        if (!channel) {
+            channel = openChannel(endpoint);
+        }
+        return channel;
+    }
+
+    void finishForward(std::uint64_t id, const std::shared_ptr<OpenForward> &open, const grpc::Status &status)
+    {
+        // A cancelled forward is not in the table any more.
+        if (m_openForwards.erase(id) == 0) {
+            return;
+        }
+        const auto reply = status.ok() ? fromMessage(open->reply, Clock::now()) : std::nullopt;
+        Q_EMIT q->forwardFinished({
+            .id = id,
+            .outcome = reply ? ForwardOutcome::Replied : ForwardOutcome::Lost,
+            .reply = reply.value_or(CallReply{}),
+        });
+    }
+
+    PeerPort *q;
+    std::string m_name;
+    Mailbox m_mailbox;
+    PeerService m_service;
+    std::unique_ptr<grpc::Server> m_server;
+    int m_port = 0;
+    std::uint64_t m_lastExchange = 0;
+    std::unordered_map<std::uint64_t, OpenCall> m_openCalls;
+    std::unordered_map<std::uint64_t, std::shared_ptr<OpenForward>> m_openForwards;
+    std::unordered_set<std::shared_ptr<OpenLoadReport>> m_openLoadReports;
+    std::map<Endpoint, std::shared_ptr<grpc::Channel>> m_channels;
+};
+
+PeerPort::PeerPort(const std::string &name, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, name)) { }
+
+PeerPort::~PeerPort()
+{
+    for (const auto &[id, open] : d->m_openForwards) {
+        open->context.TryCancel();
+    }
+    for (const auto &open : d->m_openLoadReports) {
+        open->context.TryCancel();
+    }
+    for (const auto &[exchange, call] : d->m_openCalls) {
+        call.reactor->Finish(grpc::Status::CANCELLED);
+    }
+    if (d->m_server) {
+        d->m_server->Shutdown(std::chrono::system_clock::now());
+    }
+}
+
+bool PeerPort::listen(const Endpoint &endpoint)
+{
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(toString(endpoint), grpc::InsecureServerCredentials(), &d->m_port);
+    builder.RegisterService(&d->m_service);
+    d->m_server = builder.BuildAndStart();
+    return d->m_server != nullptr && d->m_port != 0;
+}
+
+quint16 PeerPort::port() const
+{
+    return static_cast<quint16>(d->m_port);
+}
+
+void PeerPort::reply(const CallToken &token, const CallReply &reply)
+{
+    const auto found = token.port == CallPort::Peer ? d->m_openCalls.find(token.exchange) : d->m_openCalls.end();
+    if (found == d->m_openCalls.end()) {
+        return;
+    }
+    const OpenCall call = found->second;
+    d->m_openCalls.erase(found);
+    *call.reply = toMessage(reply, Clock::now());
+    call.reactor->Finish(grpc::Status::OK);
+}
+
+void PeerPort::forward(const OutgoingForward &forward)
+{
+    const auto channel = d->channelTo(forward.endpoint);
+    const bool isBroken = channel->GetState(true) == GRPC_CHANNEL_TRANSIENT_FAILURE;
+    if (isBroken) {
+        d->m_mailbox.post([this, id = forward.id] {
+            Q_EMIT forwardFinished({.id = id, .outcome = ForwardOutcome::NotSent, .reply = {}});
+        });
+        return;
+    }
+    const TimePoint now = Clock::now();
+    const TimePoint deadline = forward.request.deadline.value_or(now);
+    auto open = std::make_shared<OpenForward>();
+    open->request = toMessage(forward.request, *forward.message, now);
+    open->request.set_sender(d->m_name);
+    open->context.set_deadline(std::chrono::system_clock::now() + std::chrono::duration_cast<std::chrono::system_clock::duration>(deadline - now + ReplyGrace));
+    d->m_openForwards.emplace(forward.id, open);
+    auto stub = wire::Peer::NewStub(channel);
+    stub->async()->Forward(&open->context, &open->request, &open->reply, [mailbox = d->m_mailbox, this, open, id = forward.id](const grpc::Status &status) {
+        mailbox.post([this, open, id, status] {
+            d->finishForward(id, open, status);
+        });
+    });
+}
+
+void PeerPort::cancel(std::uint64_t id)
+{
+    const auto found = d->m_openForwards.find(id);
+    if (found == d->m_openForwards.end()) {
+        return;
+    }
+    // gRPC still reports the end of the call, which keeps its memory until then.
+    found->second->context.TryCancel();
+    d->m_openForwards.erase(found);
+}
+
+void PeerPort::reportLoad(const OutgoingLoad &load)
+{
+    auto open = std::make_shared<OpenLoadReport>();
+    open->report = toMessage(load.load);
+    open->report.set_sender(d->m_name);
+    open->context.set_deadline(std::chrono::system_clock::now() + LoadReportTime);
+    d->m_openLoadReports.insert(open);
+    auto stub = wire::Peer::NewStub(d->channelTo(load.endpoint));
+    stub->async()->ReportLoad(&open->context, &open->report, &open->received, [mailbox = d->m_mailbox, this, open](const grpc::Status &) {
+        mailbox.post([this, open] {
+            d->m_openLoadReports.erase(open);
+        });
+    });
+}
+
+}
--- /dev/null
+++ b/src/tasks/signalwatcher.cpp
@@ -0,0 +1,60 @@
+#include "tasks/signalwatcher.h"
+
+#include <QSocketNotifier>
+
+#include <csignal>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace Plantainweir {
+namespace {
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+/** Blocks the stop signals for this thread and those it starts, and returns a descriptor that reports them. */
+int openSignalDescriptor()
+{
+    const sigset_t signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+}
+
+}
+
+class SignalWatcher::Private
+{
+public:
+    Private() : m_descriptor(openSignalDescriptor()), m_notifier(m_descriptor, QSocketNotifier::Read) { }
+
+    ~Private()
+    {
+        m_notifier.setEnabled(false);
+        ::close(m_descriptor);
+    }
+
+    Q_DISABLE_COPY_MOVE(Private)
+
+    int m_descriptor;
+    QSocketNotifier m_notifier;
+};
+
+SignalWatcher::SignalWatcher(QObject *parent) : QObject(parent), d(std::make_unique<Private>())
+{
+    connect(&d->m_notifier, &QSocketNotifier::activated, this, [this] {
+        signalfd_siginfo info{};
+        while (::read(d->m_descriptor, &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) {
+            Q_EMIT stopRequested();
+        }
+    });
+}
+
+SignalWatcher::~SignalWatcher() = default;
+
+}
--- /dev/null
+++ b/src/tasks/signalwatcher.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <QObject>
+
+#include <memory>
+
+namespace Plantainweir {
+
+/** Turns SIGTERM and SIGINT into a signal of the event loop. One for each process. */
+class SignalWatcher : public QObject
+{
+    Q_OBJECT
+
+public:
+    explicit SignalWatcher(QObject *parent = nullptr);
+    ~SignalWatcher() override;
+
+Q_SIGNALS:
+    /** The process was asked to stop; emitted for each of the signals. */
+    void stopRequested();
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/tasks/upstreamport.cpp
@@ -0,0 +1,130 @@
+#include "tasks/upstreamport.h"
+
+#include "core/parsenumber.h"
+#include "http/headers.h"
+#include "http/httpclient.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_map>
+
+namespace Plantainweir {
+namespace {
+
+constexpr int ServerErrorStatus = 500;
+constexpr int UnavailableStatus = 503;
+/** An upstream's connections are shared by its present owner and by former ones whose calls still run. */
+constexpr std::uint32_t ConnectionShare = 4;
+
+HttpRequest makeRequest(const OutgoingAttempt &attempt, TimePoint now)
+{
+    HttpRequest request = *attempt.message;
+    const auto remaining = std::max<std::int64_t>(0, std::chrono::duration_cast<std::chrono::milliseconds>(attempt.deadline - now).count());
+    request.fields.push_back({.name = Headers::TimeoutMs, .value = std::to_string(remaining)});
+    request.fields.push_back({.name = Headers::WorkKind, .value = attempt.workKind});
+    if (!attempt.idempotencyKey.empty()) {
+        request.fields.push_back({.name = Headers::IdempotencyKey, .value = attempt.idempotencyKey});
+    }
+    return request;
+}
+
+AttemptOutcome outcomeOf(const SendResult &result)
+{
+    switch (result.outcome) {
+    case SendOutcome::NotSent:
+        return AttemptOutcome::NotSent;
+    case SendOutcome::Lost:
+        return AttemptOutcome::Lost;
+    case SendOutcome::DeadlinePassed:
+        return AttemptOutcome::DeadlinePassed;
+    case SendOutcome::Answered:
+        break;
+    }
+    const bool isShed = result.response.status == UnavailableStatus && !fieldValue(result.response.fields, Headers::NotRun).empty();
+    if (isShed) {
+        return AttemptOutcome::Shed;
+    }
+    return result.response.status >= ServerErrorStatus ? AttemptOutcome::ServerError : AttemptOutcome::Succeeded;
+}
+
+std::optional<std::uint32_t> numberAfter(std::string_view text, std::string_view name)
+{
+    const auto start = text.find(name);
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view rest = text.substr(start + name.size());
+    return parseNumber<std::uint32_t>(rest.substr(0, rest.find(';')));
+}
+
+}
+
+std::optional<LoadReport> parseLoadReport(const HttpFields &fields)
+{
+    const std::string_view load = fieldValue(fields, Headers::Load);
+    const bool isDraining = fieldValue(fields, Headers::UpstreamState) == "draining";
+    const auto busy = numberAfter(load, "busy=");
+    if (!busy && !isDraining) {
+        return std::nullopt;
+    }
+    return LoadReport{.busySlots = busy.value_or(0), .queuedCalls = numberAfter(load, "queued=").value_or(0), .isDraining = isDraining};
+}
+
+class UpstreamPort::Private
+{
+public:
+    explicit Private(const HttpLimits &limits) : m_client(limits) { }
+
+    HttpClient m_client;
+    std::unordered_map<SendId, AttemptToken> m_attemptOf;
+    std::map<AttemptToken, SendId> m_sendOf;
+};
+
+UpstreamPort::UpstreamPort(const HttpLimits &limits, QObject *parent) : QObject(parent), d(std::make_unique<Private>(limits))
+{
+    connect(&d->m_client, &HttpClient::finished, this, [this](SendId id, const SendResult &result) {
+        const auto found = d->m_attemptOf.find(id);
+        if (found == d->m_attemptOf.end()) {
+            return;
+        }
+        const AttemptToken token = found->second;
+        d->m_attemptOf.erase(found);
+        d->m_sendOf.erase(token);
+        const bool hasResponse = result.outcome == SendOutcome::Answered;
+        Q_EMIT finished({
+            .token = token,
+            .outcome = outcomeOf(result),
+            .report = hasResponse ? parseLoadReport(result.response.fields) : std::nullopt,
+            .response = hasResponse ? std::make_shared<const ResponseMessage>(result.response) : nullptr,
+        });
+    });
+}
+
+UpstreamPort::~UpstreamPort() = default;
+
+void UpstreamPort::setConnectionLimits(const std::vector<Upstream> &upstreams)
+{
+    for (const Upstream &upstream : upstreams) {
+        d->m_client.setConnectionLimit(upstream.endpoint, std::max(upstream.slots, upstream.connectionLimit / ConnectionShare));
+    }
+}
+
+void UpstreamPort::send(const OutgoingAttempt &attempt)
+{
+    const SendId id = d->m_client.send(attempt.endpoint, makeRequest(attempt, Clock::now()), attempt.deadline);
+    d->m_attemptOf.emplace(id, attempt.token);
+    d->m_sendOf.emplace(attempt.token, id);
+}
+
+void UpstreamPort::cancel(const AttemptToken &token)
+{
+    const auto found = d->m_sendOf.find(token);
+    if (found == d->m_sendOf.end()) {
+        return;
+    }
+    d->m_client.cancel(found->second);
+    d->m_attemptOf.erase(found->second);
+    d->m_sendOf.erase(found);
+}
+
+}
--- /dev/null
+++ b/src/tasks/upstreamport.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "http/httpmessage.h"
+#include "tasks/callmessages.h"
+
+#include <QObject>
+
+#include <memory>
+
+namespace Plantainweir {
+
+/**
+ * Task that owns the connections to upstreams and sends each attempt at most once.
+ */
+class UpstreamPort : public QObject
+{
+    Q_OBJECT
+
+public:
+    explicit UpstreamPort(const HttpLimits &limits, QObject *parent = nullptr);
+    ~UpstreamPort() override;
+
+    /** Sets how many connections may be open to each of @p upstreams, from their connection limits. */
+    void setConnectionLimits(const std::vector<Upstream> &upstreams);
+    /** Sends an attempt; finished() follows unless it is cancelled. */
+    void send(const OutgoingAttempt &attempt);
+    /** Gives an attempt up by closing its connection. */
+    void cancel(const AttemptToken &token);
+
+Q_SIGNALS:
+    void finished(const AttemptResult &result);
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+/** Returns what the response's headers say of the upstream's load, or nothing. */
+std::optional<LoadReport> parseLoadReport(const HttpFields &fields);
+
+}
--- /dev/null
+++ b/tests/entrytest.cpp
@@ -0,0 +1,208 @@
+#include "fakes/entryfixture.h"
+
+namespace Plantainweir {
+namespace {
+
+TEST_F(EntryFixture, AnswersLookupsAndBookings)
+{
+    addUpstream();
+    Entry &entry = addEntry();
+    publish();
+    const SendResult lookup = call(entry, makeCall("lookup"));
+    EXPECT_EQ(lookup.response.status, 200);
+    EXPECT_EQ(outcome(lookup), "answered");
+    const std::string key = makeKey();
+    EXPECT_EQ(outcome(call(entry, makeCall("booking", key, entry.self().incarnation))), "answered");
+    EXPECT_EQ(executions(key), 1U);
+}
+
+TEST_F(EntryFixture, RefusesWhatItCannotRoute)
+{
+    addUpstream();
+    Entry &entry = addEntry();
+    EXPECT_EQ(reason(call(entry, makeCall("lookup"))), "not_ready");
+    publish();
+    HttpRequest unknownService = makeCall("lookup");
+    unknownService.target = "/call/nowhere/";
+    EXPECT_EQ(reason(call(entry, unknownService)), "unknown_service");
+    EXPECT_EQ(reason(call(entry, makeCall("stroll"))), "unknown_work_kind");
+    EXPECT_EQ(reason(call(entry, makeCall("booking"))), "key_missing");
+    EXPECT_EQ(reason(call(entry, makeCall("booking", "ticket-17", "somebody"))), "key_invalid");
+    HttpRequest badTimeout = makeCall("lookup");
+    badTimeout.fields.push_back({Headers::TimeoutMs, "soon"});
+    EXPECT_EQ(reason(call(entry, badTimeout)), "malformed_request");
+}
+
+TEST_F(EntryFixture, NamesAKeyOwnerAndRunsNothingWithoutOne)
+{
+    addUpstream();
+    Entry &entry = addEntry();
+    publish();
+    const std::string key = makeKey();
+    const SendResult refused = call(entry, makeCall("booking", key));
+    EXPECT_EQ(refused.response.status, 428);
+    EXPECT_EQ(reason(refused), "key_owner_required");
+    EXPECT_EQ(fieldValue(refused.response.fields, Headers::KeyOwner), entry.self().incarnation);
+    EXPECT_EQ(executions(key), 0U);
+}
+
+TEST_F(EntryFixture, RepeatedKeyGetsTheSameAnswerAtAnyEntry)
+{
+    addUpstream();
+    Entry &owner = addEntry();
+    Entry &other = addEntry();
+    publish();
+    const std::string key = makeKey();
+    const SendResult first = call(owner, makeCall("booking", key, owner.self().incarnation));
+    const SendResult second = call(other, makeCall("booking", key, owner.self().incarnation));
+    EXPECT_EQ(outcome(first), "answered");
+    EXPECT_EQ(outcome(second), "answered");
+    EXPECT_EQ(first.response.body, second.response.body);
+    EXPECT_EQ(executions(key), 1U);
+}
+
+TEST_F(EntryFixture, RepeatedKeyWaitsForTheRunThatIsUnderWay)
+{
+    FakeUpstream &upstream = addUpstream();
+    Entry &entry = addEntry();
+    publish();
+    upstream.setFault(FakeFault::Stall);
+    const std::string key = makeKey();
+    const SendId first = send(entry, makeCall("booking", key, entry.self().incarnation));
+    ASSERT_TRUE(waitUntil([&] {
+        return executions(key) == 1;
+    }));
+    const SendId second = send(entry, makeCall("booking", key, entry.self().incarnation));
+    const SendId probe = send(entry, makeCall("stroll"));
+    waitFor(probe);
+    upstream.setFault(FakeFault::None);
+    EXPECT_EQ(outcome(waitFor(first)), "answered");
+    EXPECT_EQ(outcome(waitFor(second)), "answered");
+    EXPECT_EQ(executions(key), 1U);
+}
+
+TEST_F(EntryFixture, KeyOfALostOwnerIsUnknownAndNeverRuns)
+{
+    addUpstream();
+    Entry &entry = addEntry();
+    publish();
+    const std::string key = makeKey();
+    const SendResult result = call(entry, makeCall("booking", key, "incarnation-that-is-gone"));
+    EXPECT_EQ(outcome(result), "unknown");
+    EXPECT_EQ(reason(result), "key_owner_lost");
+    EXPECT_EQ(executions(key), 0U);
+}
+
+TEST_F(EntryFixture, CallAtAnyEntryReachesAnOwner)
+{
+    addUpstream();
+    for (int index = 0; index < 5; ++index) {
+        addEntry();
+    }
+    publish();
+    for (const auto &entry : entries) {
+        EXPECT_EQ(outcome(call(*entry, makeCall("lookup"))), "answered");
+        const std::string key = makeKey();
+        EXPECT_EQ(outcome(call(*entry, makeCall("booking", key, entry->self().incarnation))), "answered");
+        EXPECT_EQ(executions(key), 1U);
+    }
+}
+
+/** What an upstream may do with a request it has got; a booking must run at most once in each case. */
+struct WireCase {
+    const char *name;
+    FakeFault fault;
+    std::uint32_t executions;
+};
+
+class WireTest : public EntryFixture, public testing::WithParamInterface<std::tuple<WireCase, bool, bool, const char *>>
+{
+};
+
+TEST_P(WireTest, BookingIsSentAtMostOnce)
+{
+    const auto &[wireCase, isReused, hasBody, method] = GetParam();
+    FakeUpstream &upstream = addUpstream();
+    Entry &entry = addEntry();
+    publish();
+    if (isReused) {
+        ASSERT_EQ(outcome(call(entry, makeCall("booking", makeKey(), entry.self().incarnation))), "answered");
+    }
+    upstream.setFault(wireCase.fault);
+    const std::string key = makeKey();
+    HttpRequest request = makeCall("booking", key, entry.self().incarnation);
+    request.method = method;
+    if (!hasBody) {
+        request.body.clear();
+    }
+    const SendResult result = call(entry, request);
+    EXPECT_EQ(outcome(result), "unknown");
+    EXPECT_EQ(reason(result), "connection_lost");
+    EXPECT_EQ(executions(key), wireCase.executions);
+    upstream.setFault(FakeFault::None);
+    EXPECT_EQ(outcome(call(entry, request)), "unknown") << "a repetition must not run it either";
+    EXPECT_EQ(executions(key), wireCase.executions);
+}
+
+INSTANTIATE_TEST_SUITE_P(Wire,
+                         WireTest,
+                         testing::Combine(testing::Values(WireCase{"CloseBeforeRun", FakeFault::CloseBeforeRun, 0},
+                                                          WireCase{"CloseAfterRun", FakeFault::CloseAfterRun, 1},
+                                                          WireCase{"CloseInAnswer", FakeFault::CloseInAnswer, 1}),
+                                          testing::Bool(),
+                                          testing::Bool(),
+                                          testing::Values("POST", "PUT", "DELETE", "PATCH", "GET")),
+                         [](const auto &test) {
+                             return std::string(std::get<0>(test.param).name) + (std::get<1>(test.param) ? "Reused" : "Fresh")
+                                    + (std::get<2>(test.param) ? "Body" : "Empty") + std::get<3>(test.param);
+                         });
+
+TEST_F(EntryFixture, RefusedConnectionIsNotRun)
+{
+    addUpstream();
+    Entry &entry = addEntry();
+    publish();
+    upstreams.front().reset(new FakeUpstream({}, 1));
+    const std::string key = makeKey();
+    const SendResult result = call(entry, makeCall("booking", key, entry.self().incarnation));
+    EXPECT_EQ(outcome(result), "not_run");
+}
+
+TEST_F(EntryFixture, LeavingFinishesWhatIsInFlightAndDropsOutOfTheDirectory)
+{
+    FakeUpstream &upstream = addUpstream();
+    Entry &leaving = addEntry();
+    Entry &staying = addEntry();
+    publish();
+    bool isStopped = false;
+    QObject::connect(&leaving, &Entry::stopped, &leaving, [&isStopped] {
+        isStopped = true;
+    });
+    upstream.setFault(FakeFault::Stall);
+    const std::string key = makeKey();
+    const SendId inFlight = send(leaving, makeCall("booking", key, leaving.self().incarnation));
+    ASSERT_TRUE(waitUntil([&] {
+        return executions(key) == 1;
+    }));
+    leaving.leave();
+    const SendResult directory = call(leaving, {.method = "GET", .target = "/directory/rinkdesk"});
+    EXPECT_EQ(directory.response.body.find(leaving.self().incarnation), std::string::npos);
+    EXPECT_NE(directory.response.body.find(staying.self().incarnation), std::string::npos);
+    EXPECT_FALSE(isStopped);
+    upstream.setFault(FakeFault::None);
+    EXPECT_EQ(outcome(waitFor(inFlight)), "answered");
+    EXPECT_TRUE(waitUntil([&] {
+        return isStopped;
+    }));
+    EXPECT_EQ(executions(key), 1U);
+}
+
+}
+}
+
+int main(int argc, char **argv)
+{
+    testing::InitGoogleTest(&argc, argv);
+    QCoreApplication application(argc, argv);
+    return RUN_ALL_TESTS();
+}
