--- a/src/caller/callprogress.cpp
+++ b/src/caller/callprogress.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /** Reasons of "not run" for which another entry VM may do better at once. */
-constexpr std::array RetryableElsewhere{RefusalReason::NotReady, RefusalReason::Leaving, RefusalReason::OwnerUnreachable};
+constexpr std::array RetryableElsewhere{RefusalReason::NotReady, RefusalReason::OwnerUnreachable};
 
 bool isRetryableElsewhere(const std::string &reason)
 {
--- a/src/tasks/dispatchtask.cpp
+++ b/src/tasks/dispatchtask.cpp
@@ -256,7 +256,7 @@
         if (isAwaited || !isQueuedHere) {
             return;
         }
-        const bool isStarted = runtime->second->state.calls.at(id).attemptsInFlight > 0;
+        const bool isStarted = runtime->second->state.calls.at(id).runningCount > 0;
         dispatch(*runtime->second, CallAbandoned{.call = id});
         // The step forgets a call that it drops or cancels; an at-most-once call that runs goes on to its end.
         if (m_calls.contains(id) && !runtime->second->state.calls.contains(id)) {
@@ -382,8 +382,9 @@
         if (call != m_calls.end() && result.response) {
             call->second.responses.emplace(result.token.attempt, result.response);
         }
-        if (result.report && result.report->isDraining) {
-            Q_EMIT q->upstreamDraining({.service = runtime.name, .upstream = runtime.state.upstreams.at(attempt->second.upstream).upstream.name});
+        const auto upstream = attempt->second.upstream;
+        if (upstream && result.report && result.report->isDraining) {
+            Q_EMIT q->upstreamDraining({.service = runtime.name, .upstream = runtime.state.upstreams.at(*upstream).upstream.name});
         }
         dispatch(runtime, AttemptFinished{.attempt = result.token.attempt, .outcome = result.outcome, .report = result.report});
     }
@@ -536,7 +537,7 @@
     {
         std::vector<CallId> queued;
         for (const auto &[id, call] : runtime.state.calls) {
-            if (call.attemptsInFlight == 0) {
+            if (call.runningCount == 0) {
                 queued.push_back(id);
             }
         }
