--- a/tests/callertest.cpp
+++ b/tests/callertest.cpp
@@ -69,8 +69,10 @@
 
 TEST(CallProgress, RetriesElsewhereOnlyForReasonsOfTheEntryVm)
 {
-    CallProgress leaving = progressOf(Repeatability::AtMostOnce);
-    EXPECT_EQ(decideAfterTry(leaving, replied(CallOutcome::NotRun, "leaving"), MaximumTries, Now).step, NextStep::RetryNewKey);
+    for (const char *reason : {"not_ready", "owner_unreachable"}) {
+        CallProgress progress = progressOf(Repeatability::AtMostOnce);
+        EXPECT_EQ(decideAfterTry(progress, replied(CallOutcome::NotRun, reason), MaximumTries, Now).step, NextStep::RetryNewKey);
+    }
     CallProgress overload = progressOf(Repeatability::Idempotent);
     EXPECT_EQ(decideAfterTry(overload, replied(CallOutcome::NotRun, "queue_full"), MaximumTries, Now).step, NextStep::Finish);
 }
