--- a/tests/ownershiptest.cpp
+++ b/tests/ownershiptest.cpp
@@ -11,6 +11,7 @@
 std::vector<EntryMember> makeMembers(int count, int availabilityZones)
 {
     std::vector<EntryMember> members;
+    members.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         members.push_back({.name = "e" + std::to_string(index), .availabilityZone = "zone-" + std::to_string(index % availabilityZones)});
     }
@@ -20,6 +21,7 @@
 Service makeService(const std::string &name, int upstreams, std::uint32_t slots)
 {
     Service service{.name = name};
+    service.upstreams.reserve(static_cast<std::size_t>(upstreams));
     for (int index = 0; index < upstreams; ++index) {
         service.upstreams.push_back({.name = name + "-" + std::to_string(index), .slots = slots});
     }
