Connect controld to the platform

The whole path runs as separate processes: fake platform, controld, entryd, fake upstreams, caller. Members are this VM alone until membership is connected.

--- a/src/programs/plantainweircontrold.cpp
+++ b/src/programs/plantainweircontrold.cpp
@@ -1,8 +1,10 @@
+#include "controllers/configurationcontroller.h"
 #include "core/commandline.h"
 #include "http/operatorsport.h"
 #include "observability/logevents.h"
 #include "observability/metrics.h"
 #include "tasks/controlserver.h"
+#include "tasks/platformtask.h"
 
 #include <QCoreApplication>
 
@@ -50,7 +52,23 @@
     QObject::connect(&controlServer, &ControlServer::entryGone, &controlServer, [&controlServer] {
         controlServer.setMembers({});
     });
-    controlServer.setComplete();
+    Configuration configuration;
+    const std::vector<Endpoint> platformEndpoints = commandLine.endpointList("platform");
+    PlatformTask platform({.endpoint = platformEndpoints.empty() ? Endpoint{} : platformEndpoints.front()}, metrics);
+    QObject::connect(&platform, &PlatformTask::serviceObserved, &controlServer, [&](const Service &service) {
+        if (adopt(configuration, service)) {
+            controlServer.setService(service);
+        }
+    });
+    QObject::connect(&platform, &PlatformTask::rulesObserved, &controlServer, [&](const Rules &rules) {
+        if (adopt(configuration, rules)) {
+            controlServer.setRules(rules);
+        }
+    });
+    QObject::connect(&platform, &PlatformTask::snapshotObserved, &controlServer, &ControlServer::setComplete);
+    if (!platformEndpoints.empty()) {
+        platform.startWatching();
+    }
 
     const Endpoint controlEndpoint = commandLine.endpoint("control-port");
     const Endpoint operatorsEndpoint = commandLine.endpoint("operators-port");
