--- a/tests/applycontrollertest.cpp
+++ b/tests/applycontrollertest.cpp
@@ -6,14 +6,14 @@
 namespace Plantainweir {
 namespace {
 
-const RememberedWrite Write{.base = 7, .id = "mine"};
-const RememberedWrite OtherWrite{.base = 7, .id = "theirs"};
+const RememberedWrite s_write{.base = 7, .id = "mine"};
+const RememberedWrite s_otherWrite{.base = 7, .id = "theirs"};
 constexpr TimePoint Start{};
 constexpr TimePoint Deadline = Start + std::chrono::seconds(10);
 
 Apply startedApply()
 {
-    Apply apply{.changes = {{.object = "object", .write = Write}}, .deadline = Deadline};
+    Apply apply{.changes = {{.object = "object", .write = s_write}}, .deadline = Deadline};
     EXPECT_EQ(step(apply, ApplyStarted{}, Start).size(), 1U);
     return apply;
 }
@@ -32,7 +32,7 @@
 {
     Apply apply = startedApply();
     EXPECT_TRUE(std::holds_alternative<SendRead>(step(apply, written(WriteOutcome::AnswerLost), Start).at(0)));
-    step(apply, read(8, {Write}), Start);
+    step(apply, read(8, {s_write}), Start);
     EXPECT_EQ(apply.changes[0].state, ChangeState::Accepted);
     EXPECT_EQ(apply.changes[0].version, 8U);
 }
@@ -49,7 +49,7 @@
 {
     Apply apply = startedApply();
     step(apply, written(WriteOutcome::Conflict), Start);
-    step(apply, read(9, {OtherWrite, {.base = 8, .id = "later"}}), Start);
+    step(apply, read(9, {s_otherWrite, {.base = 8, .id = "later"}}), Start);
     EXPECT_EQ(apply.changes[0].state, ChangeState::Rejected);
     EXPECT_EQ(apply.changes[0].rejection, RejectionReason::Conflict);
 }
@@ -58,7 +58,7 @@
 {
     Apply apply = startedApply();
     step(apply, written(WriteOutcome::Conflict), Start);
-    step(apply, read(9, {Write, {.base = 8, .id = "later"}}), Start);
+    step(apply, read(9, {s_write, {.base = 8, .id = "later"}}), Start);
     EXPECT_EQ(apply.changes[0].state, ChangeState::Accepted);
     EXPECT_EQ(apply.changes[0].version, 0U);
 }
--- a/tests/configurationexplorationtest.cpp
+++ b/tests/configurationexplorationtest.cpp
@@ -27,7 +27,7 @@
 constexpr int QuietStepLimit = 2000;
 constexpr std::size_t OperatorCount = 2;
 constexpr std::size_t MemberCount = 3;
-const std::vector<std::string> ObjectNames{"orders", "payments"};
+const std::vector<std::string> s_objectNames{"orders", "payments"};
 
 /** The platform's object. */
 struct PlatformState {
@@ -98,7 +98,7 @@
     {
         for (m_stepNumber = 0; m_stepNumber < FaultySteps; ++m_stepNumber) {
             takeFaultyStep();
-            const std::string broken = brokenInvariant();
+            std::string broken = brokenInvariant();
             if (!broken.empty()) {
                 return broken;
             }
@@ -167,7 +167,7 @@
         op = {};
         const int time = m_hasTightDeadlines ? static_cast<int>(draw(20)) : QuietStepLimit * 2;
         op.apply.deadline = now() + std::chrono::seconds(time);
-        for (const std::string &object : ObjectNames) {
+        for (const std::string &object : s_objectNames) {
             const PlatformState &state = m_platform[object];
             const RememberedWrite write{.base = state.version, .id = "write-" + std::to_string(++m_lastId)};
             op.apply.changes.push_back({.object = object, .write = write});
@@ -267,7 +267,7 @@
     void restart(Member &member)
     {
         member.configuration = {};
-        for (const std::string &object : ObjectNames) {
+        for (const std::string &object : s_objectNames) {
             adopt(member.configuration, storedService(object));
         }
     }
@@ -283,7 +283,7 @@
     /** Another writer changes an object, sometimes more often than the object remembers. */
     void writeFromElsewhere()
     {
-        const std::string &object = ObjectNames[draw(ObjectNames.size())];
+        const std::string &object = s_objectNames[draw(s_objectNames.size())];
         const std::size_t writes = m_hasForeignBursts ? draw(MaximumRememberedWrites + 4) : (chance(4) ? 1 : 0);
         for (std::size_t count = 0; count < writes; ++count) {
             const RememberedWrite write{.base = m_platform[object].version, .id = "write-" + std::to_string(++m_lastId)};
@@ -389,7 +389,7 @@
     std::string brokenInvariant()
     {
         for (Member &member : m_members) {
-            const std::string broken = brokenInvariantOf(member);
+            std::string broken = brokenInvariantOf(member);
             if (!broken.empty()) {
                 return broken;
             }
@@ -438,7 +438,7 @@
                 return unsettledState();
             }
             deliverMessage();
-            const std::string broken = brokenInvariant();
+            std::string broken = brokenInvariant();
             if (!broken.empty()) {
                 return broken;
             }
@@ -459,7 +459,7 @@
         }
         for (Member &member : m_members) {
             restart(member);
-            for (const std::string &object : ObjectNames) {
+            for (const std::string &object : s_objectNames) {
                 if (m_platform[object].version != 0 && member.configuration.services.at(object) != storedService(object)) {
                     return object + " is not in force everywhere";
                 }
@@ -493,7 +493,7 @@
     const std::uint64_t count = seed ? 1 : Interleavings;
     std::printf("seeds %llu to %llu\n", static_cast<unsigned long long>(first), static_cast<unsigned long long>(first + count - 1));
     for (std::uint64_t current = first; current < first + count; ++current) {
-        const std::string broken = World(current).explore();
+        std::string broken = World(current).explore();
         ASSERT_TRUE(broken.empty()) << broken << "; replay with PLANTAINWEIR_EXPLORATION_SEED=" << current;
     }
 }
--- /dev/null
+++ b/tests/ctltest.cpp
@@ -0,0 +1,255 @@
+#include "configuration/configurationjson.h"
+#include "fakes/fakeplatform.h"
+#include "http/operatorsport.h"
+#include "observability/metrics.h"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QFile>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QProcess>
+#include <QTemporaryDir>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+/** Runs plantainweirctl as a process against the fake platform; each wait ends when a process ends. */
+namespace Plantainweir {
+namespace {
+
+struct Outcome {
+    int exitStatus = -1;
+    std::string output;
+    std::string errors;
+
+    QJsonObject json() const
+    {
+        return QJsonDocument::fromJson(QByteArray::fromStdString(output)).object();
+    }
+};
+
+class CtlTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        ASSERT_TRUE(m_platform.listen({"127.0.0.1", 0}));
+        ASSERT_TRUE(m_folder.isValid());
+        writeFile("rules.yaml",
+                  "probes_per_second: 10\nwork_kinds:\n"
+                  "  - {name: sale, rank: middle, target_ms: 250, worth: 20, repeatability: at_most_once}\n");
+        writeInventory(3);
+    }
+
+    void writeFile(const QString &name, const std::string &text)
+    {
+        QFile file(m_folder.filePath(name));
+        ASSERT_TRUE(file.open(QIODevice::WriteOnly));
+        file.write(text.data(), static_cast<qint64>(text.size()));
+    }
+
+    void writeInventory(int slots, const QString &name = "inventory.csv")
+    {
+        writeFile(name,
+                  "service,upstream,address,availability_zone,slots,connection_limit\n"
+                  "rinkdesk,rinkdesk-1,127.0.0.1:7601,regina,"
+                      + std::to_string(slots) + ",200\nrinkdesk,rinkdesk-2,127.0.0.1:7602,brandon,3,200\n");
+    }
+
+    std::unique_ptr<QProcess> start(QStringList arguments)
+    {
+        auto process = std::make_unique<QProcess>();
+        arguments << "--platform" << QString("127.0.0.1:%1").arg(m_platform.port()) << "--output"
+                  << "json";
+        process->start(PLANTAINWEIR_BIN_DIR "/plantainweirctl", arguments);
+        return process;
+    }
+
+    static Outcome finish(QProcess &process)
+    {
+        if (process.state() != QProcess::NotRunning) {
+            QEventLoop loop;
+            QObject::connect(&process, &QProcess::finished, &loop, &QEventLoop::quit);
+            loop.exec();
+        }
+        return {.exitStatus = process.exitStatus() == QProcess::NormalExit ? process.exitCode() : -1,
+                .output = process.readAllStandardOutput().toStdString(),
+                .errors = process.readAllStandardError().toStdString()};
+    }
+
+    Outcome run(const QStringList &arguments)
+    {
+        const auto process = start(arguments);
+        return finish(*process);
+    }
+
+    QStringList applyArguments(const QString &inventory = "inventory.csv") const
+    {
+        return {"apply", "--inventory", m_folder.filePath(inventory), "--rules", m_folder.filePath("rules.yaml")};
+    }
+
+    Service stored() const
+    {
+        return decodeService(m_platform.value(serviceObjectName("rinkdesk"))).value();
+    }
+
+    FakePlatform m_platform;
+    QTemporaryDir m_folder;
+};
+
+TEST_F(CtlTest, CheckReportsEveryFaultAndChangesNothing)
+{
+    writeInventory(0);
+    writeFile("rules.yaml", "probes_per_second: -1\nwork_kinds: []\n");
+    const QStringList files{"--inventory", m_folder.filePath("inventory.csv"), "--rules", m_folder.filePath("rules.yaml")};
+    const Outcome checked = run(QStringList{"check"} + files);
+    EXPECT_EQ(checked.exitStatus, 2);
+    EXPECT_EQ(checked.json().value("faults").toArray().size(), 3);
+    EXPECT_EQ(run(QStringList{"apply"} + files).exitStatus, 2);
+    const FakePlatformCounts counts = m_platform.counts();
+    EXPECT_EQ(counts.lists + counts.reads + counts.writes + counts.watches, 0U);
+}
+
+TEST_F(CtlTest, WrongUsageNamesWhatIsAllowed)
+{
+    for (const QStringList &arguments : {QStringList{}, {"aply"}, {"apply"}, {"drain", "rinkdesk"}, {"status", "--write", "x"}}) {
+        const Outcome outcome = run(arguments);
+        EXPECT_EQ(outcome.exitStatus, 2);
+        EXPECT_NE(outcome.errors.find("allowed: "), std::string::npos) << outcome.errors;
+    }
+}
+
+TEST_F(CtlTest, ApplyWritesOnlyWhatChanges)
+{
+    EXPECT_EQ(run(applyArguments()).exitStatus, 0);
+    EXPECT_EQ(m_platform.counts().writes, 2U);
+    writeInventory(4);
+    const Outcome changed = run(applyArguments());
+    EXPECT_EQ(changed.exitStatus, 0);
+    EXPECT_EQ(changed.json().value("unchanged").toArray().size(), 1);
+    EXPECT_EQ(m_platform.counts().writes, 3U);
+    EXPECT_EQ(stored().upstreams.front().slots, 4U);
+}
+
+TEST_F(CtlTest, DrainSurvivesAnApply)
+{
+    run(applyArguments());
+    EXPECT_EQ(run({"drain", "rinkdesk/rinkdesk-2"}).exitStatus, 0);
+    EXPECT_TRUE(stored().upstreams.at(1).isDraining);
+    writeInventory(5);
+    EXPECT_EQ(run(applyArguments()).exitStatus, 0);
+    EXPECT_TRUE(stored().upstreams.at(1).isDraining);
+    EXPECT_EQ(run({"drain", "rinkdesk/rinkdesk-2", "--undo"}).exitStatus, 0);
+    EXPECT_FALSE(stored().upstreams.at(1).isDraining);
+    EXPECT_EQ(run({"drain", "rinkdesk/rinkdesk-9"}).exitStatus, 2);
+}
+
+TEST_F(CtlTest, PruneLeavesATombstone)
+{
+    run(applyArguments());
+    writeFile("other.csv", "service,upstream,address,availability_zone,slots,connection_limit\ntillside,tillside-1,127.0.0.1:7621,regina,3,200\n");
+    EXPECT_EQ(run(applyArguments("other.csv")).json().value("kept").toArray().size(), 1);
+    EXPECT_FALSE(stored().isRemoved);
+    EXPECT_EQ(run(applyArguments("other.csv") + QStringList{"--prune"}).exitStatus, 0);
+    EXPECT_TRUE(stored().isRemoved);
+}
+
+TEST_F(CtlTest, LostWriteAnswersAreSettledAsAccepted)
+{
+    m_platform.setFaults({.loseWriteAnswers = 2});
+    EXPECT_EQ(run(applyArguments()).exitStatus, 0);
+    EXPECT_EQ(m_platform.counts().writes, 2U);
+    EXPECT_EQ(stored().upstreams.size(), 2U);
+}
+
+TEST_F(CtlTest, LostWritesAreSentAgain)
+{
+    m_platform.setFaults({.loseWrites = 2});
+    EXPECT_EQ(run(applyArguments()).exitStatus, 0);
+    EXPECT_EQ(m_platform.counts().writes, 4U);
+    EXPECT_EQ(stored().upstreams.size(), 2U);
+}
+
+TEST_F(CtlTest, NotKnownYetComesWithTheCommandThatTells)
+{
+    m_platform.setFaults({.loseWriteAnswers = 1, .isDownAfterLostAnswer = true});
+    const Outcome unknown = run(applyArguments() + QStringList{"--timeout-ms", "1000"});
+    EXPECT_EQ(unknown.exitStatus, 4) << unknown.output;
+    std::vector<int> told;
+    m_platform.setFaults({});
+    for (const QJsonValue change : unknown.json().value("changes").toArray()) {
+        const QString command = change.toObject().value("tellingCommand").toString();
+        if (!command.isEmpty()) {
+            ASSERT_TRUE(command.startsWith("plantainweirctl status --write '"));
+            told.push_back(run({"status", "--write", command.section('\'', 1, 1)}).exitStatus);
+        }
+    }
+    EXPECT_NE(std::find(told.begin(), told.end(), 0), told.end()) << "one write took effect: " << unknown.output;
+}
+
+TEST_F(CtlTest, PlatformDownForTheWholeRun)
+{
+    m_platform.setFaults({.mode = FakePlatformMode::Down});
+    const Outcome failed = run(applyArguments() + QStringList{"--timeout-ms", "1000"});
+    EXPECT_EQ(failed.exitStatus, 1);
+    EXPECT_EQ(failed.json().value("result").toString(), "failed");
+    EXPECT_EQ(m_platform.counts().writes, 0U);
+    EXPECT_EQ(run({"status", "--timeout-ms", "500"}).exitStatus, 1);
+}
+
+TEST_F(CtlTest, SlowPlatform)
+{
+    m_platform.setFaults({.mode = FakePlatformMode::Slow, .delayMs = 200});
+    EXPECT_EQ(run(applyArguments()).exitStatus, 0);
+    EXPECT_EQ(run({"status"}).json().value("objects").toArray().size(), 2);
+}
+
+TEST_F(CtlTest, LoserOfTwoSimultaneousChangesHearsItWithADiff)
+{
+    run(applyArguments());
+    writeInventory(4, "four.csv");
+    writeInventory(5, "five.csv");
+    m_platform.setFaults({.listsToGather = 2});
+    const auto first = start(applyArguments("four.csv"));
+    const auto second = start(applyArguments("five.csv"));
+    const Outcome firstOutcome = finish(*first);
+    const Outcome secondOutcome = finish(*second);
+    EXPECT_EQ((std::multiset<int>{firstOutcome.exitStatus, secondOutcome.exitStatus}), (std::multiset<int>{0, 3}));
+    const bool hasFirstWon = firstOutcome.exitStatus == 0;
+    EXPECT_EQ(stored().upstreams.front().slots, hasFirstWon ? 4U : 5U);
+    const QJsonObject loser = (hasFirstWon ? secondOutcome : firstOutcome).json().value("changes").toArray().at(0).toObject();
+    EXPECT_EQ(loser.value("reason").toString(), "conflict");
+    EXPECT_EQ(loser.value("lostTo").toArray().size(), 1);
+}
+
+TEST_F(CtlTest, StatusShowsWhichVersionsAreInForceWhere)
+{
+    run(applyArguments());
+    Configuration configuration;
+    configuration.rules.version = 1;
+    configuration.services["rinkdesk"].version = 1;
+    Metrics metrics;
+    OperatorsPort port(metrics, [&configuration] {
+        return R"({"configuration":)" + encodeVersions(configuration) + "}";
+    });
+    ASSERT_TRUE(port.listen({"127.0.0.1", 0}));
+    const Outcome shown = run({"status", "--entry", QString("127.0.0.1:%1").arg(port.port())});
+    EXPECT_EQ(shown.exitStatus, 0) << shown.errors;
+    const QJsonObject daemon = shown.json().value("daemons").toArray().at(0).toObject();
+    EXPECT_EQ(daemon.value("versions").toObject().value("plantainweir/services/rinkdesk").toInt(), 1);
+    EXPECT_EQ(shown.json().value("objects").toArray().at(1).toObject().value("version").toInt(), 2);
+}
+
+}
+}
+
+int main(int argc, char **argv)
+{
+    testing::InitGoogleTest(&argc, argv);
+    QCoreApplication application(argc, argv);
+    return RUN_ALL_TESTS();
+}
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -12,6 +12,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Plantainweir {
 namespace {
@@ -88,7 +89,24 @@
             handleWatch(exchange, QUrlQuery(url));
             return;
         }
-        answer(exchange, read(path, QUrlQuery(url)));
+        const HttpResponse response = read(path, QUrlQuery(url));
+        if (path == "/objects" && m_faults.listsToGather > 0) {
+            gatherList(exchange, response);
+            return;
+        }
+        answer(exchange, response);
+    }
+
+    void gatherList(ExchangeId exchange, const HttpResponse &response)
+    {
+        m_gathered.emplace_back(exchange, response);
+        if (m_gathered.size() < static_cast<std::size_t>(m_faults.listsToGather)) {
+            return;
+        }
+        m_faults.listsToGather = 0;
+        for (const auto &[each, answerOfEach] : std::exchange(m_gathered, {})) {
+            answer(each, answerOfEach);
+        }
     }
 
     void answer(ExchangeId exchange, const HttpResponse &response)
@@ -208,6 +226,7 @@
         const HttpResponse response = write(name, request);
         if (response.status < 300 && m_faults.loseWriteAnswers > 0) {
             --m_faults.loseWriteAnswers;
+            m_faults.mode = m_faults.isDownAfterLostAnswer ? FakePlatformMode::Down : m_faults.mode;
             m_server.abandon(exchange);
             return;
         }
@@ -276,6 +295,8 @@
         m_faults = {.mode = *mode,
                     .delayMs = body.value("delayMs").toInt(FakePlatformFaults{}.delayMs),
                     .loseWriteAnswers = body.value("loseWriteAnswers").toInt(),
+                    .isDownAfterLostAnswer = body.value("isDownAfterLostAnswer").toBool(),
+                    .listsToGather = body.value("listsToGather").toInt(),
                     .loseWrites = body.value("loseWrites").toInt()};
         return jsonResponse(200, {});
     }
@@ -304,6 +325,7 @@
     std::map<std::string, StoredObject> m_objects;
     std::map<ExchangeId, WaitingWatch> m_watches;
     std::vector<VirtualMachine> m_virtualMachines;
+    std::vector<std::pair<ExchangeId, HttpResponse>> m_gathered;
 };
 
 FakePlatform::FakePlatform(QObject *parent) : QObject(parent), d(std::make_unique<Private>()) { }
--- a/tests/fakes/fakeplatform.h
+++ b/tests/fakes/fakeplatform.h
@@ -34,6 +34,8 @@
     FakePlatformMode mode = FakePlatformMode::Up;
     int delayMs = 1000; ///< Of each answer while slow.
     int loseWriteAnswers = 0; ///< So many next writes take effect while their connections close without an answer.
+    bool isDownAfterLostAnswer = false; ///< The platform goes down once it has lost an answer.
+    int listsToGather = 0; ///< Answers of lists are held back until so many lists have come.
     int loseWrites = 0; ///< So many next writes have no effect while their connections close without an answer.
 };
 
--- /dev/null
+++ b/tests/platformbudgettest.cpp
@@ -0,0 +1,160 @@
+#include "controllers/platformbudget.h"
+
+#include <gtest/gtest.h>
+
+namespace Plantainweir {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint Start = TimePoint(std::chrono::hours(1));
+constexpr TimePoint Never = TimePoint::max();
+
+/** A budget in virtual time. */
+class Harness
+{
+public:
+    explicit Harness(const PlatformBudgetSettings &settings, std::uint64_t seed = 1) : m_settings(settings), m_random(seed) { }
+
+    void run(const PlatformBudgetEvent &event)
+    {
+        timer.reset();
+        for (const PlatformBudgetAction &action : step(budget, m_settings, event, now, m_random)) {
+            if (const auto *send = std::get_if<SendPlatformCall>(&action)) {
+                sent.push_back(send->id);
+            } else if (const auto *reject = std::get_if<RejectPlatformCall>(&action)) {
+                rejected.push_back(reject->reason);
+            } else {
+                timer = std::get<SchedulePlatformTimer>(action).at;
+            }
+        }
+    }
+
+    void submit(PlatformCallId id, PlatformCallKind kind = PlatformCallKind::Read, TimePoint deadline = Never)
+    {
+        run(PlatformCallSubmitted{.id = id, .kind = kind, .deadline = deadline});
+    }
+
+    /** Lets the time pass to the scheduled timer; returns whether there was one. */
+    bool fireTimer()
+    {
+        if (!timer) {
+            return false;
+        }
+        now = *timer;
+        run(PlatformTimerFired{});
+        return true;
+    }
+
+    PlatformBudget budget;
+    TimePoint now = Start;
+    std::vector<PlatformCallId> sent;
+    std::vector<PlatformRejection> rejected;
+    std::optional<TimePoint> timer;
+
+private:
+    PlatformBudgetSettings m_settings;
+    std::mt19937_64 m_random;
+};
+
+TEST(PlatformBudget, KeepsTheRateAndTheBurst)
+{
+    Harness harness({.callsPerSecond = 10.0, .burst = 3, .callsInFlight = 1000, .queueLimit = 1000});
+    for (PlatformCallId id = 1; id <= 100; ++id) {
+        harness.submit(id);
+    }
+    EXPECT_EQ(harness.sent.size(), 3U);
+    while (harness.sent.size() < 100 && harness.fireTimer()) {
+    }
+    EXPECT_EQ(harness.sent.size(), 100U);
+    EXPECT_EQ(harness.now - Start, milliseconds(100) * 97);
+}
+
+TEST(PlatformBudget, SendsByPriorityAndBoundsWhatIsInFlight)
+{
+    Harness harness({.callsPerSecond = 1000.0, .burst = 100, .callsInFlight = 1, .queueLimit = 3});
+    harness.submit(1);
+    harness.submit(2, PlatformCallKind::VirtualMachineList);
+    harness.submit(3, PlatformCallKind::Read);
+    harness.submit(4, PlatformCallKind::Write);
+    harness.submit(5, PlatformCallKind::Write);
+    EXPECT_EQ(harness.rejected, std::vector{PlatformRejection::QueueFull});
+    for (const PlatformCallId id : {1, 4, 3, 2}) {
+        harness.run(PlatformCallFinished{.id = id, .isAnswered = true});
+    }
+    EXPECT_EQ(harness.sent, (std::vector<PlatformCallId>{1, 4, 3, 2}));
+}
+
+TEST(PlatformBudget, RejectsWhatWaitsPastItsDeadline)
+{
+    Harness harness({.callsPerSecond = 1.0, .burst = 1});
+    harness.submit(1);
+    harness.submit(2, PlatformCallKind::Read, Start + milliseconds(100));
+    EXPECT_TRUE(harness.fireTimer());
+    EXPECT_EQ(harness.now, Start + milliseconds(100));
+    EXPECT_EQ(harness.rejected, std::vector{PlatformRejection::DeadlinePassed});
+}
+
+TEST(PlatformBudget, BreakerOpensTriesOnceAndCloses)
+{
+    Harness harness({.callsPerSecond = 1000.0, .burst = 100, .failuresToOpen = 2});
+    for (PlatformCallId id = 1; id <= 2; ++id) {
+        harness.submit(id);
+        harness.fireTimer();
+        harness.run(PlatformCallFinished{.id = id, .isAnswered = false});
+    }
+    EXPECT_EQ(harness.budget.breaker, BreakerState::Open);
+    harness.submit(3);
+    harness.submit(4);
+    EXPECT_EQ(harness.sent.size(), 2U);
+    EXPECT_TRUE(harness.fireTimer());
+    EXPECT_EQ(harness.budget.breaker, BreakerState::HalfOpen);
+    EXPECT_EQ(harness.sent.size(), 3U);
+    EXPECT_FALSE(harness.timer.has_value() && *harness.timer < Never);
+    harness.run(PlatformCallFinished{.id = 3, .isAnswered = true});
+    EXPECT_EQ(harness.budget.breaker, BreakerState::Closed);
+    EXPECT_EQ(harness.sent.size(), 4U);
+}
+
+TEST(PlatformBudget, CallFromBeforeTheOutageDoesNotHoldTheTrialBack)
+{
+    Harness harness({.callsPerSecond = 1000.0, .burst = 100, .callsInFlight = 2, .failuresToOpen = 1});
+    harness.submit(1, PlatformCallKind::Watch);
+    harness.submit(2);
+    harness.run(PlatformCallFinished{.id = 2, .isAnswered = false});
+    harness.submit(3);
+    harness.fireTimer();
+    EXPECT_EQ(harness.budget.trial, PlatformCallId(3));
+    harness.run(PlatformCallFinished{.id = 1, .isAnswered = false});
+    EXPECT_EQ(harness.budget.breaker, BreakerState::HalfOpen);
+    harness.run(PlatformCallFinished{.id = 3, .isAnswered = false});
+    EXPECT_EQ(harness.budget.breaker, BreakerState::Open);
+}
+
+TEST(PlatformBudget, DownPlatformCostsFewCallsAndPausesDiffer)
+{
+    const PlatformBudgetSettings settings;
+    std::vector<TimePoint> ends;
+    for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+        Harness harness(settings, seed);
+        PlatformCallId id = 1;
+        harness.submit(id);
+        while (harness.now < Start + std::chrono::hours(1)) {
+            if (harness.sent.size() == id) {
+                harness.run(PlatformCallFinished{.id = id, .isAnswered = false});
+                harness.submit(++id);
+                EXPECT_LE(harness.budget.pausedUntil - harness.now, settings.maximumBackoff);
+            }
+            harness.fireTimer();
+        }
+        // Full jitter pauses for half of the longest pause on average.
+        EXPECT_LT(harness.sent.size(), static_cast<std::size_t>(seconds(3600) / (settings.maximumBackoff / 4)));
+        EXPECT_GT(harness.sent.size(), static_cast<std::size_t>(seconds(3600) / settings.maximumBackoff));
+        ends.push_back(harness.now);
+    }
+    EXPECT_NE(ends[0], ends[1]);
+}
+
+}
+}
