--- a/src/decision/callqueue.cpp
+++ b/src/decision/callqueue.cpp
@@ -31,6 +31,19 @@
     return turn.round;
 }
 
+bool isOwedFloor(const RankQueue &rank, Duration serviceTime)
+{
+    return rank.floorCredit > 0.0 && rank.floorCredit >= static_cast<double>(serviceTime.count());
+}
+
+/** Returns whether the first call of @p higher lets the first one of @p lower go before it. */
+bool yields(const RankQueue &higher, const RankQueue &lower, const RankChoice &choice)
+{
+    const TimePoint deadline = higher.entries.front().deadline;
+    const bool hasTime = choice.now + 2 * choice.backlog < deadline;
+    return !choice.isOverloaded && hasTime && lower.entries.front().deadline < deadline;
+}
+
 RankQueue &queueOf(CallQueue &queue, Rank rank)
 {
     return queue.ranks[static_cast<std::size_t>(rank)];
@@ -40,8 +53,8 @@
 
 double floorShare(Rank rank)
 {
-    static_cast<void>(rank);
-    return 0.05;
+    static constexpr std::array Shares{0.05, 0.05, 0.03};
+    return Shares[static_cast<std::size_t>(rank)];
 }
 
 QueueTicket push(CallQueue &queue, const CallArrived &arrival, bool isAgain)
@@ -72,32 +85,31 @@
     }
 }
 
-std::uint32_t callsAhead(const RankQueue &queue, std::uint64_t caller)
+std::uint32_t callsAhead(const RankQueue &queue, std::uint64_t caller, bool isOverloaded)
 {
     const auto found = queue.callers.find(caller);
     const std::uint64_t ownRound = found == queue.callers.end() ? queue.currentRound : std::max(found->second.round, queue.currentRound);
     const std::uint64_t rounds = ownRound - queue.currentRound + 1;
     const std::uint64_t byTurns = rounds * CallsPerRound * queue.callers.size();
-    return static_cast<std::uint32_t>(std::min<std::uint64_t>(queue.size, byTurns));
+    return static_cast<std::uint32_t>(isOverloaded ? byTurns : std::min<std::uint64_t>(queue.size, byTurns));
 }
 
-std::optional<Rank> nextRank(const CallQueue &queue, const std::array<Duration, enumCount<Rank>()> &serviceTimes)
+std::optional<Rank> nextRank(const CallQueue &queue, const RankChoice &choice)
 {
-    std::optional<Rank> first;
+    std::optional<std::size_t> best;
     for (std::size_t index = 0; index < queue.ranks.size(); ++index) {
         const RankQueue &rank = queue.ranks[index];
         if (rank.size == 0) {
             continue;
         }
-        const bool isOwed = rank.floorCredit > 0.0 && rank.floorCredit >= static_cast<double>(serviceTimes[index].count());
-        if (isOwed) {
+        if (isOwedFloor(rank, choice.serviceTimes[index])) {
             return static_cast<Rank>(index);
         }
-        if (!first) {
-            first = static_cast<Rank>(index);
+        if (!best || yields(queue.ranks[*best], rank, choice)) {
+            best = index;
         }
     }
-    return first;
+    return best ? std::optional(static_cast<Rank>(*best)) : std::nullopt;
 }
 
 void chargeSlotTime(CallQueue &queue, Rank rank, Duration serviceTime)
--- a/src/decision/callqueue.h
+++ b/src/decision/callqueue.h
@@ -49,6 +49,14 @@
     std::uint32_t size = 0;
 };
 
+/** What the choice between ranks depends on besides the queue. */
+struct RankChoice {
+    std::array<Duration, enumCount<Rank>()> serviceTimes{}; ///< Mean, by rank.
+    Duration backlog{}; ///< Time to run all that waits.
+    bool isOverloaded = false; ///< Calls are being refused for want of slots.
+    TimePoint now;
+};
+
 /** Share of the slots' time that @p rank keeps while others flood. */
 double floorShare(Rank rank);
 
@@ -58,11 +66,19 @@
 /** Notes that a waiting call has left; its entry is skipped from now on. */
 void leave(CallQueue &queue, const CallArrived &arrival);
 
-/** Returns how many waiting calls of the rank go before a new call of @p caller. */
-std::uint32_t callsAhead(const RankQueue &queue, std::uint64_t caller);
+/**
+ * Returns how many waiting calls of the rank go before a new call of @p caller; under overload, also those that the
+ * other callers are expected to add meanwhile.
+ */
+std::uint32_t callsAhead(const RankQueue &queue, std::uint64_t caller, bool isOverloaded);
 
-/** Returns the rank to serve next, or nothing if no call waits; @p serviceTimes are the mean times for each rank. */
-std::optional<Rank> nextRank(const CallQueue &queue, const std::array<Duration, enumCount<Rank>()> &serviceTimes);
+/**
+ * Returns the rank to serve next, or nothing if no call waits.
+ *
+ * A rank that is owed its floor goes first, else the best one. Without overload, a call yields to one of a lower rank
+ * with an earlier deadline if it can wait for all that is queued and have half of its time left.
+ */
+std::optional<Rank> nextRank(const CallQueue &queue, const RankChoice &choice);
 
 /** Charges the floors for a call of @p rank that takes a slot for @p serviceTime. */
 void chargeSlotTime(CallQueue &queue, Rank rank, Duration serviceTime);
