Keep the floors of ranks beside a flood

The wait by the floor was only looked at when the higher ranks used all slots, and the calls ahead were counted in whole rounds of all callers.

--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -76,7 +76,7 @@
     const double floor = std::max(floorShare(rank), MinimumShare);
     const double inOrder = (ahead.higherRanks + ahead.ownRank) / (slots * std::max(1.0 - ahead.higherShare, floor));
     const double byFloor = ahead.ownRank / (slots * floor);
-    return std::min(inOrder, ahead.higherShare >= 1.0 - floor ? byFloor : inOrder);
+    return std::min(inOrder, byFloor);
 }
 
 RefusalReason reasonOf(const ServiceState &state, const WorkAhead &ahead, Rank rank)
--- a/src/decision/callqueue.h
+++ b/src/decision/callqueue.h
@@ -33,10 +33,19 @@
     std::uint32_t queuedCalls = 0;
 };
 
+/** Callers by the number of their waiting calls: group N holds those with 2^(N-1) to 2^N - 1. */
+struct CallerGroup {
+    std::uint32_t callers = 0;
+    std::uint32_t calls = 0;
+};
+
+inline constexpr std::size_t CallerGroups = 18;
+
 /** The waiting calls of one rank, as a binary heap; entries of calls that have left stay until they surface. */
 struct RankQueue {
     std::vector<QueueEntry> entries;
     std::unordered_map<std::uint64_t, CallerTurn> callers; ///< Those with queued calls.
+    std::array<CallerGroup, CallerGroups> callerGroups{};
     std::uint64_t currentRound = 0;
     std::uint32_t size = 0; ///< Calls that wait, without those that have left.
     double floorCredit = 0.0; ///< Slot time that the rank is owed by its floor, in nanoseconds.
