Split the driver of the policy bench into callers, entry VMs and messages

Change: policycallers holds the calls and the directory answers, policyentries what entry VMs know and are given, as plain structs with free functions; policydriver moves the messages.

--- a/bench/policydriver.cpp
+++ b/bench/policydriver.cpp
@@ -1,27 +1,22 @@
 #include "policydriver.h"
 
-#include "decision/ownership.h"
-
-#include <fmt/format.h>
+#include "policyentries.h"
 
 #include <algorithm>
 #include <deque>
 #include <limits>
-#include <memory>
-#include <numeric>
 #include <optional>
 #include <unordered_map>
 
 namespace Plantainweir {
 namespace {
 
-constexpr std::chrono::seconds DirectoryTimeToLive{2};
 constexpr std::chrono::milliseconds ConnectTimeout{50};
 constexpr std::chrono::milliseconds LossDetection{1000};
 constexpr std::chrono::milliseconds LossDetectionSpread{10}; ///< Between one entry VM and the next.
 constexpr std::chrono::milliseconds ReportInterval{5};
+constexpr std::size_t SnapshotsKept = 3;
 constexpr std::chrono::microseconds TimerResolution{10};
-constexpr std::size_t AddressesInAnswer = 4;
 constexpr std::size_t NoUpstreamIndex = std::numeric_limits<std::size_t>::max();
 
 /** An attempt on its way, at an upstream or at a co-owner. */
@@ -35,36 +30,6 @@
     AttemptOutcome outcome = AttemptOutcome::Lost;
 };
 
-/** One service at one entry VM. */
-struct ServiceAtEntry {
-    ServiceState product;
-    BaselineState baseline;
-    std::optional<TimePoint> wakeUp;
-    std::unordered_map<AttemptId, std::size_t> tickets;
-    std::unordered_map<CallId, std::size_t> handedOver; ///< Tickets of calls that co-owners handed over to this one.
-    std::vector<std::size_t> owners; ///< As this entry VM knows them.
-};
-
-struct Entry {
-    std::size_t availabilityZone = 0;
-    bool isLost = false;
-    std::vector<bool> isMember; ///< Of the entry VMs, as this one knows them.
-    std::vector<ServiceAtEntry> services;
-};
-
-/** What a caller remembers of its latest directory answer for one service. */
-struct DirectoryAnswer {
-    TimePoint expiresAt{};
-    std::vector<std::size_t> addresses{};
-    std::size_t current = 0; ///< Moves on when an address cannot be reached.
-};
-
-/** The loads of all upstreams at one time. */
-struct LoadSnapshot {
-    TimePoint takenAt;
-    std::vector<std::uint32_t> loads{};
-};
-
 class Driver
 {
 public:
@@ -105,13 +70,11 @@
     void onAnswered(std::size_t ticket, AttemptOutcome outcome, const LoadReport &report);
 
     // Load reports of two-choices-reported
-    void takeSnapshot();
+    void reportLoads();
     void updateReports(std::size_t entry, std::size_t service);
 
     Duration delay(std::size_t fromEntry, std::size_t toEntry) const;
     Duration delayToUpstream(std::size_t entry, std::size_t upstream) const;
-    Upstream inventoryRow(std::size_t service, std::size_t upstream) const;
-    static std::size_t numberIn(const std::string &name);
 
     RunRecord &m_record;
     const DeploymentModel &m_model;
@@ -168,7 +131,7 @@
         });
     }
     if (m_record.policy == Policy::TwoChoicesReported) {
-        takeSnapshot();
+        reportLoads();
     }
     scheduleArrival(0);
     while (m_events.runNext()) {
@@ -189,18 +152,9 @@
     while (m_entries[asked].isLost) {
         asked = (asked + 1) % m_entries.size();
     }
-    answer = {.expiresAt = m_events.now() + DirectoryTimeToLive};
-    if (m_record.policy == Policy::Product) {
-        answer.addresses = m_entries[asked].services[arrival.service].owners;
-        std::rotate(
-            answer.addresses.begin(), answer.addresses.begin() + static_cast<std::ptrdiff_t>(arrival.caller % answer.addresses.size()), answer.addresses.end());
-    }
-    for (std::size_t offset = 0; answer.addresses.size() < AddressesInAnswer; ++offset) {
-        const std::size_t candidate = (asked + offset * (arrival.caller % 7 + 1)) % m_entries.size();
-        if (m_entries[asked].isMember[candidate]) {
-            answer.addresses.push_back(candidate);
-        }
-    }
+    const Entry &entry = m_entries[asked];
+    const auto owners = m_record.policy == Policy::Product ? entry.services[arrival.service].owners : std::vector<std::size_t>{};
+    answer = askDirectory(arrival.caller, asked, owners, entry.isMember, m_events.now());
     return answer;
 }
 
@@ -352,61 +306,14 @@
     });
 }
 
-Upstream Driver::inventoryRow(std::size_t service, std::size_t upstream) const
-{
-    const ServiceModel &model = m_model.services[service];
-    return {
-        .name = fmt::format("{}-{}", model.name, upstream),
-        .endpoint = {},
-        .availabilityZone = fmt::format("zone-{}", upstream % m_model.availabilityZones),
-        .slots = model.slots,
-        .connectionLimit = model.connectionLimit,
-    };
-}
-
-/** Returns the number at the end of a name such as "entry-3". */
-std::size_t Driver::numberIn(const std::string &name)
-{
-    return std::stoul(name.substr(name.rfind('-') + 1));
-}
-
 /** Gives the entry VM its share of the upstreams by the members that it knows. */
 void Driver::assignUpstreams(std::size_t entry, std::size_t service)
 {
-    Service configuration{.name = m_model.services[service].name, .version = 1, .upstreams = {}};
-    for (std::size_t upstream = 0; upstream < m_model.services[service].upstreams; ++upstream) {
-        if (m_isInInventory[service][upstream]) {
-            configuration.upstreams.push_back(inventoryRow(service, upstream));
-        }
-    }
-    std::vector<EntryMember> members;
-    for (std::size_t member = 0; member < m_entries.size(); ++member) {
-        if (m_entries[entry].isMember[member]) {
-            EntryMember &known = members.emplace_back();
-            known.name = fmt::format("entry-{}", member);
-            known.availabilityZone = fmt::format("zone-{}", availabilityZoneOfEntry(m_model, member));
-        }
-    }
-    const ServiceOwners assignment = assignOwners(configuration, members);
-    ServiceAtEntry &state = m_entries[entry].services[service];
-    state.owners.clear();
-    UpstreamsAssigned assigned;
-    PeersAssigned peers;
-    for (const EntryMember &owner : assignment.owners) {
-        state.owners.push_back(numberIn(owner.name));
-        if (state.owners.back() != entry) {
-            peers.peers.push_back(owner.name);
-        }
-    }
-    for (std::size_t row = 0; row < configuration.upstreams.size(); ++row) {
-        const bool isOwn = state.owners[assignment.ownerOf[row]] == entry;
-        if (isOwn || m_record.policy != Policy::Product) {
-            assigned.upstreams.push_back(configuration.upstreams[row]);
-        }
-    }
-    const bool isOwner = peers.peers.size() < state.owners.size();
-    deliver(entry, service, assigned);
-    deliver(entry, service, isOwner ? peers : PeersAssigned{});
+    const bool isByOwner = m_record.policy == Policy::Product;
+    const Assignment assignment = assignmentOf(m_model, service, m_isInInventory[service], m_entries[entry].isMember, entry, isByOwner);
+    m_entries[entry].services[service].owners = assignment.owners;
+    deliver(entry, service, assignment.upstreams);
+    deliver(entry, service, assignment.peers);
 }
 
 /** Loses an entry VM without a word; the others notice after some time, not all at once. */
@@ -434,7 +341,7 @@
             assignUpstreams(entry, change.service);
         }
         if (change.kind == ChangeKind::LeavingAnnounced) {
-            deliver(entry, change.service, UpstreamLeaving{.upstream = inventoryRow(change.service, change.upstream).name});
+            deliver(entry, change.service, UpstreamLeaving{.upstream = upstreamName(m_model.services[change.service], change.upstream)});
         }
     }
 }
@@ -499,7 +406,7 @@
     ++m_record.handOvers;
     m_events.schedule(m_events.now() + delay(entry, peer), [this, entry, service, peer, ticket, call = action.call] {
         m_entries[peer].services[service].handedOver[call] = ticket;
-        acceptCall(call, peer, fmt::format("entry-{}", entry));
+        acceptCall(call, peer, entryName(entry));
     });
 }
 
@@ -507,7 +414,7 @@
 {
     const std::size_t peer = numberIn(action.peer);
     const PeerReport report{
-        .peer = fmt::format("entry-{}", entry),
+        .peer = entryName(entry),
         .freeSlots = action.freeSlots,
         .queuedCalls = action.queuedCalls,
         .handOversReceived = action.handOversReceived,
@@ -587,24 +494,15 @@
 }
 
 /** Notes all loads and counts one report of each upstream to each entry VM as measuring. */
-void Driver::takeSnapshot()
+void Driver::reportLoads()
 {
-    LoadSnapshot snapshot{.takenAt = m_events.now()};
-    for (std::size_t service = 0; service < m_model.services.size(); ++service) {
-        for (std::size_t upstream = 0; upstream < m_model.services[service].upstreams; ++upstream) {
-            const LoadReport report = m_upstreams.reportOf(m_upstreams.indexOf(service, upstream));
-            snapshot.loads.push_back(report.busySlots + report.queuedCalls);
-        }
-    }
+    m_snapshots.push_front(takeSnapshot(m_model, m_upstreams, m_events.now()));
+    m_snapshots.resize(std::min(m_snapshots.size(), SnapshotsKept));
     const auto second = static_cast<std::size_t>(std::chrono::floor<std::chrono::seconds>(m_events.now().time_since_epoch()).count());
-    m_record.probesPerSecond[second] += snapshot.loads.size() * m_entries.size();
-    m_snapshots.push_front(std::move(snapshot));
-    if (m_snapshots.size() > 3) {
-        m_snapshots.pop_back();
-    }
+    m_record.probesPerSecond[second] += m_snapshots.front().loads.size() * m_entries.size();
     if (m_events.now() + ReportInterval < TimePoint{} + m_record.plan.duration) {
         m_events.schedule(m_events.now() + ReportInterval, [this] {
-            takeSnapshot();
+            reportLoads();
         });
     }
 }
@@ -614,11 +512,7 @@
 {
     for (BaselineUpstream &known : m_entries[entry].services[service].baseline.upstreams) {
         const std::size_t upstream = m_upstreams.indexOf(service, numberIn(known.upstream.name));
-        const TimePoint newest = m_events.now() - delayToUpstream(entry, upstream);
-        const auto snapshot = std::find_if(m_snapshots.begin(), m_snapshots.end(), [newest](const LoadSnapshot &candidate) {
-            return candidate.takenAt <= newest;
-        });
-        known.reportedLoad = snapshot != m_snapshots.end() ? snapshot->loads[upstream] : 0;
+        known.reportedLoad = reportedLoad(m_snapshots, upstream, m_events.now() - delayToUpstream(entry, upstream));
     }
 }
 
@@ -637,16 +531,6 @@
 
 }
 
-Duration delayBetween(const DeploymentModel &model, std::size_t from, std::size_t to)
-{
-    return from == to ? model.withinAvailabilityZone : model.betweenAvailabilityZones;
-}
-
-std::size_t availabilityZoneOfEntry(const DeploymentModel &model, std::size_t entry)
-{
-    return entry % model.availabilityZones;
-}
-
 TimePoint deadlineAtEntry(const DeploymentModel &model, const Arrival &arrival)
 {
     return arrival.sentAt + model.workKinds[static_cast<std::size_t>(arrival.rank)].target - model.toCaller;
--- a/bench/policydriver.h
+++ b/bench/policydriver.h
@@ -2,6 +2,7 @@
 
 #include "core/outcome.h"
 #include "policybaselines.h"
+#include "policycallers.h"
 #include "policyfakes.h"
 #include "policyscenarios.h"
 
@@ -66,12 +67,6 @@
 /** Runs the limit: one queue in front of all slots of a service, with perfect, undelayed knowledge of slots and faults. */
 void runOracle(RunRecord &record);
 
-/** Returns the delay of a message between two availability zones, one way. */
-Duration delayBetween(const DeploymentModel &model, std::size_t from, std::size_t to);
-
-/** Returns the availability zone of an entry VM. */
-std::size_t availabilityZoneOfEntry(const DeploymentModel &model, std::size_t entry);
-
 /** Returns when the answer of a call must leave its entry VM to reach the caller in time. */
 TimePoint deadlineAtEntry(const DeploymentModel &model, const Arrival &arrival);
 
--- /dev/null
+++ b/bench/policyentries.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "decision/ownership.h"
+#include "policybaselines.h"
+#include "policyfakes.h"
+#include "policyscenarios.h"
+
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/** The entry VMs of the policy bench: what each knows, and which upstreams it is given. */
+namespace Plantainweir {
+
+/** One service at one entry VM. */
+struct ServiceAtEntry {
+    ServiceState product;
+    BaselineState baseline;
+    std::optional<TimePoint> wakeUp;
+    std::unordered_map<AttemptId, std::size_t> tickets;
+    std::unordered_map<CallId, std::size_t> handedOver; ///< Tickets of calls that co-owners handed over to this one.
+    std::vector<std::size_t> owners; ///< As this entry VM knows them.
+};
+
+struct Entry {
+    std::size_t availabilityZone = 0;
+    bool isLost = false;
+    std::vector<bool> isMember; ///< Of the entry VMs, as this one knows them.
+    std::vector<ServiceAtEntry> services;
+};
+
+/** What an entry VM derives from the inventory and the members that it knows. */
+struct Assignment {
+    std::vector<std::size_t> owners; ///< Entry VMs, best first.
+    UpstreamsAssigned upstreams; ///< Its own share, or all upstreams if it does not own by shares.
+    PeersAssigned peers; ///< The other owners if it is one itself.
+};
+
+/** The loads of all upstreams at one time. */
+struct LoadSnapshot {
+    TimePoint takenAt;
+    std::vector<std::uint32_t> loads{};
+};
+
+/** Names of entry VMs and upstreams end with their number. */
+std::string entryName(std::size_t entry);
+std::string upstreamName(const ServiceModel &service, std::size_t upstream);
+std::size_t numberIn(const std::string &name);
+
+/** Returns the share of @p entry in a service by its members; @p isInInventory tells which upstreams there are. */
+Assignment assignmentOf(const DeploymentModel &model,
+                        std::size_t service,
+                        const std::vector<bool> &isInInventory,
+                        const std::vector<bool> &isMember,
+                        std::size_t entry,
+                        bool isByOwner);
+
+/** Returns the running and queued calls of all upstreams. */
+LoadSnapshot takeSnapshot(const DeploymentModel &model, const UpstreamFakes &upstreams, TimePoint now);
+
+/** Returns the load of an upstream in the newest of @p snapshots, latest first, that is not younger than @p newest. */
+std::uint32_t reportedLoad(const std::deque<LoadSnapshot> &snapshots, std::size_t upstream, TimePoint newest);
+
+}
--- a/bench/policyfakes.h
+++ b/bench/policyfakes.h
@@ -9,7 +9,7 @@
 #include <functional>
 #include <vector>
 
-/** Stand-ins of the policy bench for time, callers and upstreams. */
+/** Stand-ins of the policy bench for time and upstreams. */
 namespace Plantainweir {
 
 /** Virtual time: runs what is scheduled in the order of time, then of scheduling. */
@@ -37,23 +37,6 @@
     TimePoint m_now{};
 };
 
-/** A call as its caller sends it; the same for all policies of a run. */
-struct Arrival {
-    TimePoint sentAt;
-    std::size_t service = 0;
-    Rank rank = Rank::Low;
-    std::size_t caller = 0;
-    Duration work{}; ///< Service time at full speed, for each attempt.
-    bool isMisdirected = false; ///< Sent to any entry VM, as by a caller with an outdated answer.
-};
-
-/** Callers of the usual load, and those of a flood, who are few. */
-constexpr std::size_t UsualCallers = 400;
-constexpr std::size_t FloodCallers = 20;
-
-/** Returns the calls of a run in the order of time; call N of a policy is row N. */
-std::vector<Arrival> makeArrivals(const DeploymentModel &model, const ScenarioPlan &plan, std::uint64_t seed);
-
 /** Upstreams that run calls in their slots, queue what their connections allow and count what they execute. */
 class UpstreamFakes
 {
--- a/bench/policyscenarios.cpp
+++ b/bench/policyscenarios.cpp
@@ -162,6 +162,16 @@
     return service.upstreams * service.slots * 1000.0 / MeanServiceMilliseconds;
 }
 
+Duration delayBetween(const DeploymentModel &model, std::size_t from, std::size_t to)
+{
+    return from == to ? model.withinAvailabilityZone : model.betweenAvailabilityZones;
+}
+
+std::size_t availabilityZoneOfEntry(const DeploymentModel &model, std::size_t entry)
+{
+    return entry % model.availabilityZones;
+}
+
 ScenarioPlan planOf(const RunSettings &settings)
 {
     const DeploymentModel model = modelOf(settings.deployment);
--- a/bench/policyscenarios.h
+++ b/bench/policyscenarios.h
@@ -152,6 +152,12 @@
 /** Returns the calls that the slots of @p service can run in a second. */
 double capacityPerSecond(const ServiceModel &service);
 
+/** Returns the delay of a message between two availability zones, one way. */
+Duration delayBetween(const DeploymentModel &model, std::size_t from, std::size_t to);
+
+/** Returns the availability zone of an entry VM. */
+std::size_t availabilityZoneOfEntry(const DeploymentModel &model, std::size_t entry);
+
 ScenarioPlan planOf(const RunSettings &settings);
 
 }
