--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -25,7 +25,6 @@
         // Request path.
         // Policies.
         {.name = "policy", .summary = "the decisions under load and faults in virtual time", .run = runPolicy},
-        {.name = "policies", .summary = "all policies and scenarios as tables and a plot", .run = runPolicies},
     };
 }
 
--- /dev/null
+++ b/src/controllers/distribution.cpp
@@ -0,0 +1,370 @@
+#include "controllers/distribution.h"
+
+#include "controllers/configurationcontroller.h"
+#include "decision/ownership.h"
+
+#include <algorithm>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::string_view ServicePrefix = "service/";
+
+struct StepContext {
+    Distribution &distribution;
+    DistributionActions &actions;
+    TimePoint now;
+    std::mt19937_64 &random;
+};
+
+std::uint64_t heldVersion(const Distribution &distribution, const std::string &key)
+{
+    if (key == rulesKey()) {
+        return distribution.configuration.rules.version;
+    }
+    if (key.starts_with(ServicePrefix)) {
+        const auto service = distribution.configuration.services.find(key.substr(ServicePrefix.size()));
+        return service == distribution.configuration.services.end() ? 0 : service->second.version;
+    }
+    const auto status = distribution.statuses.find(key);
+    return status == distribution.statuses.end() ? 0 : status->second.version;
+}
+
+void moveDigest(Distribution &distribution, const std::string &key, std::uint64_t from, std::uint64_t to)
+{
+    if (from != 0) {
+        toggleItem(distribution.digests, key, from);
+    }
+    if (to != 0) {
+        toggleItem(distribution.digests, key, to);
+    }
+}
+
+void completeIfNothingIsMissing(const StepContext &context)
+{
+    Distribution &distribution = context.distribution;
+    if (distribution.isComplete || !distribution.missing) {
+        return;
+    }
+    std::erase_if(*distribution.missing, [&distribution](const auto &row) {
+        return heldVersion(distribution, row.first) >= row.second;
+    });
+    if (distribution.missing->empty()) {
+        distribution.isComplete = true;
+        context.actions.hasBecomeComplete = true;
+    }
+}
+
+/** Books that the object of @p key changed from version @p before to @p after. */
+void bookChange(const StepContext &context, const std::string &key, std::uint64_t before, std::uint64_t after)
+{
+    Distribution &distribution = context.distribution;
+    moveDigest(distribution, key, before, after);
+    distribution.lastChangeAt = context.now;
+    // What a fresh member learns is no news to the others.
+    if (distribution.isComplete) {
+        context.actions.rumours.push_back({key, after});
+    }
+    const auto wanted = distribution.wanted.find(key);
+    if (wanted != distribution.wanted.end() && wanted->second.versionInFlight == 0 && wanted->second.version <= after) {
+        distribution.wanted.erase(wanted);
+    }
+}
+
+const Upstream *findUpstream(const Service &service, const std::string &name)
+{
+    const auto found = std::find_if(service.upstreams.begin(), service.upstreams.end(), [&name](const Upstream &upstream) {
+        return upstream.name == name;
+    });
+    return found == service.upstreams.end() ? nullptr : &*found;
+}
+
+/** Drops the statuses of upstreams that @p service does not have any more. */
+void dropStatuses(const StepContext &context, const Service &service)
+{
+    Distribution &distribution = context.distribution;
+    const std::size_t dropped = std::erase_if(distribution.statuses, [&](const auto &row) {
+        const VersionedStatus &held = row.second;
+        const bool isDropped = held.status.service == service.name && findUpstream(service, held.status.upstream) == nullptr;
+        if (isDropped) {
+            moveDigest(distribution, row.first, held.version, 0);
+        }
+        return isDropped;
+    });
+    context.actions.areStatusesChanged |= dropped != 0;
+}
+
+void takeService(const StepContext &context, const Service &service)
+{
+    const std::string key = serviceKey(service.name);
+    const std::uint64_t before = heldVersion(context.distribution, key);
+    if (!adopt(context.distribution.configuration, service)) {
+        return;
+    }
+    context.actions.changedServices.insert(service.name);
+    bookChange(context, key, before, service.version);
+    dropStatuses(context, service);
+}
+
+void takeRules(const StepContext &context, const Rules &rules)
+{
+    const std::uint64_t before = heldVersion(context.distribution, rulesKey());
+    if (!adopt(context.distribution.configuration, rules)) {
+        return;
+    }
+    context.actions.areRulesChanged = true;
+    bookChange(context, rulesKey(), before, rules.version);
+}
+
+void takeStatus(const StepContext &context, const VersionedStatus &offered)
+{
+    Distribution &distribution = context.distribution;
+    const auto service = distribution.configuration.services.find(offered.status.service);
+    const bool isKnown = service != distribution.configuration.services.end() && findUpstream(service->second, offered.status.upstream) != nullptr;
+    const std::string key = statusKey(offered.status);
+    const std::uint64_t before = heldVersion(distribution, key);
+    if (!isKnown || offered.version <= before) {
+        return;
+    }
+    distribution.statuses[key] = offered;
+    context.actions.areStatusesChanged = true;
+    bookChange(context, key, before, offered.version);
+}
+
+void want(Distribution &distribution, const ObjectVersion &object, const Endpoint &holder)
+{
+    const auto wanted = distribution.wanted.find(object.key);
+    const bool isWanted = wanted != distribution.wanted.end() && wanted->second.version >= object.version;
+    if (isWanted || object.version <= heldVersion(distribution, object.key)) {
+        return;
+    }
+    const std::uint64_t versionInFlight = wanted == distribution.wanted.end() ? 0 : wanted->second.versionInFlight;
+    distribution.wanted[object.key] = {.version = object.version, .holder = holder, .versionInFlight = versionInFlight};
+}
+
+/** Starts pulls of wanted objects, each from one holder, as far as more may be in flight. */
+void startPulls(const StepContext &context)
+{
+    Distribution &distribution = context.distribution;
+    while (distribution.pullsInFlight < distribution.settings.pullsInFlight) {
+        Pull pull;
+        for (auto &[key, object] : distribution.wanted) {
+            const bool isFitting = object.versionInFlight == 0 && (pull.keys.empty() || object.holder == pull.peer);
+            if (!isFitting || pull.keys.size() >= distribution.settings.keysPerPull) {
+                continue;
+            }
+            object.versionInFlight = object.version;
+            pull.peer = object.holder;
+            pull.keys.push_back(key);
+        }
+        if (pull.keys.empty()) {
+            return;
+        }
+        ++distribution.pullsInFlight;
+        context.actions.pulls.push_back(std::move(pull));
+    }
+}
+
+void considerComparing(const StepContext &context, const PeerObjectsHeard &event)
+{
+    Distribution &distribution = context.distribution;
+    const DistributionSettings &settings = distribution.settings;
+    const bool isEqual = event.objectsDigest == combine(distribution.digests);
+    const bool isDue = distribution.isComplete ? !isEqual && context.now >= distribution.lastChangeAt + settings.quietTime : distribution.wanted.empty();
+    if (distribution.isComparing || !isDue || context.now < distribution.nextCompareAt) {
+        return;
+    }
+    const Duration period = distribution.isComplete ? settings.comparePeriod : settings.incompleteComparePeriod;
+    distribution.nextCompareAt = context.now + period + Duration(std::uniform_int_distribution<Duration::rep>(0, period.count())(context.random));
+    distribution.isComparing = true;
+    context.actions.compareWith = event.peer;
+}
+
+std::set<std::string> keysOf(const ObjectSet &objects)
+{
+    std::set<std::string> keys;
+    if (objects.rules) {
+        keys.insert(rulesKey());
+    }
+    for (const Service &service : objects.services) {
+        keys.insert(serviceKey(service.name));
+    }
+    for (const VersionedStatus &status : objects.statuses) {
+        keys.insert(statusKey(status.status));
+    }
+    return keys;
+}
+
+void handle(const StepContext &context, const ServiceOffered &event)
+{
+    takeService(context, event.service);
+}
+
+void handle(const StepContext &context, const RulesOffered &event)
+{
+    takeRules(context, event.rules);
+}
+
+void handle(const StepContext &context, const PlatformSnapshotOffered &)
+{
+    context.actions.hasBecomeComplete = !context.distribution.isComplete;
+    context.distribution.isComplete = true;
+}
+
+void handle(const StepContext &context, const StatusObserved &event)
+{
+    const auto held = context.distribution.statuses.find(statusKey(event.status));
+    const bool isKnown = held != context.distribution.statuses.end() ? held->second.status == event.status : !event.status.isLeaving;
+    if (!isKnown) {
+        takeStatus(context, {event.version, event.status});
+    }
+}
+
+void handle(const StepContext &context, const PeerObjectsHeard &event)
+{
+    for (const ObjectVersion &rumour : event.rumours) {
+        want(context.distribution, rumour, event.peer);
+    }
+    considerComparing(context, event);
+}
+
+void handle(const StepContext &context, const VersionsCompared &event)
+{
+    Distribution &distribution = context.distribution;
+    distribution.isComparing = false;
+    if (!event.list) {
+        return;
+    }
+    for (const ObjectVersion &object : event.list->versions) {
+        want(distribution, object, event.peer);
+    }
+    if (event.list->isComplete && !distribution.isComplete) {
+        distribution.missing.emplace();
+        for (const ObjectVersion &object : event.list->versions) {
+            distribution.missing->emplace(object.key, object.version);
+        }
+    }
+}
+
+void handle(const StepContext &context, const ObjectsPulled &event)
+{
+    Distribution &distribution = context.distribution;
+    --distribution.pullsInFlight;
+    const ObjectSet objects = event.objects.value_or(ObjectSet{});
+    if (objects.rules) {
+        takeRules(context, *objects.rules);
+    }
+    for (const Service &service : objects.services) {
+        takeService(context, service);
+    }
+    for (const VersionedStatus &status : objects.statuses) {
+        takeStatus(context, status);
+    }
+    const std::set<std::string> answered = keysOf(objects);
+    for (const std::string &key : event.keys) {
+        const auto wanted = distribution.wanted.find(key);
+        if (wanted == distribution.wanted.end()) {
+            continue;
+        }
+        const bool isNewsSince = wanted->second.version > std::max(wanted->second.versionInFlight, heldVersion(distribution, key));
+        wanted->second.versionInFlight = 0;
+        // What did not fit into the answer is asked for again; for the rest a comparison finds another holder.
+        const bool isLeftOut = !answered.empty() && !answered.contains(key);
+        if (!isLeftOut && !isNewsSince) {
+            distribution.wanted.erase(wanted);
+        }
+    }
+}
+
+void handle(const StepContext &context, const CandidatesChanged &event)
+{
+    Distribution &distribution = context.distribution;
+    const auto watchers = chooseWatchers(event.names, distribution.settings.watchers);
+    const bool isWatcher = std::find(watchers.begin(), watchers.end(), distribution.self) != watchers.end();
+    if (isWatcher != distribution.isWatcher) {
+        distribution.isWatcher = isWatcher;
+        context.actions.isWatcher = isWatcher;
+    }
+}
+
+}
+
+std::string rulesKey()
+{
+    return "rules";
+}
+
+std::string serviceKey(const std::string &service)
+{
+    return std::string(ServicePrefix) + service;
+}
+
+std::string statusKey(const UpstreamStatus &status)
+{
+    return "status/" + status.service + "/" + status.upstream;
+}
+
+DistributionActions step(Distribution &distribution, const DistributionEvent &event, TimePoint now, std::mt19937_64 &random)
+{
+    DistributionActions actions;
+    const StepContext context{distribution, actions, now, random};
+    std::visit(
+        [&context](const auto &alternative) {
+            handle(context, alternative);
+        },
+        event);
+    completeIfNothingIsMissing(context);
+    startPulls(context);
+    return actions;
+}
+
+std::vector<std::string> chooseWatchers(std::vector<std::string> candidates, std::size_t count)
+{
+    const std::size_t chosen = std::min(count, candidates.size());
+    const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(chosen);
+    std::partial_sort(candidates.begin(), end, candidates.end(), [](const std::string &first, const std::string &second) {
+        return rendezvousWeight(first, "watchers") > rendezvousWeight(second, "watchers");
+    });
+    candidates.resize(chosen);
+    return candidates;
+}
+
+VersionList versionsInDifferingBuckets(const Distribution &distribution, const BucketDigests &digests)
+{
+    VersionList list{.isComplete = distribution.isComplete, .versions = {}};
+    const auto add = [&](const std::string &key) {
+        const std::uint64_t version = heldVersion(distribution, key);
+        const std::size_t bucket = bucketOf(key);
+        if (version != 0 && distribution.digests.at(bucket) != digests.at(bucket)) {
+            list.versions.push_back({key, version});
+        }
+    };
+    add(rulesKey());
+    for (const auto &[name, service] : distribution.configuration.services) {
+        add(serviceKey(name));
+    }
+    for (const auto &[key, status] : distribution.statuses) {
+        add(key);
+    }
+    return list;
+}
+
+ObjectSet objectsOf(const Distribution &distribution, const std::vector<std::string> &keys)
+{
+    ObjectSet objects;
+    for (const std::string &key : keys) {
+        if (heldVersion(distribution, key) == 0) {
+            continue;
+        }
+        if (key == rulesKey()) {
+            objects.rules = distribution.configuration.rules;
+        } else if (key.starts_with(ServicePrefix)) {
+            objects.services.push_back(distribution.configuration.services.at(key.substr(ServicePrefix.size())));
+        } else {
+            objects.statuses.push_back(distribution.statuses.at(key));
+        }
+    }
+    return objects;
+}
+
+}
--- a/src/controllers/membership.cpp
+++ b/src/controllers/membership.cpp
@@ -528,6 +528,16 @@
     announceSelf(context, record);
 }
 
+void handle(const StepContext &context, const PlatformReachabilityChanged &event)
+{
+    MemberRecord record = selfRecord(context.membership);
+    if (record.isPlatformUnreachable == event.isUnreachable || record.state == MemberState::Left) {
+        return;
+    }
+    record.isPlatformUnreachable = event.isUnreachable;
+    announceSelf(context, record);
+}
+
 void handle(const StepContext &context, const LeaveRequested &)
 {
     MemberRecord record = selfRecord(context.membership);
@@ -640,6 +650,17 @@
     return names;
 }
 
+std::vector<std::string> watcherCandidates(const Membership &membership)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, member] : membership.members) {
+        if (isLive(member.record.state) && !member.record.isPlatformUnreachable) {
+            names.push_back(name);
+        }
+    }
+    return names.empty() ? liveMembers(membership) : names;
+}
+
 std::vector<MemberRecord> recordsInDifferingBuckets(const Membership &membership, const BucketDigests &digests)
 {
     std::vector<MemberRecord> records;
--- a/src/controllers/membership.h
+++ b/src/controllers/membership.h
@@ -95,6 +95,10 @@
 struct EntryChanged {
     std::optional<EntryMember> entry;
 };
+/** This member can or cannot reach the platform. */
+struct PlatformReachabilityChanged {
+    bool isUnreachable = false;
+};
 /** This member announces its end. */
 struct LeaveRequested {
 };
@@ -110,7 +114,8 @@
     std::uint64_t digest = 0;
     std::vector<ObjectVersion> rumours;
 };
-using MembershipEvent = std::variant<MembershipTimerFired, DatagramReceived, EntryChanged, LeaveRequested, SeedsChanged, RecordsLearned, ObjectsChanged>;
+using MembershipEvent = std::
+    variant<MembershipTimerFired, DatagramReceived, EntryChanged, PlatformReachabilityChanged, LeaveRequested, SeedsChanged, RecordsLearned, ObjectsChanged>;
 
 struct OutgoingDatagram {
     Endpoint to;
@@ -155,6 +160,8 @@
 std::vector<EntryMember> servingEntries(const Membership &membership);
 /** Returns the names of the live members, this one included. */
 std::vector<std::string> liveMembers(const Membership &membership);
+/** Returns the live members that may watch the platform: those that can reach it, or all if none can. */
+std::vector<std::string> watcherCandidates(const Membership &membership);
 /** Returns the records in buckets whose digests differ from @p digests. */
 std::vector<MemberRecord> recordsInDifferingBuckets(const Membership &membership, const BucketDigests &digests);
 
--- a/src/controllers/membershiprecord.h
+++ b/src/controllers/membershiprecord.h
@@ -49,6 +49,7 @@
     Endpoint exchangeEndpoint; ///< gRPC.
     std::string availabilityZone;
     std::optional<EntryMember> entry; ///< Set while its entryd is connected and ready.
+    bool isPlatformUnreachable = false; ///< It watched the platform and could not reach it; others shall watch.
     bool operator==(const MemberRecord &) const = default;
 };
 
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -42,6 +42,11 @@
     UpstreamEjected = 1103,
     UpstreamReturned = 1104,
     // 1200 to 1299: controld
+    MemberStateChanged = 1200,
+    MemberRefuted = 1201,
+    ProcessResumed = 1202,
+    WatcherChanged = 1203,
+    ConfigurationKnown = 1204,
     PlatformUp = 1250,
     PlatformDown = 1251,
     ConfigurationRejected = 1252,
--- a/src/programs/plantainweircontrold.cpp
+++ b/src/programs/plantainweircontrold.cpp
@@ -1,25 +1,48 @@
-#include "controllers/configurationcontroller.h"
 #include "core/commandline.h"
 #include "http/operatorsport.h"
 #include "observability/logevents.h"
 #include "observability/metrics.h"
-#include "tasks/controlserver.h"
-#include "tasks/platformtask.h"
+#include "tasks/controld.h"
+#include "tasks/signalwatcher.h"
 
 #include <QCoreApplication>
 
+#include <chrono>
+#include <random>
+
 using namespace Plantainweir;
 
 namespace {
 
 constexpr std::string_view Program = "plantainweir-controld";
 
-bool reportListening(bool isOpen, const std::string &flag, const Endpoint &endpoint)
+/** Returns an incarnation above those of earlier runs, unless the wall clock was set back. */
+std::uint64_t firstIncarnation()
 {
-    if (!isOpen) {
-        logEvent(LogEvent::ListenFailed, {{"flag", flag}, {"endpoint", toString(endpoint)}});
-    }
-    return isOpen;
+    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    const std::uint64_t low = std::random_device()() & 0xffffU;
+    return (static_cast<std::uint64_t>(now.time_since_epoch().count()) << 16U) | low;
+}
+
+ControldSettings readSettings(const CommandLine &commandLine)
+{
+    ControldSettings settings;
+    settings.self.name = commandLine.text("name");
+    settings.self.incarnation = firstIncarnation();
+    settings.self.membershipEndpoint = commandLine.endpoint("membership-port");
+    settings.self.exchangeEndpoint = commandLine.endpoint("exchange-port");
+    settings.self.availabilityZone = commandLine.text("availability-zone");
+    settings.controlEndpoint = commandLine.endpoint("control-port");
+    settings.seeds = commandLine.endpointList("seeds");
+    const std::vector<Endpoint> platform = commandLine.endpointList("platform");
+    settings.platform = platform.empty() ? std::nullopt : std::optional(platform.front());
+    return settings;
+}
+
+int reportListenFailure(const ListenFailure &failed)
+{
+    logEvent(LogEvent::ListenFailed, {{"flag", failed.flag}, {"endpoint", toString(failed.endpoint)}});
+    return static_cast<int>(ExitStatus::Failure);
 }
 
 }
@@ -38,45 +61,38 @@
     if (const auto status = commandLine.parse(argc, argv)) {
         return static_cast<int>(*status);
     }
+    for (const char *flag : {"name", "availability-zone"}) {
+        if (commandLine.text(flag).size() > MaximumMemberTextBytes) {
+            fmt::print(stderr, "{}: --{} is longer than {} bytes\n", Program, flag, MaximumMemberTextBytes);
+            return static_cast<int>(ExitStatus::Usage);
+        }
+    }
     QCoreApplication application(argc, argv);
     logEvent(LogEvent::ProgramStarted, {{"program", Program}, {"name", commandLine.text("name")}});
 
     Metrics metrics;
-    OperatorsPort operatorsPort(metrics, [] {
-        return std::string("{}\n");
-    });
-    ControlServer controlServer;
-    QObject::connect(&controlServer, &ControlServer::entryStateReceived, &controlServer, [&controlServer](const EntryState &state) {
-        controlServer.setMembers(state.isReady ? std::vector<EntryMember>{state.self} : std::vector<EntryMember>{});
-    });
-    QObject::connect(&controlServer, &ControlServer::entryGone, &controlServer, [&controlServer] {
-        controlServer.setMembers({});
+    Controld controld(readSettings(commandLine), metrics);
+    OperatorsPort operatorsPort(metrics, [&controld] {
+        return controld.status();
     });
-    Configuration configuration;
-    const std::vector<Endpoint> platformEndpoints = commandLine.endpointList("platform");
-    PlatformTask platform({.endpoint = platformEndpoints.empty() ? Endpoint{} : platformEndpoints.front()}, metrics);
-    QObject::connect(&platform, &PlatformTask::serviceObserved, &controlServer, [&](const Service &service) {
-        if (adopt(configuration, service)) {
-            controlServer.setService(service);
-        }
+    SignalWatcher signalWatcher;
+    QObject::connect(&controld, &Controld::ready, &operatorsPort, [&operatorsPort] {
+        operatorsPort.setReady(true);
     });
-    QObject::connect(&platform, &PlatformTask::rulesObserved, &controlServer, [&](const Rules &rules) {
-        if (adopt(configuration, rules)) {
-            controlServer.setRules(rules);
-        }
+    QObject::connect(&signalWatcher, &SignalWatcher::stopRequested, &controld, [&controld] {
+        logEvent(LogEvent::ProgramStopping);
+        controld.stop();
     });
-    QObject::connect(&platform, &PlatformTask::snapshotObserved, &controlServer, &ControlServer::setComplete);
-    if (!platformEndpoints.empty()) {
-        platform.startWatching();
-    }
+    QObject::connect(&controld, &Controld::stopped, &application, &QCoreApplication::quit, Qt::QueuedConnection);
 
-    const Endpoint controlEndpoint = commandLine.endpoint("control-port");
     const Endpoint operatorsEndpoint = commandLine.endpoint("operators-port");
-    const bool isListening = reportListening(controlServer.listen(controlEndpoint), "control-port", controlEndpoint)
-                             && reportListening(operatorsPort.listen(operatorsEndpoint), "operators-port", operatorsEndpoint);
-    if (!isListening) {
-        return static_cast<int>(ExitStatus::Failure);
+    if (!operatorsPort.listen(operatorsEndpoint)) {
+        return reportListenFailure({"operators-port", operatorsEndpoint});
+    }
+    if (const auto failed = controld.start()) {
+        return reportListenFailure(*failed);
     }
-    operatorsPort.setReady(true);
-    return QCoreApplication::exec();
+    const int status = QCoreApplication::exec();
+    logEvent(LogEvent::ProgramStopped);
+    return status;
 }
--- /dev/null
+++ b/src/rpc/membershipmessages.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "controllers/distribution.h"
+#include "controllers/membershiprecord.h"
+
+#include "membership.pb.h"
+
+#include <optional>
+#include <string>
+
+/**
+ * Conversions between the messages of proto/membership.proto and the plain structs of membership and distribution.
+ *
+ * fromMessage() returns nothing if a field is out of its range.
+ */
+namespace Plantainweir {
+
+namespace MembershipProtocol = plantainweir::membership::v1;
+
+/** Largest datagram that is sent or read, in bytes; it fits into one Ethernet frame. */
+inline constexpr std::size_t MaximumDatagramBytes = 1400;
+/** Size after which the answer to a pull takes no further object, in bytes. */
+inline constexpr std::size_t PullReplyBytes = 1024 * 1024;
+
+MembershipProtocol::Record toMessage(const MemberRecord &record);
+std::optional<MemberRecord> fromMessage(const MembershipProtocol::Record &message);
+
+/** Encodes @p datagram. */
+std::string encodeDatagram(const MembershipDatagram &datagram);
+/** Decodes @p bytes; returns nothing if they are too many or do not parse. */
+std::optional<MembershipDatagram> decodeDatagram(const std::string &bytes);
+
+MembershipProtocol::CompareRequest toMessage(const BucketDigests &digests);
+std::optional<BucketDigests> fromMessage(const MembershipProtocol::CompareRequest &message);
+
+MembershipProtocol::CompareObjectsReply toMessage(const VersionList &list);
+VersionList fromMessage(const MembershipProtocol::CompareObjectsReply &message);
+
+/** Encodes the objects that fit into @ref PullReplyBytes, at least one. */
+MembershipProtocol::PullReply toMessage(const ObjectSet &objects);
+/** Decodes the sound objects of @p message and leaves the others out. */
+ObjectSet fromMessage(const MembershipProtocol::PullReply &message);
+
+}
--- /dev/null
+++ b/src/tasks/controld.cpp
@@ -0,0 +1,371 @@
+#include "tasks/controld.h"
+
+#include "observability/logevents.h"
+#include "observability/metrics.h"
+#include "tasks/controlserver.h"
+#include "tasks/distributiontask.h"
+#include "tasks/exchangeclient.h"
+#include "tasks/exchangeserver.h"
+#include "tasks/membershiptask.h"
+#include "tasks/platformtask.h"
+
+#include <QTimer>
+
+#include <algorithm>
+#include <set>
+
+namespace Plantainweir {
+namespace {
+
+/** Time for entryd to finish what is in flight. */
+constexpr std::chrono::seconds EntryStopTime{60};
+/** Time for the announcement of this member's end. */
+constexpr std::chrono::seconds AnnouncementTime{3};
+/** Time until a member that could not reach the platform is a candidate to watch it again. */
+constexpr std::chrono::seconds PlatformRetryTime{60};
+
+UnixMilliseconds wallClock()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+}
+
+class Controld::Private
+{
+public:
+    Private(Controld *controld, const ControldSettings &settings, Metrics &metrics)
+        : q(controld)
+        , m_settings(settings)
+        , m_metrics(metrics)
+        , m_membership(settings.self, {}, metrics)
+        , m_distribution(settings.self.name, settings.self.incarnation)
+        , m_exchangeServer(metrics)
+        , m_exchangeClient(metrics)
+    {
+        if (settings.platform) {
+            m_platform
+                = std::make_unique<PlatformTask>(PlatformSettings{.endpoint = *settings.platform, .budget = {}, .seed = settings.self.incarnation}, metrics);
+        }
+        m_stopTimer.setSingleShot(true);
+        m_platformRetryTimer.setSingleShot(true);
+        connectEntry();
+        connectDistribution();
+        connectExchanges();
+        connectPlatform();
+        connectStop();
+    }
+
+    void connectEntry()
+    {
+        connect(&m_control, &ControlServer::entryStateReceived, q, [this](const EntryState &state) {
+            m_entry = state.isReady ? std::optional(state.self) : std::nullopt;
+            publishEntry();
+            observeStatuses(state.upstreamStatuses);
+        });
+        connect(&m_control, &ControlServer::entryGone, q, [this] {
+            m_entry.reset();
+            publishEntry();
+            leaveIfEntryGone();
+        });
+        connect(&m_membership, &MembershipTask::entriesChanged, &m_control, &ControlServer::setMembers);
+        connect(&m_distribution, &DistributionTask::rulesChanged, &m_control, &ControlServer::setRules);
+        connect(&m_distribution, &DistributionTask::serviceChanged, &m_control, &ControlServer::setService);
+        connect(&m_distribution, &DistributionTask::statusesChanged, &m_control, &ControlServer::setUpstreamStatuses);
+        connect(&m_distribution, &DistributionTask::completed, q, [this] {
+            logEvent(LogEvent::ConfigurationKnown, {{"services", m_distribution.distribution().configuration.services.size()}});
+            m_control.setComplete();
+            Q_EMIT q->ready();
+        });
+    }
+
+    void connectDistribution()
+    {
+        connect(&m_distribution, &DistributionTask::objectsChanged, &m_membership, &MembershipTask::setObjects, Qt::QueuedConnection);
+        connect(&m_membership, &MembershipTask::objectsHeard, &m_distribution, &DistributionTask::hearObjects, Qt::QueuedConnection);
+        connect(&m_membership, &MembershipTask::candidatesChanged, &m_distribution, &DistributionTask::setCandidates, Qt::QueuedConnection);
+        connect(&m_distribution, &DistributionTask::comparisonRequested, &m_exchangeClient, &ExchangeClient::compareObjects, Qt::QueuedConnection);
+        connect(&m_distribution, &DistributionTask::pullRequested, &m_exchangeClient, &ExchangeClient::pull, Qt::QueuedConnection);
+        connect(&m_exchangeClient, &ExchangeClient::objectsCompared, &m_distribution, &DistributionTask::takeComparison, Qt::QueuedConnection);
+        connect(&m_exchangeClient, &ExchangeClient::pulled, &m_distribution, &DistributionTask::takePulled, Qt::QueuedConnection);
+    }
+
+    void connectExchanges()
+    {
+        connect(&m_membership, &MembershipTask::exchangeRequested, &m_exchangeClient, &ExchangeClient::compareMembers, Qt::QueuedConnection);
+        connect(
+            &m_exchangeClient,
+            &ExchangeClient::membersCompared,
+            q,
+            [this](const Endpoint &, const auto &records) {
+                if (records) {
+                    m_membership.learn(*records);
+                }
+            },
+            Qt::QueuedConnection);
+        connect(
+            &m_exchangeServer,
+            &ExchangeServer::membersRequested,
+            q,
+            [this](ExchangeCallId call, const BucketDigests &digests) {
+                m_exchangeServer.answerMembers(call, recordsInDifferingBuckets(m_membership.membership(), digests));
+            },
+            Qt::QueuedConnection);
+        connect(
+            &m_exchangeServer,
+            &ExchangeServer::versionsRequested,
+            q,
+            [this](ExchangeCallId call, const BucketDigests &digests) {
+                m_exchangeServer.answerVersions(call, versionsInDifferingBuckets(m_distribution.distribution(), digests));
+            },
+            Qt::QueuedConnection);
+        connect(
+            &m_exchangeServer,
+            &ExchangeServer::objectsRequested,
+            q,
+            [this](ExchangeCallId call, const std::vector<std::string> &keys) {
+                m_exchangeServer.answerObjects(call, objectsOf(m_distribution.distribution(), keys));
+            },
+            Qt::QueuedConnection);
+    }
+
+    void connectPlatform()
+    {
+        if (m_platform == nullptr) {
+            return;
+        }
+        connect(
+            &m_distribution,
+            &DistributionTask::watcherChanged,
+            q,
+            [this](bool isWatcher) {
+                setWatching(isWatcher);
+            },
+            Qt::QueuedConnection);
+        connect(m_platform.get(), &PlatformTask::serviceObserved, &m_distribution, &DistributionTask::offerService, Qt::QueuedConnection);
+        connect(m_platform.get(), &PlatformTask::rulesObserved, &m_distribution, &DistributionTask::offerRules, Qt::QueuedConnection);
+        connect(m_platform.get(), &PlatformTask::snapshotObserved, &m_distribution, &DistributionTask::offerSnapshot, Qt::QueuedConnection);
+        connect(
+            m_platform.get(),
+            &PlatformTask::virtualMachinesObserved,
+            q,
+            [this](const std::vector<VirtualMachine> &virtualMachines) {
+                takeVirtualMachines(virtualMachines);
+            },
+            Qt::QueuedConnection);
+        connect(
+            m_platform.get(),
+            &PlatformTask::platformStateChanged,
+            q,
+            [this](PlatformState state) {
+                setPlatformReachable(state != PlatformState::Down);
+            },
+            Qt::QueuedConnection);
+        connect(
+            &m_platformRetryTimer,
+            &QTimer::timeout,
+            q,
+            [this] {
+                m_membership.setPlatformUnreachable(false);
+            },
+            Qt::QueuedConnection);
+    }
+
+    void connectStop()
+    {
+        connect(&m_stopTimer, &QTimer::timeout, q, [this] {
+            announceEnd();
+        });
+        connect(&m_membership, &MembershipTask::leaveAnnounced, q, [this] {
+            finish();
+        });
+    }
+
+    void publishEntry()
+    {
+        std::optional<EntryMember> entry = m_entry;
+        if (entry) {
+            entry->isLeaving = entry->isLeaving || m_isStopping;
+        }
+        m_membership.setEntry(entry);
+    }
+
+    void observeStatuses(const std::vector<UpstreamStatus> &statuses)
+    {
+        const std::set<UpstreamStatus> current(statuses.begin(), statuses.end());
+        for (const UpstreamStatus &status : current) {
+            m_distribution.observeStatus(status, wallClock());
+        }
+        for (UpstreamStatus status : m_observedStatuses) {
+            if (status.isLeaving && !current.contains(status)) {
+                status.isLeaving = false;
+                m_distribution.observeStatus(status, wallClock());
+            }
+        }
+        m_observedStatuses = current;
+    }
+
+    void setWatching(bool isWatching)
+    {
+        logEvent(LogEvent::WatcherChanged, {{"watching", isWatching}});
+        m_metrics.setGauge("plantainweir_platform_watcher", "One while this member watches the platform.", isWatching ? 1.0 : 0.0);
+        if (isWatching) {
+            m_platform->startWatching();
+            m_platform->startListingVirtualMachines();
+        } else {
+            m_platform->stopWatching();
+            m_platform->stopListingVirtualMachines();
+        }
+    }
+
+    void setPlatformReachable(bool isReachable)
+    {
+        m_membership.setPlatformUnreachable(!isReachable);
+        if (isReachable) {
+            m_platformRetryTimer.stop();
+        } else {
+            m_platformRetryTimer.start(PlatformRetryTime);
+        }
+    }
+
+    /** The platform's list lags: its VMs are seeds only, and those it is about to stop take their upstreams along. */
+    void takeVirtualMachines(const std::vector<VirtualMachine> &virtualMachines)
+    {
+        std::vector<Endpoint> seeds = m_settings.seeds;
+        std::set<std::string> leavingAddresses;
+        for (const VirtualMachine &virtualMachine : virtualMachines) {
+            if (virtualMachine.state == VirtualMachineState::Leaving) {
+                leavingAddresses.insert(virtualMachine.address);
+            } else {
+                seeds.push_back({virtualMachine.address, m_settings.self.membershipEndpoint.port});
+            }
+        }
+        m_membership.setSeeds(seeds);
+        observeLeavingAddresses(leavingAddresses);
+    }
+
+    void observeLeavingAddresses(const std::set<std::string> &leavingAddresses)
+    {
+        std::vector<UpstreamStatus> changed;
+        for (const auto &[name, service] : m_distribution.distribution().configuration.services) {
+            for (const Upstream &upstream : service.upstreams) {
+                const bool isLeaving = leavingAddresses.contains(upstream.endpoint.address);
+                if (isLeaving != m_leavingAddresses.contains(upstream.endpoint.address)) {
+                    changed.push_back({.service = name, .upstream = upstream.name, .isLeaving = isLeaving});
+                }
+            }
+        }
+        m_leavingAddresses = leavingAddresses;
+        for (const UpstreamStatus &status : changed) {
+            m_distribution.observeStatus(status, wallClock());
+        }
+    }
+
+    void stop()
+    {
+        if (m_isStopping) {
+            return;
+        }
+        m_isStopping = true;
+        publishEntry();
+        m_stopTimer.start(EntryStopTime);
+        leaveIfEntryGone();
+    }
+
+    void leaveIfEntryGone()
+    {
+        if (m_isStopping && !m_control.hasEntry()) {
+            announceEnd();
+        }
+    }
+
+    void announceEnd()
+    {
+        if (m_isEndAnnounced) {
+            finish();
+            return;
+        }
+        m_isEndAnnounced = true;
+        m_stopTimer.start(AnnouncementTime);
+        m_membership.leave();
+    }
+
+    void finish()
+    {
+        m_stopTimer.stop();
+        Q_EMIT q->stopped();
+    }
+
+    Controld *q;
+    ControldSettings m_settings;
+    Metrics &m_metrics;
+    ControlServer m_control;
+    MembershipTask m_membership;
+    DistributionTask m_distribution;
+    ExchangeServer m_exchangeServer;
+    ExchangeClient m_exchangeClient;
+    std::unique_ptr<PlatformTask> m_platform;
+    QTimer m_stopTimer;
+    QTimer m_platformRetryTimer;
+    std::optional<EntryMember> m_entry;
+    std::set<UpstreamStatus> m_observedStatuses; ///< As entryd told them last.
+    std::set<std::string> m_leavingAddresses; ///< Of VMs that the platform is about to stop.
+    bool m_isStopping = false;
+    bool m_isEndAnnounced = false;
+};
+
+Controld::Controld(const ControldSettings &settings, Metrics &metrics, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, settings, metrics))
+{
+}
+
+Controld::~Controld() = default;
+
+std::optional<ListenFailure> Controld::start()
+{
+    const MemberRecord &self = d->m_settings.self;
+    if (!d->m_control.listen(d->m_settings.controlEndpoint)) {
+        return ListenFailure{"control-port", d->m_settings.controlEndpoint};
+    }
+    if (!d->m_exchangeServer.listen(self.exchangeEndpoint)) {
+        return ListenFailure{"exchange-port", self.exchangeEndpoint};
+    }
+    d->m_membership.setSeeds(d->m_settings.seeds);
+    if (!d->m_membership.listen()) {
+        return ListenFailure{"membership-port", self.membershipEndpoint};
+    }
+    return std::nullopt;
+}
+
+void Controld::stop()
+{
+    d->stop();
+}
+
+std::string Controld::status() const
+{
+    const Distribution &distribution = d->m_distribution.distribution();
+    const Membership &membership = d->m_membership.membership();
+    std::string members;
+    for (const auto &[name, member] : membership.members) {
+        const bool isServing = member.record.entry.has_value();
+        const bool isLeaving = isServing && member.record.entry->isLeaving;
+        members += fmt::format(R"({}"{}":{{"state":"{}","incarnation":{},"serving":{},"leaving":{}}})",
+                               members.empty() ? "" : ",",
+                               name,
+                               nameOf(member.record.state),
+                               member.record.incarnation,
+                               isServing,
+                               isLeaving);
+    }
+    return fmt::format(R"({{"complete":{},"watcher":{},"objects_digest":"{:016x}","rules_version":{},"services":{},"members":{{{}}},"platform":{}}})"
+                       "\n",
+                       distribution.isComplete,
+                       distribution.isWatcher,
+                       combine(distribution.digests),
+                       distribution.configuration.rules.version,
+                       distribution.configuration.services.size(),
+                       members,
+                       d->m_platform == nullptr ? "null" : encodePlatformStatus(d->m_platform->status()));
+}
+
+}
--- /dev/null
+++ b/src/tasks/exchangeclient.cpp
@@ -0,0 +1,133 @@
+#include "tasks/exchangeclient.h"
+
+#include "observability/metrics.h"
+#include "rpc/mailbox.h"
+#include "rpc/membershipmessages.h"
+
+#include "membership.grpc.pb.h"
+
+#include <grpcpp/grpcpp.h>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::chrono::seconds CallTime{3};
+constexpr int MaximumReplyBytes = 4 * 1024 * 1024;
+
+/** One call and all that gRPC needs until it ends. */
+template<typename Request, typename Reply>
+struct Call {
+    std::unique_ptr<MembershipProtocol::Exchange::Stub> stub;
+    grpc::ClientContext context;
+    Request request;
+    Reply reply;
+};
+
+std::unique_ptr<MembershipProtocol::Exchange::Stub> connectTo(const Endpoint &peer)
+{
+    grpc::ChannelArguments arguments;
+    // A channel of its own for each call: a shared subchannel would wait in its backoff after a failure.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetMaxReceiveMessageSize(MaximumReplyBytes);
+    return MembershipProtocol::Exchange::NewStub(grpc::CreateCustomChannel(toString(peer), grpc::InsecureChannelCredentials(), arguments));
+}
+
+}
+
+class ExchangeClient::Private
+{
+public:
+    Private(ExchangeClient *client, Metrics &metrics) : m_mailbox(client), m_metrics(metrics) { }
+
+    /**
+     * Starts a call; @p start hands it to the stub, and @p finish takes the reply, or null, in the event loop.
+     */
+    template<typename Request, typename Reply, typename Start, typename Finish>
+    void run(const Endpoint &peer, const Request &request, Start start, Finish finish)
+    {
+        auto call = std::make_shared<Call<Request, Reply>>();
+        call->stub = connectTo(peer);
+        call->context.set_deadline(std::chrono::system_clock::now() + CallTime);
+        call->request = request;
+        countBytes("sent", request.ByteSizeLong());
+        m_metrics.addToCounter("plantainweir_exchange_calls_total", "Exchanges asked of other members.");
+        start(*call, [this, call, finish, mailbox = m_mailbox](const grpc::Status &status) {
+            mailbox.post([this, call, finish, isOk = status.ok()] {
+                countBytes("received", isOk ? call->reply.ByteSizeLong() : 0);
+                finish(isOk ? &call->reply : nullptr);
+            });
+        });
+    }
+
+    void countBytes(const std::string &direction, std::size_t bytes)
+    {
+        m_metrics.addToCounter(
+            "plantainweir_exchange_" + direction + "_bytes_total", "Bytes of exchange messages " + direction + ".", {}, static_cast<double>(bytes));
+    }
+
+    Mailbox m_mailbox;
+    Metrics &m_metrics;
+};
+
+ExchangeClient::ExchangeClient(Metrics &metrics, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, metrics)) { }
+
+ExchangeClient::~ExchangeClient() = default;
+
+void ExchangeClient::compareMembers(const Endpoint &peer, const BucketDigests &digests)
+{
+    using Reply = MembershipProtocol::CompareMembersReply;
+    d->run<MembershipProtocol::CompareRequest, Reply>(
+        peer,
+        toMessage(digests),
+        [](auto &call, auto done) {
+            call.stub->async()->CompareMembers(&call.context, &call.request, &call.reply, std::move(done));
+        },
+        [this, peer](const Reply *reply) {
+            if (reply == nullptr) {
+                Q_EMIT membersCompared(peer, std::nullopt);
+                return;
+            }
+            std::vector<MemberRecord> records;
+            for (const auto &row : reply->records()) {
+                if (const auto record = fromMessage(row)) {
+                    records.push_back(*record);
+                }
+            }
+            Q_EMIT membersCompared(peer, records);
+        });
+}
+
+void ExchangeClient::compareObjects(const Endpoint &peer, const BucketDigests &digests)
+{
+    using Reply = MembershipProtocol::CompareObjectsReply;
+    d->run<MembershipProtocol::CompareRequest, Reply>(
+        peer,
+        toMessage(digests),
+        [](auto &call, auto done) {
+            call.stub->async()->CompareObjects(&call.context, &call.request, &call.reply, std::move(done));
+        },
+        [this, peer](const Reply *reply) {
+            Q_EMIT objectsCompared(peer, reply == nullptr ? std::nullopt : std::optional(fromMessage(*reply)));
+        });
+}
+
+void ExchangeClient::pull(const Endpoint &peer, const std::vector<std::string> &keys)
+{
+    using Reply = MembershipProtocol::PullReply;
+    MembershipProtocol::PullRequest request;
+    for (const std::string &key : keys) {
+        request.add_keys(key);
+    }
+    d->run<MembershipProtocol::PullRequest, Reply>(
+        peer,
+        request,
+        [](auto &call, auto done) {
+            call.stub->async()->Pull(&call.context, &call.request, &call.reply, std::move(done));
+        },
+        [this, peer, keys](const Reply *reply) {
+            Q_EMIT pulled(peer, keys, reply == nullptr ? std::nullopt : std::optional(fromMessage(*reply)));
+        });
+}
+
+}
--- /dev/null
+++ b/src/tasks/exchangeserver.cpp
@@ -0,0 +1,174 @@
+#include "tasks/exchangeserver.h"
+
+#include "observability/metrics.h"
+#include "rpc/membershipmessages.h"
+
+#include "membership.grpc.pb.h"
+
+#include <QCoreApplication>
+
+#include <grpcpp/grpcpp.h>
+
+#include <atomic>
+#include <map>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::size_t CallLimit = 256;
+
+/** A call that waits for its answer: where gRPC wants the reply and what to notify. */
+struct WaitingCall {
+    grpc::ServerUnaryReactor *reactor = nullptr;
+    google::protobuf::Message *reply = nullptr;
+};
+
+}
+
+class ExchangeServer::Private : public QObject, public MembershipProtocol::Exchange::CallbackService
+{
+public:
+    Private(ExchangeServer *server, Metrics &metrics) : q(server), m_metrics(metrics) { }
+
+    ~Private() override
+    {
+        if (m_server == nullptr) {
+            return;
+        }
+        m_isClosing = true;
+        QCoreApplication::sendPostedEvents(this);
+        for (const auto &[id, call] : m_calls) {
+            call.reactor->Finish(unavailable());
+        }
+        m_server->Shutdown(std::chrono::system_clock::now());
+        m_server->Wait();
+    }
+
+    static grpc::Status unavailable()
+    {
+        return {grpc::StatusCode::UNAVAILABLE, "controld ends or has too many calls"};
+    }
+
+    // The three calls arrive on threads of gRPC, which keeps request and reply until the reactor is finished.
+    grpc::ServerUnaryReactor *CompareMembers(grpc::CallbackServerContext *context,
+                                             const MembershipProtocol::CompareRequest *request,
+                                             MembershipProtocol::CompareMembersReply *reply) override
+    {
+        return post(context, *request, reply, [this](ExchangeCallId id, const MembershipProtocol::CompareRequest &message) {
+            const auto digests = fromMessage(message);
+            return digests ? (Q_EMIT q->membersRequested(id, *digests), true) : false;
+        });
+    }
+
+    grpc::ServerUnaryReactor *CompareObjects(grpc::CallbackServerContext *context,
+                                             const MembershipProtocol::CompareRequest *request,
+                                             MembershipProtocol::CompareObjectsReply *reply) override
+    {
+        return post(context, *request, reply, [this](ExchangeCallId id, const MembershipProtocol::CompareRequest &message) {
+            const auto digests = fromMessage(message);
+            return digests ? (Q_EMIT q->versionsRequested(id, *digests), true) : false;
+        });
+    }
+
+    grpc::ServerUnaryReactor *
+    Pull(grpc::CallbackServerContext *context, const MembershipProtocol::PullRequest *request, MembershipProtocol::PullReply *reply) override
+    {
+        return post(context, *request, reply, [this](ExchangeCallId id, const MembershipProtocol::PullRequest &message) {
+            Q_EMIT q->objectsRequested(id, {message.keys().begin(), message.keys().end()});
+            return true;
+        });
+    }
+
+    /** Hands a call to the event loop, where @p handle returns whether the request is sound. */
+    template<typename Request, typename Handle>
+    grpc::ServerUnaryReactor *post(grpc::CallbackServerContext *context, const Request &request, google::protobuf::Message *reply, Handle handle)
+    {
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        if (m_isClosing) {
+            reactor->Finish(unavailable());
+            return reactor;
+        }
+        QMetaObject::invokeMethod(
+            this,
+            [this, reactor, reply, &request, handle] {
+                take({reactor, reply}, request, handle);
+            },
+            Qt::QueuedConnection);
+        return reactor;
+    }
+
+    template<typename Request, typename Handle>
+    void take(const WaitingCall &call, const Request &request, Handle handle)
+    {
+        if (m_calls.size() >= CallLimit) {
+            call.reactor->Finish(unavailable());
+            return;
+        }
+        const ExchangeCallId id = ++m_lastCall;
+        m_calls.emplace(id, call);
+        m_metrics.addToCounter(
+            "plantainweir_exchange_received_bytes_total", "Bytes of exchange messages received.", {}, static_cast<double>(request.ByteSizeLong()));
+        if (!handle(id, request)) {
+            m_calls.erase(id);
+            call.reactor->Finish({grpc::StatusCode::INVALID_ARGUMENT, "the request is malformed"});
+        }
+    }
+
+    template<typename Message>
+    void answer(ExchangeCallId id, const Message &message)
+    {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end()) {
+            return;
+        }
+        const WaitingCall call = found->second;
+        m_calls.erase(found);
+        call.reply->CopyFrom(message);
+        m_metrics.addToCounter("plantainweir_exchange_sent_bytes_total", "Bytes of exchange messages sent.", {}, static_cast<double>(message.ByteSizeLong()));
+        m_metrics.addToCounter("plantainweir_exchange_served_total", "Exchanges served.");
+        call.reactor->Finish(grpc::Status::OK);
+    }
+
+    ExchangeServer *q;
+    Metrics &m_metrics;
+    std::atomic<bool> m_isClosing = false; ///< Read on threads of gRPC.
+    ExchangeCallId m_lastCall = 0;
+    std::map<ExchangeCallId, WaitingCall> m_calls;
+    std::unique_ptr<grpc::Server> m_server;
+};
+
+ExchangeServer::ExchangeServer(Metrics &metrics, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, metrics)) { }
+
+ExchangeServer::~ExchangeServer() = default;
+
+bool ExchangeServer::listen(const Endpoint &endpoint)
+{
+    int port = 0;
+    grpc::ServerBuilder builder;
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddListeningPort(toString(endpoint), grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(d.get());
+    d->m_server = builder.BuildAndStart();
+    return d->m_server != nullptr && port != 0;
+}
+
+void ExchangeServer::answerMembers(ExchangeCallId call, const std::vector<MemberRecord> &records)
+{
+    MembershipProtocol::CompareMembersReply reply;
+    for (const MemberRecord &record : records) {
+        *reply.add_records() = toMessage(record);
+    }
+    d->answer(call, reply);
+}
+
+void ExchangeServer::answerVersions(ExchangeCallId call, const VersionList &list)
+{
+    d->answer(call, toMessage(list));
+}
+
+void ExchangeServer::answerObjects(ExchangeCallId call, const ObjectSet &objects)
+{
+    d->answer(call, toMessage(objects));
+}
+
+}
--- /dev/null
+++ b/src/tasks/membershiptask.cpp
@@ -0,0 +1,198 @@
+#include "tasks/membershiptask.h"
+
+#include "observability/logevents.h"
+#include "observability/metrics.h"
+#include "rpc/membershipmessages.h"
+
+#include <QHostAddress>
+#include <QNetworkDatagram>
+#include <QTimer>
+#include <QUdpSocket>
+
+namespace Plantainweir {
+namespace {
+
+QHostAddress toAddress(const Endpoint &endpoint)
+{
+    return QHostAddress(QString::fromStdString(endpoint.address));
+}
+
+}
+
+class MembershipTask::Private
+{
+public:
+    Private(MembershipTask *task, const MemberRecord &self, const MembershipSettings &settings, Metrics &metrics)
+        : q(task), m_random(self.incarnation), m_membership(makeMembership(self, settings, Clock::now(), m_random)), m_metrics(metrics)
+    {
+        m_timer.setSingleShot(true);
+        m_timer.setTimerType(Qt::PreciseTimer);
+        connect(&m_timer, &QTimer::timeout, task, [this] {
+            feed(MembershipTimerFired{});
+        });
+        connect(&m_socket, &QUdpSocket::readyRead, task, [this] {
+            readDatagrams();
+        });
+    }
+
+    void readDatagrams()
+    {
+        while (m_socket.hasPendingDatagrams()) {
+            const QNetworkDatagram received = m_socket.receiveDatagram(static_cast<qint64>(MaximumDatagramBytes) + 1);
+            const QByteArray bytes = received.data();
+            count("plantainweir_membership_received_bytes_total", "Payload bytes of datagrams received.", static_cast<double>(bytes.size()));
+            count("plantainweir_membership_received_total", "Datagrams received.");
+            const auto datagram = decodeDatagram(bytes.toStdString());
+            if (!datagram) {
+                count("plantainweir_membership_dropped_total", "Datagrams dropped because they are too large or malformed.");
+                continue;
+            }
+            const Endpoint from{received.senderAddress().toString().toStdString(), static_cast<std::uint16_t>(received.senderPort())};
+            feed(DatagramReceived{from, *datagram});
+        }
+    }
+
+    void feed(const MembershipEvent &event)
+    {
+        const MembershipActions actions = step(m_membership, event, Clock::now(), m_random);
+        for (const OutgoingDatagram &outgoing : actions.datagrams) {
+            send(outgoing);
+        }
+        schedule();
+        report(actions);
+        if (actions.synchronizeWith) {
+            Q_EMIT q->exchangeRequested(*actions.synchronizeWith, m_membership.digests);
+        }
+        if (actions.objectNews) {
+            Q_EMIT q->objectsHeard(*actions.objectNews);
+        }
+        reportLeave();
+    }
+
+    void send(const OutgoingDatagram &outgoing)
+    {
+        const std::string bytes = encodeDatagram(outgoing.datagram);
+        if (bytes.size() > MaximumDatagramBytes) {
+            count("plantainweir_membership_oversized_total", "Datagrams not sent because they are too large.");
+            return;
+        }
+        m_socket.writeDatagram(bytes.data(), static_cast<qint64>(bytes.size()), toAddress(outgoing.to), outgoing.to.port);
+        count("plantainweir_membership_sent_bytes_total", "Payload bytes of datagrams sent.", static_cast<double>(bytes.size()));
+        count("plantainweir_membership_sent_total", "Datagrams sent.");
+    }
+
+    void schedule()
+    {
+        const Duration wait = std::max(Duration(0), Duration(nextDeadline(m_membership) - Clock::now()));
+        m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
+    }
+
+    void report(const MembershipActions &actions)
+    {
+        for (const MemberRecord &record : actions.changes) {
+            reportChange(record);
+        }
+        if (actions.isRefuted) {
+            logEvent(LogEvent::MemberRefuted, {{"incarnation", selfRecord(m_membership).incarnation}});
+        }
+        if (actions.isResumed) {
+            logEvent(LogEvent::ProcessResumed);
+        }
+        if (actions.changes.empty()) {
+            return;
+        }
+        m_metrics.setGauge("plantainweir_members", "Members that are alive or suspect.", static_cast<double>(liveMembers(m_membership).size()));
+        Q_EMIT q->candidatesChanged(watcherCandidates(m_membership));
+        std::vector<EntryMember> entries = servingEntries(m_membership);
+        if (entries != m_entries) {
+            m_entries = std::move(entries);
+            Q_EMIT q->entriesChanged(m_entries);
+        }
+    }
+
+    void reportChange(const MemberRecord &record)
+    {
+        if (record.name != m_membership.self && record.state != MemberState::Alive) {
+            logEvent(LogEvent::MemberStateChanged, {{"member", record.name}, {"state", nameOf(record.state)}, {"incarnation", record.incarnation}});
+        }
+        m_metrics.addToCounter("plantainweir_member_changes_total", "Changes of member records, by new state.", std::string(nameOf(record.state)));
+    }
+
+    void reportLeave()
+    {
+        const bool isTold = liveMembers(m_membership).empty() || !isSelfPending(m_membership);
+        if (selfRecord(m_membership).state == MemberState::Left && isTold && !m_isLeaveReported) {
+            m_isLeaveReported = true;
+            Q_EMIT q->leaveAnnounced();
+        }
+    }
+
+    void count(const std::string &name, const std::string &help, double amount = 1.0)
+    {
+        m_metrics.addToCounter(name, help, {}, amount);
+    }
+
+    MembershipTask *q;
+    std::mt19937_64 m_random;
+    Membership m_membership;
+    Metrics &m_metrics;
+    QUdpSocket m_socket;
+    QTimer m_timer;
+    std::vector<EntryMember> m_entries;
+    bool m_isLeaveReported = false;
+};
+
+MembershipTask::MembershipTask(const MemberRecord &self, const MembershipSettings &settings, Metrics &metrics, QObject *parent)
+    : QObject(parent), d(std::make_unique<Private>(this, self, settings, metrics))
+{
+}
+
+MembershipTask::~MembershipTask() = default;
+
+bool MembershipTask::listen()
+{
+    const Endpoint &endpoint = selfRecord(d->m_membership).membershipEndpoint;
+    if (!d->m_socket.bind(toAddress(endpoint), endpoint.port, QAbstractSocket::DontShareAddress)) {
+        return false;
+    }
+    d->feed(MembershipTimerFired{});
+    Q_EMIT candidatesChanged(watcherCandidates(d->m_membership));
+    return true;
+}
+
+void MembershipTask::setSeeds(const std::vector<Endpoint> &seeds)
+{
+    d->feed(SeedsChanged{seeds});
+}
+
+void MembershipTask::setEntry(const std::optional<EntryMember> &entry)
+{
+    d->feed(EntryChanged{entry});
+}
+
+void MembershipTask::setPlatformUnreachable(bool isUnreachable)
+{
+    d->feed(PlatformReachabilityChanged{isUnreachable});
+}
+
+void MembershipTask::setObjects(std::uint64_t digest, const std::vector<ObjectVersion> &rumours)
+{
+    d->feed(ObjectsChanged{digest, rumours});
+}
+
+void MembershipTask::learn(const std::vector<MemberRecord> &records)
+{
+    d->feed(RecordsLearned{records});
+}
+
+void MembershipTask::leave()
+{
+    d->feed(LeaveRequested{});
+}
+
+const Membership &MembershipTask::membership() const
+{
+    return d->m_membership;
+}
+
+}
--- /dev/null
+++ b/tests/controldtest.cpp
@@ -0,0 +1,392 @@
+#include "tasks/controld.h"
+#include "configuration/configurationjson.h"
+#include "fakes/eventloop.h"
+#include "fakes/fakeplatform.h"
+#include "observability/metrics.h"
+#include "rpc/membershipmessages.h"
+#include "tasks/controllink.h"
+#include "tasks/platformapi.h"
+
+#include <QCoreApplication>
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QProcess>
+#include <QTcpServer>
+#include <QTcpSocket>
+#include <QUdpSocket>
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace Plantainweir {
+namespace {
+
+Endpoint freeTcpPort()
+{
+    QTcpServer server;
+    server.listen(QHostAddress::LocalHost);
+    return {"127.0.0.1", server.serverPort()};
+}
+
+Endpoint freeUdpPort()
+{
+    QUdpSocket socket;
+    socket.bind(QHostAddress::LocalHost);
+    return {"127.0.0.1", socket.localPort()};
+}
+
+/** One controld and what its operators see. */
+struct Member {
+    explicit Member(ControldSettings memberSettings) : settings(std::move(memberSettings)), controld(settings, metrics) { }
+
+    QJsonObject status() const
+    {
+        return QJsonDocument::fromJson(QByteArray::fromStdString(controld.status())).object();
+    }
+
+    int countMembers(const QString &state) const
+    {
+        int count = 0;
+        for (const auto &member : status()["members"].toObject()) {
+            count += member.toObject()["state"].toString() == state ? 1 : 0;
+        }
+        return count;
+    }
+
+    Metrics metrics;
+    ControldSettings settings;
+    Controld controld;
+};
+
+/** Controlds and a fake platform in one process, connected by loopback. */
+class ControldTest : public testing::Test
+{
+protected:
+    ControldTest()
+    {
+        EXPECT_TRUE(m_platform.listen({"127.0.0.1", 0}));
+    }
+
+    Member &addMember()
+    {
+        ControldSettings settings;
+        settings.self.name = "m" + std::to_string(m_members.size());
+        settings.self.incarnation = 1000;
+        settings.self.membershipEndpoint = freeUdpPort();
+        settings.self.exchangeEndpoint = freeTcpPort();
+        settings.self.availabilityZone = "regina";
+        settings.controlEndpoint = freeTcpPort();
+        settings.platform = Endpoint{"127.0.0.1", m_platform.port()};
+        if (!m_members.empty()) {
+            settings.seeds = {m_members.front()->settings.self.membershipEndpoint};
+        }
+        m_members.push_back(std::make_unique<Member>(settings));
+        EXPECT_EQ(m_members.back()->controld.start().has_value(), false);
+        return *m_members.back();
+    }
+
+    void addMembers(int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            addMember();
+        }
+        EXPECT_TRUE(waitForAll([count](const Member &member) {
+            return member.countMembers("alive") == count;
+        }));
+    }
+
+    bool waitForAll(const std::function<bool(const Member &)> &condition)
+    {
+        return waitUntil([&] {
+            return std::all_of(m_members.begin(), m_members.end(), [&condition](const auto &member) {
+                return condition(*member);
+            });
+        });
+    }
+
+    void putRules(double probesPerSecond)
+    {
+        m_platform.put(
+            std::string(RulesObjectName),
+            encodeRules(Rules{.version = 0, .workKinds = {{.name = "sale", .target = std::chrono::milliseconds(100)}}, .probesPerSecond = probesPerSecond}));
+    }
+
+    bool waitForRules(std::uint64_t version)
+    {
+        return waitForAll([version](const Member &member) {
+            return static_cast<std::uint64_t>(member.status()["rules_version"].toInteger()) == version;
+        });
+    }
+
+    static EntryState makeEntry()
+    {
+        EntryState state;
+        state.self = {.name = "m0",
+                      .incarnation = "run",
+                      .callerEndpoint = {"127.0.0.1", 1},
+                      .peerEndpoint = {"127.0.0.1", 2},
+                      .availabilityZone = "regina",
+                      .isLeaving = false};
+        state.isReady = true;
+        return state;
+    }
+
+    FakePlatform m_platform;
+    std::vector<std::unique_ptr<Member>> m_members;
+};
+
+TEST_F(ControldTest, BringsChangesToAllMembersThroughAFewWatchers)
+{
+    putRules(1.0);
+    addMembers(8);
+    EXPECT_TRUE(waitForRules(m_platform.version(std::string(RulesObjectName))));
+    EXPECT_TRUE(waitUntil([this] {
+        const auto watchers = std::count_if(m_members.begin(), m_members.end(), [](const auto &member) {
+            return member->status()["watcher"].toBool();
+        });
+        return watchers == 3;
+    }));
+    putRules(2.0);
+    EXPECT_TRUE(waitForRules(m_platform.version(std::string(RulesObjectName))));
+}
+
+TEST_F(ControldTest, LearnsFromPeersWhileThePlatformIsDown)
+{
+    putRules(1.0);
+    addMembers(2);
+    EXPECT_TRUE(waitForRules(m_platform.version(std::string(RulesObjectName))));
+    m_platform.setFaults({.mode = FakePlatformMode::Down});
+    const Member &fresh = addMember();
+    EXPECT_TRUE(waitUntil([&fresh] {
+        return fresh.status()["complete"].toBool();
+    }));
+    EXPECT_TRUE(waitForRules(m_platform.version(std::string(RulesObjectName))));
+}
+
+TEST_F(ControldTest, ReportsNothingToEntrydBeforeItKnowsTheConfiguration)
+{
+    m_platform.setFaults({.mode = FakePlatformMode::Down});
+    Member &member = addMember();
+    ControlLink link(member.settings.controlEndpoint);
+    bool isConnected = false;
+    bool isUpdated = false;
+    QObject::connect(&link, &ControlLink::connectedChanged, &link, [&isConnected](bool isOpen) {
+        isConnected = isOpen;
+    });
+    QObject::connect(&link, &ControlLink::updated, &link, [&isUpdated](const RoutingUpdate &) {
+        isUpdated = true;
+    });
+    link.report(makeEntry());
+    link.start();
+    EXPECT_TRUE(waitUntil([&member] {
+        return member.status()["members"].toObject()["m0"].toObject()["serving"].toBool();
+    }));
+    EXPECT_FALSE(isUpdated);
+    m_platform.setFaults({});
+    EXPECT_TRUE(waitUntil([&isUpdated] {
+        return isUpdated;
+    }));
+}
+
+TEST_F(ControldTest, AnnouncesEntryItsLeavingAndItsEnd)
+{
+    addMembers(3);
+    Member &member = *m_members.front();
+    auto link = std::make_unique<ControlLink>(member.settings.controlEndpoint);
+    link->report(makeEntry());
+    link->start();
+    const auto entryFlag = [this](const QString &flag) {
+        return m_members.back()->status()["members"].toObject()["m0"].toObject()[flag].toBool();
+    };
+    EXPECT_TRUE(waitUntil([&entryFlag] {
+        return entryFlag("serving") && !entryFlag("leaving");
+    }));
+    bool isStopped = false;
+    QObject::connect(&member.controld, &Controld::stopped, &member.controld, [&isStopped] {
+        isStopped = true;
+    });
+    member.controld.stop();
+    EXPECT_TRUE(waitUntil([&entryFlag] {
+        return entryFlag("leaving");
+    }));
+    EXPECT_FALSE(isStopped) << "it waits for entryd";
+    link.reset();
+    EXPECT_TRUE(waitUntil([&isStopped] {
+        return isStopped;
+    }));
+    EXPECT_TRUE(waitUntil([this] {
+        return m_members.back()->countMembers("left") == 1;
+    }));
+}
+
+TEST_F(ControldTest, CountsAndDropsMalformedDatagrams)
+{
+    Member &member = addMember();
+    QUdpSocket socket;
+    const auto sendTo = [&](const QByteArray &bytes) {
+        socket.writeDatagram(bytes, QHostAddress::LocalHost, member.settings.self.membershipEndpoint.port);
+    };
+    sendTo("not a datagram");
+    sendTo(QByteArray(static_cast<qsizetype>(MaximumDatagramBytes) + 100, 'x'));
+    EXPECT_TRUE(waitUntil([&member] {
+        return member.metrics.toText().find("plantainweir_membership_dropped_total 2") != std::string::npos;
+    }));
+    EXPECT_EQ(member.countMembers("alive"), 1);
+}
+
+TEST(MembershipMessages, KeepAllFieldsAndFitIntoOneFrame)
+{
+    const std::string longText(MaximumMemberTextBytes, 'n');
+    const Endpoint longEndpoint{"2001:db8:1111:2222:3333:4444:5555:6666", 65535};
+    MembershipDatagram datagram;
+    datagram.kind = DatagramKind::PingRequest;
+    datagram.sender = longText;
+    datagram.sequence = ~0ULL;
+    datagram.target = longText;
+    datagram.targetEndpoint = longEndpoint;
+    datagram.membersDigest = 1;
+    datagram.objectsDigest = 2;
+    const EntryMember entry{.name = longText,
+                            .incarnation = longText,
+                            .callerEndpoint = longEndpoint,
+                            .peerEndpoint = longEndpoint,
+                            .availabilityZone = longText,
+                            .isLeaving = true};
+    const MemberRecord record{.name = longText,
+                              .incarnation = ~0ULL,
+                              .state = MemberState::Suspect,
+                              .membershipEndpoint = longEndpoint,
+                              .exchangeEndpoint = longEndpoint,
+                              .availabilityZone = longText,
+                              .entry = entry,
+                              .isPlatformUnreachable = true};
+    datagram.records = {record};
+    MembershipNews news;
+    for (int index = 0; index < 100; ++index) {
+        news.records["r" + std::to_string(index)] = 1;
+        news.rumours["service/" + std::to_string(index)] = {.version = ~0ULL, .transmissionsLeft = 1};
+    }
+    const auto recordOf = [&record](const std::string &) {
+        return &record;
+    };
+    addNews(news, recordOf, MembershipSettings{}.payloadBytes, datagram);
+    const std::string bytes = encodeDatagram(datagram);
+    EXPECT_LE(bytes.size(), MaximumDatagramBytes);
+    const auto decoded = decodeDatagram(bytes);
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->records, datagram.records);
+    EXPECT_EQ(decoded->rumours, datagram.rumours);
+    EXPECT_EQ(decoded->targetEndpoint, longEndpoint);
+    EXPECT_EQ(decodeDatagram(bytes.substr(0, bytes.size() / 2)), std::nullopt);
+}
+
+/** Three controlds as processes. */
+class ControldProcessTest : public testing::Test
+{
+protected:
+    ControldProcessTest()
+    {
+        for (int index = 0; index < 3; ++index) {
+            m_operators.push_back(freeTcpPort());
+            m_membership.push_back(freeUdpPort());
+        }
+        for (int index = 0; index < 3; ++index) {
+            start(index);
+        }
+    }
+
+    ~ControldProcessTest() override
+    {
+        for (const auto &process : m_processes) {
+            process->terminate();
+        }
+        for (const auto &process : m_processes) {
+            EXPECT_TRUE(process->state() == QProcess::NotRunning || process->waitForFinished());
+        }
+    }
+
+    void start(int index)
+    {
+        const auto at = static_cast<std::size_t>(index);
+        m_processes.push_back(std::make_unique<QProcess>());
+        m_processes.back()->setProcessChannelMode(QProcess::ForwardedErrorChannel);
+        m_processes.back()->start(QStringLiteral(PLANTAINWEIR_BIN_DIR "/plantainweir-controld"),
+                                  {"--name",
+                                   QString("p%1").arg(index),
+                                   "--availability-zone",
+                                   "regina",
+                                   "--control-port",
+                                   text(freeTcpPort()),
+                                   "--membership-port",
+                                   text(m_membership[at]),
+                                   "--exchange-port",
+                                   text(freeTcpPort()),
+                                   "--operators-port",
+                                   text(m_operators[at]),
+                                   "--seeds",
+                                   text(m_membership[0])});
+    }
+
+    static QString text(const Endpoint &endpoint)
+    {
+        return QString::fromStdString(toString(endpoint));
+    }
+
+    /** Returns what the member @p viewer holds of @p name; an empty object if there is no answer. */
+    QJsonObject view(std::size_t viewer, const QString &name) const
+    {
+        QTcpSocket socket;
+        socket.connectToHost(QHostAddress::LocalHost, m_operators[viewer].port);
+        socket.write("GET /status HTTP/1.1\r\nHost: localhost\r\nConnection: close\r\n\r\n");
+        QByteArray answer;
+        while (socket.waitForReadyRead(2000)) {
+            answer += socket.readAll();
+        }
+        const QByteArray body = answer.mid(answer.indexOf("\r\n\r\n") + 4);
+        return QJsonDocument::fromJson(body).object()["members"].toObject()[name].toObject();
+    }
+
+    bool waitForState(std::size_t viewer, const QString &name, const QString &state) const
+    {
+        return waitUntil([&] {
+            return view(viewer, name)["state"].toString() == state;
+        });
+    }
+
+    std::vector<Endpoint> m_operators;
+    std::vector<Endpoint> m_membership;
+    std::vector<std::unique_ptr<QProcess>> m_processes;
+};
+
+TEST_F(ControldProcessTest, PausedMemberIsDeclaredDeadAndComesBackByRefuting)
+{
+    ASSERT_TRUE(waitForState(0, "p2", "alive") && waitForState(1, "p2", "alive"));
+    const qint64 incarnation = view(0, "p2")["incarnation"].toInteger();
+    ::kill(static_cast<pid_t>(m_processes[2]->processId()), SIGSTOP);
+    EXPECT_TRUE(waitForState(0, "p2", "dead") && waitForState(1, "p2", "dead"));
+    ::kill(static_cast<pid_t>(m_processes[2]->processId()), SIGCONT);
+    EXPECT_TRUE(waitForState(0, "p2", "alive") && waitForState(1, "p2", "alive"));
+    EXPECT_GT(view(0, "p2")["incarnation"].toInteger(), incarnation);
+    EXPECT_EQ(view(2, "p0")["state"].toString(), "alive");
+    EXPECT_EQ(view(2, "p1")["state"].toString(), "alive");
+}
+
+TEST_F(ControldProcessTest, TerminatedMemberIsHeldLeft)
+{
+    ASSERT_TRUE(waitForState(0, "p2", "alive") && waitForState(1, "p2", "alive"));
+    m_processes[2]->terminate();
+    EXPECT_TRUE(m_processes[2]->waitForFinished());
+    EXPECT_EQ(m_processes[2]->exitCode(), 0);
+    EXPECT_TRUE(waitForState(0, "p2", "left") && waitForState(1, "p2", "left"));
+}
+
+}
+}
+
+int main(int argc, char **argv)
+{
+    QCoreApplication application(argc, argv);
+    testing::InitGoogleTest(&argc, argv);
+    return RUN_ALL_TESTS();
+}
--- /dev/null
+++ b/tests/distributionexplorationtest.cpp
@@ -0,0 +1,422 @@
+#include "controllers/distribution.h"
+#include "exploration.h"
+
+#include <gtest/gtest.h>
+
+#include <variant>
+
+namespace Plantainweir {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t Interleavings = 20'000;
+constexpr int FaultSteps = 250;
+constexpr int ConvergenceSteps = 20'000;
+constexpr int MessagesPerStep = 8;
+constexpr std::uint64_t ServiceCount = 4;
+
+using Versions = std::map<std::string, std::uint64_t>;
+
+struct Process {
+    Distribution distribution;
+    std::uint64_t run = 0;
+    Versions seen; ///< Highest version of each object in this run.
+    std::vector<ObjectVersion> rumours; ///< Still to be told.
+    std::optional<Versions> answered; ///< What the last complete peer that answered held.
+};
+
+struct CompareCall {
+    BucketDigests digests;
+};
+struct CompareReply {
+    VersionList list;
+    Versions held;
+};
+struct PullCall {
+    std::vector<std::string> keys;
+};
+struct PullReply {
+    std::vector<std::string> keys;
+    ObjectSet objects;
+};
+struct Heartbeat {
+    std::uint64_t digest = 0;
+    std::vector<ObjectVersion> rumours;
+};
+/** An exchange whose answer was lost. */
+struct CallLost {
+    std::vector<std::string> keys; ///< Empty for a comparison.
+};
+struct Message {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    std::uint64_t run = 0; ///< Of the process that waits for a reply.
+    std::variant<Heartbeat, CompareCall, CompareReply, PullCall, PullReply, CallLost> content;
+};
+
+Service serviceAt(std::uint64_t index, std::uint64_t version)
+{
+    const auto slots = static_cast<std::uint32_t>(version % 97);
+    const Upstream upstream{.name = "u", .endpoint = {"127.0.0.1", 1}, .availabilityZone = "z", .slots = slots, .connectionLimit = 1, .isDraining = false};
+    return {.name = "s" + std::to_string(index), .version = version, .isRemoved = version % 5 == 0, .upstreams = {upstream}};
+}
+
+Endpoint endpointOf(std::size_t index)
+{
+    return {"127.0.0.1", static_cast<std::uint16_t>(7000 + index)};
+}
+
+Versions heldVersions(const Distribution &distribution)
+{
+    Versions versions;
+    for (const ObjectVersion &object : versionsInDifferingBuckets(distribution,
+                                                                  [&distribution] {
+                                                                      BucketDigests other = distribution.digests;
+                                                                      for (std::uint64_t &digest : other) {
+                                                                          digest = ~digest;
+                                                                      }
+                                                                      return other;
+                                                                  }())
+                                           .versions) {
+        versions[object.key] = object.version;
+    }
+    return versions;
+}
+
+/** Some controlds, the platform, and the messages between them, which are delivered in any order. */
+class Fleet
+{
+public:
+    explicit Fleet(std::uint64_t seed) : m_random(seed)
+    {
+        m_processes.resize(number(2, 4));
+        for (std::size_t index = 0; index < m_processes.size(); ++index) {
+            restart(index);
+        }
+    }
+
+    std::optional<std::string> run()
+    {
+        for (int count = 0; count < FaultSteps && !m_failure; ++count) {
+            m_now += std::chrono::milliseconds(number(0, 300));
+            takeRandomStep();
+        }
+        m_isFaulty = false;
+        m_isPlatformUp = true;
+        changePlatform(); // There is something to know.
+        for (int count = 0; count < ConvergenceSteps && !m_failure; ++count) {
+            m_now += 20ms;
+            takeCalmStep();
+            if (count % 20 == 0 && hasConverged()) {
+                return m_failure;
+            }
+        }
+        return m_failure.value_or("the fleet did not converge");
+    }
+
+private:
+    std::uint64_t number(std::uint64_t minimum, std::uint64_t maximum)
+    {
+        return std::uniform_int_distribution<std::uint64_t>(minimum, maximum)(m_random);
+    }
+
+    std::size_t anyProcess()
+    {
+        return number(0, m_processes.size() - 1);
+    }
+
+    void restart(std::size_t index)
+    {
+        Process process;
+        process.distribution.self = "m" + std::to_string(index);
+        process.run = ++m_lastRun;
+        m_processes[index] = std::move(process);
+    }
+
+    void takeRandomStep()
+    {
+        switch (number(0, 11)) {
+        case 0:
+            restart(anyProcess());
+            break;
+        case 1:
+            m_isPlatformUp = !m_isPlatformUp;
+            break;
+        case 2:
+            changePlatform();
+            break;
+        case 3:
+            changeCandidates(anyProcess(), false);
+            break;
+        case 4:
+        case 5:
+            watch(anyProcess());
+            break;
+        case 6:
+        case 7:
+            sendHeartbeat(anyProcess());
+            break;
+        case 8:
+            observeStatus(anyProcess());
+            break;
+        default:
+            deliverAny();
+        }
+    }
+
+    void takeCalmStep()
+    {
+        const std::size_t index = anyProcess();
+        changeCandidates(index, true);
+        watch(index);
+        sendHeartbeat(index);
+        for (int delivered = 0; delivered < MessagesPerStep; ++delivered) {
+            deliverAny();
+        }
+    }
+
+    void changePlatform()
+    {
+        m_platform[number(0, ServiceCount - 1)] += number(1, 3);
+    }
+
+    void changeCandidates(std::size_t index, bool isWhole)
+    {
+        std::vector<std::string> names;
+        for (std::size_t other = 0; other < m_processes.size(); ++other) {
+            if (isWhole || other == index || number(0, 1) == 1) {
+                names.push_back("m" + std::to_string(other));
+            }
+        }
+        feed(index, CandidatesChanged{names});
+    }
+
+    /** A watcher reads the platform; while there are faults the answer may be old, cut short or doubled. */
+    void watch(std::size_t index)
+    {
+        if (!m_isPlatformUp || !m_processes[index].distribution.isWatcher) {
+            return;
+        }
+        for (const auto &[service, version] : m_platform) {
+            const bool isOld = m_isFaulty && number(0, 2) == 0;
+            feed(index, ServiceOffered{serviceAt(service, isOld ? number(0, version) : version)});
+            if (m_isFaulty && number(0, 3) == 0) {
+                return;
+            }
+        }
+        feed(index, PlatformSnapshotOffered{});
+    }
+
+    void observeStatus(std::size_t index)
+    {
+        const UpstreamStatus status{.service = "s" + std::to_string(number(0, ServiceCount - 1)), .upstream = "u", .isLeaving = number(0, 1) == 1};
+        feed(index, StatusObserved{status, static_cast<std::uint64_t>(m_now.time_since_epoch() / 1ms) * 8 + index});
+    }
+
+    void sendHeartbeat(std::size_t index)
+    {
+        Process &process = m_processes[index];
+        const std::size_t to = anyProcess();
+        if (to == index) {
+            return;
+        }
+        Heartbeat heartbeat{.digest = combine(process.distribution.digests), .rumours = process.rumours};
+        if (number(0, 3) == 0) {
+            process.rumours.clear();
+        }
+        m_messages.push_back({.from = index, .to = to, .run = 0, .content = heartbeat});
+        if (m_isFaulty && number(0, 3) == 0) {
+            m_messages.push_back(m_messages.back());
+        }
+    }
+
+    void deliverAny()
+    {
+        if (m_messages.empty()) {
+            return;
+        }
+        std::swap(m_messages[number(0, m_messages.size() - 1)], m_messages.back());
+        const Message message = m_messages.back();
+        m_messages.pop_back();
+        const bool isLost = m_isFaulty && number(0, 3) == 0;
+        std::visit(
+            [&](const auto &content) {
+                deliver(message, content, isLost);
+            },
+            message.content);
+    }
+
+    void reply(const Message &call, decltype(Message::content) content)
+    {
+        m_messages.push_back({.from = call.to, .to = call.from, .run = call.run, .content = std::move(content)});
+    }
+
+    bool isWaiting(const Message &message) const
+    {
+        return m_processes[message.to].run == message.run;
+    }
+
+    void deliver(const Message &message, const Heartbeat &heartbeat, bool isLost)
+    {
+        if (!isLost) {
+            feed(message.to, PeerObjectsHeard{endpointOf(message.from), heartbeat.digest, heartbeat.rumours});
+        }
+    }
+
+    void deliver(const Message &message, const CompareCall &call, bool isLost)
+    {
+        const Distribution &held = m_processes[message.to].distribution;
+        if (isLost) {
+            reply(message, CallLost{});
+        } else {
+            reply(message, CompareReply{versionsInDifferingBuckets(held, call.digests), heldVersions(held)});
+        }
+    }
+
+    void deliver(const Message &message, const CompareReply &content, bool isLost)
+    {
+        if (!isWaiting(message)) {
+            return;
+        }
+        if (!isLost && content.list.isComplete) {
+            m_processes[message.to].answered = content.held;
+        }
+        feed(message.to, VersionsCompared{endpointOf(message.from), isLost ? std::nullopt : std::optional(content.list)});
+    }
+
+    void deliver(const Message &message, const PullCall &call, bool isLost)
+    {
+        if (isLost) {
+            reply(message, CallLost{call.keys});
+        } else {
+            reply(message, PullReply{call.keys, objectsOf(m_processes[message.to].distribution, call.keys)});
+        }
+    }
+
+    void deliver(const Message &message, const PullReply &content, bool isLost)
+    {
+        if (isWaiting(message)) {
+            feed(message.to, ObjectsPulled{endpointOf(message.from), content.keys, isLost ? std::nullopt : std::optional(content.objects)});
+        }
+    }
+
+    void deliver(const Message &message, const CallLost &content, bool)
+    {
+        if (!isWaiting(message)) {
+            return;
+        }
+        if (content.keys.empty()) {
+            feed(message.to, VersionsCompared{endpointOf(message.from), std::nullopt});
+        } else {
+            feed(message.to, ObjectsPulled{endpointOf(message.from), content.keys, std::nullopt});
+        }
+    }
+
+    void feed(std::size_t index, const DistributionEvent &event)
+    {
+        Process &process = m_processes[index];
+        const bool isFromPlatform = std::holds_alternative<PlatformSnapshotOffered>(event);
+        const DistributionActions actions = step(process.distribution, event, m_now, m_random);
+        process.rumours.insert(process.rumours.end(), actions.rumours.begin(), actions.rumours.end());
+        if (actions.compareWith) {
+            m_messages.push_back(
+                {.from = index, .to = actions.compareWith->port - 7000U, .run = process.run, .content = CompareCall{process.distribution.digests}});
+        }
+        for (const Pull &pull : actions.pulls) {
+            m_messages.push_back({.from = index, .to = pull.peer.port - 7000U, .run = process.run, .content = PullCall{pull.keys}});
+        }
+        check(process, actions.hasBecomeComplete && !isFromPlatform);
+    }
+
+    void fail(const std::string &invariant)
+    {
+        m_failure = m_failure.value_or(invariant);
+    }
+
+    void check(Process &process, bool isCompleteByPeer)
+    {
+        const Distribution &distribution = process.distribution;
+        const Versions held = heldVersions(distribution);
+        BucketDigests digests{};
+        for (const auto &[key, version] : held) {
+            toggleItem(digests, key, version);
+        }
+        if (digests != distribution.digests) {
+            fail("the digests do not describe the objects");
+        }
+        for (const auto &[key, version] : process.seen) {
+            if (!held.contains(key) || held.at(key) < version) {
+                fail(key + " reverted");
+            }
+        }
+        process.seen = held;
+        for (const auto &[name, service] : distribution.configuration.services) {
+            const std::uint64_t index = std::stoull(name.substr(1));
+            if (service != serviceAt(index, service.version) || service.version > m_platform[index]) {
+                fail("a configuration that the platform never accepted");
+            }
+        }
+        if (distribution.pullsInFlight > distribution.settings.pullsInFlight) {
+            fail("too many pulls in flight");
+        }
+        if (isCompleteByPeer) {
+            checkComplete(process, held);
+        }
+    }
+
+    void checkComplete(const Process &process, const Versions &held)
+    {
+        if (!process.answered) {
+            fail("complete without the platform or a complete peer");
+            return;
+        }
+        for (const auto &[key, version] : *process.answered) {
+            if (!held.contains(key) || held.at(key) < version) {
+                fail("complete without " + key);
+            }
+        }
+    }
+
+    bool hasConverged() const
+    {
+        for (const Process &process : m_processes) {
+            const Distribution &distribution = process.distribution;
+            const bool isSettled = distribution.isComplete && distribution.wanted.empty() && distribution.pullsInFlight == 0;
+            if (!isSettled || distribution.statuses != m_processes.front().distribution.statuses) {
+                return false;
+            }
+            for (const auto &[service, version] : m_platform) {
+                const auto held = distribution.configuration.services.find("s" + std::to_string(service));
+                const std::uint64_t heldVersion = held == distribution.configuration.services.end() ? 0 : held->second.version;
+                if (heldVersion != version) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    std::mt19937_64 m_random;
+    TimePoint m_now{1h};
+    std::vector<Process> m_processes;
+    std::vector<Message> m_messages;
+    std::map<std::uint64_t, std::uint64_t> m_platform; ///< Version of each service.
+    std::uint64_t m_lastRun = 0;
+    bool m_isPlatformUp = true;
+    bool m_isFaulty = true;
+    std::optional<std::string> m_failure;
+};
+
+TEST(DistributionExploration, KeepsItsInvariantsAndConverges)
+{
+    const auto failures = explore("distribution", Interleavings, [](std::uint64_t seed) {
+        return Fleet(seed).run();
+    });
+    for (const std::string &failure : failures) {
+        ADD_FAILURE() << failure;
+    }
+}
+
+}
+}
