Add the path bench: direct calls beside calls through entryd

The HTTP choice has to be settled by measurement. QHttpServer's future-returning handlers were ruled out: they crash with a promise finished from a reply.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -23,6 +23,7 @@
         // Controllers.
         // Time of a decision.
         // Request path.
+        {.name = "path", .summary = "the request path, a direct call beside a proxied one", .run = runPath},
         // Policies.
         {.name = "policy", .summary = "the decisions under load and faults in virtual time", .run = runPolicy},
     };
