--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -14,8 +14,6 @@
 namespace Plantainweir {
 namespace {
 
-constexpr std::chrono::seconds WholeRequestTime{10};
-constexpr std::chrono::seconds IdleTime{60};
 constexpr std::chrono::milliseconds SweepPeriod{250};
 constexpr qint64 ReadBufferBytes = 64 * 1024;
 constexpr int ListenBacklog = 1024;
@@ -76,7 +74,7 @@
         socket->setReadBufferSize(ReadBufferBytes);
         auto connection = std::make_unique<Connection>();
         connection->socket = socket;
-        connection->deadline = Clock::now() + IdleTime;
+        connection->deadline = Clock::now() + m_limits.idleTime;
         connection->decoder = std::make_unique<HttpRequestDecoder>(m_limits);
         Connection *raw = connection.get();
         m_connections.emplace(socket, std::move(connection));
@@ -110,7 +108,7 @@
         }
         if (!connection.hasPartialRequest) {
             connection.hasPartialRequest = true;
-            connection.deadline = Clock::now() + WholeRequestTime;
+            connection.deadline = Clock::now() + m_limits.requestTime;
         }
         const DecodeState state = connection.decoder->decode(connection.buffer);
         if (state == DecodeState::Incomplete) {
@@ -139,7 +137,7 @@
     void sendAndClose(Connection &connection, const std::string &bytes)
     {
         connection.isClosing = true;
-        connection.deadline = Clock::now() + WholeRequestTime;
+        connection.deadline = Clock::now() + m_limits.requestTime;
         connection.socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
         connection.socket->disconnectFromHost();
     }
@@ -172,7 +170,7 @@
         connection->decoder = std::make_unique<HttpRequestDecoder>(m_limits);
         connection->hasPartialRequest = false;
         connection->isContinueSent = false;
-        connection->deadline = Clock::now() + IdleTime;
+        connection->deadline = Clock::now() + m_limits.idleTime;
         if (connection->buffer.empty() && connection->socket->bytesAvailable() == 0) {
             return;
         }
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -15,8 +15,8 @@
 /**
  * Task that owns a listening port and its connections.
  *
- * Bounds header size, body size, the number of connections, the time to a whole request (10 s) and the idle time
- * (60 s) before anything is buffered beyond them. Takes one request of a connection at a time.
+ * Bounds header size, body size, the number of connections, the time to a whole request and the idle time before
+ * anything is buffered beyond them. Takes one request of a connection at a time.
  */
 class HttpServer : public QObject
 {
--- /dev/null
+++ b/tests/badinputtest.cpp
@@ -0,0 +1,232 @@
+#include "fakes/entryfixture.h"
+#include "http/httpserver.h"
+#include "http/operatorsport.h"
+#include "observability/metrics.h"
+
+#include <QFile>
+#include <QTcpSocket>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::size_t MemoryBound = 64 * 1024 * 1024;
+
+/** Returns the resident memory of this process in bytes. */
+std::size_t residentBytes()
+{
+    QFile file("/proc/self/statm");
+    EXPECT_TRUE(file.open(QIODevice::ReadOnly));
+    return static_cast<std::size_t>(file.readAll().split(' ').at(1).toLongLong()) * 4096;
+}
+
+/** A sender that writes whatever it likes. */
+class RawSender
+{
+public:
+    explicit RawSender(const Endpoint &endpoint)
+    {
+        m_socket.connectToHost(QString::fromStdString(endpoint.address), endpoint.port);
+        EXPECT_TRUE(waitUntil([this] {
+            const auto state = m_socket.state();
+            return state == QAbstractSocket::ConnectedState || state == QAbstractSocket::UnconnectedState;
+        }));
+    }
+
+    void write(const QByteArray &bytes)
+    {
+        m_socket.write(bytes);
+    }
+
+    /** Returns all that came until the other side closed. */
+    QByteArray readUntilClosed()
+    {
+        QByteArray received;
+        EXPECT_TRUE(waitUntil([this, &received] {
+            received += m_socket.readAll();
+            return m_socket.state() == QAbstractSocket::UnconnectedState;
+        }));
+        return received + m_socket.readAll();
+    }
+
+    QTcpSocket m_socket;
+};
+
+/** An entry with one upstream; each test ends with a call that must be unharmed. */
+class BadInputTest : public EntryFixture
+{
+protected:
+    BadInputTest() : entry((addUpstream(), addEntry()))
+    {
+        publish();
+    }
+
+    void expectUnharmed()
+    {
+        EXPECT_EQ(outcome(call(entry, makeCall("lookup"))), "answered");
+    }
+
+    Entry &entry;
+};
+
+TEST_F(BadInputTest, MalformedRequestLine)
+{
+    RawSender sender(entry.self().callerEndpoint);
+    sender.write("NOT AN HTTP REQUEST\r\n\r\n");
+    EXPECT_TRUE(sender.readUntilClosed().startsWith("HTTP/1.1 400"));
+    expectUnharmed();
+}
+
+TEST_F(BadInputTest, OversizedHeader)
+{
+    RawSender sender(entry.self().callerEndpoint);
+    sender.write("GET / HTTP/1.1\r\nX-Long: " + QByteArray(20 * 1024, 'x') + "\r\n\r\n");
+    EXPECT_TRUE(sender.readUntilClosed().startsWith("HTTP/1.1 431"));
+    expectUnharmed();
+}
+
+TEST_F(BadInputTest, HeaderThatNeverEnds)
+{
+    const std::size_t before = residentBytes();
+    RawSender sender(entry.self().callerEndpoint);
+    sender.write("GET / HTTP/1.1\r\n");
+    const QByteArray block(1024 * 1024, 'x');
+    bool isClosed = false;
+    for (int index = 0; index < 100 && !isClosed; ++index) {
+        sender.write("X-" + QByteArray::number(index) + ": " + block);
+        waitUntil([&] {
+            isClosed = sender.m_socket.state() != QAbstractSocket::ConnectedState;
+            return isClosed || sender.m_socket.bytesToWrite() == 0;
+        });
+    }
+    EXPECT_TRUE(isClosed);
+    EXPECT_LT(residentBytes(), before + MemoryBound);
+    expectUnharmed();
+}
+
+TEST_F(BadInputTest, BodyThatIsAnnouncedTooLarge)
+{
+    const std::size_t before = residentBytes();
+    RawSender sender(entry.self().callerEndpoint);
+    sender.write("POST /call/rinkdesk/do HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000000\r\n\r\n");
+    EXPECT_TRUE(sender.readUntilClosed().startsWith("HTTP/1.1 413"));
+    EXPECT_LT(residentBytes(), before + MemoryBound);
+    expectUnharmed();
+}
+
+TEST_F(BadInputTest, ChunkedBodyThatNeverEnds)
+{
+    const std::size_t before = residentBytes();
+    RawSender sender(entry.self().callerEndpoint);
+    sender.write("POST /call/rinkdesk/do HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const QByteArray chunk = "10000\r\n" + QByteArray(65536, 'x') + "\r\n";
+    bool isClosed = false;
+    for (int index = 0; index < 1000 && !isClosed; ++index) {
+        sender.write(chunk);
+        waitUntil([&] {
+            isClosed = sender.m_socket.state() != QAbstractSocket::ConnectedState;
+            return isClosed || sender.m_socket.bytesToWrite() == 0;
+        });
+    }
+    EXPECT_TRUE(isClosed);
+    EXPECT_LT(residentBytes(), before + MemoryBound);
+    expectUnharmed();
+}
+
+TEST_F(BadInputTest, FiveThousandIdleConnections)
+{
+    constexpr int Connections = 5000;
+    constexpr int ConnectionsAStep = 100;
+    const std::size_t before = residentBytes();
+    std::vector<std::unique_ptr<QTcpSocket>> sockets;
+    sockets.reserve(Connections);
+    for (int index = 0; index < Connections; ++index) {
+        sockets.push_back(std::make_unique<QTcpSocket>());
+        sockets.back()->connectToHost("127.0.0.1", entry.self().callerEndpoint.port);
+        // In small steps, since the accepting side runs in this event loop too.
+        if (index % ConnectionsAStep == 0) {
+            ASSERT_TRUE(waitUntil([&sockets] {
+                return sockets.back()->state() == QAbstractSocket::ConnectedState;
+            }));
+        }
+    }
+    expectUnharmed();
+    EXPECT_LT(residentBytes(), before + MemoryBound);
+}
+
+TEST_F(BadInputTest, ConnectionThatIsCutInTheMiddle)
+{
+    for (int index = 0; index < 50; ++index) {
+        RawSender sender(entry.self().callerEndpoint);
+        sender.write("POST /call/rinkdesk/do HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf");
+        waitUntil([&sender] {
+            return sender.m_socket.bytesToWrite() == 0;
+        });
+        sender.m_socket.abort();
+    }
+    expectUnharmed();
+}
+
+/** Time bounds are short here; the sweep that enforces them is the product's. */
+class TimeBoundTest : public testing::Test
+{
+protected:
+    TimeBoundTest()
+    {
+        EXPECT_TRUE(server.listen(endpoint));
+        endpoint.port = server.port();
+    }
+
+    Endpoint endpoint{.address = "127.0.0.1", .port = 0};
+    HttpServer server{HttpLimits{.connections = 3, .requestTime = std::chrono::milliseconds(100), .idleTime = std::chrono::milliseconds(200)}};
+};
+
+TEST_F(TimeBoundTest, SlowSenderIsClosed)
+{
+    RawSender sender(endpoint);
+    sender.write("GET / HT");
+    sender.readUntilClosed();
+    EXPECT_EQ(server.connectionCount(), 0U);
+}
+
+TEST_F(TimeBoundTest, IdleConnectionIsClosed)
+{
+    RawSender sender(endpoint);
+    sender.readUntilClosed();
+    EXPECT_EQ(server.connectionCount(), 0U);
+}
+
+TEST_F(TimeBoundTest, ConnectionsAboveTheLimitAreClosed)
+{
+    RawSender first(endpoint);
+    RawSender second(endpoint);
+    RawSender third(endpoint);
+    RawSender fourth(endpoint);
+    fourth.readUntilClosed();
+    EXPECT_LE(server.connectionCount(), 3U);
+}
+
+TEST(OperatorsPortInput, BoundsWhatItReads)
+{
+    const Metrics metrics;
+    OperatorsPort port(metrics, [] {
+        return std::string("{}");
+    });
+    ASSERT_TRUE(port.listen({.address = "127.0.0.1", .port = 0}));
+    const Endpoint endpoint{.address = "127.0.0.1", .port = port.port()};
+    RawSender withBody(endpoint);
+    withBody.write("POST /metrics HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000000\r\n\r\n");
+    EXPECT_TRUE(withBody.readUntilClosed().startsWith("HTTP/1.1 413"));
+    RawSender withHeader(endpoint);
+    withHeader.write("GET /metrics HTTP/1.1\r\nX: " + QByteArray(10 * 1024, 'x') + "\r\n\r\n");
+    EXPECT_TRUE(withHeader.readUntilClosed().startsWith("HTTP/1.1 431"));
+}
+
+}
+}
+
+int main(int argc, char **argv)
+{
+    testing::InitGoogleTest(&argc, argv);
+    QCoreApplication application(argc, argv);
+    return RUN_ALL_TESTS();
+}
