--- a/bench/path.cpp
+++ b/bench/path.cpp
@@ -23,7 +23,8 @@
 namespace Plantainweir {
 namespace {
 
-const Endpoint AnyPort{.address = "127.0.0.1", .port = 0};
+/** A free port of loopback. */
+const Endpoint s_anyPort{.address = "127.0.0.1", .port = 0};
 constexpr std::uint32_t UpstreamSlots = 1000;
 
 /** A task that lives in a thread of its own, as a program of its own would. */
@@ -87,7 +88,7 @@
     QObject::connect(raw, &HttpServer::requestReceived, raw, [raw](ExchangeId exchange, const HttpRequest &request) {
         raw->respond(exchange, {.status = 200, .fields = {{"Content-Type", "text/plain"}}, .body = request.body});
     });
-    raw->listen(AnyPort);
+    raw->listen(s_anyPort);
     return server;
 }
 
@@ -111,9 +112,9 @@
     auto entry = std::make_unique<Entry>(EntrySettings{
         .name = "bench",
         .availabilityZone = "zone",
-        .callerPort = AnyPort,
-        .peerPort = AnyPort,
-        .operatorsPort = AnyPort,
+        .callerPort = s_anyPort,
+        .peerPort = s_anyPort,
+        .operatorsPort = s_anyPort,
         .control = std::nullopt,
         .seed = 1,
     });
@@ -222,7 +223,7 @@
 
 QJsonObject measureQt(const CommandLine &commandLine, const Endpoint &upstream)
 {
-    Endpoint endpoint = AnyPort;
+    Endpoint endpoint = s_anyPort;
     Hosted<QtForwarder> forwarder([&] {
         auto task = std::make_unique<QtForwarder>(upstream);
         endpoint.port = task->listen();
@@ -257,7 +258,7 @@
     }
     QCoreApplication application(argc, argv);
     Hosted<HttpServer> upstream(makeUpstream);
-    Endpoint upstreamEndpoint = AnyPort;
+    Endpoint upstreamEndpoint = s_anyPort;
     upstream.run([&upstreamEndpoint](HttpServer *server) {
         upstreamEndpoint.port = server->port();
     });
