Ask the newest directory answer's entries first

Change: the newest answer's entries are asked first, and one that does not answer moves to the end of the list.

--- a/src/caller/callertask.cpp
+++ b/src/caller/callertask.cpp
@@ -9,6 +9,7 @@
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -39,6 +40,7 @@
 struct DirectoryState {
     std::optional<DirectoryAnswer> answer;
     bool isAsked = false;
+    Endpoint askedEntry; ///< Where the answer is to come from, while asked.
     std::size_t failures = 0; ///< Entry VMs asked in a row without an answer.
     std::vector<LocalCallId> waiting;
 };
@@ -71,7 +73,8 @@
 class CallerTask::Private : public QObject
 {
 public:
-    Private(CallerTask *task, const CallerSettings &settings, std::uint64_t seed) : q(task), m_settings(settings), m_random(seed), m_client(HttpLimits{})
+    Private(CallerTask *task, const CallerSettings &settings, std::uint64_t seed)
+        : q(task), m_settings(settings), m_random(seed), m_client(HttpLimits{}), m_directoryEntries(settings.entries)
     {
         connect(&m_client, &HttpClient::finished, this, &Private::handleFinished);
     }
@@ -107,7 +110,8 @@
             return;
         }
         directory.isAsked = true;
-        const Endpoint &entry = m_settings.entries[m_nextDirectoryEntry % m_settings.entries.size()];
+        const Endpoint entry = m_directoryEntries.front();
+        directory.askedEntry = entry;
         const HttpRequest request{.method = "GET", .target = "/directory/" + service, .fields = {}, .body = {}};
         m_directorySends.emplace(m_client.send(entry, request, Clock::now() + DirectoryTimeout), service);
     }
@@ -138,11 +142,33 @@
         }
         directory.failures = 0;
         directory.answer = answer;
+        learnEntries(answer->entries);
         for (const LocalCallId id : std::exchange(directory.waiting, {})) {
             begin(id, *answer);
         }
     }
 
+    /** Entry VMs come and go: those of the newest answer are asked next, then those of the settings. */
+    void learnEntries(const std::vector<DirectoryEntry> &entries)
+    {
+        m_directoryEntries.clear();
+        for (const DirectoryEntry &entry : entries) {
+            m_directoryEntries.push_back(entry.address);
+        }
+        std::copy_if(m_settings.entries.begin(), m_settings.entries.end(), std::back_inserter(m_directoryEntries), [this](const Endpoint &entry) {
+            return std::find(m_directoryEntries.begin(), m_directoryEntries.end(), entry) == m_directoryEntries.end();
+        });
+    }
+
+    /** The entry VM did not answer; the others are asked before it. */
+    void moveToEnd(const Endpoint &entry)
+    {
+        const auto found = std::find(m_directoryEntries.begin(), m_directoryEntries.end(), entry);
+        if (found != m_directoryEntries.end()) {
+            std::rotate(found, found + 1, m_directoryEntries.end());
+        }
+    }
+
     std::optional<DirectoryAnswer> parse(const std::string &body) const
     {
         return valueOr(
@@ -159,8 +185,8 @@
     /** Asks the next entry VM; after one round without an answer the waiting calls end. */
     void handleDirectoryFailure(const std::string &service, DirectoryState &directory)
     {
-        ++m_nextDirectoryEntry;
-        if (++directory.failures < m_settings.entries.size()) {
+        moveToEnd(directory.askedEntry);
+        if (++directory.failures < m_directoryEntries.size()) {
             askDirectory(service);
             return;
         }
@@ -275,7 +301,7 @@
     std::mt19937_64 m_random;
     HttpClient m_client;
     LocalCallId m_lastCall = 0;
-    std::size_t m_nextDirectoryEntry = 0;
+    std::vector<Endpoint> m_directoryEntries; ///< Whose directories are asked, in order.
     std::unordered_map<LocalCallId, ActiveCall> m_calls;
     std::unordered_map<SendId, LocalCallId> m_sends;
     std::unordered_map<SendId, std::string> m_directorySends;
--- a/tests/callertest.cpp
+++ b/tests/callertest.cpp
@@ -192,6 +192,11 @@
     FinishedCall call()
     {
         CallerTask caller({.entries = {{.address = "127.0.0.1", .port = entry.server.port()}}}, 5);
+        return callThrough(caller);
+    }
+
+    FinishedCall callThrough(CallerTask &caller)
+    {
         FinishedCall result;
         QObject::connect(&caller, &CallerTask::finished, &loop, [this, &result](const FinishedCall &finished) {
             result = finished;
@@ -233,6 +238,17 @@
     EXPECT_EQ(second.calls[0].target, "/call/rinkdesk/sale?call=" + toString(finished.key));
 }
 
+TEST_F(CallerTaskTest, AsksTheEntriesOfItsNewestAnswerOnceTheFirstOnesAreGone)
+{
+    entry.directory = R"({"service":"rinkdesk","validForMs":0,"entries":[{"address":")" + second.address() + R"(","keyOwner":"two"}]})";
+    second.directory = entry.directory;
+    CallerTask caller({.entries = {{.address = "127.0.0.1", .port = entry.server.port()}}}, 5);
+    EXPECT_EQ(callThrough(caller).outcome, CallOutcome::Answered);
+    entry.server.drain();
+    EXPECT_EQ(callThrough(caller).outcome, CallOutcome::Answered);
+    EXPECT_EQ(second.calls.size(), 2U);
+}
+
 TEST_F(CallerTaskTest, MakesANewKeyForAnotherEntryIfNothingWasSent)
 {
     ScriptedEntry closed;
