Let ControlLink end without gRPC's thread dropping the channel

Cause: the stream's last reference, and with it the channel, could be dropped in OnDone on the thread that serves the channel's queue; gRPC then aborted (ref_counted.h: prior > 0), in tests and possibly at the end of entryd. Change: the link's destructor cancels the stream and waits until gRPC is done with it, holding the last reference.

--- a/src/tasks/controllink.cpp
+++ b/src/tasks/controllink.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <future>
 
 namespace Plantainweir {
 namespace {
@@ -78,9 +79,20 @@
         }
     }
 
+    /**
+     * Waits until gRPC is done with the stream, after close(). The caller must hold a reference: gRPC's thread shall not
+     * drop the last one, and with it the channel whose queue it serves.
+     */
+    void waitUntilDone()
+    {
+        m_done->get_future().wait();
+    }
+
     void OnDone(const grpc::Status &) override
     {
+        const auto done = m_done;
         m_self.reset();
+        done->set_value();
     }
 
 private:
@@ -90,6 +102,7 @@
     wire::ControlUpdate m_update;
     wire::EntryState m_state;
     std::shared_ptr<ControlStream> m_self;
+    std::shared_ptr<std::promise<void>> m_done = std::make_shared<std::promise<void>>();
 };
 
 }
@@ -191,6 +204,7 @@
 {
     if (d->m_stream) {
         d->m_stream->close();
+        d->m_stream->waitUntilDone();
     }
 }
 
