Emit nothing from a control server that is being destroyed

Cause: its destructor delivers what is queued, and with it entryGone() to a controld whose membership is gone already: controldtest crashed in 3 of 3 runs once a link's stream ended before the server did. Change: no signal once the server closes.

--- a/src/tasks/controlserver.cpp
+++ b/src/tasks/controlserver.cpp
@@ -189,6 +189,9 @@
             reportIfGone();
             return;
         }
+        if (m_isClosing) {
+            return;
+        }
         stream->readNext();
         Q_EMIT q->entryStateReceived(*state);
         send(*stream);
@@ -217,7 +220,8 @@
 
     void reportIfGone()
     {
-        if (!hasOpenStream()) {
+        // Whoever listens may be half destroyed already when the server is.
+        if (!m_isClosing && !hasOpenStream()) {
             Q_EMIT q->entryGone();
         }
     }
