--- /dev/null
+++ b/tests/fakes/processtest.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "fakes/fleet.h"
+
+#include <gtest/gtest.h>
+
+#include <QCoreApplication>
+
+namespace Plantainweir {
+
+/** Base of the process tests: the application object that the fleet's processes and sockets need. */
+class ProcessTest : public testing::Test
+{
+private:
+    int m_argumentCount = 1;
+    char m_program[5] = "test";
+    char *m_arguments[2] = {m_program, nullptr};
+    QCoreApplication m_application{m_argumentCount, m_arguments};
+
+protected:
+    Fleet fleet;
+};
+
+}
--- /dev/null
+++ b/tests/processcontroltest.cpp
@@ -0,0 +1,64 @@
+#include "fakes/processtest.h"
+
+#include <csignal>
+
+/** The platform or the control daemon away: the request path does not notice. */
+namespace Plantainweir {
+namespace {
+
+using ProcessControlTest = ProcessTest;
+
+constexpr int Entries = 3;
+
+void expectAllAnswered(const Verdict &verdict)
+{
+    EXPECT_TRUE(isKept(verdict));
+    for (const auto &[rank, report] : verdict.report.ranks) {
+        EXPECT_EQ(report.answered, report.sent) << rank;
+    }
+}
+
+TEST_F(ProcessControlTest, ServesWhileThePlatformIsDownAndAFreshEntryJoins)
+{
+    fleet.start(Entries);
+    ASSERT_FALSE(HasFailure());
+    fleet.changePlatform(R"({"mode":"down"})");
+    fleet.startCalls({.count = 1500, .callsPerSecond = 300});
+    const EntryVm &fresh = fleet.addEntry();
+    fleet.waitUntilReady(fresh, Entries + 1);
+    fleet.waitForCalls();
+    // The fresh entry VM has what it knows from its peers, and serves with it.
+    fleet.startCalls({.count = 300, .callsPerSecond = 300});
+    fleet.waitForCalls();
+    expectAllAnswered(fleet.stopAndJudge());
+}
+
+TEST_F(ProcessControlTest, ServesWhileThePlatformIsSlow)
+{
+    fleet.start(Entries);
+    ASSERT_FALSE(HasFailure());
+    fleet.changePlatform(R"({"mode":"slow","delayMs":5000})");
+    const EntryVm &fresh = fleet.addEntry();
+    fleet.startCalls({.count = 1500, .callsPerSecond = 300});
+    fleet.waitUntilReady(fresh, Entries + 1);
+    fleet.waitForCalls();
+    expectAllAnswered(fleet.stopAndJudge());
+}
+
+TEST_F(ProcessControlTest, EntrydServesWhileItsControldIsDead)
+{
+    fleet.start(Entries);
+    ASSERT_FALSE(HasFailure());
+    QProcess &calls = fleet.startCalls({.count = 2400, .callsPerSecond = 300});
+    fleet.waitForExecutions(300);
+    for (std::size_t index = 0; index < Entries; ++index) {
+        Fleet::signalProcess(*fleet.entry(index).controld, SIGKILL);
+        Fleet::waitUntilEnded(*fleet.entry(index).controld);
+    }
+    EXPECT_EQ(calls.state(), QProcess::Running) << "the fault came after the load";
+    fleet.waitForCalls();
+    expectAllAnswered(fleet.stopAndJudge());
+}
+
+}
+}
--- /dev/null
+++ b/tests/processfaulttest.cpp
@@ -0,0 +1,83 @@
+#include "fakes/processtest.h"
+
+#include <csignal>
+
+/** Entry VMs that die or pause under load: no doubled execution, and truthful outcomes. */
+namespace Plantainweir {
+namespace {
+
+using ProcessFaultTest = ProcessTest;
+
+constexpr int Entries = 3;
+/** Mostly work that must run at most once. */
+constexpr auto BookingMix = "session-lookup=20,ticket-sale=50,pass-redemption=30";
+
+TEST_F(ProcessFaultTest, KillingAnEntryDoublesNoBooking)
+{
+    fleet.start(Entries);
+    ASSERT_FALSE(HasFailure());
+    QProcess &calls = fleet.startCalls({.count = 2400, .callsPerSecond = 300, .mix = BookingMix});
+    fleet.waitForExecutions(400);
+    EntryVm &killed = fleet.ownerOf("rinkdesk");
+    Fleet::signalProcess(*killed.entryd, SIGKILL);
+    Fleet::signalProcess(*killed.controld, SIGKILL);
+    Fleet::waitUntilEnded(*killed.entryd);
+    Fleet::waitUntilEnded(*killed.controld);
+    fleet.waitUntilReady(fleet.entryOtherThan(killed), Entries - 1);
+    EXPECT_EQ(calls.state(), QProcess::Running) << "the load ended before the others noticed";
+    fleet.waitForCalls();
+    EXPECT_TRUE(isKept(fleet.stopAndJudge(), {BrokenPromise::CutOff}));
+}
+
+TEST_F(ProcessFaultTest, PausingAnEntryDoublesNoBooking)
+{
+    fleet.start(Entries);
+    ASSERT_FALSE(HasFailure());
+    EntryVm &paused = fleet.ownerOf("rinkdesk");
+    QProcess &calls = fleet.startCalls({.count = 3000, .callsPerSecond = 300, .timeoutMs = 10'000, .tryTimeoutMs = 500, .mix = BookingMix});
+    fleet.waitForExecutions(300);
+    Fleet::signalProcess(*paused.entryd, SIGSTOP);
+    Fleet::signalProcess(*paused.controld, SIGSTOP);
+    fleet.waitUntilReady(fleet.entryOtherThan(paused), Entries - 1);
+    fleet.waitForExecutions(1000);
+    Fleet::signalProcess(*paused.controld, SIGCONT);
+    Fleet::signalProcess(*paused.entryd, SIGCONT);
+    EXPECT_EQ(calls.state(), QProcess::Running) << "the pause outlasted the load";
+    fleet.waitForCalls();
+    fleet.waitUntilReady(paused, Entries);
+    const Verdict verdict = fleet.stopAndJudge();
+    EXPECT_TRUE(isKept(verdict, {BrokenPromise::CutOff}));
+    EXPECT_GT(verdict.count(BrokenPromise::CutOff), 0U) << "the pause met no call";
+}
+
+TEST_F(ProcessFaultTest, PausingOnlyEntrydDoublesNoBooking)
+{
+    fleet.start(Entries);
+    ASSERT_FALSE(HasFailure());
+    EntryVm &paused = fleet.ownerOf("rinkdesk");
+    QProcess &calls = fleet.startCalls({.count = 2400, .callsPerSecond = 300, .timeoutMs = 10'000, .tryTimeoutMs = 500, .mix = BookingMix});
+    fleet.waitForExecutions(300);
+    Fleet::signalProcess(*paused.entryd, SIGSTOP);
+    fleet.waitForExecutions(900);
+    Fleet::signalProcess(*paused.entryd, SIGCONT);
+    EXPECT_EQ(calls.state(), QProcess::Running) << "the pause outlasted the load";
+    fleet.waitForCalls();
+    const Verdict verdict = fleet.stopAndJudge();
+    EXPECT_TRUE(isKept(verdict, {BrokenPromise::CutOff}));
+    EXPECT_GT(verdict.count(BrokenPromise::CutOff), 0U) << "the pause met no call";
+}
+
+TEST_F(ProcessFaultTest, ClosedUpstreamConnectionsDoubleNoBooking)
+{
+    fleet.start(Entries);
+    ASSERT_FALSE(HasFailure());
+    fleet.changeUpstreams("rinkdesk-1", R"({"fault":"close_after_run"})");
+    fleet.changeUpstreams("rinkdesk-2", R"({"fault":"close_in_answer"})");
+    fleet.changeUpstreams("tillside-1", R"({"fault":"shed"})");
+    fleet.startCalls({.count = 1200, .callsPerSecond = 300, .mix = BookingMix});
+    fleet.waitForCalls();
+    EXPECT_TRUE(isKept(fleet.stopAndJudge(), {BrokenPromise::CutOff}));
+}
+
+}
+}
