--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -26,6 +26,7 @@
         {.name = "path", .summary = "the request path, a direct call beside a proxied one", .run = runPath},
         // Policies.
         {.name = "policy", .summary = "the decisions under load and faults in virtual time", .run = runPolicy},
+        {.name = "policies", .summary = "all policies and scenarios as tables and a plot", .run = runPolicies},
     };
 }
 
--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -1,5 +1,6 @@
 #include "core/commandline.h"
 #include "policyreport.h"
+#include "policytable.h"
 #include "subcommands.h"
 
 #include <fmt/format.h>
@@ -12,7 +13,8 @@
 namespace {
 
 constexpr std::int64_t DefaultCalls = 100'000;
-constexpr std::int64_t MostCalls = 10'000'000;
+constexpr std::int64_t MinimumCalls = 100;
+constexpr std::int64_t MaximumCalls = 10'000'000;
 
 template<typename Enum>
 std::vector<std::string> namesOf()
@@ -47,7 +49,7 @@
     commandLine.addChoice("scenario", "what happens during the run", namesOf<Scenario>(), "steady-70");
     commandLine.addChoice("policy", "how calls are spread", namesOf<Policy>(), "product");
     commandLine.addInteger("seed", "seed of all random numbers", 0, std::numeric_limits<std::int64_t>::max(), 1);
-    commandLine.addInteger("calls", "expected number of calls; sets the duration of the run", 100, MostCalls, DefaultCalls);
+    commandLine.addInteger("calls", "expected number of calls; sets the duration of the run", MinimumCalls, MaximumCalls, DefaultCalls);
     commandLine.addNumber("flood-factor", "load of a flood as a multiple of capacity", 0.0, 100.0, 4.0);
     commandLine.addText("json", "file for the summary; standard output if empty", "");
     commandLine.addText("trace", "file for one line for each call; none if empty", "");
@@ -66,6 +68,27 @@
 
 }
 
+int runPolicies(int argc, char **argv)
+{
+    CommandLine commandLine("plantainweir-bench policies", "Runs all policies through all scenarios and writes tables and a plot.");
+    commandLine.addChoice("deployment", "fleet to stand in for", namesOf<Deployment>(), "northern-blade");
+    commandLine.addInteger("seed", "seed of all random numbers", 0, std::numeric_limits<std::int64_t>::max(), 1);
+    commandLine.addInteger("calls", "expected number of calls of each run", MinimumCalls, MaximumCalls, DefaultCalls);
+    commandLine.addText("markdown", "file for the table; standard output if empty", "");
+    commandLine.addText("csv", "file for the figures of each rank; standard output if empty", "");
+    commandLine.addText("svg", "file for the plot; standard output if empty", "");
+    if (const auto status = commandLine.parse(argc, argv)) {
+        return static_cast<int>(*status);
+    }
+    const auto rows = runAll(*valueNamed<Deployment>(commandLine.text("deployment")),
+                             static_cast<std::uint64_t>(commandLine.integer("seed")),
+                             static_cast<std::size_t>(commandLine.integer("calls")));
+    const bool isWritten = write(commandLine.text("markdown"), toMarkdown(rows)) == ExitStatus::Success
+                           && write(commandLine.text("csv"), toCsv(rows)) == ExitStatus::Success
+                           && write(commandLine.text("svg"), toSvg(rows)) == ExitStatus::Success;
+    return static_cast<int>(isWritten ? ExitStatus::Success : ExitStatus::Failure);
+}
+
 int runPolicy(int argc, char **argv)
 {
     CommandLine commandLine("plantainweir-bench policy", "Measures the decisions under load and faults in virtual time.");
--- a/bench/subcommands.h
+++ b/bench/subcommands.h
@@ -15,4 +15,7 @@
 /** Measures the decisions under load and faults in virtual time. @return the exit status of the program. */
 int runPolicy(int argc, char **argv);
 
+/** Runs all policies through all scenarios and writes tables and a plot. @return the exit status of the program. */
+int runPolicies(int argc, char **argv);
+
 }
--- a/src/configuration/configurationjson.cpp
+++ b/src/configuration/configurationjson.cpp
@@ -239,9 +239,9 @@
 {
     QJsonObject services;
     for (const auto &[name, service] : configuration.services) {
-        services.insert(toQString(name), static_cast<double>(service.version));
+        services.insert(toQString(name), QString::number(service.version));
     }
-    return toText({{"rules", static_cast<double>(configuration.rules.version)}, {"services", services}});
+    return toText({{"rules", QString::number(configuration.rules.version)}, {"services", services}});
 }
 
 std::vector<RememberedWrite> decodeRememberedWrites(std::string_view text)
--- a/src/configuration/configurationjson.h
+++ b/src/configuration/configurationjson.h
@@ -35,7 +35,7 @@
 Result<Service> decodeService(std::string_view text);
 /** Reads what encodeRules() writes; the version is zero. */
 Result<Rules> decodeRules(std::string_view text);
-/** Returns the versions in @p configuration as the JSON object that `/status` shows: {"rules": N, "services": {NAME: N}}. */
+/** Returns the versions in @p configuration as the member `versions` of `/status`: {"rules": "N", "services": {NAME: "N"}}. */
 std::string encodeVersions(const Configuration &configuration);
 /** Returns the writes that the object @p text remembers, oldest first; empty if it remembers none. */
 std::vector<RememberedWrite> decodeRememberedWrites(std::string_view text);
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -10,6 +10,12 @@
 constexpr std::chrono::milliseconds UsageWindow{200};
 /** Share of the slots that a rank can count on at least, so that a wait is never infinite. */
 constexpr double MinimumShare = 0.01;
+constexpr double CompletionWeight = 1.0 / 64.0;
+constexpr double LowestEfficiency = 0.25;
+constexpr double HighestEfficiency = 4.0;
+constexpr double RefusedShareWeight = 1.0 / 256.0;
+/** Share of refused calls from which on the service is overloaded. */
+constexpr double OverloadRefusedShare = 0.05;
 constexpr std::uint32_t MaximumQueuedCalls = 100'000;
 
 std::size_t indexOf(Rank rank)
@@ -17,11 +23,17 @@
     return static_cast<std::size_t>(rank);
 }
 
+/** Returns the slots as they would be if a call took its service time and nothing else. */
+double effectiveSlots(const ServiceState &state)
+{
+    return std::max(state.slots, 1U) * state.throughput.efficiency;
+}
+
 double usageShare(const ServiceState &state, Rank rank, TimePoint now)
 {
     const RankUsage &usage = state.usages[indexOf(rank)];
     const double windows = toMilliseconds(now - usage.updatedAt) / toMilliseconds(UsageWindow);
-    const double capacity = static_cast<double>(std::max(state.slots, 1U)) * static_cast<double>(Duration{UsageWindow}.count());
+    const double capacity = effectiveSlots(state) * static_cast<double>(Duration{UsageWindow}.count());
     return usage.nanoseconds * std::exp(-windows) / capacity;
 }
 
@@ -30,6 +42,11 @@
     return state.latencies[indexOf(rank)].meanNanoseconds * calls;
 }
 
+bool isOverloaded(const ServiceState &state)
+{
+    return state.refusedShare > OverloadRefusedShare;
+}
+
 /** Slot time of the waiting calls that go before a new one. */
 struct WorkAhead {
     double higherRanks = 0.0;
@@ -45,18 +62,21 @@
         ahead.higherRanks += slotTimeOf(state, higher, state.queue.ranks[index].size);
         ahead.higherShare += usageShare(state, higher, now);
     }
-    ahead.ownRank = slotTimeOf(state, rank, callsAhead(state.queue.ranks[indexOf(rank)], caller));
+    ahead.ownRank = slotTimeOf(state, rank, callsAhead(state.queue.ranks[indexOf(rank)], caller, isOverloaded(state)));
     return ahead;
 }
 
 /** Returns the wait in nanoseconds: in the order of the ranks, or by the rank's floor if that is sooner. */
 double waitBehind(const ServiceState &state, const WorkAhead &ahead, Rank rank)
 {
-    const double slots = std::max(state.slots, 1U);
+    const double slots = effectiveSlots(state);
+    if (!isOverloaded(state)) {
+        return (ahead.higherRanks + ahead.ownRank) / slots;
+    }
     const double floor = std::max(floorShare(rank), MinimumShare);
     const double inOrder = (ahead.higherRanks + ahead.ownRank) / (slots * std::max(1.0 - ahead.higherShare, floor));
     const double byFloor = ahead.ownRank / (slots * floor);
-    return std::min(inOrder, ahead.higherShare >= 1.0 - floor ? byFloor : inOrder);
+    return std::min(inOrder, byFloor);
 }
 
 RefusalReason reasonOf(const ServiceState &state, const WorkAhead &ahead, Rank rank)
@@ -76,13 +96,32 @@
     return times;
 }
 
+RankChoice rankChoice(const ServiceState &state, TimePoint now)
+{
+    double waiting = 0.0;
+    for (std::size_t index = 0; index < state.queue.ranks.size(); ++index) {
+        waiting += slotTimeOf(state, static_cast<Rank>(index), state.queue.ranks[index].size);
+    }
+    return {
+        .serviceTimes = meanServiceTimes(state),
+        .backlog = Duration{static_cast<std::int64_t>(waiting / effectiveSlots(state))},
+        .isOverloaded = isOverloaded(state),
+        .now = now,
+    };
+}
+
+void recordAdmission(ServiceState &state, bool isRefused)
+{
+    state.refusedShare += RefusedShareWeight * ((isRefused ? 1.0 : 0.0) - state.refusedShare);
+}
+
 Duration expectedWait(const ServiceState &state, Rank rank, std::uint64_t caller, TimePoint now)
 {
     if (state.queue.size == 0 && state.freeSlots > 0) {
         return Duration::zero();
     }
     const WorkAhead ahead = workAhead(state, rank, caller, now);
-    const double nextCompletion = state.latencies[indexOf(rank)].meanNanoseconds / std::max(state.slots, 1U);
+    const double nextCompletion = state.latencies[indexOf(rank)].meanNanoseconds / effectiveSlots(state);
     return Duration{static_cast<std::int64_t>(waitBehind(state, ahead, rank) + nextCompletion)};
 }
 
@@ -115,7 +154,7 @@
 {
     const LatencyQuantiles &service = state.latencies[indexOf(arrival.rank)].quantiles;
     const bool isIdempotent = arrival.repeatability == Repeatability::Idempotent;
-    return arrival.deadline - (isIdempotent ? service.p50 : service.p90);
+    return arrival.deadline - (isIdempotent && !isOverloaded(state) ? service.p50 : service.p90);
 }
 
 void recordUsage(ServiceState &state, Rank rank, Duration serviceTime, TimePoint now)
@@ -126,4 +165,29 @@
     usage.updatedAt = now;
 }
 
+void recordCompletion(ServiceState &state, TimePoint now)
+{
+    Throughput &throughput = state.throughput;
+    if (throughput.isBacklogged) {
+        const auto interval = static_cast<double>((now - throughput.lastCompletionAt).count());
+        throughput.meanInterval += CompletionWeight * (interval - throughput.meanInterval);
+        const double expected = meanOverRanks(state) / std::max(state.slots, 1U);
+        const double measured = expected / std::max(throughput.meanInterval, 1.0);
+        throughput.efficiency += CompletionWeight * (std::clamp(measured, LowestEfficiency, HighestEfficiency) - throughput.efficiency);
+    }
+    throughput.lastCompletionAt = now;
+    throughput.isBacklogged = state.queue.size > 0;
+}
+
+double meanOverRanks(const ServiceState &state)
+{
+    double sum = 0.0;
+    double samples = 0.0;
+    for (const LatencyEstimate &estimate : state.latencies) {
+        sum += estimate.meanNanoseconds * estimate.total;
+        samples += estimate.total;
+    }
+    return samples > 0.0 ? sum / samples : 0.0;
+}
+
 }
--- a/src/decision/binding.cpp
+++ b/src/decision/binding.cpp
@@ -32,8 +32,8 @@
 CallState *takeNextCall(StepContext &context)
 {
     ServiceState &state = context.state;
-    const auto serviceTimes = meanServiceTimes(state);
-    while (const auto rank = nextRank(state.queue, serviceTimes)) {
+    const RankChoice choice = rankChoice(state, context.now);
+    while (const auto rank = nextRank(state.queue, choice)) {
         const QueueEntry entry = popFirst(queueOf(state, *rank));
         CallState *call = waitingCall(state, entry);
         if (call == nullptr) {
@@ -239,6 +239,7 @@
 void expire(StepContext &context, CallState &call, RefusalReason reason)
 {
     const CallId id = call.arrival.call;
+    recordAdmission(context.state, true);
     const Duration wait = expectedWait(context.state, call.arrival.rank, call.arrival.caller, context.now);
     leaveQueue(context.state, call);
     if (call.runningCount > 0) {
--- a/src/decision/callqueue.cpp
+++ b/src/decision/callqueue.cpp
@@ -1,6 +1,7 @@
 #include "decision/callqueue.h"
 
 #include <algorithm>
+#include <bit>
 #include <tuple>
 
 namespace Plantainweir {
@@ -31,6 +32,40 @@
     return turn.round;
 }
 
+bool isOwedFloor(const RankQueue &rank, Duration serviceTime)
+{
+    return rank.floorCredit > 0.0 && rank.floorCredit >= static_cast<double>(serviceTime.count());
+}
+
+/** Returns whether the first call of @p higher lets the first one of @p lower go before it. */
+bool yields(const RankQueue &higher, const RankQueue &lower, const RankChoice &choice)
+{
+    const TimePoint deadline = higher.entries.front().deadline;
+    const bool hasTime = choice.now + 2 * choice.backlog < deadline;
+    return !choice.isOverloaded && hasTime && lower.entries.front().deadline < deadline;
+}
+
+std::size_t groupOf(std::uint32_t calls)
+{
+    return std::min<std::size_t>(std::bit_width(calls), CallerGroups - 1);
+}
+
+/** Changes the number of a caller's waiting calls. */
+void setQueuedCalls(RankQueue &queue, CallerTurn &turn, std::uint32_t calls)
+{
+    CallerGroup &before = queue.callerGroups[groupOf(turn.queuedCalls)];
+    if (turn.queuedCalls > 0) {
+        --before.callers;
+        before.calls -= turn.queuedCalls;
+    }
+    turn.queuedCalls = calls;
+    CallerGroup &after = queue.callerGroups[groupOf(calls)];
+    if (calls > 0) {
+        ++after.callers;
+        after.calls += calls;
+    }
+}
+
 RankQueue &queueOf(CallQueue &queue, Rank rank)
 {
     return queue.ranks[static_cast<std::size_t>(rank)];
@@ -40,15 +75,16 @@
 
 double floorShare(Rank rank)
 {
-    static_cast<void>(rank);
-    return 0.05;
+    static constexpr std::array Shares{0.05, 0.05, 0.05};
+    return Shares[static_cast<std::size_t>(rank)];
 }
 
 QueueTicket push(CallQueue &queue, const CallArrived &arrival, bool isAgain)
 {
     RankQueue &rank = queueOf(queue, arrival.rank);
     const std::uint64_t round = isAgain ? rank.currentRound : takeTurn(rank, arrival.caller);
-    ++rank.callers[arrival.caller].queuedCalls;
+    CallerTurn &turn = rank.callers[arrival.caller];
+    setQueuedCalls(rank, turn, turn.queuedCalls + 1);
     const QueueTicket ticket = ++queue.lastTicket;
     rank.entries.push_back({.round = round, .deadline = arrival.deadline, .ticket = ticket, .call = arrival.call});
     std::push_heap(rank.entries.begin(), rank.entries.end(), isLater);
@@ -63,7 +99,8 @@
     --rank.size;
     --queue.size;
     const auto caller = rank.callers.find(arrival.caller);
-    if (--caller->second.queuedCalls == 0) {
+    setQueuedCalls(rank, caller->second, caller->second.queuedCalls - 1);
+    if (caller->second.queuedCalls == 0) {
         rank.callers.erase(caller);
     }
     if (rank.size == 0) {
@@ -72,43 +109,49 @@
     }
 }
 
-std::uint32_t callsAhead(const RankQueue &queue, std::uint64_t caller)
+std::uint32_t callsAhead(const RankQueue &queue, std::uint64_t caller, bool isOverloaded)
 {
     const auto found = queue.callers.find(caller);
-    const std::uint64_t ownRound = found == queue.callers.end() ? queue.currentRound : std::max(found->second.round, queue.currentRound);
-    const std::uint64_t rounds = ownRound - queue.currentRound + 1;
-    const std::uint64_t byTurns = rounds * CallsPerRound * queue.callers.size();
-    return static_cast<std::uint32_t>(std::min<std::uint64_t>(queue.size, byTurns));
+    const std::uint64_t ownCalls = found == queue.callers.end() ? 1 : found->second.queuedCalls + 1;
+    const std::size_t ownGroup = groupOf(static_cast<std::uint32_t>(ownCalls));
+    const std::size_t firstMatching = isOverloaded ? ownGroup - 1 : ownGroup;
+    std::uint64_t ahead = 0;
+    for (std::size_t group = 1; group < queue.callerGroups.size(); ++group) {
+        const CallerGroup &others = queue.callerGroups[group];
+        ahead += group < firstMatching ? others.calls : others.callers * ownCalls;
+    }
+    return static_cast<std::uint32_t>(isOverloaded ? ahead : std::min<std::uint64_t>(queue.size, ahead));
 }
 
-std::optional<Rank> nextRank(const CallQueue &queue, const std::array<Duration, enumCount<Rank>()> &serviceTimes)
+std::optional<Rank> nextRank(const CallQueue &queue, const RankChoice &choice)
 {
-    std::optional<Rank> first;
+    std::optional<std::size_t> best;
     for (std::size_t index = 0; index < queue.ranks.size(); ++index) {
         const RankQueue &rank = queue.ranks[index];
         if (rank.size == 0) {
             continue;
         }
-        const bool isOwed = rank.floorCredit > 0.0 && rank.floorCredit >= static_cast<double>(serviceTimes[index].count());
-        if (isOwed) {
+        if (isOwedFloor(rank, choice.serviceTimes[index])) {
             return static_cast<Rank>(index);
         }
-        if (!first) {
-            first = static_cast<Rank>(index);
+        if (!best || yields(queue.ranks[*best], rank, choice)) {
+            best = index;
         }
     }
-    return first;
+    return best ? std::optional(static_cast<Rank>(*best)) : std::nullopt;
 }
 
 void chargeSlotTime(CallQueue &queue, Rank rank, Duration serviceTime)
 {
     const auto taken = static_cast<double>(serviceTime.count());
     for (std::size_t index = 0; index < queue.ranks.size(); ++index) {
-        RankQueue &other = queue.ranks[index];
-        if (static_cast<Rank>(index) == rank) {
-            other.floorCredit = std::max(0.0, other.floorCredit - taken);
-        } else if (other.size > 0) {
-            other.floorCredit = std::min(other.floorCredit + floorShare(static_cast<Rank>(index)) * taken, MaximumFloorCredit * taken);
+        RankQueue &owed = queue.ranks[index];
+        const bool isOwn = static_cast<Rank>(index) == rank;
+        if (isOwn) {
+            owed.floorCredit = std::max(0.0, owed.floorCredit - taken);
+        }
+        if (isOwn || owed.size > 0) {
+            owed.floorCredit = std::min(owed.floorCredit + floorShare(static_cast<Rank>(index)) * taken, MaximumFloorCredit * taken);
         }
     }
 }
--- a/src/decision/callqueue.h
+++ b/src/decision/callqueue.h
@@ -33,10 +33,19 @@
     std::uint32_t queuedCalls = 0;
 };
 
+/** Callers by the number of their waiting calls: group N holds those with 2^(N-1) to 2^N - 1. */
+struct CallerGroup {
+    std::uint32_t callers = 0;
+    std::uint32_t calls = 0;
+};
+
+inline constexpr std::size_t CallerGroups = 18;
+
 /** The waiting calls of one rank, as a binary heap; entries of calls that have left stay until they surface. */
 struct RankQueue {
     std::vector<QueueEntry> entries;
     std::unordered_map<std::uint64_t, CallerTurn> callers; ///< Those with queued calls.
+    std::array<CallerGroup, CallerGroups> callerGroups{};
     std::uint64_t currentRound = 0;
     std::uint32_t size = 0; ///< Calls that wait, without those that have left.
     double floorCredit = 0.0; ///< Slot time that the rank is owed by its floor, in nanoseconds.
@@ -49,6 +58,14 @@
     std::uint32_t size = 0;
 };
 
+/** What the choice between ranks depends on besides the queue. */
+struct RankChoice {
+    std::array<Duration, enumCount<Rank>()> serviceTimes{}; ///< Mean, by rank.
+    Duration backlog{}; ///< Time to run all that waits.
+    bool isOverloaded = false; ///< Calls are being refused for want of slots.
+    TimePoint now;
+};
+
 /** Share of the slots' time that @p rank keeps while others flood. */
 double floorShare(Rank rank);
 
@@ -58,11 +75,19 @@
 /** Notes that a waiting call has left; its entry is skipped from now on. */
 void leave(CallQueue &queue, const CallArrived &arrival);
 
-/** Returns how many waiting calls of the rank go before a new call of @p caller. */
-std::uint32_t callsAhead(const RankQueue &queue, std::uint64_t caller);
+/**
+ * Returns how many waiting calls of the rank go before a new call of @p caller; under overload, also those that the
+ * other callers are expected to add meanwhile.
+ */
+std::uint32_t callsAhead(const RankQueue &queue, std::uint64_t caller, bool isOverloaded);
 
-/** Returns the rank to serve next, or nothing if no call waits; @p serviceTimes are the mean times for each rank. */
-std::optional<Rank> nextRank(const CallQueue &queue, const std::array<Duration, enumCount<Rank>()> &serviceTimes);
+/**
+ * Returns the rank to serve next, or nothing if no call waits.
+ *
+ * A rank that is owed its floor goes first, else the best one. Without overload, a call yields to one of a lower rank
+ * with an earlier deadline if it can wait for all that is queued and have half of its time left.
+ */
+std::optional<Rank> nextRank(const CallQueue &queue, const RankChoice &choice);
 
 /** Charges the floors for a call of @p rank that takes a slot for @p serviceTime. */
 void chargeSlotTime(CallQueue &queue, Rank rank, Duration serviceTime);
--- a/src/decision/dispatch.cpp
+++ b/src/decision/dispatch.cpp
@@ -148,6 +148,7 @@
         expire(context, refused, *reason);
         return;
     }
+    recordAdmission(state, false);
     deposit(state.retryBudget);
     deposit(state.notRunBudget);
     deposit(state.hedgeBudget);
@@ -188,6 +189,7 @@
             learnServiceTime(state, attempt, context.now - attempt.startedAt);
         }
         recordAttemptEnd(context, attempt, event.outcome);
+        recordCompletion(state, context.now);
         if (event.report && event.report->isDraining) {
             changeLeaving(context, {.upstream = state.upstreams[*attempt.upstream].upstream.name});
         }
@@ -294,6 +296,7 @@
         bindCalls(context);
     }
     handOverCalls(context);
+    state.throughput.isBacklogged = state.throughput.isBacklogged && state.queue.size > 0;
     reportToPeers(context);
 }
 
--- a/src/decision/ownership.cpp
+++ b/src/decision/ownership.cpp
@@ -3,7 +3,11 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <map>
 #include <numeric>
+#include <optional>
+#include <set>
+#include <utility>
 
 namespace Plantainweir {
 namespace {
@@ -20,9 +24,13 @@
 
 std::size_t ownerCount(const Service &service)
 {
+    std::set<std::string> availabilityZones;
+    for (const Upstream &upstream : service.upstreams) {
+        availabilityZones.insert(upstream.availabilityZone);
+    }
     const std::size_t bySlots = (slotCount(service) + SlotsPerOwner - 1) / SlotsPerOwner;
     // An owner without an upstream could only refuse.
-    return std::min(std::max(MinimumOwners, bySlots), service.upstreams.size());
+    return std::min(std::max({MinimumOwners, availabilityZones.size(), bySlots}), service.upstreams.size());
 }
 
 std::vector<EntryMember> sortByWeight(const Service &service, const std::vector<EntryMember> &members)
@@ -42,28 +50,40 @@
     return candidates;
 }
 
-/** Moves the best candidate of another availability zone than the first one's to the second place. */
+/** Puts the best candidate of each availability zone before all second ones, and so on. */
 void spreadOverAvailabilityZones(std::vector<EntryMember> &candidates)
 {
-    if (candidates.size() < 2) {
-        return;
+    std::map<std::string, std::size_t> takenOf;
+    std::vector<std::pair<std::size_t, EntryMember>> turns;
+    turns.reserve(candidates.size());
+    for (const EntryMember &candidate : candidates) {
+        turns.emplace_back(takenOf[candidate.availabilityZone]++, candidate);
     }
-    const auto other = std::find_if(candidates.begin() + 1, candidates.end(), [&candidates](const EntryMember &member) {
-        return member.availabilityZone != candidates.front().availabilityZone;
+    std::stable_sort(turns.begin(), turns.end(), [](const auto &left, const auto &right) {
+        return left.first < right.first;
+    });
+    std::transform(turns.begin(), turns.end(), candidates.begin(), [](const auto &turn) {
+        return turn.second;
     });
-    if (other != candidates.end()) {
-        std::rotate(candidates.begin() + 1, other, other + 1);
-    }
 }
 
-std::size_t bestOwner(const ServiceOwners &assignment, const std::vector<std::uint32_t> &slotsOf, std::uint32_t slotsAllowed, const std::string &upstream)
+/** The owners with what has been assigned to them so far. */
+struct Shares {
+    const std::vector<EntryMember> &owners;
+    std::vector<std::uint32_t> slots;
+    std::uint32_t slotsAllowed = 0; ///< For each owner.
+};
+
+/** Returns the owner of the highest weight that has slots left, of the upstream's availability zone if @p isNear. */
+std::optional<std::size_t> bestOwner(const Shares &shares, const Upstream &upstream, bool isNear)
 {
-    std::size_t best = assignment.owners.size();
+    std::optional<std::size_t> best;
     std::uint64_t bestWeight = 0;
-    for (std::size_t index = 0; index < assignment.owners.size(); ++index) {
-        const std::uint64_t weight = rendezvousWeight(assignment.owners[index].name, upstream);
-        const bool isAllowed = slotsOf[index] < slotsAllowed;
-        if (isAllowed && (best == assignment.owners.size() || weight > bestWeight)) {
+    for (std::size_t index = 0; index < shares.owners.size(); ++index) {
+        const EntryMember &owner = shares.owners[index];
+        const std::uint64_t weight = rendezvousWeight(owner.name, upstream.name);
+        const bool isAllowed = shares.slots[index] < shares.slotsAllowed && (!isNear || owner.availabilityZone == upstream.availabilityZone);
+        if (isAllowed && (!best || weight > bestWeight)) {
             best = index;
             bestWeight = weight;
         }
@@ -71,6 +91,37 @@
     return best;
 }
 
+/** Assigns the upstreams that have no owner yet. */
+void assignUpstreams(ServiceOwners &assignment, Shares &shares, const Service &service, bool isNear)
+{
+    for (std::size_t row = 0; row < service.upstreams.size(); ++row) {
+        const bool isAssigned = assignment.ownerOf[row] < assignment.owners.size();
+        const auto owner = isAssigned ? std::nullopt : bestOwner(shares, service.upstreams[row], isNear);
+        if (owner) {
+            shares.slots[*owner] += service.upstreams[row].slots;
+            assignment.ownerOf[row] = *owner;
+        }
+    }
+}
+
+/** Drops the owners without an upstream, which could only refuse. */
+void dropIdleOwners(ServiceOwners &assignment, const Shares &shares)
+{
+    std::vector<EntryMember> kept;
+    std::vector<std::size_t> newIndex;
+    newIndex.reserve(shares.slots.size());
+    for (std::size_t index = 0; index < shares.slots.size(); ++index) {
+        newIndex.push_back(kept.size());
+        if (shares.slots[index] > 0) {
+            kept.push_back(assignment.owners[index]);
+        }
+    }
+    for (std::size_t &owner : assignment.ownerOf) {
+        owner = newIndex[owner];
+    }
+    assignment.owners = std::move(kept);
+}
+
 }
 
 std::uint64_t rendezvousWeight(const std::string &member, const std::string &key)
@@ -89,12 +140,11 @@
     }
     const auto owners = static_cast<std::uint32_t>(assignment.owners.size());
     const std::uint32_t slotsAllowed = (slotCount(service) + owners - 1) / owners;
-    std::vector<std::uint32_t> slotsOf(owners, 0);
-    for (const Upstream &upstream : service.upstreams) {
-        const std::size_t owner = bestOwner(assignment, slotsOf, slotsAllowed, upstream.name);
-        slotsOf[owner] += upstream.slots;
-        assignment.ownerOf.push_back(owner);
-    }
+    Shares shares{.owners = assignment.owners, .slots = std::vector<std::uint32_t>(owners, 0), .slotsAllowed = slotsAllowed};
+    assignment.ownerOf.assign(service.upstreams.size(), assignment.owners.size());
+    assignUpstreams(assignment, shares, service, true);
+    assignUpstreams(assignment, shares, service, false);
+    dropIdleOwners(assignment, shares);
     return assignment;
 }
 
--- a/src/decision/ownership.h
+++ b/src/decision/ownership.h
@@ -30,9 +30,10 @@
 /**
  * Assigns the upstreams of @p service to owners among @p members.
  *
- * Owners are the members with the highest rendezvous weights (Thaler and Ravishankar, 1998), the first two from
- * different availability zones if there are any. Members that leave own nothing, unless all leave. Slots are spread evenly over the
- * owners. A member that comes or goes moves only services that it owns.
+ * Owners are the members with the highest rendezvous weights (Thaler and Ravishankar, 1998), one for each availability
+ * zone of the upstreams and more for a large service, spread evenly over the availability zones. Slots are spread evenly
+ * over the owners; an upstream goes to an owner of its own availability zone as long as that one has slots left. Members
+ * that leave own nothing, unless all leave. A member that comes or goes moves only services that it owns.
  */
 ServiceOwners assignOwners(const Service &service, const std::vector<EntryMember> &members);
 
--- a/src/decision/servicestate.h
+++ b/src/decision/servicestate.h
@@ -68,6 +68,14 @@
     TimePoint updatedAt;
 };
 
+/** How fast the slots work a queue off, compared with slots times service time. */
+struct Throughput {
+    double efficiency = 1.0; ///< Below 1 for time lost on the way, above 1 where calls are sent ahead.
+    double meanInterval = 0.0; ///< Between completions behind a queue, in nanoseconds.
+    TimePoint lastCompletionAt;
+    bool isBacklogged = false; ///< A call has waited ever since the last completion.
+};
+
 /** All that an owner knows of one service. */
 struct ServiceState {
     std::vector<UpstreamState> upstreams;
@@ -89,6 +97,8 @@
 
     std::array<LatencyEstimate, enumCount<Rank>()> latencies;
     std::array<RankUsage, enumCount<Rank>()> usages;
+    Throughput throughput;
+    double refusedShare = 0.0; ///< Of the calls, those refused for want of slots; exponentially weighted.
     RetryBudget retryBudget; ///< For attempts after one that may have run.
     RetryBudget notRunBudget{.share = 1.0, .capacity = 200.0, .tokens = 200.0}; ///< For attempts after one that has not run.
     RetryBudget hedgeBudget{.share = 0.02, .capacity = 50.0, .tokens = 50.0};
--- a/src/decision/upstreams.cpp
+++ b/src/decision/upstreams.cpp
@@ -27,21 +27,10 @@
     return upstream.isAssigned && !upstream.isLeaving && !upstream.upstream.isDraining;
 }
 
-double meanNanoseconds(const ServiceState &state)
-{
-    double sum = 0.0;
-    double samples = 0.0;
-    for (const LatencyEstimate &estimate : state.latencies) {
-        sum += estimate.meanNanoseconds * estimate.total;
-        samples += estimate.total;
-    }
-    return samples > 0.0 ? sum / samples : 0.0;
-}
-
 /** Returns how well the upstream is suited to the next call; lower is better. */
 double costOf(const ServiceState &state, const UpstreamState &upstream)
 {
-    const double service = meanNanoseconds(state);
+    const double service = meanOverRanks(state);
     const double network = static_cast<double>(upstream.health.shortestLatency.count());
     const double busy = static_cast<double>(upstream.inFlight) / std::max(upstream.upstream.slots, 1U);
     const double ratio = isSlow(upstream.health, state.reference) ? latencyRatio(upstream.health, state.reference) : 0.0;
@@ -51,7 +40,7 @@
 /** Returns the calls that fit on the way to the upstream and back while its slots are busy (bandwidth-delay product). */
 std::uint32_t pipelineOf(const ServiceState &state, const UpstreamState &upstream, TimePoint now)
 {
-    const double service = meanNanoseconds(state);
+    const double service = meanOverRanks(state);
     const bool isWarm = allowedCalls(upstream.limit) >= upstream.limit.slots;
     if (service <= 0.0 || !isWarm || now < upstream.pipelineHeldUntil) {
         return 0;
@@ -79,7 +68,7 @@
 void holdAfterFailure(StepContext &context, UpstreamIndex index, Duration elapsed)
 {
     const UpstreamHealth &health = context.state.upstreams[index].health;
-    const Duration service{static_cast<std::int64_t>(meanNanoseconds(context.state))};
+    const Duration service{static_cast<std::int64_t>(meanOverRanks(context.state))};
     const std::uint32_t doublings = std::min(std::max(health.consecutiveFailures, 1U) - 1, MaximumHoldDoublings);
     const Duration duration = std::max<Duration>(service, DefaultHold) * (1U << doublings) - elapsed;
     if (duration > Duration::zero()) {
@@ -171,7 +160,7 @@
         recordShed(upstream.limit, upstream.inFlight);
     }
     if (upstream.inFlight == 0) {
-        const Duration service{static_cast<std::int64_t>(meanNanoseconds(context.state))};
+        const Duration service{static_cast<std::int64_t>(meanOverRanks(context.state))};
         hold(context, index, std::max<Duration>(service, DefaultHold));
     }
     recordTrialEnd(context, index, false);
--- a/src/operators/statustask.cpp
+++ b/src/operators/statustask.cpp
@@ -18,7 +18,7 @@
 
 std::uint64_t versionOf(const QJsonValue &value)
 {
-    return static_cast<std::uint64_t>(std::max<qint64>(0, value.toInteger()));
+    return parseNumber<std::uint64_t>(value.toString().toStdString()).value_or(0);
 }
 
 }
@@ -45,13 +45,13 @@
 Result<std::map<std::string, std::uint64_t>> decodeVersions(const std::string &text)
 {
     const QJsonDocument document = QJsonDocument::fromJson(QByteArray::fromStdString(text));
-    const QJsonValue configuration = document.object().value("configuration");
-    if (!configuration.isObject()) {
+    const QJsonValue shown = document.object().value("versions");
+    if (!shown.isObject()) {
         return failure("its status does not show versions");
     }
     std::map<std::string, std::uint64_t> versions;
-    versions[std::string(RulesObjectName)] = versionOf(configuration.toObject().value("rules"));
-    const QJsonObject services = configuration.toObject().value("services").toObject();
+    versions[std::string(RulesObjectName)] = versionOf(shown.toObject().value("rules"));
+    const QJsonObject services = shown.toObject().value("services").toObject();
     for (auto service = services.begin(); service != services.end(); ++service) {
         versions[serviceObjectName(service.key().toStdString())] = versionOf(service.value());
     }
--- a/src/operators/statustask.h
+++ b/src/operators/statustask.h
@@ -35,7 +35,7 @@
 std::optional<WriteReference> parseWriteReference(const std::string &text);
 std::string toString(const WriteReference &reference);
 
-/** Reads the JSON text of a daemon's `/status`; fails if it does not show versions. */
+/** Reads the member `versions` of a daemon's `/status`; fails if there is none. */
 Result<std::map<std::string, std::uint64_t>> decodeVersions(const std::string &text);
 
 /** What the platform and the daemons say. */
--- a/src/tasks/platformtask.cpp
+++ b/src/tasks/platformtask.cpp
@@ -87,9 +87,22 @@
         m_virtualMachineTimer.setSingleShot(true);
         connect(&m_virtualMachineTimer, &QTimer::timeout, this, &Private::listVirtualMachines);
         connect(&m_client, &HttpClient::finished, this, &Private::handleFinished);
+        registerCounters();
+    }
+
+    /** Lets a scrape show zeros for what has not happened yet. */
+    void registerCounters()
+    {
         for (const auto &row : enumNames(PlatformCallKind{})) {
             countCall(row.value, 0.0);
         }
+        for (const auto &row : enumNames(PlatformRejection{})) {
+            countRejection(row.value, 0.0);
+        }
+        for (const auto &row : enumNames(SendOutcome{})) {
+            countFailure(row.value, 0.0);
+        }
+        countFaultyObject(0.0);
     }
 
     PlatformCallId submit(PlatformCall call)
@@ -177,7 +190,7 @@
 
     void perform(const RejectPlatformCall &action, TimePoint /*now*/)
     {
-        m_metrics.addToCounter("plantainweir_platform_rejections_total", "Platform calls given up unsent.", std::string(nameOf(action.reason)));
+        countRejection(action.reason, 1.0);
         complete(action.id, {.outcome = SendOutcome::NotSent, .response = {}});
     }
 
@@ -197,7 +210,7 @@
         const bool isAnswered = isPlatformAnswer(result);
         m_hasBeenAnswered = m_hasBeenAnswered || isAnswered;
         if (!isAnswered) {
-            m_metrics.addToCounter("plantainweir_platform_failures_total", "Platform calls without an answer.", std::string(nameOf(result.outcome)));
+            countFailure(result.outcome, 1.0);
         }
         run(PlatformCallFinished{.id = id, .isAnswered = isAnswered});
         complete(id, result);
@@ -340,7 +353,7 @@
             return;
         }
         rejected = {.version = object.version, .fault = fault};
-        m_metrics.addToCounter("plantainweir_configuration_rejections_total", "Configuration objects that arrived with a fault.");
+        countFaultyObject(1.0);
         logEvent(LogEvent::ConfigurationRejected, {{"object", object.name}, {"version", object.version}, {"fault", fault}});
     }
 
@@ -350,6 +363,22 @@
         m_metrics.addToCounter("plantainweir_platform_calls_total", "Calls sent to the platform.", std::string(nameOf(kind)), amount);
     }
 
+    void countRejection(PlatformRejection reason, double amount)
+    {
+        m_metrics.addToCounter("plantainweir_platform_rejections_total", "Platform calls given up unsent.", std::string(nameOf(reason)), amount);
+    }
+
+    /** An answer counts as a failure too if it is a server error. */
+    void countFailure(SendOutcome outcome, double amount)
+    {
+        m_metrics.addToCounter("plantainweir_platform_failures_total", "Platform calls that failed.", std::string(nameOf(outcome)), amount);
+    }
+
+    void countFaultyObject(double amount)
+    {
+        m_metrics.addToCounter("plantainweir_configuration_rejections_total", "Configuration objects that arrived with a fault.", {}, amount);
+    }
+
     void updateState()
     {
         PlatformState state = m_status.state;
--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -234,7 +234,7 @@
     configuration.services["rinkdesk"].version = 1;
     Metrics metrics;
     OperatorsPort port(metrics, [&configuration] {
-        return R"({"configuration":)" + encodeVersions(configuration) + "}";
+        return R"({"versions":)" + encodeVersions(configuration) + "}";
     });
     ASSERT_TRUE(port.listen({"127.0.0.1", 0}));
     const Outcome shown = run({"status", "--entry", QString("127.0.0.1:%1").arg(port.port())});
