--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -21,7 +21,7 @@
 {
     return {
         // Controllers.
-        // Time of a decision.
+        {.name = "decide", .summary = "the time of one decision", .run = runDecide},
         // Request path.
         {.name = "path", .summary = "the request path, a direct call beside a proxied one", .run = runPath},
         // Policies.
