--- a/src/decision/binding.cpp
+++ b/src/decision/binding.cpp
@@ -73,33 +73,6 @@
     return other || call.runningCount > 0 ? other : cheapest(state.free);
 }
 
-/** Returns whether the queue is long enough that the way to the upstream and back shows in its throughput. */
-bool isPipelineWorthwhile(const ServiceState &state, UpstreamIndex upstream)
-{
-    const double network = static_cast<double>(state.upstreams[upstream].health.shortestLatency.count());
-    double waiting = 0.0;
-    for (std::size_t index = 0; index < state.queue.ranks.size(); ++index) {
-        waiting += state.latencies[index].meanNanoseconds * state.queue.ranks[index].size;
-    }
-    return waiting > network * std::max(state.slots, 1U);
-}
-
-void bindAhead(StepContext &context)
-{
-    ServiceState &state = context.state;
-    while (state.queue.size > 0) {
-        const auto upstream = cheapest(state.pipelined);
-        if (!upstream || !isPipelineWorthwhile(state, *upstream)) {
-            return;
-        }
-        CallState *call = takeNextCall(context);
-        if (call == nullptr) {
-            return;
-        }
-        startAttempt(context, *call, *upstream);
-    }
-}
-
 void startHandOver(StepContext &context, CallState &call, PeerState &peer)
 {
     ServiceState &state = context.state;
@@ -214,7 +187,6 @@
         }
         startAttempt(context, *call, *upstream);
     }
-    bindAhead(context);
 }
 
 void cancelAttempts(StepContext &context, CallState &call, AttemptId kept)
--- a/src/decision/servicestate.h
+++ b/src/decision/servicestate.h
@@ -31,7 +31,6 @@
     ConcurrencyLimit limit;
     UpstreamHealth health{};
     TimePoint heldUntil{}; ///< After a shed or failed call, until an ordinary call would have ended.
-    TimePoint pipelineHeldUntil{}; ///< After it shed a call sent ahead of a free slot.
     std::uint32_t countedSlots = 0; ///< Its share of ServiceState::slots.
     std::uint32_t countedFreeSlots = 0; ///< Its share of ServiceState::freeSlots.
 };
@@ -70,7 +69,7 @@
 
 /** How fast the slots work a queue off, compared with slots times service time. */
 struct Throughput {
-    double efficiency = 1.0; ///< Below 1 for time lost on the way, above 1 where calls are sent ahead.
+    double efficiency = 1.0; ///< Below 1 for time lost on the way.
     double meanInterval = 0.0; ///< Between completions behind a queue, in nanoseconds.
     TimePoint lastCompletionAt;
     bool isBacklogged = false; ///< A call has waited ever since the last completion.
@@ -82,7 +81,6 @@
     std::unordered_map<std::string, UpstreamIndex> upstreamByName;
     std::unordered_set<std::string> leavingUpstreams; ///< By name, also of those that are not assigned.
     FreeUpstreams free; ///< Upstreams with a free slot.
-    FreeUpstreams pipelined; ///< Upstreams without one that a call may be sent to ahead of the next free slot.
     std::vector<UpstreamIndex> trials; ///< Ejected upstreams that wait for a trial call.
     std::uint32_t slots = 0; ///< Calls that the usable upstreams run well at the same time.
     std::uint32_t freeSlots = 0;
--- a/src/decision/upstreams.cpp
+++ b/src/decision/upstreams.cpp
@@ -13,14 +13,10 @@
 constexpr std::uint32_t MaximumHoldDoublings = 4;
 constexpr std::uint32_t CompletionsBetweenReferences = 32;
 constexpr std::chrono::milliseconds DefaultHold{5};
-/** Time for which no call is sent ahead of a free slot after one was shed. */
-constexpr std::chrono::seconds PipelineHold{5};
 /** Time after which an upstream whose slots were all busy when its trial was due is looked at again. */
 constexpr std::chrono::milliseconds TrialPostponement{100};
 /** Weight in the cost of an upstream of its share of busy slots, as a share of the mean service time. */
 constexpr double BusyWeight = 0.1;
-/** Shares of one slot below this are not worth a call sent ahead. */
-constexpr double MinimumPipeline = 0.1;
 
 bool isUsable(const UpstreamState &upstream)
 {
@@ -37,18 +33,6 @@
     return network + service * (BusyWeight * busy + ratio + upstream.health.overdueInRow);
 }
 
-/** Returns the calls that fit on the way to the upstream and back while its slots are busy (bandwidth-delay product). */
-std::uint32_t pipelineOf(const ServiceState &state, const UpstreamState &upstream, TimePoint now)
-{
-    const double service = meanOverRanks(state);
-    const bool isWarm = allowedCalls(upstream.limit) >= upstream.limit.slots;
-    if (service <= 0.0 || !isWarm || now < upstream.pipelineHeldUntil) {
-        return 0;
-    }
-    const double onTheWay = upstream.limit.slots * static_cast<double>(upstream.health.shortestLatency.count()) / service;
-    return onTheWay < MinimumPipeline ? 0 : std::min(static_cast<std::uint32_t>(std::ceil(onTheWay)), upstream.limit.slots);
-}
-
 void countSlots(ServiceState &state, UpstreamState &upstream, std::uint32_t slots, std::uint32_t freeSlots)
 {
     state.slots += slots - upstream.countedSlots;
@@ -154,11 +138,7 @@
 void recordShedOf(StepContext &context, UpstreamIndex index)
 {
     UpstreamState &upstream = context.state.upstreams[index];
-    if (upstream.inFlight >= upstream.limit.slots) {
-        upstream.pipelineHeldUntil = context.now + PipelineHold;
-    } else {
-        recordShed(upstream.limit, upstream.inFlight);
-    }
+    recordShed(upstream.limit, upstream.inFlight);
     if (upstream.inFlight == 0) {
         const Duration service{static_cast<std::int64_t>(meanOverRanks(context.state))};
         hold(context, index, std::max<Duration>(service, DefaultHold));
@@ -239,12 +219,6 @@
     } else {
         remove(state.free, index);
     }
-    const bool isPipelined = takesCalls && !isHeld && freeSlots == 0 && upstream.inFlight < slots + pipelineOf(state, upstream, now);
-    if (isPipelined) {
-        insertOrMove(state.pipelined, index, costOf(state, upstream));
-    } else {
-        remove(state.pipelined, index);
-    }
 }
 
 void assignUpstreams(StepContext &context, const UpstreamsAssigned &event)
--- a/tests/dispatchexplorationtest.cpp
+++ b/tests/dispatchexplorationtest.cpp
@@ -219,7 +219,7 @@
         }
         for (const auto &[upstream, count] : inFlight) {
             if (!upstream.empty()) {
-                EXPECT_LE(count, 2 * SlotsOfEach) << upstream;
+                EXPECT_LE(count, SlotsOfEach) << upstream;
             }
         }
     }
