--- a/tests/configurationexplorationtest.cpp
+++ b/tests/configurationexplorationtest.cpp
@@ -1,12 +1,11 @@
 #include "configuration/configurationjson.h"
 #include "controllers/applycontroller.h"
 #include "controllers/configurationcontroller.h"
-#include "core/parsenumber.h"
+#include "exploration.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <map>
 #include <random>
 #include <set>
@@ -16,12 +15,11 @@
  *
  * The operators run the steps of an apply and the members adopt by version, as in the product. Messages are delayed,
  * reordered, doubled and lost, answers of writes are lost, operators give up, and members restart. The invariants are
- * checked after each step. PLANTAINWEIR_EXPLORATION_SEED runs one seed alone.
+ * checked after each step.
  */
 namespace Plantainweir {
 namespace {
 
-constexpr std::uint64_t FirstSeed = 20'261'204;
 constexpr std::uint64_t Interleavings = 30'000;
 constexpr int FaultySteps = 60;
 constexpr int QuietStepLimit = 2000;
@@ -487,15 +485,11 @@
 
 TEST(ConfigurationExploration, KeepsItsPromisesInEveryInterleaving)
 {
-    const char *chosen = std::getenv("PLANTAINWEIR_EXPLORATION_SEED");
-    const auto seed = parseNumber<std::uint64_t>(chosen == nullptr ? "" : chosen);
-    const std::uint64_t first = seed.value_or(FirstSeed);
-    const std::uint64_t count = seed ? 1 : Interleavings;
-    std::printf("seeds %llu to %llu\n", static_cast<unsigned long long>(first), static_cast<unsigned long long>(first + count - 1));
-    for (std::uint64_t current = first; current < first + count; ++current) {
-        std::string broken = World(current).explore();
-        ASSERT_TRUE(broken.empty()) << broken << "; replay with PLANTAINWEIR_EXPLORATION_SEED=" << current;
-    }
+    const auto failures = explore("configuration", Interleavings, [](std::uint64_t seed) {
+        std::string broken = World(seed).explore();
+        return broken.empty() ? std::nullopt : std::optional(std::move(broken));
+    });
+    EXPECT_TRUE(failures.empty()) << failures.front();
 }
 
 }
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -276,6 +276,17 @@
         return errorResponse(404, "no such path");
     }
 
+    void setFaults(const FakePlatformFaults &faults)
+    {
+        m_faults = faults;
+        if (m_faults.mode != FakePlatformMode::Down) {
+            return;
+        }
+        for (const auto &[exchange, watch] : std::exchange(m_watches, {})) {
+            m_server.abandon(exchange);
+        }
+    }
+
     HttpResponse countsResponse() const
     {
         return jsonResponse(200,
@@ -292,12 +303,12 @@
         if (!mode) {
             return errorResponse(400, "mode: up, slow or down");
         }
-        m_faults = {.mode = *mode,
-                    .delayMs = body.value("delayMs").toInt(FakePlatformFaults{}.delayMs),
-                    .loseWriteAnswers = body.value("loseWriteAnswers").toInt(),
-                    .isDownAfterLostAnswer = body.value("isDownAfterLostAnswer").toBool(),
-                    .listsToGather = body.value("listsToGather").toInt(),
-                    .loseWrites = body.value("loseWrites").toInt()};
+        setFaults({.mode = *mode,
+                   .delayMs = body.value("delayMs").toInt(FakePlatformFaults{}.delayMs),
+                   .loseWriteAnswers = body.value("loseWriteAnswers").toInt(),
+                   .isDownAfterLostAnswer = body.value("isDownAfterLostAnswer").toBool(),
+                   .listsToGather = body.value("listsToGather").toInt(),
+                   .loseWrites = body.value("loseWrites").toInt()});
         return jsonResponse(200, {});
     }
 
@@ -344,7 +355,7 @@
 
 void FakePlatform::setFaults(const FakePlatformFaults &faults)
 {
-    d->m_faults = faults;
+    d->setFaults(faults);
 }
 
 void FakePlatform::setVirtualMachines(const std::vector<VirtualMachine> &virtualMachines)
--- a/tests/platformtasktest.cpp
+++ b/tests/platformtasktest.cpp
@@ -1,32 +1,18 @@
 #include "tasks/platformtask.h"
 #include "configuration/configurationjson.h"
 #include "controllers/configurationcontroller.h"
+#include "fakes/eventloop.h"
 #include "fakes/fakeplatform.h"
 #include "observability/metrics.h"
 
 #include <QCoreApplication>
-#include <QEventLoop>
-#include <QTimer>
 
 #include <gtest/gtest.h>
 
 namespace Plantainweir {
 namespace {
 
-constexpr std::chrono::seconds WaitLimit{30};
-
-/** Runs the event loop until @p condition holds; returns whether it came to hold. */
-template<typename Condition>
-bool waitFor(Condition condition)
-{
-    const TimePoint limit = Clock::now() + WaitLimit;
-    while (!condition() && Clock::now() < limit) {
-        QEventLoop loop;
-        QTimer::singleShot(std::chrono::milliseconds(5), &loop, &QEventLoop::quit);
-        loop.exec();
-    }
-    return condition();
-}
+constexpr std::chrono::seconds CallTime{30};
 
 Service makeService(const std::string &name, std::uint32_t slots)
 {
@@ -51,6 +37,7 @@
                            .failuresToOpen = 3,
                            .minimumBackoff = std::chrono::milliseconds(2),
                            .maximumBackoff = std::chrono::milliseconds(20)};
+        settings.callTime = std::chrono::milliseconds(500);
         settings.virtualMachineListPeriod = std::chrono::milliseconds(10);
         m_task = std::make_unique<PlatformTask>(settings, m_metrics);
         QObject::connect(m_task.get(), &PlatformTask::serviceObserved, m_task.get(), [this](const Service &service) {
@@ -79,8 +66,8 @@
     WriteResult write(const std::string &value, std::uint64_t base)
     {
         const std::size_t before = m_written.size();
-        m_task->write("plantainweir/services/rinkdesk", value, base, Clock::now() + WaitLimit);
-        EXPECT_TRUE(waitFor([&] {
+        m_task->write("plantainweir/services/rinkdesk", value, base, Clock::now() + CallTime);
+        EXPECT_TRUE(waitUntil([&] {
             return m_written.size() == before + 1;
         }));
         return m_written.empty() ? WriteResult{} : m_written.back();
@@ -99,11 +86,11 @@
 {
     m_platform.put(serviceObjectName("rinkdesk"), encodeService(makeService("rinkdesk", 3)));
     m_task->startWatching();
-    EXPECT_TRUE(waitFor([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return m_snapshots == 1 && slotsInForce("rinkdesk") == 3;
     }));
     const std::uint64_t version = m_platform.put(serviceObjectName("rinkdesk"), encodeService(makeService("rinkdesk", 4)));
-    EXPECT_TRUE(waitFor([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return slotsInForce("rinkdesk") == 4;
     }));
     EXPECT_EQ(m_configuration.services.at("rinkdesk").version, version);
@@ -114,22 +101,22 @@
 {
     m_platform.put(serviceObjectName("rinkdesk"), encodeService(makeService("rinkdesk", 3)));
     m_task->startWatching();
-    ASSERT_TRUE(waitFor([&] {
+    ASSERT_TRUE(waitUntil([&] {
         return slotsInForce("rinkdesk") == 3;
     }));
     m_platform.put(serviceObjectName("rinkdesk"), encodeService(makeService("rinkdesk", 0)));
-    EXPECT_TRUE(waitFor([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return m_task->status().rejected.size() == 1;
     }));
     EXPECT_EQ(slotsInForce("rinkdesk"), 3U);
     EXPECT_NE(encodePlatformStatus(m_task->status()).find("slots is 0"), std::string::npos);
     EXPECT_NE(m_metrics.toText().find("plantainweir_configuration_rejections_total 1"), std::string::npos);
     m_platform.put(serviceObjectName("rinkdesk"), R"({"name":"rinkdesk","removed":"perhaps"})");
-    EXPECT_TRUE(waitFor([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return encodePlatformStatus(m_task->status()).find("perhaps") != std::string::npos;
     }));
     m_platform.put(serviceObjectName("rinkdesk"), encodeService(makeService("rinkdesk", 5)));
-    EXPECT_TRUE(waitFor([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return slotsInForce("rinkdesk") == 5;
     }));
     EXPECT_TRUE(m_task->status().rejected.empty());
@@ -139,7 +126,7 @@
 {
     m_platform.put(serviceObjectName("tillside"), encodeService(makeService("rinkdesk", 3)));
     m_task->startWatching();
-    EXPECT_TRUE(waitFor([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return m_task->status().rejected.size() == 1 && m_snapshots == 1;
     }));
     EXPECT_TRUE(m_configuration.services.empty());
@@ -149,16 +136,30 @@
 {
     m_platform.setFaults({.mode = FakePlatformMode::Down});
     m_task->startWatching();
-    EXPECT_TRUE(waitFor([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return m_task->status().state == PlatformState::Down;
     }));
     m_platform.put(serviceObjectName("rinkdesk"), encodeService(makeService("rinkdesk", 3)));
     m_platform.setFaults({});
-    EXPECT_TRUE(waitFor([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return m_task->status().state == PlatformState::Up && slotsInForce("rinkdesk") == 3;
     }));
 }
 
+TEST_F(PlatformTaskTest, PlatformSlowerThanTheCallTimeCountsAsDown)
+{
+    m_platform.setFaults({.mode = FakePlatformMode::Slow, .delayMs = 60'000});
+    m_task->startWatching();
+    EXPECT_TRUE(waitUntil([&] {
+        return m_task->status().state == PlatformState::Down;
+    }));
+    m_platform.put(serviceObjectName("rinkdesk"), encodeService(makeService("rinkdesk", 3)));
+    m_platform.setFaults({.mode = FakePlatformMode::Slow, .delayMs = 50});
+    EXPECT_TRUE(waitUntil([&] {
+        return slotsInForce("rinkdesk") == 3;
+    }));
+}
+
 TEST_F(PlatformTaskTest, ConditionalWritesTellWhatBecameOfThem)
 {
     const std::string value = encodeService(makeService("rinkdesk", 3));
@@ -175,11 +176,11 @@
 {
     m_platform.setVirtualMachines({{.address = "127.0.0.1", .availabilityZone = "regina", .state = VirtualMachineState::Live}});
     m_task->startListingVirtualMachines();
-    EXPECT_TRUE(waitFor([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return m_virtualMachines.size() == 1;
     }));
     m_platform.setVirtualMachines({{.address = "127.0.0.1", .availabilityZone = "regina", .state = VirtualMachineState::Leaving}});
-    EXPECT_TRUE(waitFor([&] {
+    EXPECT_TRUE(waitUntil([&] {
         return m_virtualMachines.front().state == VirtualMachineState::Leaving;
     }));
 }
