End an HTTP server without reports from its sockets

Cause: HttpServer's listener deletes its sockets after the table of connections has ended; each closing socket then looked itself up in that table. Seen as controldtest ending with SIGSEGV or spinning for ever (1 crash in the merge run, then 1 hang in 3 runs). Change: sockets are disconnected first.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -55,6 +55,14 @@
         m_sweep.start(SweepPeriod);
     }
 
+    ~Private() override
+    {
+        // The listener closes the sockets after the connections have ended; none of them may report then.
+        for (const auto &[socket, connection] : m_connections) {
+            socket->disconnect(this);
+        }
+    }
+
     void acceptConnections()
     {
         while (QTcpSocket *socket = m_listener.nextPendingConnection()) {
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -69,6 +69,12 @@
         });
     }
 
+    ~Private() override
+    {
+        // The server ends last and must not report the connections that it closes then.
+        m_server.disconnect(this);
+    }
+
     void handle(ExchangeId exchange, const HttpRequest &request)
     {
         const QUrl url(toQString(request.target));
--- a/tests/platformtasktest.cpp
+++ b/tests/platformtasktest.cpp
@@ -160,6 +160,22 @@
     }));
 }
 
+TEST_F(PlatformTaskTest, PlatformMayEndWhileAWatchWaits)
+{
+    for (int round = 0; round < 20; ++round) {
+        auto platform = std::make_unique<FakePlatform>();
+        ASSERT_TRUE(platform->listen({"127.0.0.1", 0}));
+        PlatformSettings settings;
+        settings.endpoint = {"127.0.0.1", platform->port()};
+        PlatformTask task(settings, m_metrics);
+        task.startWatching();
+        ASSERT_TRUE(waitUntil([&] {
+            return platform->counts().watches == 1;
+        }));
+        platform.reset();
+    }
+}
+
 TEST_F(PlatformTaskTest, ConditionalWritesTellWhatBecameOfThem)
 {
     const std::string value = encodeService(makeService("rinkdesk", 3));
