End controld without reports from its control server

Cause: ControlServer is the first member and ends last; closing a stream emits entryGone, whose handler publishes through tasks that have ended (stack seen in gdb, controldtest ReportsNothingToEntrydBeforeItKnowsTheConfiguration, 1 SIGSEGV in 40 repeats). Change: disconnected before the members end.

--- a/src/tasks/controld.cpp
+++ b/src/tasks/controld.cpp
@@ -56,6 +56,12 @@
         connectStop();
     }
 
+    ~Private()
+    {
+        // The control server ends last; the streams that it closes then must not report to what has ended before it.
+        m_control.disconnect(q);
+    }
+
     void connectEntry()
     {
         connect(&m_control, &ControlServer::entryStateReceived, q, [this](const EntryState &state) {
