Draw the order of owners anew for each directory answer

Cause: the directory named the owners of a service in the same order to every caller, and callers use the first: all calls of a service went to one owner, and after its loss all to the next.

--- a/bench/policycallers.cpp
+++ b/bench/policycallers.cpp
@@ -94,10 +94,6 @@
 DirectoryAnswer askDirectory(std::size_t caller, std::size_t asked, std::vector<std::size_t> owners, const std::vector<bool> &isMember, TimePoint now)
 {
     DirectoryAnswer answer{.expiresAt = now + DirectoryTimeToLive, .addresses = std::move(owners)};
-    if (!answer.addresses.empty()) {
-        const auto first = static_cast<std::ptrdiff_t>(caller % answer.addresses.size());
-        std::rotate(answer.addresses.begin(), answer.addresses.begin() + first, answer.addresses.end());
-    }
     const std::size_t stride = caller % 7 + 1;
     for (std::size_t offset = 0; answer.addresses.size() < AddressesInAnswer; ++offset) {
         const std::size_t candidate = (asked + offset * stride) % isMember.size();
--- a/bench/policycallers.h
+++ b/bench/policycallers.h
@@ -35,7 +35,7 @@
 
 /**
  * Returns the answer of entry VM @p asked to the caller.
- * @param owners the service's owners, which come first, in an order of the caller's own; empty if any entry VM will do
+ * @param owners the service's owners in the order of this answer; empty if any entry VM will do
  * @param isMember for each entry VM, whether @p asked takes it for alive
  */
 DirectoryAnswer askDirectory(std::size_t caller, std::size_t asked, std::vector<std::size_t> owners, const std::vector<bool> &isMember, TimePoint now);
--- a/bench/policydriver.cpp
+++ b/bench/policydriver.cpp
@@ -1,5 +1,6 @@
 #include "policydriver.h"
 
+#include "decision/directoryorder.h"
 #include "policyentries.h"
 
 #include <algorithm>
@@ -127,7 +128,7 @@
 {
     if (m_record.plan.entryLostAt) {
         m_events.schedule(TimePoint{} + *m_record.plan.entryLostAt, [this] {
-            loseEntry(m_entries[0].services[0].owners[0]);
+            loseEntry(m_entries[0].services[0].assignment.owners[0]);
         });
     }
     if (m_record.policy == Policy::TwoChoicesReported) {
@@ -152,9 +153,14 @@
     while (m_entries[asked].isLost) {
         asked = (asked + 1) % m_entries.size();
     }
-    const Entry &entry = m_entries[asked];
-    const auto owners = m_record.policy == Policy::Product ? entry.services[arrival.service].owners : std::vector<std::size_t>{};
-    answer = askDirectory(arrival.caller, asked, owners, entry.isMember, m_events.now());
+    std::vector<std::size_t> owners;
+    const Assignment &assignment = m_entries[asked].services[arrival.service].assignment;
+    if (m_record.policy == Policy::Product) {
+        for (const std::size_t owner : drawDirectoryOrder(assignment.shares, assignment.allUpstreams, m_random)) {
+            owners.push_back(assignment.owners[owner]);
+        }
+    }
+    answer = askDirectory(arrival.caller, asked, std::move(owners), m_entries[asked].isMember, m_events.now());
     return answer;
 }
 
@@ -227,7 +233,7 @@
 void Driver::receiveCall(CallId call, std::size_t entry)
 {
     const Arrival &arrival = m_record.arrivals[call];
-    const auto &owners = m_entries[entry].services[arrival.service].owners;
+    const auto &owners = m_entries[entry].services[arrival.service].assignment.owners;
     const bool isOwner = std::find(owners.begin(), owners.end(), entry) != owners.end();
     if (m_record.policy != Policy::Product || isOwner) {
         acceptCall(call, entry);
@@ -311,7 +317,7 @@
 {
     const bool isByOwner = m_record.policy == Policy::Product;
     const Assignment assignment = assignmentOf(m_model, service, m_isInInventory[service], m_entries[entry].isMember, entry, isByOwner);
-    m_entries[entry].services[service].owners = assignment.owners;
+    m_entries[entry].services[service].assignment = assignment;
     deliver(entry, service, assignment.upstreams);
     deliver(entry, service, assignment.peers);
 }
--- a/bench/policyentries.cpp
+++ b/bench/policyentries.cpp
@@ -63,9 +63,10 @@
                         bool isByOwner)
 {
     const Service configuration = serviceOf(model, service, isInInventory);
-    const ServiceOwners owned = assignOwners(configuration, membersOf(model, isMember));
     Assignment assignment;
-    for (const EntryMember &owner : owned.owners) {
+    assignment.shares = assignOwners(configuration, membersOf(model, isMember));
+    assignment.allUpstreams = configuration.upstreams;
+    for (const EntryMember &owner : assignment.shares.owners) {
         assignment.owners.push_back(numberIn(owner.name));
         if (assignment.owners.back() != entry) {
             assignment.peers.peers.push_back(owner.name);
@@ -75,7 +76,7 @@
         assignment.peers.peers.clear();
     }
     for (std::size_t row = 0; row < configuration.upstreams.size(); ++row) {
-        if (!isByOwner || assignment.owners[owned.ownerOf[row]] == entry) {
+        if (!isByOwner || assignment.owners[assignment.shares.ownerOf[row]] == entry) {
             assignment.upstreams.upstreams.push_back(configuration.upstreams[row]);
         }
     }
--- a/bench/policyentries.h
+++ b/bench/policyentries.h
@@ -15,6 +15,15 @@
 /** The entry VMs of the policy bench: what each knows, and which upstreams it is given. */
 namespace Plantainweir {
 
+/** What an entry VM derives from the inventory and the members that it knows. */
+struct Assignment {
+    std::vector<std::size_t> owners; ///< Entry VMs, best first.
+    ServiceOwners shares; ///< What the directory answers from.
+    std::vector<Upstream> allUpstreams; ///< Of the service, in the order of the shares.
+    UpstreamsAssigned upstreams; ///< Its own share, or all upstreams if it does not own by shares.
+    PeersAssigned peers; ///< The other owners if it is one itself.
+};
+
 /** One service at one entry VM. */
 struct ServiceAtEntry {
     ServiceState product;
@@ -22,7 +31,7 @@
     std::optional<TimePoint> wakeUp;
     std::unordered_map<AttemptId, std::size_t> tickets;
     std::unordered_map<CallId, std::size_t> handedOver; ///< Tickets of calls that co-owners handed over to this one.
-    std::vector<std::size_t> owners; ///< As this entry VM knows them.
+    Assignment assignment;
 };
 
 struct Entry {
@@ -32,13 +41,6 @@
     std::vector<ServiceAtEntry> services;
 };
 
-/** What an entry VM derives from the inventory and the members that it knows. */
-struct Assignment {
-    std::vector<std::size_t> owners; ///< Entry VMs, best first.
-    UpstreamsAssigned upstreams; ///< Its own share, or all upstreams if it does not own by shares.
-    PeersAssigned peers; ///< The other owners if it is one itself.
-};
-
 /** The loads of all upstreams at one time. */
 struct LoadSnapshot {
     TimePoint takenAt;
--- a/src/tasks/callerport.cpp
+++ b/src/tasks/callerport.cpp
@@ -13,13 +13,13 @@
     return {.status = status, .fields = {{"Content-Type", "application/json"}}, .body = std::move(body)};
 }
 
-HttpResponse directoryResponse(const SharedRouting &routing, const std::string &service)
+HttpResponse directoryResponse(const SharedRouting &routing, const std::string &service, std::mt19937_64 &random)
 {
     const TimePoint now = Clock::now();
     if (!routing || !routing->isReady) {
         return encodeReply(refusedReply(RefusalReason::NotReady, now), now);
     }
-    const auto answer = directoryAnswer(*routing, service);
+    const auto answer = directoryAnswer(*routing, service, random);
     if (!answer) {
         return encodeReply(refusedReply(RefusalReason::UnknownService, now), now);
     }
@@ -31,7 +31,7 @@
 class CallerPort::Private
 {
 public:
-    Private(CallerPort *port, const HttpLimits &limits) : q(port), m_server(limits) { }
+    Private(CallerPort *port, const HttpLimits &limits, std::uint64_t seed) : q(port), m_server(limits), m_random(seed) { }
 
     void handleRequest(ExchangeId exchange, const HttpRequest &request)
     {
@@ -41,7 +41,7 @@
             handleCall(exchange, request, target);
             return;
         case CallerResource::Directory:
-            m_server.respond(exchange, directoryResponse(m_routing, target.service));
+            m_server.respond(exchange, directoryResponse(m_routing, target.service, m_random));
             return;
         case CallerResource::Other:
             m_server.respond(exchange, jsonResponse(404, "{\"error\":\"known paths: /call/SERVICE/... and /directory/SERVICE\"}\n"));
@@ -66,11 +66,12 @@
 
     CallerPort *q;
     HttpServer m_server;
+    std::mt19937_64 m_random; ///< For the order of directory answers.
     SharedRouting m_routing;
     bool m_isDraining = false;
 };
 
-CallerPort::CallerPort(const HttpLimits &limits, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, limits))
+CallerPort::CallerPort(const HttpLimits &limits, std::uint64_t seed, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, limits, seed))
 {
     connect(&d->m_server, &HttpServer::requestReceived, this, [this](ExchangeId exchange, const HttpRequest &request) {
         d->handleRequest(exchange, request);
--- a/src/tasks/callerport.h
+++ b/src/tasks/callerport.h
@@ -17,7 +17,8 @@
     Q_OBJECT
 
 public:
-    explicit CallerPort(const HttpLimits &limits, QObject *parent = nullptr);
+    /** @param seed of the order of directory answers. */
+    CallerPort(const HttpLimits &limits, std::uint64_t seed, QObject *parent = nullptr);
     ~CallerPort() override;
 
     /** Starts to listen; returns whether the port is open. */
--- a/src/tasks/directory.cpp
+++ b/src/tasks/directory.cpp
@@ -1,5 +1,7 @@
 #include "tasks/directory.h"
 
+#include "decision/directoryorder.h"
+
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -12,9 +14,14 @@
 /** Entry VMs beyond the owners, for a caller that reaches no owner. */
 constexpr std::size_t FurtherEntries = 2;
 
-std::vector<EntryMember> entriesFor(const RoutingState &routing, const ServiceOwners &assignment)
+std::vector<EntryMember> entriesFor(const RoutingState &routing, const std::string &service, std::mt19937_64 &random)
 {
-    std::vector<EntryMember> entries = assignment.owners;
+    const ServiceOwners &assignment = routing.owners.find(service)->second;
+    const Service *configured = findService(routing, service);
+    std::vector<EntryMember> entries;
+    for (const std::size_t owner : drawDirectoryOrder(assignment, configured ? configured->upstreams : std::vector<Upstream>{}, random)) {
+        entries.push_back(assignment.owners[owner]);
+    }
     const std::size_t wanted = entries.size() + FurtherEntries;
     for (const EntryMember &member : routing.members) {
         const bool isListed = std::any_of(entries.begin(), entries.end(), [&member](const EntryMember &entry) {
@@ -29,14 +36,13 @@
 
 }
 
-std::optional<std::string> directoryAnswer(const RoutingState &routing, const std::string &service)
+std::optional<std::string> directoryAnswer(const RoutingState &routing, const std::string &service, std::mt19937_64 &random)
 {
-    const auto found = routing.owners.find(service);
-    if (found == routing.owners.end()) {
+    if (!routing.owners.contains(service)) {
         return std::nullopt;
     }
     QJsonArray entries;
-    for (const EntryMember &member : entriesFor(routing, found->second)) {
+    for (const EntryMember &member : entriesFor(routing, service, random)) {
         entries.append(QJsonObject{
             {"address", QString::fromStdString(toString(member.callerEndpoint))},
             {"availabilityZone", QString::fromStdString(member.availabilityZone)},
--- a/src/tasks/directory.h
+++ b/src/tasks/directory.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <optional>
+#include <random>
 #include <string>
 
 namespace Plantainweir {
@@ -12,10 +13,11 @@
 constexpr std::chrono::milliseconds DirectoryValidity{2000};
 
 /**
- * Returns the directory's answer for @p service as JSON: the entry VMs to use, in the order to try them, owners first.
+ * Returns the directory's answer for @p service as JSON: the entry VMs to use, in the order to try them, owners first,
+ * in an order drawn anew for each answer (see drawDirectoryOrder()).
  *
  * Entry VMs that leave are left out. Returns nothing if there is no such service.
  */
-std::optional<std::string> directoryAnswer(const RoutingState &routing, const std::string &service);
+std::optional<std::string> directoryAnswer(const RoutingState &routing, const std::string &service, std::mt19937_64 &random);
 
 }
--- a/src/tasks/entry.cpp
+++ b/src/tasks/entry.cpp
@@ -65,7 +65,7 @@
         : q(entry)
         , m_settings(settings)
         , m_random(settings.seed)
-        , m_callerPort(CallerLimits)
+        , m_callerPort(CallerLimits, m_random())
         , m_upstreamPort(UpstreamLimits)
         , m_peerPort(settings.name)
         , m_dispatch(m_metrics, m_random())
