Hand the watch of the platform over, measure controlds by the size of the fleet

A watcher cut off from the platform was replaced at once and came back for good after a minute, since a state that stays down is not reported twice. Now it hands over after 30 s without the platform, each time it is chosen. News is sent three times the logarithm instead of four: the computed bytes at 1,000 members stood above the target.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -21,6 +21,8 @@
 {
     return {
         // Controllers.
+        {.name = "control", .summary = "controlds by the size of the fleet, and each controller's step alone", .run = runControl},
+        // Time of a decision.
         {.name = "decide", .summary = "the time of one decision", .run = runDecide},
         // Request path.
         {.name = "path", .summary = "the request path, a direct call beside a proxied one", .run = runPath},
--- a/src/controllers/membership.h
+++ b/src/controllers/membership.h
@@ -32,7 +32,7 @@
     std::uint32_t suspicionPeriods = 3; ///< Periods until a suspect is dead, times the logarithm of the fleet's size.
     Duration gossipInterval = std::chrono::milliseconds(200);
     std::size_t gossipFanout = 3;
-    std::uint32_t transmissionFactor = 4; ///< Transmissions of one item, times the logarithm of the fleet's size.
+    std::uint32_t transmissionFactor = 3; ///< Transmissions of one item, times the logarithm of the fleet's size.
     std::uint32_t reconnectPeriods = 10; ///< Each so many periods a dead member or a seed is pinged.
     Duration synchronizePeriod = std::chrono::seconds(5);
     Duration retention = std::chrono::hours(24); ///< Of the records of members that are dead or left.
--- a/src/tasks/controld.cpp
+++ b/src/tasks/controld.cpp
@@ -21,8 +21,6 @@
 constexpr std::chrono::seconds EntryStopTime{60};
 /** Time for the announcement of this member's end. */
 constexpr std::chrono::seconds AnnouncementTime{3};
-/** Time until a member that could not reach the platform is a candidate to watch it again. */
-constexpr std::chrono::seconds PlatformRetryTime{60};
 
 UnixMilliseconds wallClock()
 {
@@ -48,6 +46,7 @@
                 = std::make_unique<PlatformTask>(PlatformSettings{.endpoint = *settings.platform, .budget = {}, .seed = settings.self.incarnation}, metrics);
         }
         m_stopTimer.setSingleShot(true);
+        m_platformDownTimer.setSingleShot(true);
         m_platformRetryTimer.setSingleShot(true);
         connectEntry();
         connectDistribution();
@@ -164,17 +163,15 @@
             &PlatformTask::platformStateChanged,
             q,
             [this](PlatformState state) {
-                setPlatformReachable(state != PlatformState::Down);
-            },
-            Qt::QueuedConnection);
-        connect(
-            &m_platformRetryTimer,
-            &QTimer::timeout,
-            q,
-            [this] {
-                m_membership.setPlatformUnreachable(false);
+                checkPlatform(state);
             },
             Qt::QueuedConnection);
+        connect(&m_platformDownTimer, &QTimer::timeout, q, [this] {
+            handWatchOver();
+        });
+        connect(&m_platformRetryTimer, &QTimer::timeout, q, [this] {
+            m_membership.setPlatformUnreachable(false);
+        });
     }
 
     void connectStop()
@@ -215,6 +212,7 @@
     {
         logEvent(LogEvent::WatcherChanged, {{"watching", isWatching}});
         m_metrics.setGauge("plantainweir_platform_watcher", "One while this member watches the platform.", isWatching ? 1.0 : 0.0);
+        checkPlatform(m_platform->status().state);
         if (isWatching) {
             m_platform->startWatching();
             m_platform->startListingVirtualMachines();
@@ -224,16 +222,22 @@
         }
     }
 
-    void setPlatformReachable(bool isReachable)
+    /** Gives a watcher without the platform some time, so that an outage for all does not make them all take turns. */
+    void checkPlatform(PlatformState state)
     {
-        m_membership.setPlatformUnreachable(!isReachable);
-        if (isReachable) {
-            m_platformRetryTimer.stop();
-        } else {
-            m_platformRetryTimer.start(PlatformRetryTime);
+        if (state == PlatformState::Up || !m_distribution.distribution().isWatcher) {
+            m_platformDownTimer.stop();
+        } else if (!m_platformDownTimer.isActive()) {
+            m_platformDownTimer.start(m_settings.platformDownTime);
         }
     }
 
+    void handWatchOver()
+    {
+        m_membership.setPlatformUnreachable(true);
+        m_platformRetryTimer.start(m_settings.platformRetryTime);
+    }
+
     /** The platform's list lags: its VMs are seeds only, and those it is about to stop take their upstreams along. */
     void takeVirtualMachines(const std::vector<VirtualMachine> &virtualMachines)
     {
@@ -312,6 +316,7 @@
     ExchangeClient m_exchangeClient;
     std::unique_ptr<PlatformTask> m_platform;
     QTimer m_stopTimer;
+    QTimer m_platformDownTimer;
     QTimer m_platformRetryTimer;
     std::optional<EntryMember> m_entry;
     std::set<UpstreamStatus> m_observedStatuses; ///< As entryd told them last.
--- a/src/tasks/controld.h
+++ b/src/tasks/controld.h
@@ -5,6 +5,7 @@
 
 #include <QObject>
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
     Endpoint controlEndpoint;
     std::vector<Endpoint> seeds;
     std::optional<Endpoint> platform;
+    std::chrono::milliseconds platformDownTime{std::chrono::seconds(30)}; ///< A watcher without the platform for so long hands over.
+    std::chrono::milliseconds platformRetryTime{std::chrono::minutes(10)}; ///< Then it is no candidate for so long.
 };
 
 /** A port that could not be opened. */
--- a/tests/controldtest.cpp
+++ b/tests/controldtest.cpp
@@ -68,16 +68,18 @@
         EXPECT_TRUE(m_platform.listen({"127.0.0.1", 0}));
     }
 
-    Member &addMember()
+    /** @param platform other than the fake one, if given. */
+    Member &addMember(std::optional<Endpoint> platform = std::nullopt)
     {
         ControldSettings settings;
+        settings.platformDownTime = std::chrono::milliseconds(500);
         settings.self.name = "m" + std::to_string(m_members.size());
         settings.self.incarnation = 1000;
         settings.self.membershipEndpoint = freeUdpPort();
         settings.self.exchangeEndpoint = freeTcpPort();
         settings.self.availabilityZone = "regina";
         settings.controlEndpoint = freeTcpPort();
-        settings.platform = Endpoint{"127.0.0.1", m_platform.port()};
+        settings.platform = platform.value_or(Endpoint{"127.0.0.1", m_platform.port()});
         if (!m_members.empty()) {
             settings.seeds = {m_members.front()->settings.self.membershipEndpoint};
         }
@@ -151,6 +153,25 @@
     EXPECT_TRUE(waitForRules(m_platform.version(std::string(RulesObjectName))));
 }
 
+TEST_F(ControldTest, HandsWatchingOverToMembersThatReachThePlatform)
+{
+    const std::vector<std::string> names{"m0", "m1", "m2", "m3", "m4"};
+    const auto cutOff = chooseWatchers(names, DistributionSettings{}.watchers);
+    const Endpoint nobody = freeTcpPort();
+    const auto isCutOff = [&cutOff](const std::string &name) {
+        return std::find(cutOff.begin(), cutOff.end(), name) != cutOff.end();
+    };
+    for (const std::string &name : names) {
+        addMember(isCutOff(name) ? std::optional(nobody) : std::nullopt);
+    }
+    EXPECT_TRUE(waitForAll([&isCutOff](const Member &member) {
+        const bool isWatcher = member.status()["watcher"].toBool();
+        return member.countMembers("alive") == 5 && isWatcher != isCutOff(member.settings.self.name);
+    }));
+    putRules(1.0);
+    EXPECT_TRUE(waitForRules(m_platform.version(std::string(RulesObjectName))));
+}
+
 TEST_F(ControldTest, LearnsFromPeersWhileThePlatformIsDown)
 {
     putRules(1.0);
--- a/tests/membershipexplorationtest.cpp
+++ b/tests/membershipexplorationtest.cpp
@@ -13,6 +13,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint64_t Interleavings = 20'000;
+constexpr std::uint64_t Partitions = 8;
+constexpr std::size_t PartitionedMembers = 24;
 constexpr Duration FaultTime = 8s;
 constexpr Duration ConvergenceTime = 180s;
 
@@ -44,9 +46,9 @@
 class Fleet
 {
 public:
-    explicit Fleet(std::uint64_t seed) : m_random(seed)
+    explicit Fleet(std::uint64_t seed, std::optional<std::size_t> size = std::nullopt) : m_random(seed)
     {
-        m_processes.resize(std::uniform_int_distribution<std::size_t>(2, 4)(m_random));
+        m_processes.resize(size.value_or(number(2, 4)));
         for (std::size_t index = 0; index < m_processes.size(); ++index) {
             restart(index);
         }
@@ -65,6 +67,29 @@
             advance(std::min(nextFaultAt, faultsEnd));
         }
         endFaults();
+        return converge();
+    }
+
+    /** Cuts the fleet into two parts for an hour; when they merge, nobody may be declared dead. */
+    std::optional<std::string> runPartition()
+    {
+        if (auto failure = converge()) {
+            return failure;
+        }
+        m_firstPart = m_processes.size() / 2;
+        m_isCut = true;
+        const TimePoint cutEnd = m_now + 1h;
+        while (m_now < cutEnd && !m_failure) {
+            advance(cutEnd);
+        }
+        m_isCut = false;
+        m_isMerging = true;
+        return converge();
+    }
+
+private:
+    std::optional<std::string> converge()
+    {
         const TimePoint end = m_now + ConvergenceTime;
         while (!m_failure && !hasConverged()) {
             if (m_now >= end) {
@@ -75,7 +100,6 @@
         return m_failure;
     }
 
-private:
     std::uint64_t number(std::uint64_t minimum, std::uint64_t maximum)
     {
         return std::uniform_int_distribution<std::uint64_t>(minimum, maximum)(m_random);
@@ -163,7 +187,7 @@
 
     bool isLost(std::size_t from, std::size_t to)
     {
-        const bool isBetweenParts = (from == 0) != (to == 0);
+        const bool isBetweenParts = (from < m_firstPart) != (to < m_firstPart);
         return (m_isCut && isBetweenParts) || number(1, 100) <= m_lossPercent;
     }
 
@@ -212,6 +236,9 @@
                 m_truth[{record.name, record.incarnation}] = record;
             }
             checkRecord(process, record);
+            if (m_isMerging && record.state == MemberState::Dead) {
+                fail(record.name + " was declared dead while the parts merged");
+            }
         }
         const MemberState ownState = selfRecord(process.membership).state;
         if (ownState != (process.hasLeft ? MemberState::Left : MemberState::Alive)) {
@@ -325,7 +352,9 @@
     std::uint64_t m_lastOrder = 0;
     std::uint64_t m_lastRun = 0;
     std::uint64_t m_lossPercent = 0;
-    bool m_isCut = false; ///< Process 0 and the others do not hear each other.
+    bool m_isCut = false; ///< The first processes and the others do not hear each other.
+    std::size_t m_firstPart = 1; ///< Number of processes on the one side of a cut.
+    bool m_isMerging = false;
     std::optional<std::string> m_failure;
 };
 
@@ -339,5 +368,15 @@
     }
 }
 
+TEST(MembershipExploration, PartsMergeAfterAnHourWithoutFlapping)
+{
+    const auto failures = explore("partition", Partitions, [](std::uint64_t seed) {
+        return Fleet(seed, PartitionedMembers).runPartition();
+    });
+    for (const std::string &failure : failures) {
+        ADD_FAILURE() << failure;
+    }
+}
+
 }
 }
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -184,7 +184,7 @@
     }
     transmissions.erase("a"); // Its own record goes along with each introduction.
     for (const auto &[name, count] : transmissions) {
-        EXPECT_LE(count, 4 * 3) << name;
+        EXPECT_LE(count, 3 * 3) << name;
     }
     EXPECT_GE(transmissions.size(), 200U);
 }
