--- a/bench/controlfleet.cpp
+++ b/bench/controlfleet.cpp
@@ -301,7 +301,10 @@
     double m_probesPerSecond = 0.0;
 };
 
-ControlFleet::ControlFleet(std::size_t members, quint16 firstPort) : d(std::make_unique<Private>(members, firstPort)) { }
+ControlFleet::ControlFleet(std::size_t members, quint16 firstPort)
+    : d(std::make_unique<Private>(members, firstPort))
+{
+}
 
 ControlFleet::~ControlFleet() = default;
 
--- a/bench/pathbaseline.cpp
+++ b/bench/pathbaseline.cpp
@@ -29,7 +29,8 @@
     QHttpServer m_server;
 };
 
-QtForwarder::QtForwarder(const Endpoint &upstream) : d(std::make_unique<Private>())
+QtForwarder::QtForwarder(const Endpoint &upstream)
+    : d(std::make_unique<Private>())
 {
     d->m_upstream = upstream;
     d->m_server.route("/call/bench/do", [this](const QHttpServerRequest &request, QHttpServerResponder &&responder) {
--- a/bench/pathload.cpp
+++ b/bench/pathload.cpp
@@ -115,7 +115,9 @@
     std::vector<LoadResult> m_results;
 };
 
-PathLoad::PathLoad(const LoadSettings &settings, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, settings))
+PathLoad::PathLoad(const LoadSettings &settings, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, settings))
 {
     connect(&d->m_notifier, &QSocketNotifier::activated, this, [this] {
         d->sendDue();
@@ -142,7 +144,10 @@
 {
 public:
     Private(const LoadTarget &target, std::size_t inFlight, TimePoint deadline)
-        : m_target(target), m_inFlight(inFlight), m_deadline(deadline), m_client(HttpLimits{})
+        : m_target(target)
+        , m_inFlight(inFlight)
+        , m_deadline(deadline)
+        , m_client(HttpLimits{})
     {
         m_client.setConnectionLimit(target.endpoint, inFlight);
     }
@@ -160,7 +165,8 @@
 };
 
 PathSaturation::PathSaturation(const LoadTarget &target, std::size_t inFlight, TimePoint deadline, QObject *parent)
-    : QObject(parent), d(std::make_unique<Private>(target, inFlight, deadline))
+    : QObject(parent)
+    , d(std::make_unique<Private>(target, inFlight, deadline))
 {
     connect(&d->m_client, &HttpClient::finished, this, [this](SendId, const SendResult &result) {
         d->m_answered += result.outcome == SendOutcome::Answered && result.response.status == SuccessStatus ? 1 : 0;
--- a/bench/policyfakes.cpp
+++ b/bench/policyfakes.cpp
@@ -41,7 +41,9 @@
 }
 
 UpstreamFakes::UpstreamFakes(EventQueue &events, const DeploymentModel &model, std::size_t calls, Answered answered)
-    : m_events(events), m_answered(std::move(answered)), m_executions(calls, 0)
+    : m_events(events)
+    , m_answered(std::move(answered))
+    , m_executions(calls, 0)
 {
     for (const ServiceModel &service : model.services) {
         m_firstOfService.push_back(m_fakes.size());
--- a/src/caller/callertask.cpp
+++ b/src/caller/callertask.cpp
@@ -74,7 +74,11 @@
 {
 public:
     Private(CallerTask *task, const CallerSettings &settings, std::uint64_t seed)
-        : q(task), m_settings(settings), m_random(seed), m_client(HttpLimits{}), m_directoryEntries(settings.entries)
+        : q(task)
+        , m_settings(settings)
+        , m_random(seed)
+        , m_client(HttpLimits{})
+        , m_directoryEntries(settings.entries)
     {
         connect(&m_client, &HttpClient::finished, this, &Private::handleFinished);
     }
@@ -309,7 +313,8 @@
 };
 
 CallerTask::CallerTask(const CallerSettings &settings, std::uint64_t seed, QObject *parent)
-    : QObject(parent), d(std::make_unique<Private>(this, settings, seed))
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, settings, seed))
 {
 }
 
--- a/src/caller/loadtask.cpp
+++ b/src/caller/loadtask.cpp
@@ -10,7 +10,10 @@
 {
 public:
     Private(LoadTask *task, const LoadSettings &settings, CallerTask *caller, std::uint64_t seed)
-        : q(task), m_settings(settings), m_caller(caller), m_random(seed)
+        : q(task)
+        , m_settings(settings)
+        , m_caller(caller)
+        , m_random(seed)
     {
         m_timer.setSingleShot(true);
         m_timer.setTimerType(Qt::PreciseTimer);
@@ -87,7 +90,8 @@
 };
 
 LoadTask::LoadTask(const LoadSettings &settings, CallerTask *caller, std::uint64_t seed, QObject *parent)
-    : QObject(parent), d(std::make_unique<Private>(this, settings, caller, seed))
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, settings, caller, seed))
 {
 }
 
--- a/src/configuration/inventory.cpp
+++ b/src/configuration/inventory.cpp
@@ -129,7 +129,10 @@
 class InventoryReader
 {
 public:
-    explicit InventoryReader(const std::string &file) : m_file(file) { }
+    explicit InventoryReader(const std::string &file)
+        : m_file(file)
+    {
+    }
 
     /** Returns whether all columns are there. */
     bool readHeader(const Row &header)
--- a/src/configuration/rulesfile.cpp
+++ b/src/configuration/rulesfile.cpp
@@ -50,7 +50,10 @@
 class RulesReader
 {
 public:
-    explicit RulesReader(const std::string &file) : m_file(file) { }
+    explicit RulesReader(const std::string &file)
+        : m_file(file)
+    {
+    }
 
     void read(const YAML::Node &root)
     {
--- a/src/core/commandline.cpp
+++ b/src/core/commandline.cpp
@@ -126,7 +126,8 @@
     std::vector<std::string> m_positional;
 };
 
-CommandLine::CommandLine(std::string program, std::string summary) : d(std::make_unique<Private>())
+CommandLine::CommandLine(std::string program, std::string summary)
+    : d(std::make_unique<Private>())
 {
     d->m_program = std::move(program);
     d->m_summary = std::move(summary);
--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -38,7 +38,9 @@
 class HttpClient::Private : public QObject
 {
 public:
-    Private(HttpClient *client, const HttpLimits &limits) : q(client), m_limits(limits)
+    Private(HttpClient *client, const HttpLimits &limits)
+        : q(client)
+        , m_limits(limits)
     {
         m_deadlineTimer.setSingleShot(true);
         m_deadlineTimer.setTimerType(Qt::PreciseTimer);
@@ -272,7 +274,11 @@
     std::set<std::pair<TimePoint, SendId>> m_deadlines;
 };
 
-HttpClient::HttpClient(const HttpLimits &limits, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, limits)) { }
+HttpClient::HttpClient(const HttpLimits &limits, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, limits))
+{
+}
 
 HttpClient::~HttpClient() = default;
 
--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -149,7 +149,8 @@
 class HttpRequestDecoder::Private
 {
 public:
-    explicit Private(const HttpLimits &limits) : m_limits(limits)
+    explicit Private(const HttpLimits &limits)
+        : m_limits(limits)
     {
         applyLimits(m_parser, limits);
     }
@@ -158,7 +159,10 @@
     http::request_parser<http::string_body> m_parser;
 };
 
-HttpRequestDecoder::HttpRequestDecoder(const HttpLimits &limits) : d(std::make_unique<Private>(limits)) { }
+HttpRequestDecoder::HttpRequestDecoder(const HttpLimits &limits)
+    : d(std::make_unique<Private>(limits))
+{
+}
 
 HttpRequestDecoder::~HttpRequestDecoder() = default;
 
@@ -191,7 +195,9 @@
 class HttpResponseDecoder::Private
 {
 public:
-    Private(const HttpLimits &limits, bool isHead) : m_limits(limits), m_isHead(isHead)
+    Private(const HttpLimits &limits, bool isHead)
+        : m_limits(limits)
+        , m_isHead(isHead)
     {
         restart();
     }
@@ -214,7 +220,10 @@
     std::optional<http::response_parser<http::string_body>> m_parser;
 };
 
-HttpResponseDecoder::HttpResponseDecoder(const HttpLimits &limits, bool isHead) : d(std::make_unique<Private>(limits, isHead)) { }
+HttpResponseDecoder::HttpResponseDecoder(const HttpLimits &limits, bool isHead)
+    : d(std::make_unique<Private>(limits, isHead))
+{
+}
 
 HttpResponseDecoder::~HttpResponseDecoder() = default;
 
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -48,7 +48,9 @@
 class HttpServer::Private : public QObject
 {
 public:
-    Private(HttpServer *server, const HttpLimits &limits) : q(server), m_limits(limits)
+    Private(HttpServer *server, const HttpLimits &limits)
+        : q(server)
+        , m_limits(limits)
     {
         connect(&m_listener, &QTcpServer::newConnection, this, &Private::acceptConnections);
         connect(&m_sweep, &QTimer::timeout, this, &Private::closeOverdue);
@@ -279,7 +281,11 @@
     std::unordered_map<ExchangeId, Connection *> m_exchanges;
 };
 
-HttpServer::HttpServer(const HttpLimits &limits, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, limits)) { }
+HttpServer::HttpServer(const HttpLimits &limits, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, limits))
+{
+}
 
 HttpServer::~HttpServer() = default;
 
--- a/src/http/operatorsport.cpp
+++ b/src/http/operatorsport.cpp
@@ -18,7 +18,12 @@
 class OperatorsPort::Private
 {
 public:
-    Private(const Metrics &metrics, std::function<std::string()> status) : m_metrics(metrics), m_status(std::move(status)), m_server(OperatorLimits) { }
+    Private(const Metrics &metrics, std::function<std::string()> status)
+        : m_metrics(metrics)
+        , m_status(std::move(status))
+        , m_server(OperatorLimits)
+    {
+    }
 
     HttpResponse answer(const HttpRequest &request) const
     {
@@ -47,7 +52,8 @@
 };
 
 OperatorsPort::OperatorsPort(const Metrics &metrics, std::function<std::string()> status, QObject *parent)
-    : QObject(parent), d(std::make_unique<Private>(metrics, std::move(status)))
+    : QObject(parent)
+    , d(std::make_unique<Private>(metrics, std::move(status)))
 {
     connect(&d->m_server, &HttpServer::requestReceived, this, [this](ExchangeId exchange, const HttpRequest &request) {
         d->m_server.respond(exchange, d->answer(request));
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -71,7 +71,9 @@
 /** One key=value field of a log line. */
 struct LogField {
     template<typename Value>
-    LogField(std::string_view fieldKey, const Value &fieldValue) : key(fieldKey), value(fmt::format("{}", fieldValue))
+    LogField(std::string_view fieldKey, const Value &fieldValue)
+        : key(fieldKey)
+        , value(fmt::format("{}", fieldValue))
     {
     }
 
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -53,7 +53,10 @@
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_counters;
 };
 
-Metrics::Metrics() : d(std::make_unique<Private>()) { }
+Metrics::Metrics()
+    : d(std::make_unique<Private>())
+{
+}
 
 Metrics::~Metrics() = default;
 
--- a/src/operators/changetask.cpp
+++ b/src/operators/changetask.cpp
@@ -47,7 +47,10 @@
 {
 public:
     Private(ChangeTask *task, PlatformTask &platform, Planner planner, TimePoint deadline)
-        : q(task), m_platform(platform), m_planner(std::move(planner)), m_deadline(deadline)
+        : q(task)
+        , m_platform(platform)
+        , m_planner(std::move(planner))
+        , m_deadline(deadline)
     {
         connect(&m_platform, &PlatformTask::listed, this, &Private::handleListed);
         connect(&m_platform, &PlatformTask::written, this, &Private::handleWritten);
@@ -195,7 +198,8 @@
 };
 
 ChangeTask::ChangeTask(PlatformTask &platform, Planner planner, TimePoint deadline, QObject *parent)
-    : QObject(parent), d(std::make_unique<Private>(this, platform, std::move(planner), deadline))
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, platform, std::move(planner), deadline))
 {
 }
 
--- a/src/operators/statustask.cpp
+++ b/src/operators/statustask.cpp
@@ -62,7 +62,11 @@
 {
 public:
     Private(StatusTask *task, PlatformTask &platform, std::vector<Endpoint> daemons, std::optional<WriteReference> write, TimePoint deadline)
-        : q(task), m_platform(platform), m_write(std::move(write)), m_deadline(deadline), m_client(StatusLimits)
+        : q(task)
+        , m_platform(platform)
+        , m_write(std::move(write))
+        , m_deadline(deadline)
+        , m_client(StatusLimits)
     {
         for (Endpoint &endpoint : daemons) {
             m_report.daemons.push_back({.endpoint = std::move(endpoint), .fault = {}, .versions = {}});
@@ -144,7 +148,8 @@
 };
 
 StatusTask::StatusTask(PlatformTask &platform, std::vector<Endpoint> daemons, std::optional<WriteReference> write, TimePoint deadline, QObject *parent)
-    : QObject(parent), d(std::make_unique<Private>(this, platform, std::move(daemons), std::move(write), deadline))
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, platform, std::move(daemons), std::move(write), deadline))
 {
 }
 
--- a/src/programs/plantainweircall.cpp
+++ b/src/programs/plantainweircall.cpp
@@ -69,7 +69,9 @@
 {
 public:
     explicit Collector(const CommandLine &commandLine)
-        : m_isJson(commandLine.text("output") == "json"), m_isSingle(commandLine.integer("count") == 1), m_isAnswerChecked(commandLine.isOn("check-answers"))
+        : m_isJson(commandLine.text("output") == "json")
+        , m_isSingle(commandLine.integer("count") == 1)
+        , m_isAnswerChecked(commandLine.isOn("check-answers"))
     {
         if (!commandLine.text("record").empty()) {
             m_record.open(commandLine.text("record"));
--- a/src/rpc/mailbox.cpp
+++ b/src/rpc/mailbox.cpp
@@ -20,7 +20,11 @@
 
 }
 
-Mailbox::Mailbox(QObject *owner) : m_receiver(new QObject, deleteReceiver), m_owner(owner) { }
+Mailbox::Mailbox(QObject *owner)
+    : m_receiver(new QObject, deleteReceiver)
+    , m_owner(owner)
+{
+}
 
 void Mailbox::post(std::function<void()> function) const
 {
--- a/src/tasks/callerport.cpp
+++ b/src/tasks/callerport.cpp
@@ -31,7 +31,12 @@
 class CallerPort::Private
 {
 public:
-    Private(CallerPort *port, const HttpLimits &limits, std::uint64_t seed) : q(port), m_server(limits), m_random(seed) { }
+    Private(CallerPort *port, const HttpLimits &limits, std::uint64_t seed)
+        : q(port)
+        , m_server(limits)
+        , m_random(seed)
+    {
+    }
 
     void handleRequest(ExchangeId exchange, const HttpRequest &request)
     {
@@ -71,7 +76,9 @@
     bool m_isDraining = false;
 };
 
-CallerPort::CallerPort(const HttpLimits &limits, std::uint64_t seed, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, limits, seed))
+CallerPort::CallerPort(const HttpLimits &limits, std::uint64_t seed, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, limits, seed))
 {
     connect(&d->m_server, &HttpServer::requestReceived, this, [this](ExchangeId exchange, const HttpRequest &request) {
         d->handleRequest(exchange, request);
--- a/src/tasks/controld.cpp
+++ b/src/tasks/controld.cpp
@@ -325,7 +325,9 @@
     bool m_isEndAnnounced = false;
 };
 
-Controld::Controld(const ControldSettings &settings, Metrics &metrics, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, settings, metrics))
+Controld::Controld(const ControldSettings &settings, Metrics &metrics, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, settings, metrics))
 {
 }
 
--- a/src/tasks/controllink.cpp
+++ b/src/tasks/controllink.cpp
@@ -34,7 +34,11 @@
 class ControlStream final : public grpc::ClientBidiReactor<wire::EntryState, wire::ControlUpdate>
 {
 public:
-    ControlStream(Mailbox mailbox, StreamHandlers handlers) : m_mailbox(std::move(mailbox)), m_handlers(std::move(handlers)) { }
+    ControlStream(Mailbox mailbox, StreamHandlers handlers)
+        : m_mailbox(std::move(mailbox))
+        , m_handlers(std::move(handlers))
+    {
+    }
 
     static std::shared_ptr<ControlStream> open(wire::Control::Stub &stub, Mailbox mailbox, StreamHandlers handlers)
     {
@@ -198,7 +202,11 @@
     QTimer m_reconnect;
 };
 
-ControlLink::ControlLink(const Endpoint &control, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, control)) { }
+ControlLink::ControlLink(const Endpoint &control, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, control))
+{
+}
 
 ControlLink::~ControlLink()
 {
--- a/src/tasks/controlserver.cpp
+++ b/src/tasks/controlserver.cpp
@@ -45,7 +45,12 @@
 class Stream : public grpc::ServerBidiReactor<ControlProtocol::EntryState, ControlProtocol::ControlUpdate>
 {
 public:
-    Stream(StreamId id, QObject *task, const StreamEvents &events) : m_id(id), m_task(task), m_events(events) { }
+    Stream(StreamId id, QObject *task, const StreamEvents &events)
+        : m_id(id)
+        , m_task(task)
+        , m_events(events)
+    {
+    }
 
     void OnReadDone(bool isOk) override
     {
@@ -118,7 +123,8 @@
 class ControlServer::Private : public QObject, public ControlProtocol::Control::CallbackService
 {
 public:
-    explicit Private(ControlServer *server) : q(server)
+    explicit Private(ControlServer *server)
+        : q(server)
     {
         m_events.readDone = [this](StreamId id, bool isOk) {
             onReadDone(id, isOk);
@@ -291,7 +297,11 @@
     std::unique_ptr<grpc::Server> m_server;
 };
 
-ControlServer::ControlServer(QObject *parent) : QObject(parent), d(std::make_unique<Private>(this)) { }
+ControlServer::ControlServer(QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this))
+{
+}
 
 ControlServer::~ControlServer() = default;
 
--- a/src/tasks/dispatchtask.cpp
+++ b/src/tasks/dispatchtask.cpp
@@ -65,7 +65,11 @@
 class SteadyWallClock
 {
 public:
-    SteadyWallClock() : m_wallStart(std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now())), m_steadyStart(Clock::now()) { }
+    SteadyWallClock()
+        : m_wallStart(std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now()))
+        , m_steadyStart(Clock::now())
+    {
+    }
 
     UnixMilliseconds at(TimePoint now) const
     {
@@ -83,7 +87,10 @@
 {
 public:
     Private(DispatchTask *task, Metrics &metrics, std::uint64_t seed)
-        : q(task), m_metrics(metrics), m_random(seed), m_routing(std::make_shared<const RoutingState>())
+        : q(task)
+        , m_metrics(metrics)
+        , m_random(seed)
+        , m_routing(std::make_shared<const RoutingState>())
     {
         m_wakeUpTimer.setSingleShot(true);
         m_wakeUpTimer.setTimerType(Qt::PreciseTimer);
@@ -570,7 +577,11 @@
     QTimer m_housekeeping;
 };
 
-DispatchTask::DispatchTask(Metrics &metrics, std::uint64_t seed, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, metrics, seed)) { }
+DispatchTask::DispatchTask(Metrics &metrics, std::uint64_t seed, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, metrics, seed))
+{
+}
 
 DispatchTask::~DispatchTask() = default;
 
--- a/src/tasks/distributiontask.cpp
+++ b/src/tasks/distributiontask.cpp
@@ -5,7 +5,9 @@
 class DistributionTask::Private
 {
 public:
-    Private(DistributionTask *task, const std::string &self, std::uint64_t seed) : q(task), m_random(seed)
+    Private(DistributionTask *task, const std::string &self, std::uint64_t seed)
+        : q(task)
+        , m_random(seed)
     {
         m_distribution.self = self;
     }
@@ -57,7 +59,8 @@
 };
 
 DistributionTask::DistributionTask(const std::string &self, std::uint64_t seed, QObject *parent)
-    : QObject(parent), d(std::make_unique<Private>(this, self, seed))
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, self, seed))
 {
 }
 
--- a/src/tasks/entry.cpp
+++ b/src/tasks/entry.cpp
@@ -246,7 +246,9 @@
     bool m_isDraining = false;
 };
 
-Entry::Entry(const EntrySettings &settings, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, settings))
+Entry::Entry(const EntrySettings &settings, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, settings))
 {
     d->connectTasks();
 }
--- a/src/tasks/exchangeclient.cpp
+++ b/src/tasks/exchangeclient.cpp
@@ -38,7 +38,11 @@
 class ExchangeClient::Private
 {
 public:
-    Private(ExchangeClient *client, Metrics &metrics) : m_mailbox(client), m_metrics(metrics) { }
+    Private(ExchangeClient *client, Metrics &metrics)
+        : m_mailbox(client)
+        , m_metrics(metrics)
+    {
+    }
 
     /**
      * Starts a call; @p start hands it to the stub, and @p finish takes the reply, or null, in the event loop.
@@ -70,7 +74,11 @@
     Metrics &m_metrics;
 };
 
-ExchangeClient::ExchangeClient(Metrics &metrics, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, metrics)) { }
+ExchangeClient::ExchangeClient(Metrics &metrics, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, metrics))
+{
+}
 
 ExchangeClient::~ExchangeClient() = default;
 
--- a/src/tasks/exchangeserver.cpp
+++ b/src/tasks/exchangeserver.cpp
@@ -28,7 +28,11 @@
 class ExchangeServer::Private : public QObject, public MembershipProtocol::Exchange::CallbackService
 {
 public:
-    Private(ExchangeServer *server, Metrics &metrics) : q(server), m_metrics(metrics) { }
+    Private(ExchangeServer *server, Metrics &metrics)
+        : q(server)
+        , m_metrics(metrics)
+    {
+    }
 
     ~Private() override
     {
@@ -137,7 +141,11 @@
     std::unique_ptr<grpc::Server> m_server;
 };
 
-ExchangeServer::ExchangeServer(Metrics &metrics, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, metrics)) { }
+ExchangeServer::ExchangeServer(Metrics &metrics, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, metrics))
+{
+}
 
 ExchangeServer::~ExchangeServer() = default;
 
--- a/src/tasks/membershiptask.cpp
+++ b/src/tasks/membershiptask.cpp
@@ -23,7 +23,10 @@
 {
 public:
     Private(MembershipTask *task, const MemberRecord &self, const MembershipSettings &settings, Metrics &metrics)
-        : q(task), m_random(self.incarnation), m_membership(makeMembership(self, settings, Clock::now(), m_random)), m_metrics(metrics)
+        : q(task)
+        , m_random(self.incarnation)
+        , m_membership(makeMembership(self, settings, Clock::now(), m_random))
+        , m_metrics(metrics)
     {
         m_timer.setSingleShot(true);
         m_timer.setTimerType(Qt::PreciseTimer);
@@ -143,7 +146,8 @@
 };
 
 MembershipTask::MembershipTask(const MemberRecord &self, const MembershipSettings &settings, Metrics &metrics, QObject *parent)
-    : QObject(parent), d(std::make_unique<Private>(this, self, settings, metrics))
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, self, settings, metrics))
 {
 }
 
--- a/src/tasks/peerport.cpp
+++ b/src/tasks/peerport.cpp
@@ -52,7 +52,11 @@
 class PeerService final : public wire::Peer::CallbackService
 {
 public:
-    PeerService(Mailbox mailbox, ServiceHandlers handlers) : m_mailbox(std::move(mailbox)), m_handlers(std::move(handlers)) { }
+    PeerService(Mailbox mailbox, ServiceHandlers handlers)
+        : m_mailbox(std::move(mailbox))
+        , m_handlers(std::move(handlers))
+    {
+    }
 
     grpc::ServerUnaryReactor *Forward(grpc::CallbackServerContext *context, const wire::ForwardRequest *request, wire::ForwardReply *reply) override
     {
@@ -92,7 +96,13 @@
 class PeerPort::Private
 {
 public:
-    Private(PeerPort *port, const std::string &name) : q(port), m_name(name), m_mailbox(port), m_service(m_mailbox, makeHandlers()) { }
+    Private(PeerPort *port, const std::string &name)
+        : q(port)
+        , m_name(name)
+        , m_mailbox(port)
+        , m_service(m_mailbox, makeHandlers())
+    {
+    }
 
     ServiceHandlers makeHandlers()
     {
@@ -160,7 +170,11 @@
     std::map<Endpoint, std::shared_ptr<grpc::Channel>> m_channels;
 };
 
-PeerPort::PeerPort(const std::string &name, QObject *parent) : QObject(parent), d(std::make_unique<Private>(this, name)) { }
+PeerPort::PeerPort(const std::string &name, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, name))
+{
+}
 
 PeerPort::~PeerPort()
 {
--- a/src/tasks/platformtask.cpp
+++ b/src/tasks/platformtask.cpp
@@ -77,7 +77,11 @@
 {
 public:
     Private(PlatformTask *task, const PlatformSettings &settings, Metrics &metrics)
-        : q(task), m_settings(settings), m_metrics(metrics), m_random(settings.seed), m_client(PlatformLimits)
+        : q(task)
+        , m_settings(settings)
+        , m_metrics(metrics)
+        , m_random(settings.seed)
+        , m_client(PlatformLimits)
     {
         m_budgetTimer.setSingleShot(true);
         m_budgetTimer.setTimerType(Qt::PreciseTimer);
@@ -414,7 +418,8 @@
 };
 
 PlatformTask::PlatformTask(const PlatformSettings &settings, Metrics &metrics, QObject *parent)
-    : QObject(parent), d(std::make_unique<Private>(this, settings, metrics))
+    : QObject(parent)
+    , d(std::make_unique<Private>(this, settings, metrics))
 {
 }
 
--- a/src/tasks/signalwatcher.cpp
+++ b/src/tasks/signalwatcher.cpp
@@ -31,7 +31,11 @@
 class SignalWatcher::Private
 {
 public:
-    Private() : m_descriptor(openSignalDescriptor()), m_notifier(m_descriptor, QSocketNotifier::Read) { }
+    Private()
+        : m_descriptor(openSignalDescriptor())
+        , m_notifier(m_descriptor, QSocketNotifier::Read)
+    {
+    }
 
     ~Private()
     {
@@ -45,7 +49,9 @@
     QSocketNotifier m_notifier;
 };
 
-SignalWatcher::SignalWatcher(QObject *parent) : QObject(parent), d(std::make_unique<Private>())
+SignalWatcher::SignalWatcher(QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>())
 {
     connect(&d->m_notifier, &QSocketNotifier::activated, this, [this] {
         signalfd_siginfo info{};
--- a/src/tasks/upstreamport.cpp
+++ b/src/tasks/upstreamport.cpp
@@ -73,14 +73,19 @@
 class UpstreamPort::Private
 {
 public:
-    explicit Private(const HttpLimits &limits) : m_client(limits) { }
+    explicit Private(const HttpLimits &limits)
+        : m_client(limits)
+    {
+    }
 
     HttpClient m_client;
     std::unordered_map<SendId, AttemptToken> m_attemptOf;
     std::map<AttemptToken, SendId> m_sendOf;
 };
 
-UpstreamPort::UpstreamPort(const HttpLimits &limits, QObject *parent) : QObject(parent), d(std::make_unique<Private>(limits))
+UpstreamPort::UpstreamPort(const HttpLimits &limits, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(limits))
 {
     connect(&d->m_client, &HttpClient::finished, this, [this](SendId id, const SendResult &result) {
         const auto found = d->m_attemptOf.find(id);
--- a/tests/badinputtest.cpp
+++ b/tests/badinputtest.cpp
@@ -55,7 +55,8 @@
 class BadInputTest : public EntryFixture
 {
 protected:
-    BadInputTest() : entry((addUpstream(), addEntry()))
+    BadInputTest()
+        : entry((addUpstream(), addEntry()))
     {
         publish();
     }
--- a/tests/configurationexplorationtest.cpp
+++ b/tests/configurationexplorationtest.cpp
@@ -83,7 +83,8 @@
 class World
 {
 public:
-    explicit World(std::uint64_t seed) : m_random(seed)
+    explicit World(std::uint64_t seed)
+        : m_random(seed)
     {
         m_operators.resize(OperatorCount);
         m_members.resize(MemberCount);
--- a/tests/controldtest.cpp
+++ b/tests/controldtest.cpp
@@ -38,7 +38,11 @@
 
 /** One controld and what its operators see. */
 struct Member {
-    explicit Member(ControldSettings memberSettings) : settings(std::move(memberSettings)), controld(settings, metrics) { }
+    explicit Member(ControldSettings memberSettings)
+        : settings(std::move(memberSettings))
+        , controld(settings, metrics)
+    {
+    }
 
     QJsonObject status() const
     {
--- a/tests/dispatchexplorationtest.cpp
+++ b/tests/dispatchexplorationtest.cpp
@@ -33,7 +33,9 @@
 class Explorer
 {
 public:
-    explicit Explorer(std::uint64_t seed) : m_random(seed), m_decisionRandom(seed + 1)
+    explicit Explorer(std::uint64_t seed)
+        : m_random(seed)
+        , m_decisionRandom(seed + 1)
     {
         send(assignment());
         send(PeersAssigned{.peers = {"peer-1", "peer-2"}});
@@ -287,11 +289,11 @@
         observeEnd(action.call);
     }
 
-    void observe(const CountRetry &) { }
+    void observe(const CountRetry &) {}
 
-    void observe(const EjectionChanged &) { }
+    void observe(const EjectionChanged &) {}
 
-    void observe(const SendPeerReport &) { }
+    void observe(const SendPeerReport &) {}
 
     static constexpr std::uint32_t SlotsOfEach = 2;
 
--- a/tests/distributionexplorationtest.cpp
+++ b/tests/distributionexplorationtest.cpp
@@ -88,7 +88,8 @@
 class Fleet
 {
 public:
-    explicit Fleet(std::uint64_t seed) : m_random(seed)
+    explicit Fleet(std::uint64_t seed)
+        : m_random(seed)
     {
         m_processes.resize(number(2, 4));
         for (std::size_t index = 0; index < m_processes.size(); ++index) {
--- a/tests/fakes/fakeplatform.cpp
+++ b/tests/fakes/fakeplatform.cpp
@@ -61,7 +61,8 @@
 class FakePlatform::Private : public QObject
 {
 public:
-    Private() : m_server(FakePlatformLimits)
+    Private()
+        : m_server(FakePlatformLimits)
     {
         connect(&m_server, &HttpServer::requestReceived, this, &Private::handle);
         connect(&m_server, &HttpServer::requesterGone, this, [this](ExchangeId exchange) {
@@ -345,7 +346,11 @@
     std::vector<std::pair<ExchangeId, HttpResponse>> m_gathered;
 };
 
-FakePlatform::FakePlatform(QObject *parent) : QObject(parent), d(std::make_unique<Private>()) { }
+FakePlatform::FakePlatform(QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>())
+{
+}
 
 FakePlatform::~FakePlatform() = default;
 
--- a/tests/fakes/fakeupstream.cpp
+++ b/tests/fakes/fakeupstream.cpp
@@ -43,7 +43,9 @@
 class FakeUpstream::Private : public QObject
 {
 public:
-    Private(const FakeUpstreamSettings &settings, std::uint64_t seed) : m_server(HttpLimits{}), m_random(seed)
+    Private(const FakeUpstreamSettings &settings, std::uint64_t seed)
+        : m_server(HttpLimits{})
+        , m_random(seed)
     {
         m_state.settings = settings;
         m_state.startedAt = Clock::now();
@@ -151,7 +153,8 @@
 };
 
 FakeUpstream::FakeUpstream(const FakeUpstreamSettings &settings, std::uint64_t seed, QObject *parent)
-    : QObject(parent), d(std::make_unique<Private>(settings, seed))
+    : QObject(parent)
+    , d(std::make_unique<Private>(settings, seed))
 {
 }
 
--- a/tests/fakes/fakeupstreamadmin.cpp
+++ b/tests/fakes/fakeupstreamadmin.cpp
@@ -121,7 +121,9 @@
     std::vector<FakeUpstream *> m_upstreams;
 };
 
-FakeUpstreamAdmin::FakeUpstreamAdmin(QObject *parent) : QObject(parent), d(std::make_unique<Private>())
+FakeUpstreamAdmin::FakeUpstreamAdmin(QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>())
 {
     connect(&d->m_server, &HttpServer::requestReceived, this, [this](ExchangeId exchange, const HttpRequest &request) {
         d->m_server.respond(exchange, d->answer(request));
--- a/tests/fakes/fleet.cpp
+++ b/tests/fakes/fleet.cpp
@@ -99,7 +99,8 @@
     return {.address = address, .port = MembershipPort};
 }
 
-Fleet::Fleet(const FleetSettings &settings) : m_settings(settings)
+Fleet::Fleet(const FleetSettings &settings)
+    : m_settings(settings)
 {
     const auto pid = static_cast<std::uint64_t>(QCoreApplication::applicationPid());
     m_network = fmt::format("127.{}.{}.", 1 + (pid >> 8) % 250, pid % 256);
--- a/tests/fakeupstreamtest.cpp
+++ b/tests/fakeupstreamtest.cpp
@@ -135,7 +135,8 @@
 class FakeUpstreamPortTest : public testing::Test
 {
 protected:
-    FakeUpstreamPortTest() : upstream({.name = "rink-1", .serviceTime = milliseconds(1)}, Seed)
+    FakeUpstreamPortTest()
+        : upstream({.name = "rink-1", .serviceTime = milliseconds(1)}, Seed)
     {
         EXPECT_TRUE(upstream.listen({.address = "127.0.0.1", .port = 0}));
         QObject::connect(&client, &HttpClient::finished, &loop, [this](SendId, const SendResult &sent) {
--- a/tests/membershipexplorationtest.cpp
+++ b/tests/membershipexplorationtest.cpp
@@ -46,7 +46,8 @@
 class Fleet
 {
 public:
-    explicit Fleet(std::uint64_t seed, std::optional<std::size_t> size = std::nullopt) : m_random(seed)
+    explicit Fleet(std::uint64_t seed, std::optional<std::size_t> size = std::nullopt)
+        : m_random(seed)
     {
         m_processes.resize(size.value_or(number(2, 4)));
         for (std::size_t index = 0; index < m_processes.size(); ++index) {
--- a/tests/platformbudgettest.cpp
+++ b/tests/platformbudgettest.cpp
@@ -15,7 +15,11 @@
 class Harness
 {
 public:
-    explicit Harness(const PlatformBudgetSettings &settings, std::uint64_t seed = 1) : m_settings(settings), m_random(seed) { }
+    explicit Harness(const PlatformBudgetSettings &settings, std::uint64_t seed = 1)
+        : m_settings(settings)
+        , m_random(seed)
+    {
+    }
 
     void run(const PlatformBudgetEvent &event)
     {
