--- a/tests/controldtest.cpp
+++ b/tests/controldtest.cpp
@@ -73,7 +73,7 @@
     }
 
     /** @param platform other than the fake one, if given. */
-    Member &addMember(std::optional<Endpoint> platform = std::nullopt)
+    Member &addMember(const std::optional<Endpoint> &platform = std::nullopt)
     {
         ControldSettings settings;
         settings.platformDownTime = std::chrono::milliseconds(500);
