Take a stuck entryd out of the directory; end PeerPort without gRPC's thread dropping a channel

Ruled out: gRPC keepalive, which the kernel and gRPC's own threads answer. Change: the link repeats its report each second, and controld withdraws an entryd that is silent for 3 s. PeerPort's contexts are now owned by the port alone, as in ControlLink, where gRPC aborted when its own thread dropped the last reference to a channel.

--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -47,6 +47,7 @@
     ProcessResumed = 1202,
     WatcherChanged = 1203,
     ConfigurationKnown = 1204,
+    EntrySilent = 1205,
     PlatformUp = 1250,
     PlatformDown = 1251,
     ConfigurationRejected = 1252,
--- a/src/tasks/controld.cpp
+++ b/src/tasks/controld.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::seconds EntryStopTime{60};
 /** Time for the announcement of this member's end. */
 constexpr std::chrono::seconds AnnouncementTime{3};
+/** Without a heartbeat for this long entryd does not serve, whatever its stream looks like. */
+constexpr std::chrono::seconds EntrySilenceTime{3};
 
 UnixMilliseconds wallClock()
 {
@@ -46,6 +48,7 @@
                 = std::make_unique<PlatformTask>(PlatformSettings{.endpoint = *settings.platform, .budget = {}, .seed = settings.self.incarnation}, metrics);
         }
         m_stopTimer.setSingleShot(true);
+        m_entrySilenceTimer.setSingleShot(true);
         m_platformDownTimer.setSingleShot(true);
         m_platformRetryTimer.setSingleShot(true);
         connectEntry();
@@ -64,15 +67,22 @@
     void connectEntry()
     {
         connect(&m_control, &ControlServer::entryStateReceived, q, [this](const EntryState &state) {
+            m_entrySilenceTimer.start(EntrySilenceTime);
             m_entry = state.isReady ? std::optional(state.self) : std::nullopt;
             publishEntry();
             observeStatuses(state.upstreamStatuses);
         });
         connect(&m_control, &ControlServer::entryGone, q, [this] {
+            m_entrySilenceTimer.stop();
             m_entry.reset();
             publishEntry();
             leaveIfEntryGone();
         });
+        connect(&m_entrySilenceTimer, &QTimer::timeout, q, [this] {
+            logEvent(LogEvent::EntrySilent);
+            m_entry.reset();
+            publishEntry();
+        });
         connect(&m_membership, &MembershipTask::entriesChanged, &m_control, &ControlServer::setMembers);
         connect(&m_distribution, &DistributionTask::rulesChanged, &m_control, &ControlServer::setRules);
         connect(&m_distribution, &DistributionTask::serviceChanged, &m_control, &ControlServer::setService);
@@ -315,6 +325,7 @@
     ExchangeServer m_exchangeServer;
     ExchangeClient m_exchangeClient;
     std::unique_ptr<PlatformTask> m_platform;
+    QTimer m_entrySilenceTimer;
     QTimer m_stopTimer;
     QTimer m_platformDownTimer;
     QTimer m_platformRetryTimer;
--- a/src/tasks/controllink.cpp
+++ b/src/tasks/controllink.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::chrono::milliseconds FirstReconnect{100};
 constexpr std::chrono::milliseconds LastReconnect{2000};
+constexpr int MaximumDoublings = 5;
+constexpr std::chrono::milliseconds HeartbeatPeriod{1000};
 
 /** What a stream tells its link; both run in the link's thread. */
 struct StreamHandlers {
@@ -122,6 +124,11 @@
     {
         m_reconnect.setSingleShot(true);
         connect(&m_reconnect, &QTimer::timeout, this, &Private::open);
+        connect(&m_heartbeat, &QTimer::timeout, this, [this] {
+            m_hasUnsent = true;
+            writeReport();
+        });
+        m_heartbeat.start(HeartbeatPeriod);
     }
 
     void open()
@@ -158,7 +165,7 @@
 
     void handleUpdate(const wire::ControlUpdate &message)
     {
-        m_reconnectDelay = FirstReconnect;
+        m_failedStreams = 0;
         setConnected(true);
         int malformedParts = 0;
         Q_EMIT q->updated(fromMessage(message, malformedParts));
@@ -175,8 +182,8 @@
         m_stream->close();
         m_stream.reset();
         setConnected(false);
-        m_reconnect.start(m_reconnectDelay);
-        m_reconnectDelay = std::min(m_reconnectDelay * 2, LastReconnect);
+        m_reconnect.start(std::min(FirstReconnect * (1 << m_failedStreams), LastReconnect));
+        m_failedStreams = std::min(m_failedStreams + 1, MaximumDoublings);
     }
 
     void setConnected(bool isConnected)
@@ -198,8 +205,9 @@
     bool m_isWriting = false;
     bool m_hasUnsent = false;
     bool m_isConnected = false;
-    std::chrono::milliseconds m_reconnectDelay = FirstReconnect;
+    int m_failedStreams = 0; ///< Since the last update.
     QTimer m_reconnect;
+    QTimer m_heartbeat;
 };
 
 ControlLink::ControlLink(const Endpoint &control, QObject *parent)
--- a/src/tasks/controllink.h
+++ b/src/tasks/controllink.h
@@ -12,6 +12,7 @@
 /**
  * Task that owns the gRPC stream to this VM's controld.
  *
+ * Repeats the report once a second as a heartbeat, so that controld notices an entryd that is stuck with its stream open.
  * Reconnects for ever with a capped exponential delay; while the stream is away nothing is emitted and entryd goes on
  * with its last state.
  */
--- a/src/tasks/peerport.cpp
+++ b/src/tasks/peerport.cpp
@@ -6,9 +6,9 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <future>
 #include <map>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace Plantainweir {
 namespace {
@@ -28,8 +28,16 @@
     grpc::ServerUnaryReactor *reactor = nullptr;
 };
 
-/** A forwarded call on its way; lives until gRPC reports its end. */
+/** Tells whoever destroys the port that gRPC is done with a call. */
+using Done = std::shared_ptr<std::promise<void>>;
+
+/**
+ * A forwarded call on its way; lives until gRPC reports its end. Owned by the port alone: gRPC's thread shall not drop
+ * the context, and with it the channel whose queue it serves.
+ */
 struct OpenForward {
+    bool isCancelled = false;
+    Done done = std::make_shared<std::promise<void>>();
     grpc::ClientContext context;
     wire::ForwardRequest request;
     wire::ForwardReply reply;
@@ -37,6 +45,7 @@
 
 /** A load report on its way; lives until gRPC reports its end. */
 struct OpenLoadReport {
+    Done done = std::make_shared<std::promise<void>>();
     grpc::ClientContext context;
     wire::LoadReport report;
     wire::LoadReportReceived received;
@@ -82,6 +91,18 @@
     ServiceHandlers m_handlers;
 };
 
+/** Cancels all calls and returns when gRPC is done with them. */
+template<typename Calls>
+void cancelAndWait(const Calls &calls)
+{
+    for (const auto &[id, open] : calls) {
+        open->context.TryCancel();
+    }
+    for (const auto &[id, open] : calls) {
+        open->done->get_future().wait();
+    }
+}
+
 std::shared_ptr<grpc::Channel> openChannel(const Endpoint &endpoint)
 {
     grpc::ChannelArguments arguments;
@@ -143,10 +164,10 @@
         return channel;
     }
 
-    void finishForward(std::uint64_t id, const std::shared_ptr<OpenForward> &open, const grpc::Status &status)
+    void finishForward(std::uint64_t id, const grpc::Status &status)
     {
-        // A cancelled forward is not in the table any more.
-        if (m_openForwards.erase(id) == 0) {
+        const auto open = std::move(m_openForwards.extract(id).mapped());
+        if (open->isCancelled) {
             return;
         }
         const auto reply = status.ok() ? fromMessage(open->reply, Clock::now()) : std::nullopt;
@@ -165,8 +186,9 @@
     int m_port = 0;
     std::uint64_t m_lastExchange = 0;
     std::unordered_map<std::uint64_t, OpenCall> m_openCalls;
-    std::unordered_map<std::uint64_t, std::shared_ptr<OpenForward>> m_openForwards;
-    std::unordered_set<std::shared_ptr<OpenLoadReport>> m_openLoadReports;
+    std::unordered_map<std::uint64_t, std::unique_ptr<OpenForward>> m_openForwards;
+    std::uint64_t m_lastLoadReport = 0;
+    std::unordered_map<std::uint64_t, std::unique_ptr<OpenLoadReport>> m_openLoadReports;
     std::map<Endpoint, std::shared_ptr<grpc::Channel>> m_channels;
 };
 
@@ -178,12 +200,8 @@
 
 PeerPort::~PeerPort()
 {
-    for (const auto &[id, open] : d->m_openForwards) {
-        open->context.TryCancel();
-    }
-    for (const auto &open : d->m_openLoadReports) {
-        open->context.TryCancel();
-    }
+    cancelAndWait(d->m_openForwards);
+    cancelAndWait(d->m_openLoadReports);
     for (const auto &[exchange, call] : d->m_openCalls) {
         call.reactor->Finish(grpc::Status::CANCELLED);
     }
@@ -230,17 +248,18 @@
     }
     const TimePoint now = Clock::now();
     const TimePoint deadline = forward.request.deadline.value_or(now);
-    auto open = std::make_shared<OpenForward>();
+    OpenForward *open = d->m_openForwards.emplace(forward.id, std::make_unique<OpenForward>()).first->second.get();
     open->request = toMessage(forward.request, *forward.message, now);
     open->request.set_sender(d->m_name);
     open->context.set_deadline(std::chrono::system_clock::now() + std::chrono::duration_cast<std::chrono::system_clock::duration>(deadline - now + ReplyGrace));
-    d->m_openForwards.emplace(forward.id, open);
     auto stub = wire::Peer::NewStub(channel);
-    stub->async()->Forward(&open->context, &open->request, &open->reply, [mailbox = d->m_mailbox, this, open, id = forward.id](const grpc::Status &status) {
-        mailbox.post([this, open, id, status] {
-            d->finishForward(id, open, status);
+    const auto onDone = [mailbox = d->m_mailbox, this, done = open->done, id = forward.id](const grpc::Status &status) {
+        mailbox.post([this, id, status] {
+            d->finishForward(id, status);
         });
-    });
+        done->set_value();
+    };
+    stub->async()->Forward(&open->context, &open->request, &open->reply, onDone);
 }
 
 void PeerPort::cancel(std::uint64_t id)
@@ -250,23 +269,25 @@
         return;
     }
     // gRPC still reports the end of the call, which keeps its memory until then.
+    found->second->isCancelled = true;
     found->second->context.TryCancel();
-    d->m_openForwards.erase(found);
 }
 
 void PeerPort::reportLoad(const OutgoingLoad &load)
 {
-    auto open = std::make_shared<OpenLoadReport>();
+    const std::uint64_t id = ++d->m_lastLoadReport;
+    OpenLoadReport *open = d->m_openLoadReports.emplace(id, std::make_unique<OpenLoadReport>()).first->second.get();
     open->report = toMessage(load.load);
     open->report.set_sender(d->m_name);
     open->context.set_deadline(std::chrono::system_clock::now() + LoadReportTime);
-    d->m_openLoadReports.insert(open);
     auto stub = wire::Peer::NewStub(d->channelTo(load.endpoint));
-    stub->async()->ReportLoad(&open->context, &open->report, &open->received, [mailbox = d->m_mailbox, this, open](const grpc::Status &) {
-        mailbox.post([this, open] {
-            d->m_openLoadReports.erase(open);
+    const auto onDone = [mailbox = d->m_mailbox, this, done = open->done, id](const grpc::Status &) {
+        mailbox.post([this, id] {
+            d->m_openLoadReports.erase(id);
         });
-    });
+        done->set_value();
+    };
+    stub->async()->ReportLoad(&open->context, &open->report, &open->received, onDone);
 }
 
 }
--- a/tests/controldtest.cpp
+++ b/tests/controldtest.cpp
@@ -1,5 +1,6 @@
 #include "tasks/controld.h"
 #include "configuration/configurationjson.h"
+#include "control.grpc.pb.h"
 #include "fakes/eventloop.h"
 #include "fakes/fakeplatform.h"
 #include "observability/metrics.h"
@@ -15,6 +16,7 @@
 #include <QTcpSocket>
 #include <QUdpSocket>
 
+#include <grpcpp/grpcpp.h>
 #include <gtest/gtest.h>
 
 #include <csignal>
@@ -245,6 +247,45 @@
     }));
 }
 
+TEST_F(ControldTest, OffersNoEntrydThatHasFallenSilent)
+{
+    addMembers(2);
+    const Endpoint control = m_members.front()->settings.controlEndpoint;
+    const auto channel = grpc::CreateChannel(toString(control), grpc::InsecureChannelCredentials());
+    const auto stub = ControlProtocol::Control::NewStub(channel);
+    grpc::ClientContext context;
+    const auto silent = stub->Subscribe(&context);
+    const EntryMember entry{
+        .name = "silent",
+        .incarnation = "silent-1",
+        .callerEndpoint = freeTcpPort(),
+        .peerEndpoint = freeTcpPort(),
+        .availabilityZone = "regina",
+    };
+    ASSERT_TRUE(silent->Write(toMessage(EntryState{.self = entry, .isReady = true, .upstreamStatuses = {}})));
+
+    ControlLink observer(m_members.back()->settings.controlEndpoint);
+    std::vector<EntryMember> offered;
+    QObject::connect(&observer, &ControlLink::updated, &observer, [&offered](const RoutingUpdate &update) {
+        offered = update.members.value_or(offered);
+    });
+    EntryMember observing = entry;
+    observing.name = "observing";
+    observing.incarnation = "observing-1";
+    observer.report({.self = observing, .isReady = false, .upstreamStatuses = {}});
+    observer.start();
+    const auto isOffered = [&offered] {
+        return std::any_of(offered.begin(), offered.end(), [](const EntryMember &member) {
+            return member.incarnation == "silent-1";
+        });
+    };
+    EXPECT_TRUE(waitUntil(isOffered));
+    EXPECT_TRUE(waitUntil([&isOffered] {
+        return !isOffered();
+    }));
+    context.TryCancel();
+}
+
 TEST_F(ControldTest, CountsAndDropsMalformedDatagrams)
 {
     Member &member = addMember();
