--- a/src/controllers/keybook.h
+++ b/src/controllers/keybook.h
@@ -28,9 +28,9 @@
 using WaiterId = std::uint64_t;
 
 struct KeyBookLimits {
-    std::chrono::milliseconds acceptedAge{std::chrono::minutes(5)}; ///< Older keys are never run.
+    std::chrono::milliseconds acceptedAge{std::chrono::minutes(2)}; ///< Older keys are never run.
     std::chrono::milliseconds clockBound{std::chrono::seconds(30)}; ///< Keys may be born this far in the future.
-    std::size_t bytes = 32 * 1024 * 1024; ///< Of all records and answers.
+    std::size_t bytes = 128 * 1024 * 1024; ///< Of all records and answers.
 };
 
 enum class KeyRecordState {
