--- a/tests/badinputtest.cpp
+++ b/tests/badinputtest.cpp
@@ -127,7 +127,7 @@
     const std::size_t before = residentBytes();
     RawSender sender(entry.self().callerEndpoint);
     sender.write("POST /call/rinkdesk/do HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
-    const QByteArray chunk = "10000\r\n" + QByteArray(65536, 'x') + "\r\n";
+    QByteArray chunk = "10000\r\n" + QByteArray(65536, 'x') + "\r\n";
     EXPECT_TRUE(sender.isClosedWhileSending(1000, [&chunk](int) {
         return chunk;
     }));
