Test a connection that closes before the body, and foreign bytes at the peer port

Cause: the fake's close_before_run reads the whole request first, so that a body cut off on its way was not covered. A bare listener closes at the first bytes of a booking of 900 KB.

--- a/tests/badinputtest.cpp
+++ b/tests/badinputtest.cpp
@@ -135,6 +135,17 @@
     expectUnharmed();
 }
 
+TEST_F(BadInputTest, OtherWordsThanGrpcAtThePeerPort)
+{
+    const std::size_t before = residentBytes();
+    RawSender sender(entry.self().peerEndpoint);
+    EXPECT_TRUE(sender.isClosedWhileSending(1000, [](int) {
+        return QByteArray(65536, 'x');
+    }));
+    EXPECT_LT(residentBytes(), before + MemoryBound);
+    expectUnharmed();
+}
+
 TEST_F(BadInputTest, FiveThousandIdleConnections)
 {
     constexpr int Connections = 5000;
--- a/tests/entrytest.cpp
+++ b/tests/entrytest.cpp
@@ -1,5 +1,9 @@
 #include "fakes/entryfixture.h"
 
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTcpSocket>
+
 namespace Plantainweir {
 namespace {
 
@@ -157,6 +161,32 @@
                                     + (std::get<2>(test.param) ? "Body" : "Empty") + std::get<3>(test.param);
                          });
 
+TEST_F(EntryFixture, UpstreamThatClosesBeforeTheBodyGetsTheBookingOnce)
+{
+    constexpr std::size_t BodyBytes = 900 * 1024;
+    addUpstream();
+    Entry &entry = addEntry();
+    publish();
+    // A bare listener takes the upstream's place: it closes at the first bytes, long before the body has come.
+    const Endpoint endpoint = upstreams.front()->endpoint();
+    upstreams.front().reset(new FakeUpstream({}, 1));
+    QTcpServer listener;
+    ASSERT_TRUE(listener.listen(QHostAddress::LocalHost, endpoint.port));
+    std::uint32_t requests = 0;
+    QObject::connect(&listener, &QTcpServer::newConnection, &listener, [&listener, &requests] {
+        QTcpSocket *socket = listener.nextPendingConnection();
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket, &requests] {
+            ++requests;
+            socket->abort();
+        });
+    });
+    HttpRequest request = makeCall("booking", makeKey(), entry.self().incarnation);
+    request.body.assign(BodyBytes, 'x');
+    EXPECT_EQ(outcome(call(entry, request)), "unknown");
+    EXPECT_EQ(outcome(call(entry, request)), "unknown");
+    EXPECT_EQ(requests, 1U);
+}
+
 TEST_F(EntryFixture, RefusedConnectionIsNotRun)
 {
     addUpstream();
