Keep the rule of adoption by version in one place

entryd's routing state had its own copy of the rule that controld and plantainweirctl use; one copy differed for version zero, which means none and is never adopted now either. The file moves to src/configuration, below its users: src/controllers depends on src/decision, which needs it.

--- a/src/controllers/configurationcontroller.cpp
+++ b/src/configuration/adoption.cpp
@@ -1,4 +1,4 @@
-#include "controllers/configurationcontroller.h"
+#include "configuration/adoption.h"
 
 namespace Plantainweir {
 
--- a/src/controllers/distribution.cpp
+++ b/src/controllers/distribution.cpp
@@ -1,6 +1,6 @@
 #include "controllers/distribution.h"
 
-#include "controllers/configurationcontroller.h"
+#include "configuration/adoption.h"
 #include "decision/ownership.h"
 
 #include <algorithm>
--- a/src/decision/routingstate.cpp
+++ b/src/decision/routingstate.cpp
@@ -1,5 +1,7 @@
 #include "decision/routingstate.h"
 
+#include "configuration/adoption.h"
+
 #include <algorithm>
 
 namespace Plantainweir {
@@ -14,24 +16,15 @@
     state.members.push_back(state.self);
 }
 
-void adoptService(Configuration &configuration, const Service &service)
-{
-    const auto [known, isNew] = configuration.services.try_emplace(service.name, service);
-    if (!isNew && service.version > known->second.version) {
-        known->second = service;
-    }
-}
-
 }
 
 void applyUpdate(RoutingState &state, const RoutingUpdate &update)
 {
-    if (update.rules && update.rules->version > state.configuration.rules.version) {
-        state.configuration.rules = *update.rules;
+    if (update.rules && adopt(state.configuration, *update.rules)) {
         state.isReady = true;
     }
     for (const Service &service : update.services) {
-        adoptService(state.configuration, service);
+        adopt(state.configuration, service);
     }
     if (update.members) {
         state.members = *update.members;
--- a/tests/applycontrollertest.cpp
+++ b/tests/applycontrollertest.cpp
@@ -1,5 +1,5 @@
 #include "controllers/applycontroller.h"
-#include "controllers/configurationcontroller.h"
+#include "configuration/adoption.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/configurationexplorationtest.cpp
+++ b/tests/configurationexplorationtest.cpp
@@ -1,6 +1,6 @@
+#include "configuration/adoption.h"
 #include "configuration/configurationjson.h"
 #include "controllers/applycontroller.h"
-#include "controllers/configurationcontroller.h"
 #include "exploration.h"
 
 #include <gtest/gtest.h>
--- a/tests/platformtasktest.cpp
+++ b/tests/platformtasktest.cpp
@@ -1,6 +1,6 @@
 #include "tasks/platformtask.h"
+#include "configuration/adoption.h"
 #include "configuration/configurationjson.h"
-#include "controllers/configurationcontroller.h"
 #include "fakes/eventloop.h"
 #include "fakes/fakeplatform.h"
 #include "observability/metrics.h"
