Drive HTTP connections by a stream that tells a reset from an end

QTcpSocket reports ECONNRESET as the orderly end of a stream, so a response without a length that breaks off looked whole. TcpStream tells the two apart and probes silent peers. The server runs pipelined safe requests side by side; the client drops responses whose correlation field names another request, honours Keep-Alive and keeps no connection with unsent bytes.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -1,9 +1,8 @@
 #include "http/httpclient.h"
 
 #include "http/httpcodec.h"
+#include "http/tcpstream.h"
 
-#include <QHostAddress>
-#include <QTcpSocket>
 #include <QTimer>
 
 #include <algorithm>
@@ -17,19 +16,21 @@
 constexpr std::size_t DefaultConnectionLimit = 64;
 /** Shorter than the idle time that servers usually grant, so that a request seldom meets a closing connection. */
 constexpr std::chrono::seconds IdleTime{4};
+/** A connection is given up so long before the server's announced idle time, against the race with its close. */
+constexpr std::chrono::milliseconds IdleMargin{1500};
 constexpr std::chrono::milliseconds SweepPeriod{500};
-constexpr qint64 ReadBufferBytes = 64 * 1024;
 
 /** One outgoing connection; it carries one request at a time. */
 struct ClientConnection {
     Endpoint endpoint;
-    QTcpSocket *socket = nullptr;
+    TcpStream *stream = nullptr;
     std::unique_ptr<HttpResponseDecoder> decoder;
     std::string buffer;
     std::string unsentBytes; ///< The request, until the connection is open.
     SendId send = 0; ///< Zero while idle.
     bool isRequestSent = false;
     bool isHead = false;
+    std::string correlation; ///< The request's value of the correlation field.
     TimePoint deadline; ///< Of the request, or of idleness.
 };
 
@@ -73,6 +74,7 @@
         connection->decoder = std::make_unique<HttpResponseDecoder>(m_limits, connection->isHead);
         connection->buffer.clear();
         connection->unsentBytes = encodeRequest(request, toString(endpoint));
+        connection->correlation = m_correlationField.empty() ? std::string() : std::string(fieldValue(request.fields, m_correlationField));
         m_sends.emplace(id, connection);
         addDeadline(deadline, id);
         if (isReused) {
@@ -87,8 +89,7 @@
         while (!idle.empty()) {
             ClientConnection *connection = idle.back();
             idle.pop_back();
-            const bool isUsable = connection->socket->state() == QAbstractSocket::ConnectedState && connection->socket->bytesAvailable() == 0;
-            if (isUsable) {
+            if (connection->stream->isOpen() && connection->deadline > Clock::now()) {
                 return connection;
             }
             remove(connection);
@@ -106,21 +107,19 @@
         ++count;
         auto connection = std::make_unique<ClientConnection>();
         connection->endpoint = endpoint;
-        connection->socket = new QTcpSocket(this);
-        connection->socket->setReadBufferSize(ReadBufferBytes);
+        connection->stream = new TcpStream(this);
         ClientConnection *raw = connection.get();
         m_connections.emplace(raw, std::move(connection));
-        connect(raw->socket, &QTcpSocket::connected, this, [this, raw] {
-            raw->socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+        connect(raw->stream, &TcpStream::connected, this, [this, raw] {
             writeRequest(*raw);
         });
-        connect(raw->socket, &QTcpSocket::readyRead, this, [this, raw] {
-            receive(raw);
+        connect(raw->stream, &TcpStream::received, this, [this, raw](const std::string &bytes) {
+            receive(raw, bytes);
         });
-        connect(raw->socket, &QTcpSocket::errorOccurred, this, [this, raw](QAbstractSocket::SocketError error) {
-            handleClosed(raw, error == QAbstractSocket::RemoteHostClosedError);
+        connect(raw->stream, &TcpStream::ended, this, [this, raw](StreamEnd end) {
+            handleEnded(raw, end);
         });
-        raw->socket->connectToHost(QHostAddress(QString::fromStdString(endpoint.address)), endpoint.port);
+        raw->stream->connectTo(endpoint);
         return raw;
     }
 
@@ -130,21 +129,25 @@
             return;
         }
         connection.isRequestSent = true;
-        connection.socket->write(connection.unsentBytes.data(), static_cast<qint64>(connection.unsentBytes.size()));
+        connection.stream->write(connection.unsentBytes);
         connection.unsentBytes.clear();
     }
 
-    void receive(ClientConnection *connection)
+    void receive(ClientConnection *connection, const std::string &bytes)
     {
-        const QByteArray bytes = connection->socket->readAll();
         if (connection->send == 0) {
             // Bytes that no request asked for make the connection unusable.
             removeFromIdle(connection);
             remove(connection);
             return;
         }
-        connection->buffer.append(bytes.constData(), static_cast<std::size_t>(bytes.size()));
-        const DecodeState state = connection->decoder->decode(connection->buffer);
+        connection->buffer.append(bytes);
+        DecodeState state = connection->decoder->decode(connection->buffer);
+        while (state == DecodeState::Complete && isForeign(*connection)) {
+            // A late or second response of an earlier request; the one that is waited for follows.
+            connection->decoder = std::make_unique<HttpResponseDecoder>(m_limits, connection->isHead);
+            state = connection->decoder->decode(connection->buffer);
+        }
         if (state == DecodeState::Incomplete) {
             return;
         }
@@ -152,11 +155,21 @@
             finish(connection, SendOutcome::Lost, false);
             return;
         }
-        const bool isKept = connection->decoder->isKeepAlive() && connection->buffer.empty();
+        const bool isKept = connection->decoder->isKeepAlive() && connection->buffer.empty() && connection->stream->unsentBytes() == 0;
         finish(connection, SendOutcome::Answered, isKept);
     }
 
-    void handleClosed(ClientConnection *connection, bool isOrderly)
+    /** Returns whether the response that was read answers another request. */
+    bool isForeign(const ClientConnection &connection) const
+    {
+        if (m_correlationField.empty()) {
+            return false;
+        }
+        const std::string_view echoed = connection.decoder->field(m_correlationField);
+        return !echoed.empty() && echoed != connection.correlation;
+    }
+
+    void handleEnded(ClientConnection *connection, StreamEnd end)
     {
         if (connection->send == 0) {
             removeFromIdle(connection);
@@ -167,7 +180,7 @@
             finish(connection, SendOutcome::NotSent, false);
             return;
         }
-        const bool isWhole = isOrderly && connection->decoder->finish() == DecodeState::Complete;
+        const bool isWhole = end == StreamEnd::Finished && connection->decoder->finish() == DecodeState::Complete && !isForeign(*connection);
         finish(connection, isWhole ? SendOutcome::Answered : SendOutcome::Lost, false);
     }
 
@@ -175,15 +188,17 @@
     {
         const SendId id = connection->send;
         SendResult result{.outcome = outcome, .response = {}};
+        std::chrono::milliseconds idleTime = IdleTime;
         if (outcome == SendOutcome::Answered) {
+            idleTime = connection->decoder->keepAliveTime().value_or(IdleTime + IdleMargin) - IdleMargin;
             result.response = connection->decoder->takeResponse();
         }
-        release(connection, isKept);
+        release(connection, isKept, idleTime);
         Q_EMIT q->finished(id, result);
     }
 
     /** Ends the request of @p connection and keeps or closes the connection. */
-    void release(ClientConnection *connection, bool isKept)
+    void release(ClientConnection *connection, bool isKept, std::chrono::milliseconds idleTime = {})
     {
         m_deadlines.erase({connection->deadline, connection->send});
         m_sends.erase(connection->send);
@@ -192,7 +207,7 @@
             remove(connection);
             return;
         }
-        connection->deadline = Clock::now() + IdleTime;
+        connection->deadline = Clock::now() + idleTime;
         m_idle[connection->endpoint].push_back(connection);
     }
 
@@ -204,9 +219,9 @@
 
     void remove(ClientConnection *connection)
     {
-        connection->socket->disconnect(this);
-        connection->socket->abort();
-        connection->socket->deleteLater();
+        connection->stream->disconnect(this);
+        connection->stream->close();
+        connection->stream->deleteLater();
         --m_openCount[connection->endpoint];
         m_connections.erase(connection);
     }
@@ -263,6 +278,7 @@
 
     HttpClient *q;
     HttpLimits m_limits;
+    std::string m_correlationField;
     QTimer m_deadlineTimer;
     QTimer m_sweep;
     SendId m_lastSend = 0;
@@ -287,6 +303,11 @@
     d->m_limitOf[endpoint] = limit;
 }
 
+void HttpClient::setCorrelationField(const std::string &name)
+{
+    d->m_correlationField = name;
+}
+
 SendId HttpClient::send(const Endpoint &endpoint, const HttpRequest &request, TimePoint deadline)
 {
     return d->send(endpoint, request, deadline);
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -55,6 +55,9 @@
     /** Sets how many connections to @p endpoint may be open; 64 unless set. */
     void setConnectionLimit(const Endpoint &endpoint, std::size_t limit);
 
+    /** Names a field that servers echo; a response with another value than its request's is dropped. */
+    void setCorrelationField(const std::string &name);
+
     /** Sends @p request to @p endpoint; finished() follows exactly once, never from within this call. */
     SendId send(const Endpoint &endpoint, const HttpRequest &request, TimePoint deadline);
     /** Gives a request up by closing its connection; finished() does not follow. */
--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -1,5 +1,7 @@
 #include "http/httpcodec.h"
 
+#include "core/parsenumber.h"
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -34,8 +36,9 @@
 HttpFields takeFields(const Message &message)
 {
     HttpFields fields;
+    http::token_list connectionOptions(message[http::field::connection]);
     for (const auto &field : message) {
-        if (!isConnectionField(field.name())) {
+        if (!isConnectionField(field.name()) && !connectionOptions.exists(field.name_string())) {
             fields.push_back({.name = std::string(field.name_string()), .value = std::string(field.value())});
         }
     }
@@ -126,7 +129,9 @@
     message.target(request.target);
     message.version(11);
     insertFields(message, request.fields);
-    message.set(http::field::host, host);
+    if (message.find(http::field::host) == message.end()) {
+        message.set(http::field::host, host);
+    }
     message.body() = request.body;
     if (!request.body.empty() || message.method() != http::verb::get) {
         message.content_length(request.body.size());
@@ -255,6 +260,28 @@
     return d->m_parser->get().keep_alive();
 }
 
+std::string_view HttpResponseDecoder::field(std::string_view name) const
+{
+    const auto value = d->m_parser->get()[beast::string_view(name.data(), name.size())];
+    return {value.data(), value.size()};
+}
+
+std::optional<std::chrono::milliseconds> HttpResponseDecoder::keepAliveTime() const
+{
+    const std::string_view options = field("Keep-Alive");
+    constexpr std::string_view TimeoutOption = "timeout=";
+    const auto start = options.find(TimeoutOption);
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view rest = options.substr(start + TimeoutOption.size());
+    const auto seconds = parseNumber<std::uint32_t>(rest.substr(0, rest.find_first_not_of("0123456789")));
+    if (!seconds) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(*seconds);
+}
+
 HttpResponse HttpResponseDecoder::takeResponse()
 {
     auto &message = d->m_parser->get();
--- a/src/http/httpcodec.h
+++ b/src/http/httpcodec.h
@@ -2,13 +2,16 @@
 
 #include "http/httpmessage.h"
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 /** Encoding and decoding of HTTP/1.1, by Boost.Beast; no sockets in here. */
 namespace Plantainweir {
 
-/** Returns the bytes of @p request with Host and Content-Length set. */
+/** Returns the bytes of @p request with Content-Length set, and Host unless it has one. */
 std::string encodeRequest(const HttpRequest &request, const std::string &host);
 
 /** Returns the bytes of @p response with Content-Length set. */
@@ -61,6 +64,10 @@
     /** Tells that the sender closed in an orderly way, which completes a response without a length. */
     DecodeState finish();
     bool isKeepAlive() const;
+    /** Returns the value of a field, or an empty view; valid when complete. */
+    std::string_view field(std::string_view name) const;
+    /** Returns how long the server keeps an idle connection, if it says so; valid when complete. */
+    std::optional<std::chrono::milliseconds> keepAliveTime() const;
     HttpResponse takeResponse();
 
 private:
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -2,20 +2,26 @@
 
 #include "core/time.h"
 #include "http/httpcodec.h"
+#include "http/tcpstream.h"
 
 #include <QHostAddress>
-#include <QPointer>
 #include <QTcpServer>
-#include <QTcpSocket>
 #include <QTimer>
 
+#include <deque>
+#include <functional>
+#include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace Plantainweir {
 namespace {
 
 constexpr std::chrono::milliseconds SweepPeriod{250};
-constexpr qint64 ReadBufferBytes = 64 * 1024;
+/** Requests of one connection that run side by side. */
+constexpr std::size_t PipelineDepth = 16;
+/** Bytes of requests that wait behind others before reading stops. */
+constexpr std::size_t HeldBytes = 64 * 1024;
 constexpr int ListenBacklog = 1024;
 
 HttpResponse errorResponse(DecodeState state)
@@ -30,17 +36,43 @@
     }
 }
 
+/** One request that waits for its response, or whose response waits for those before it. */
+struct Exchange {
+    ExchangeId id = 0;
+    bool isSafe = true; ///< By its method (RFC 9110, section 9.2.1); may run beside those before it.
+    std::optional<HttpResponse> response;
+};
+
 /** One accepted connection; owned by the server's table. */
 struct Connection {
-    QTcpSocket *socket = nullptr;
+    TcpStream *stream = nullptr;
     std::unique_ptr<HttpRequestDecoder> decoder;
     std::string buffer;
-    ExchangeId exchange = 0; ///< Zero while no request waits for its response.
+    std::deque<Exchange> exchanges; ///< In the order of their requests.
     TimePoint deadline; ///< For a whole request, or for the first byte of the next one.
     bool isKeepAlive = true;
     bool hasPartialRequest = false;
     bool isContinueSent = false;
     bool isClosing = false;
+    bool isReadingPaused = false;
+};
+
+bool isSafeMethod(const std::string &method)
+{
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+/** Listens, and hands accepted connections out without a QTcpSocket around them. */
+class Listener : public QTcpServer
+{
+public:
+    std::function<void(qintptr)> onAccepted;
+
+protected:
+    void incomingConnection(qintptr descriptor) override
+    {
+        onAccepted(descriptor);
+    }
 };
 
 }
@@ -52,70 +84,86 @@
         : q(server)
         , m_limits(limits)
     {
-        connect(&m_listener, &QTcpServer::newConnection, this, &Private::acceptConnections);
+        m_listener.onAccepted = [this](qintptr descriptor) {
+            accept(descriptor);
+        };
         connect(&m_sweep, &QTimer::timeout, this, &Private::closeOverdue);
         m_sweep.start(SweepPeriod);
     }
 
     ~Private() override
     {
-        // The listener closes the sockets after the connections have ended; none of them may report then.
-        for (const auto &[socket, connection] : m_connections) {
-            socket->disconnect(this);
+        // The streams close after the connections have ended; none of them may report then.
+        for (const auto &[stream, connection] : m_connections) {
+            stream->disconnect(this);
         }
     }
 
-    void acceptConnections()
+    void accept(qintptr descriptor)
     {
-        while (QTcpSocket *socket = m_listener.nextPendingConnection()) {
-            if (m_connections.size() >= m_limits.connections) {
-                socket->abort();
-                socket->deleteLater();
-                continue;
-            }
-            addConnection(socket);
+        auto *stream = new TcpStream(this);
+        stream->adopt(descriptor);
+        if (m_connections.size() >= m_limits.connections) {
+            stream->deleteLater();
+            return;
         }
-    }
-
-    void addConnection(QTcpSocket *socket)
-    {
-        socket->setParent(this);
-        socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-        socket->setReadBufferSize(ReadBufferBytes);
         auto connection = std::make_unique<Connection>();
-        connection->socket = socket;
+        connection->stream = stream;
         connection->deadline = Clock::now() + m_limits.idleTime;
         connection->decoder = std::make_unique<HttpRequestDecoder>(m_limits);
         Connection *raw = connection.get();
-        m_connections.emplace(socket, std::move(connection));
-        connect(socket, &QTcpSocket::readyRead, this, [this, raw] {
-            receive(*raw);
+        m_connections.emplace(stream, std::move(connection));
+        connect(stream, &TcpStream::received, this, [this, raw](const std::string &bytes) {
+            receive(*raw, bytes);
         });
-        connect(socket, &QTcpSocket::disconnected, this, [this, socket] {
-            removeConnection(socket);
+        connect(stream, &TcpStream::ended, this, [this, stream] {
+            removeConnection(stream);
         });
     }
 
-    void receive(Connection &connection)
+    void receive(Connection &connection, const std::string &bytes)
     {
         if (connection.isClosing) {
-            connection.socket->readAll();
             return;
         }
-        // The next request stays in the socket's bounded buffer until this one is answered.
-        if (connection.exchange != 0) {
-            return;
+        connection.buffer.append(bytes);
+        decodeAvailable(connection.stream);
+    }
+
+    /** Returns whether the next request may be taken beside those that wait for their responses. */
+    static bool mayDecode(const Connection &connection)
+    {
+        if (connection.buffer.empty() || connection.isClosing || !connection.isKeepAlive) {
+            return false;
         }
-        const QByteArray bytes = connection.socket->readAll();
-        connection.buffer.append(bytes.constData(), static_cast<std::size_t>(bytes.size()));
-        decodeNext(connection);
+        if (connection.exchanges.empty() || connection.hasPartialRequest) {
+            return true;
+        }
+        const bool startsSafe = connection.buffer.starts_with('G') || connection.buffer.starts_with('H') || connection.buffer.starts_with('O');
+        return startsSafe && connection.exchanges.back().isSafe && connection.exchanges.size() < PipelineDepth;
     }
 
-    void decodeNext(Connection &connection)
+    /**
+     * Takes requests from the buffer while they may run side by side. A request that must wait for the responses before
+     * it stays in the buffer undecoded, as nobody has promised anything about it yet.
+     */
+    void decodeAvailable(TcpStream *stream)
     {
-        if (connection.buffer.empty()) {
-            return;
+        auto found = m_connections.find(stream);
+        // A receiver of requestReceived() may answer at once, and so end the connection.
+        while (found != m_connections.end() && mayDecode(*found->second) && decodeNext(*found->second)) {
+            found = m_connections.find(stream);
+        }
+        if (found != m_connections.end()) {
+            Connection &connection = *found->second;
+            connection.isReadingPaused = !mayDecode(connection) && connection.buffer.size() > HeldBytes;
+            stream->setReadingPaused(connection.isReadingPaused);
         }
+    }
+
+    /** Returns whether a whole request was taken. */
+    bool decodeNext(Connection &connection)
+    {
         if (!connection.hasPartialRequest) {
             connection.hasPartialRequest = true;
             connection.deadline = Clock::now() + m_limits.requestTime;
@@ -123,16 +171,27 @@
         const DecodeState state = connection.decoder->decode(connection.buffer);
         if (state == DecodeState::Incomplete) {
             sendContinue(connection);
-            return;
+            return false;
         }
         if (state != DecodeState::Complete) {
-            sendAndClose(connection, encodeResponse(errorResponse(state), false));
-            return;
+            refuse(connection, state);
+            return false;
         }
+        takeRequest(connection);
+        return true;
+    }
+
+    void takeRequest(Connection &connection)
+    {
         connection.isKeepAlive = connection.decoder->isKeepAlive();
-        connection.exchange = ++m_lastExchange;
-        m_exchanges.emplace(connection.exchange, &connection);
-        Q_EMIT q->requestReceived(connection.exchange, connection.decoder->takeRequest());
+        HttpRequest request = connection.decoder->takeRequest();
+        const ExchangeId id = ++m_lastExchange;
+        connection.exchanges.push_back({.id = id, .isSafe = isSafeMethod(request.method), .response = std::nullopt});
+        connection.decoder = std::make_unique<HttpRequestDecoder>(m_limits);
+        connection.hasPartialRequest = false;
+        connection.isContinueSent = false;
+        m_exchanges.emplace(id, &connection);
+        Q_EMIT q->requestReceived(id, request);
     }
 
     void sendContinue(Connection &connection)
@@ -141,90 +200,102 @@
             return;
         }
         connection.isContinueSent = true;
-        connection.socket->write("HTTP/1.1 100 Continue\r\n\r\n");
+        connection.stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+
+    /** Answers a request that cannot be read, after those before it. */
+    void refuse(Connection &connection, DecodeState state)
+    {
+        connection.isKeepAlive = false;
+        connection.hasPartialRequest = false;
+        connection.buffer.clear();
+        const ExchangeId id = ++m_lastExchange;
+        connection.exchanges.push_back({.id = id, .isSafe = true, .response = std::nullopt});
+        m_exchanges.emplace(id, &connection);
+        respond(id, errorResponse(state));
     }
 
-    void sendAndClose(Connection &connection, const std::string &bytes)
+    void closeGracefully(Connection &connection)
     {
         connection.isClosing = true;
         connection.deadline = Clock::now() + m_limits.requestTime;
-        connection.socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
-        connection.socket->disconnectFromHost();
+        connection.stream->finishWriting();
     }
 
-    Connection *takeExchange(ExchangeId exchange)
+    void respond(ExchangeId id, const HttpResponse &response)
     {
-        const auto found = m_exchanges.find(exchange);
+        const auto found = m_exchanges.find(id);
         if (found == m_exchanges.end()) {
-            return nullptr;
+            return;
         }
-        Connection *connection = found->second;
+        Connection &connection = *found->second;
         m_exchanges.erase(found);
-        connection->exchange = 0;
-        return connection;
+        for (Exchange &exchange : connection.exchanges) {
+            if (exchange.id == id) {
+                exchange.response = response;
+            }
+        }
+        sendReady(connection);
     }
 
-    void respond(ExchangeId exchange, const HttpResponse &response)
+    /** Sends the responses that are ready, in the order of their requests. */
+    void sendReady(Connection &connection)
     {
-        Connection *connection = takeExchange(exchange);
-        if (connection == nullptr) {
-            return;
-        }
-        const bool isKept = connection->isKeepAlive && !m_isClosingAfterResponses;
-        const std::string bytes = encodeResponse(response, isKept);
-        if (!isKept) {
-            sendAndClose(*connection, bytes);
-            return;
+        while (!connection.exchanges.empty() && connection.exchanges.front().response) {
+            const HttpResponse response = std::move(*connection.exchanges.front().response);
+            connection.exchanges.pop_front();
+            const bool isLast = connection.exchanges.empty();
+            // Requests behind a response that closes count as unread; so only the last one taken may close.
+            const bool isKept = !isLast || (connection.isKeepAlive && !m_isClosingAfterResponses);
+            connection.stream->write(encodeResponse(response, isKept));
+            if (!isKept) {
+                closeGracefully(connection);
+                return;
+            }
         }
-        connection->socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
-        connection->decoder = std::make_unique<HttpRequestDecoder>(m_limits);
-        connection->hasPartialRequest = false;
-        connection->isContinueSent = false;
-        connection->deadline = Clock::now() + m_limits.idleTime;
-        if (connection->buffer.empty() && connection->socket->bytesAvailable() == 0) {
+        connection.deadline = Clock::now() + (connection.hasPartialRequest ? m_limits.requestTime : m_limits.idleTime);
+        if (connection.buffer.empty() && !connection.isReadingPaused) {
             return;
         }
         QMetaObject::invokeMethod(
             this,
-            [this, socket = QPointer<QTcpSocket>(connection->socket)] {
-                resume(socket);
+            [this, stream = connection.stream] {
+                decodeAvailable(stream);
             },
             Qt::QueuedConnection);
     }
 
-    void resume(QTcpSocket *socket)
-    {
-        const auto found = m_connections.find(socket);
-        if (found != m_connections.end()) {
-            receive(*found->second);
-        }
-    }
-
-    void abandon(ExchangeId exchange, const std::string &partial)
+    void abandon(ExchangeId id, const std::string &partial)
     {
-        Connection *connection = takeExchange(exchange);
-        if (connection == nullptr) {
+        const auto found = m_exchanges.find(id);
+        if (found == m_exchanges.end()) {
             return;
         }
+        Connection &connection = *found->second;
         if (partial.empty()) {
-            connection->socket->abort();
+            removeConnection(connection.stream);
             return;
         }
-        sendAndClose(*connection, partial);
+        connection.stream->write(partial);
+        closeGracefully(connection);
     }
 
-    void removeConnection(QTcpSocket *socket)
+    void removeConnection(TcpStream *stream)
     {
-        const auto found = m_connections.find(socket);
+        const auto found = m_connections.find(stream);
         if (found == m_connections.end()) {
             return;
         }
-        const ExchangeId exchange = found->second->exchange;
-        m_exchanges.erase(exchange);
-        socket->disconnect(this);
-        socket->deleteLater();
+        std::vector<ExchangeId> unanswered;
+        for (const Exchange &exchange : found->second->exchanges) {
+            if (m_exchanges.erase(exchange.id) != 0) {
+                unanswered.push_back(exchange.id);
+            }
+        }
+        stream->disconnect(this);
+        stream->deleteLater();
         m_connections.erase(found);
-        if (exchange != 0) {
+        for (const ExchangeId exchange : unanswered) {
             Q_EMIT q->requesterGone(exchange);
         }
         reportDrained();
@@ -233,15 +304,14 @@
     void closeOverdue()
     {
         const TimePoint now = Clock::now();
-        std::vector<QTcpSocket *> overdue;
-        for (const auto &[socket, connection] : m_connections) {
-            if (connection->exchange == 0 && connection->deadline <= now) {
-                overdue.push_back(socket);
+        std::vector<TcpStream *> overdue;
+        for (const auto &[stream, connection] : m_connections) {
+            if (connection->exchanges.empty() && connection->deadline <= now) {
+                overdue.push_back(stream);
             }
         }
-        for (QTcpSocket *socket : overdue) {
-            socket->abort();
-            removeConnection(socket);
+        for (TcpStream *stream : overdue) {
+            removeConnection(stream);
         }
     }
 
@@ -250,15 +320,15 @@
         m_isDraining = true;
         m_isClosingAfterResponses = true;
         m_listener.close();
-        std::vector<QTcpSocket *> idle;
-        for (const auto &[socket, connection] : m_connections) {
+        std::vector<Connection *> idle;
+        for (const auto &[stream, connection] : m_connections) {
             // A request that is arriving is still read, answered and closed.
-            if (connection->exchange == 0 && !connection->hasPartialRequest && socket->bytesAvailable() == 0) {
-                idle.push_back(socket);
+            if (connection->exchanges.empty() && !connection->hasPartialRequest && !connection->isClosing) {
+                idle.push_back(connection.get());
             }
         }
-        for (QTcpSocket *socket : idle) {
-            socket->disconnectFromHost();
+        for (Connection *connection : idle) {
+            closeGracefully(*connection);
         }
         reportDrained();
     }
@@ -272,12 +342,12 @@
 
     HttpServer *q;
     HttpLimits m_limits;
-    QTcpServer m_listener;
+    Listener m_listener;
     QTimer m_sweep;
     ExchangeId m_lastExchange = 0;
     bool m_isDraining = false;
     bool m_isClosingAfterResponses = false;
-    std::unordered_map<QTcpSocket *, std::unique_ptr<Connection>> m_connections;
+    std::unordered_map<TcpStream *, std::unique_ptr<Connection>> m_connections;
     std::unordered_map<ExchangeId, Connection *> m_exchanges;
 };
 
@@ -310,6 +380,11 @@
     return d->m_exchanges.size();
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    d->m_limits = limits;
+}
+
 void HttpServer::respond(ExchangeId exchange, const HttpResponse &response)
 {
     d->respond(exchange, response);
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -16,7 +16,8 @@
  * Task that owns a listening port and its connections.
  *
  * Bounds header size, body size, the number of connections, the time to a whole request and the idle time before
- * anything is buffered beyond them. Takes one request of a connection at a time.
+ * anything is buffered beyond them. Pipelined requests with safe methods run side by side, and are answered in their order;
+ * any other one waits until those before it are answered.
  */
 class HttpServer : public QObject
 {
@@ -35,6 +36,9 @@
     /** Returns the number of requests that wait for their responses. */
     std::size_t exchangeCount() const;
 
+    /** Changes the limits; a request that is arriving keeps those it began with. */
+    void setLimits(const HttpLimits &limits);
+
     /** Sends @p response; does nothing if the requester has gone. */
     void respond(ExchangeId exchange, const HttpResponse &response);
     /** Closes the connection of @p exchange without a response, after the first @p bytes of @p partial. */
--- /dev/null
+++ b/src/http/tcpstream.cpp
@@ -0,0 +1,322 @@
+#include "http/tcpstream.h"
+
+#include <QMetaObject>
+#include <QPointer>
+#include <QSocketNotifier>
+
+#include <array>
+#include <cerrno>
+#include <optional>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::size_t ReadChunkBytes = 16 * 1024;
+/** Bytes taken in one go, so that one fast peer does not hold up the others. */
+constexpr std::size_t ReadTurnBytes = 128 * 1024;
+
+/** Silence after which the peer is probed, and the pause between probes, in seconds. */
+constexpr int KeepAliveSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+/** Sent bytes without an acknowledgement break the connection after this, in milliseconds (RFC 5482). */
+constexpr unsigned UserTimeoutMs = 2500;
+
+void setOption(int descriptor, int level, int option, int value)
+{
+    // An option that the system refuses costs speed or detection only.
+    static_cast<void>(::setsockopt(descriptor, level, option, &value, sizeof(value)));
+}
+
+void prepare(int descriptor)
+{
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(UserTimeoutMs));
+}
+
+struct SocketAddress {
+    sockaddr_storage storage{};
+    socklen_t length = 0;
+};
+
+SocketAddress toSocketAddress(const Endpoint &endpoint)
+{
+    SocketAddress address;
+    auto *v4 = reinterpret_cast<sockaddr_in *>(&address.storage);
+    if (::inet_pton(AF_INET, endpoint.address.c_str(), &v4->sin_addr) == 1) {
+        v4->sin_family = AF_INET;
+        v4->sin_port = htons(endpoint.port);
+        address.length = sizeof(sockaddr_in);
+        return address;
+    }
+    auto *v6 = reinterpret_cast<sockaddr_in6 *>(&address.storage);
+    if (::inet_pton(AF_INET6, endpoint.address.c_str(), &v6->sin6_addr) == 1) {
+        v6->sin6_family = AF_INET6;
+        v6->sin6_port = htons(endpoint.port);
+        address.length = sizeof(sockaddr_in6);
+    }
+    return address;
+}
+
+bool isTemporary(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+}
+
+class TcpStream::Private
+{
+public:
+    explicit Private(TcpStream *stream)
+        : q(stream)
+    {
+    }
+
+    ~Private()
+    {
+        close();
+    }
+
+    void watch(int descriptor)
+    {
+        m_descriptor = descriptor;
+        m_readNotifier = std::make_unique<QSocketNotifier>(descriptor, QSocketNotifier::Read);
+        m_writeNotifier = std::make_unique<QSocketNotifier>(descriptor, QSocketNotifier::Write);
+        m_readNotifier->setEnabled(false);
+        m_writeNotifier->setEnabled(false);
+        connect(m_readNotifier.get(), &QSocketNotifier::activated, q, [this] {
+            receive();
+        });
+        connect(m_writeNotifier.get(), &QSocketNotifier::activated, q, [this] {
+            handleWritable();
+        });
+    }
+
+    void connectTo(const Endpoint &endpoint)
+    {
+        const SocketAddress address = toSocketAddress(endpoint);
+        const int descriptor = address.length == 0 ? -1 : ::socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        if (descriptor < 0) {
+            endLater();
+            return;
+        }
+        prepare(descriptor);
+        watch(descriptor);
+        const int status = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&address.storage), address.length);
+        if (status != 0 && errno != EINPROGRESS) {
+            endLater();
+            return;
+        }
+        m_isConnecting = true;
+        m_writeNotifier->setEnabled(true);
+    }
+
+    void handleWritable()
+    {
+        if (m_isConnecting) {
+            finishConnecting();
+            return;
+        }
+        flush();
+    }
+
+    void finishConnecting()
+    {
+        int error = 0;
+        socklen_t length = sizeof(error);
+        const bool isKnown = ::getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &length) == 0;
+        if (!isKnown || error != 0) {
+            end(StreamEnd::Broken);
+            return;
+        }
+        m_isConnecting = false;
+        m_writeNotifier->setEnabled(false);
+        m_readNotifier->setEnabled(!m_isReadingPaused);
+        const QPointer<TcpStream> guard(q);
+        Q_EMIT q->connected();
+        if (guard != nullptr) {
+            flush();
+        }
+    }
+
+    void flush()
+    {
+        if (m_descriptor < 0 || m_isConnecting) {
+            return;
+        }
+        while (m_sentOffset < m_outgoing.size()) {
+            const ssize_t count = ::send(m_descriptor, m_outgoing.data() + m_sentOffset, m_outgoing.size() - m_sentOffset, MSG_NOSIGNAL);
+            if (count < 0) {
+                if (isTemporary(errno)) {
+                    m_writeNotifier->setEnabled(true);
+                    return;
+                }
+                // What the peer sent before it closed is still to be read; reading reports the end.
+                m_outgoing.clear();
+                m_sentOffset = 0;
+                m_writeNotifier->setEnabled(false);
+                return;
+            }
+            m_hasSentBytes = m_hasSentBytes || count > 0;
+            m_sentOffset += static_cast<std::size_t>(count);
+        }
+        m_outgoing.clear();
+        m_sentOffset = 0;
+        m_writeNotifier->setEnabled(false);
+        if (m_isFinishing) {
+            static_cast<void>(::shutdown(m_descriptor, SHUT_WR));
+        }
+    }
+
+    void receive()
+    {
+        std::string bytes;
+        std::array<char, ReadChunkBytes> chunk{};
+        std::optional<StreamEnd> streamEnd;
+        while (bytes.size() < ReadTurnBytes) {
+            const ssize_t count = ::recv(m_descriptor, chunk.data(), chunk.size(), 0);
+            if (count > 0) {
+                bytes.append(chunk.data(), static_cast<std::size_t>(count));
+                // A short read has emptied the socket; the next one is left to the event loop.
+                if (static_cast<std::size_t>(count) < chunk.size()) {
+                    break;
+                }
+                continue;
+            }
+            if (count < 0 && isTemporary(errno)) {
+                break;
+            }
+            streamEnd = count == 0 ? StreamEnd::Finished : StreamEnd::Broken;
+            break;
+        }
+        const QPointer<TcpStream> guard(q);
+        if (!bytes.empty()) {
+            Q_EMIT q->received(bytes);
+        }
+        if (guard != nullptr && streamEnd) {
+            end(*streamEnd);
+        }
+    }
+
+    void endLater()
+    {
+        QMetaObject::invokeMethod(
+            q,
+            [this] {
+                end(StreamEnd::Broken);
+            },
+            Qt::QueuedConnection);
+    }
+
+    void end(StreamEnd streamEnd)
+    {
+        close();
+        if (!m_isEnded) {
+            m_isEnded = true;
+            Q_EMIT q->ended(streamEnd);
+        }
+    }
+
+    void close()
+    {
+        if (m_descriptor < 0) {
+            return;
+        }
+        m_readNotifier->setEnabled(false);
+        m_writeNotifier->setEnabled(false);
+        // A notifier may be on the call stack; it goes with the event loop's next turn.
+        m_readNotifier.release()->deleteLater();
+        m_writeNotifier.release()->deleteLater();
+        ::close(m_descriptor);
+        m_descriptor = -1;
+    }
+
+    TcpStream *q;
+    int m_descriptor = -1;
+    std::unique_ptr<QSocketNotifier> m_readNotifier;
+    std::unique_ptr<QSocketNotifier> m_writeNotifier;
+    std::string m_outgoing;
+    std::size_t m_sentOffset = 0;
+    bool m_isConnecting = false;
+    bool m_isReadingPaused = false;
+    bool m_isFinishing = false;
+    bool m_hasSentBytes = false;
+    bool m_isEnded = false;
+};
+
+TcpStream::TcpStream(QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(this))
+{
+}
+
+TcpStream::~TcpStream() = default;
+
+void TcpStream::connectTo(const Endpoint &endpoint)
+{
+    d->connectTo(endpoint);
+}
+
+void TcpStream::adopt(qintptr descriptor)
+{
+    const int number = static_cast<int>(descriptor);
+    prepare(number);
+    d->watch(number);
+    d->m_readNotifier->setEnabled(true);
+}
+
+void TcpStream::write(std::string_view bytes)
+{
+    const bool isIdle = d->m_sentOffset == d->m_outgoing.size();
+    d->m_outgoing.append(bytes);
+    if (isIdle) {
+        d->flush();
+    }
+}
+
+void TcpStream::finishWriting()
+{
+    d->m_isFinishing = true;
+    d->flush();
+}
+
+void TcpStream::setReadingPaused(bool isPaused)
+{
+    d->m_isReadingPaused = isPaused;
+    if (d->m_readNotifier != nullptr && !d->m_isConnecting) {
+        d->m_readNotifier->setEnabled(!isPaused);
+    }
+}
+
+void TcpStream::close()
+{
+    d->m_isEnded = true;
+    d->close();
+}
+
+bool TcpStream::isOpen() const
+{
+    return d->m_descriptor >= 0 && !d->m_isConnecting;
+}
+
+bool TcpStream::hasSentBytes() const
+{
+    return d->m_hasSentBytes;
+}
+
+std::size_t TcpStream::unsentBytes() const
+{
+    return d->m_outgoing.size() - d->m_sentOffset;
+}
+
+}
