--- a/src/core/commandline.cpp
+++ b/src/core/commandline.cpp
@@ -1,5 +1,6 @@
 #include "core/commandline.h"
 
+#include "core/parseduration.h"
 #include "core/parsenumber.h"
 
 #include <boost/program_options.hpp>
@@ -179,6 +180,14 @@
     d->add(flag, {.allowed = fmt::format("a number from {} to {}", minimum, maximum), .isValid = isInRange, .defaultValue = text, .help = help});
 }
 
+void CommandLine::addDuration(const std::string &flag, const std::string &help, std::optional<std::string> defaultValue)
+{
+    const auto isDuration = [](const std::string &value) {
+        return parseDuration(value).has_value();
+    };
+    d->add(flag, {.allowed = "a time with its unit, such as 1500ms or 2s", .isValid = isDuration, .defaultValue = std::move(defaultValue), .help = help});
+}
+
 void CommandLine::addEndpoint(const std::string &flag, const std::string &help, std::optional<std::string> defaultValue)
 {
     const auto isEndpoint = [](const std::string &value) {
@@ -260,6 +269,11 @@
     return parseNumber<double>(text(flag)).value_or(0.0);
 }
 
+Duration CommandLine::duration(const std::string &flag) const
+{
+    return parseDuration(text(flag)).value_or(Duration{});
+}
+
 Endpoint CommandLine::endpoint(const std::string &flag) const
 {
     return parseEndpoint(text(flag)).value_or(Endpoint{});
--- a/src/core/commandline.h
+++ b/src/core/commandline.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/time.h"
 
 #include <cstdint>
 #include <memory>
@@ -45,6 +46,8 @@
                     std::optional<std::int64_t> defaultValue = std::nullopt);
     /** Adds a number from @p minimum to @p maximum; without a default it is required. */
     void addNumber(const std::string &flag, const std::string &help, double minimum, double maximum, std::optional<double> defaultValue = std::nullopt);
+    /** Adds a time written with its unit, such as `1500ms` or `2s`; without a default it is required. */
+    void addDuration(const std::string &flag, const std::string &help, std::optional<std::string> defaultValue = std::nullopt);
     /** Adds an endpoint written as `IP:port` or `[IPv6]:port`; without a default it is required. */
     void addEndpoint(const std::string &flag, const std::string &help, std::optional<std::string> defaultValue = std::nullopt);
     /** Adds a comma-separated list of endpoints, empty by default. */
@@ -63,6 +66,7 @@
     std::string text(const std::string &flag) const;
     std::int64_t integer(const std::string &flag) const;
     double number(const std::string &flag) const;
+    Duration duration(const std::string &flag) const;
     Endpoint endpoint(const std::string &flag) const;
     std::vector<Endpoint> endpointList(const std::string &flag) const;
     bool isOn(const std::string &flag) const;
--- a/src/programs/plantainweirgatewayd.cpp
+++ b/src/programs/plantainweirgatewayd.cpp
@@ -1,14 +1,11 @@
 #include "core/commandline.h"
 #include "observability/logevents.h"
-#include "platform/bounds.h"
 #include "platform/platformcodec.h"
 #include "tasks/gateway.h"
 #include "tasks/signalwatcher.h"
 
 #include <QCoreApplication>
 
-#include <fmt/format.h>
-
 #include <random>
 
 using namespace Plantainweir;
@@ -26,7 +23,10 @@
     commandLine.addEndpoint("operators-port", "metrics, health and status");
     commandLine.addEndpoint("store", "the platform's store");
     commandLine.addEndpointList("seeds", "entry VMs that may be up; their membership ports are taken to be this one's");
-    commandLine.addText("bounds", "the platform's bounds, as name=value,name=value", "");
+    commandLine.addNumber("retry-share", "repeated attempts of the whole fleet for each call", 0.0, 10.0);
+    commandLine.addNumber("retry-slack", "repeated attempts of the whole fleet beside that in each window", 0.0, 1e6);
+    commandLine.addDuration("retry-window", "the window of the retry slack");
+    commandLine.addDuration("stop-time", "from the request to stop to the forced end");
 }
 
 std::vector<Endpoint> membershipSeeds(const CommandLine &commandLine)
@@ -38,7 +38,7 @@
     return seeds;
 }
 
-GatewaySettings readSettings(const CommandLine &commandLine, const Platform::Bounds &bounds)
+GatewaySettings readSettings(const CommandLine &commandLine)
 {
     return {
         .name = commandLine.text("name"),
@@ -50,19 +50,19 @@
         .operatorsPort = commandLine.endpoint("operators-port"),
         .store = commandLine.endpoint("store"),
         .seeds = membershipSeeds(commandLine),
-        .retryShare = bounds.retryShare,
-        .retrySlack = bounds.retrySlack,
-        .retryWindow = bounds.retryWindow,
-        .stopTime = bounds.stopTime,
+        .retryShare = commandLine.number("retry-share"),
+        .retrySlack = commandLine.number("retry-slack"),
+        .retryWindow = commandLine.duration("retry-window"),
+        .stopTime = commandLine.duration("stop-time"),
         .seed = (static_cast<std::uint64_t>(std::random_device{}()) << 32) | std::random_device{}(),
     };
 }
 
-int run(const CommandLine &commandLine, const Platform::Bounds &bounds, int argc, char **argv)
+int run(const CommandLine &commandLine, int argc, char **argv)
 {
     QCoreApplication application(argc, argv);
     SignalWatcher signalWatcher;
-    const GatewaySettings settings = readSettings(commandLine, bounds);
+    const GatewaySettings settings = readSettings(commandLine);
     Gateway gateway(settings, Platform::platformCodec());
     QObject::connect(&signalWatcher, &SignalWatcher::stopRequested, &gateway, [&gateway] {
         logEvent(LogEvent::ProgramStopping);
@@ -91,13 +91,5 @@
         return static_cast<int>(*status);
     }
     useStandardOutputForLogs();
-    return valueOr(
-        [&]() -> Result<int> {
-            BOOST_LEAF_AUTO(bounds, Platform::parseBounds(commandLine.text("bounds")));
-            return run(commandLine, bounds, argc, argv);
-        },
-        [](const Error &error) {
-            fmt::print(stderr, "plantainweir-gatewayd: --bounds: {}\n", error.message);
-            return static_cast<int>(ExitStatus::Usage);
-        });
+    return run(commandLine, argc, argv);
 }
