--- a/src/controllers/storewatch.cpp
+++ b/src/controllers/storewatch.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /** Changes that come close together are taken with one call. */
-constexpr std::chrono::milliseconds ChangePause{150};
+constexpr std::chrono::milliseconds ChangePause{400};
 constexpr std::chrono::milliseconds MinimumBackoff{80};
 constexpr std::chrono::milliseconds MaximumBackoff{600};
 constexpr std::uint32_t MaximumDoublings = 3;
@@ -26,6 +26,8 @@
     ++watch.failures;
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
     watch.after.clear();
+    // A store that cut a watch may have dropped changes that the watch was deaf to.
+    watch.revision = 0;
     pause(watch, fromMilliseconds(toMilliseconds(backoff) * jitter(random)), now);
 }
 
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -8,7 +8,7 @@
 /** Age up to which a load answer stands in for a question. */
 constexpr std::chrono::milliseconds FreshLoadAge{20};
 /** Age up to which the answers of one round are compared. */
-constexpr std::chrono::milliseconds RoundLoadAge{80};
+constexpr std::chrono::milliseconds RoundLoadAge{150};
 constexpr std::uint32_t ProbesAtOnce = 2;
 constexpr std::size_t ProbesOfRound = 6;
 constexpr std::chrono::milliseconds ProbeTime{150};
@@ -179,6 +179,20 @@
     context.actions.emplace_back(StartProbe{probe, upstream.registration, context.now + ProbeTime});
 }
 
+/** Takes one probe from the limit; returns whether there was one. */
+bool withdrawProbe(ProxyStep &context)
+{
+    ProxyState &state = context.state;
+    const double seconds = toMilliseconds(context.now - state.probeTokensAt) / 1000.0;
+    state.probeTokens = std::min(state.settings.probesPerSecond, state.probeTokens + seconds * state.settings.probesPerSecond);
+    state.probeTokensAt = context.now;
+    if (state.probeTokens < 1.0) {
+        return false;
+    }
+    state.probeTokens -= 1.0;
+    return true;
+}
+
 void startProbes(ProxyStep &context, ProxyService &service, ProxyCallId id, const std::vector<UpstreamKey> &candidates)
 {
     ProxyCall &call = context.state.calls.at(id);
@@ -188,9 +202,13 @@
         }
         const PooledUpstream &upstream = service.pool.upstreams.at(key);
         const bool isKnown = readinessOf(upstream, FreshLoadAge, context.now) != Readiness::Unknown;
-        if (!isKnown && !call.probed.contains(key)) {
-            startProbe(context, id, upstream);
+        if (isKnown || call.probed.contains(key)) {
+            continue;
+        }
+        if (!withdrawProbe(context)) {
+            return;
         }
+        startProbe(context, id, upstream);
     }
 }
 
@@ -455,9 +473,10 @@
     }
 }
 
-void handle(ProxyStep &context, const RetrySlackChanged &event)
+void handle(ProxyStep &context, const FleetShareChanged &event)
 {
-    context.state.settings.retrySlack = event.slack;
+    context.state.settings.retrySlack = event.retrySlack;
+    context.state.settings.probesPerSecond = event.probesPerSecond;
 }
 
 }
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -32,6 +32,7 @@
     double retryShare = 0.1; ///< Repeated attempts for each call.
     double retrySlack = 10.0; ///< Repeated attempts beside that in each window, for this entry VM.
     Duration retryWindow = std::chrono::seconds(10);
+    double probesPerSecond = 100.0; ///< Of this entry VM, to all upstreams.
 };
 
 /** A call that passed the filters. */
@@ -95,11 +96,12 @@
 struct UpstreamsReplaced {
     std::vector<RegisteredUpstream> upstreams;
 };
-/** This entry VM's part of the fleet's slack for repeated attempts changed. */
-struct RetrySlackChanged {
-    double slack = 0.0;
+/** This entry VM's part of what the fleet may do changed. */
+struct FleetShareChanged {
+    double retrySlack = 0.0;
+    double probesPerSecond = 0.0;
 };
-using ProxyEvent = std::variant<ProxyCallAdmitted, ProxyCallAbandoned, ProbeEnded, ProxyAttemptEnded, ProxyTimerFired, UpstreamsReplaced, RetrySlackChanged>;
+using ProxyEvent = std::variant<ProxyCallAdmitted, ProxyCallAbandoned, ProbeEnded, ProxyAttemptEnded, ProxyTimerFired, UpstreamsReplaced, FleetShareChanged>;
 
 struct StartProbe {
     ProbeId id = 0;
@@ -173,6 +175,8 @@
     std::map<ProbeId, ProxyProbe> probes;
     std::set<std::pair<TimePoint, ProxyCallId>> timers;
     std::uint64_t lastId = 0;
+    double probeTokens = 0.0; ///< Probes that may be sent at once.
+    TimePoint probeTokensAt;
 };
 
 /** Takes @p event into @p state and returns what is to be done, in this order. */
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -88,6 +88,7 @@
         {LogEvent::UpstreamsChanged, Info, "upstreams_changed", "The registered upstreams changed."},
         {LogEvent::ReadinessChanged, Info, "readiness_changed", "gatewayd starts or stops to be ready for callers."},
         {LogEvent::ObjectUnusable, Warning, "object_unusable", "An object in the store cannot be understood and is left out."},
+        {LogEvent::EntriesChanged, Info, "entries_changed", "The entry VMs that the directory may name changed."},
         {LogEvent::StoreLost, Warning, "store_lost", "A call to the store failed; the last state stays in force."},
         {LogEvent::StoreReturned, Info, "store_returned", "The store answers again."},
         {LogEvent::ReloadRequested, Info, "reload_requested", "A signal said that the settings changed; gatewayd takes all of them at its start only."},
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -65,6 +65,7 @@
     UpstreamsChanged = 1511,
     ReadinessChanged = 1512,
     ObjectUnusable = 1513,
+    EntriesChanged = 1514,
     StoreLost = 1520,
     StoreReturned = 1521,
     ReloadRequested = 1530,
--- a/src/programs/plantainweirgatewayd.cpp
+++ b/src/programs/plantainweirgatewayd.cpp
@@ -20,12 +20,14 @@
     commandLine.addEndpoint("readiness-port", "where the platform asks whether this entry VM is ready");
     commandLine.addEndpoint("directory-port", "where callers ask for the addresses of entry VMs");
     commandLine.addEndpoint("membership-port", "UDP, towards other entry VMs");
+    commandLine.addEndpoint("exchange-port", "gRPC, towards other entry VMs");
     commandLine.addEndpoint("operators-port", "metrics, health and status");
     commandLine.addEndpoint("store", "the platform's store");
     commandLine.addEndpointList("seeds", "entry VMs that may be up; their membership ports are taken to be this one's");
     commandLine.addNumber("retry-share", "repeated attempts of the whole fleet for each call", 0.0, 10.0);
     commandLine.addNumber("retry-slack", "repeated attempts of the whole fleet beside that in each window", 0.0, 1e6);
     commandLine.addDuration("retry-window", "the window of the retry slack");
+    commandLine.addNumber("probe-limit", "questions a second that the whole fleet may put to one upstream", 0.0, 1e6);
     commandLine.addDuration("stop-time", "from the request to stop to the forced end");
 }
 
@@ -47,12 +49,14 @@
         .readinessPort = commandLine.endpoint("readiness-port"),
         .directoryPort = commandLine.endpoint("directory-port"),
         .membershipPort = commandLine.endpoint("membership-port"),
+        .exchangePort = commandLine.endpoint("exchange-port"),
         .operatorsPort = commandLine.endpoint("operators-port"),
         .store = commandLine.endpoint("store"),
         .seeds = membershipSeeds(commandLine),
         .retryShare = commandLine.number("retry-share"),
         .retrySlack = commandLine.number("retry-slack"),
         .retryWindow = commandLine.duration("retry-window"),
+        .probesPerUpstream = commandLine.number("probe-limit"),
         .stopTime = commandLine.duration("stop-time"),
         .seed = (static_cast<std::uint64_t>(std::random_device{}()) << 32) | std::random_device{}(),
     };
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -5,9 +5,12 @@
 #include "http/operatorsport.h"
 #include "observability/logevents.h"
 #include "observability/metrics.h"
+#include "tasks/exchangeclient.h"
+#include "tasks/exchangeserver.h"
 #include "tasks/gatewaytask.h"
 #include "tasks/membershiptask.h"
 #include "tasks/probingport.h"
+#include "tasks/storechecktask.h"
 #include "tasks/storewatchtask.h"
 
 #include <QTimer>
@@ -28,6 +31,8 @@
 /** Part of an upstream's connections that the fleet uses. */
 constexpr double ConnectionShare = 0.8;
 constexpr std::size_t MinimumConnections = 8;
+/** Part of the permitted questions to upstreams that is used. */
+constexpr double ProbeShare = 0.6;
 constexpr std::chrono::milliseconds RegistrationTime{1500};
 constexpr std::chrono::milliseconds RegistrationPause{2000};
 /** Time kept between the last answer and the forced end. */
@@ -51,6 +56,7 @@
     record.incarnation
         = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
     record.membershipEndpoint = settings.membershipPort;
+    record.exchangeEndpoint = settings.exchangePort;
     record.availabilityZone = settings.availabilityZone;
     return record;
 }
@@ -79,6 +85,9 @@
                           return std::string("{}");
                       })
         , m_membership(memberRecord(settings), MembershipSettings{}, m_metrics)
+        , m_exchangeServer(m_metrics)
+        , m_exchangeClient(m_metrics)
+        , m_storeCheck(settings.store, codec, settings.name)
         , m_routes(StoreKind::Configuration, settings.store, codec, settings.seed + 1)
         , m_registrations(StoreKind::Upstreams, settings.store, codec, settings.seed + 2)
         , m_storeClient(HttpLimits{})
@@ -136,6 +145,9 @@
                 m_task.setTableFresh(m_routes.isCurrent());
             });
         }
+        // A watch may wait on a connection that is dead without a sign.
+        connect(&m_storeCheck, &StoreCheckTask::failed, &m_routes, &StoreWatchTask::restart);
+        connect(&m_storeCheck, &StoreCheckTask::failed, &m_registrations, &StoreWatchTask::restart);
         m_lapseTimer.setSingleShot(true);
         connect(&m_lapseTimer, &QTimer::timeout, this, [this] {
             if (dropLapsed(m_registry, Clock::now())) {
@@ -149,8 +161,18 @@
     {
         connect(&m_membership, &MembershipTask::entriesChanged, this, [this](const std::vector<EntryMember> &entries) {
             m_entries = entries;
+            logEvent(LogEvent::EntriesChanged, {{"entries", entries.size()}});
             noteFleetSize();
         });
+        connect(&m_membership, &MembershipTask::exchangeRequested, &m_exchangeClient, &ExchangeClient::compareMembers, Qt::QueuedConnection);
+        connect(&m_exchangeServer, &ExchangeServer::membersRequested, this, [this](ExchangeCallId call, const BucketDigests &digests) {
+            m_exchangeServer.answerMembers(call, recordsInDifferingBuckets(m_membership.membership(), digests));
+        });
+        connect(&m_exchangeClient, &ExchangeClient::membersCompared, this, [this](const Endpoint &, const std::optional<std::vector<MemberRecord>> &records) {
+            if (records) {
+                m_membership.learn(*records);
+            }
+        });
         connect(&m_storeClient, &HttpClient::finished, this, &Private::handleRegistrationAnswer);
         m_fleetTimer.setSingleShot(true);
         connect(&m_fleetTimer, &QTimer::timeout, this, [this] {
@@ -171,12 +193,16 @@
         if (!m_operators.listen(m_settings.operatorsPort)) {
             return reportClosedPort(m_settings.operatorsPort);
         }
+        if (!m_exchangeServer.listen(m_settings.exchangePort)) {
+            return reportClosedPort(m_settings.exchangePort);
+        }
         if (!m_membership.listen()) {
             return reportClosedPort(m_settings.membershipPort);
         }
         m_membership.setSeeds(m_settings.seeds);
         m_routes.start();
         m_registrations.start();
+        m_storeCheck.start();
         registerSelf();
         m_fleetTimer.start(FleetSettlingTime);
         return true;
@@ -240,6 +266,7 @@
         });
         logEvent(LogEvent::UpstreamsChanged, {{"registered", upstreams.size()}, {"draining", draining}});
         m_task.setUpstreams(upstreams);
+        noteFleetSize();
         scheduleLapse();
     }
 
@@ -268,7 +295,9 @@
     void noteFleetSize()
     {
         m_largestFleet = std::max(m_largestFleet, liveMembers(m_membership.membership()).size());
-        m_task.setRetrySlack(m_settings.retrySlack / static_cast<double>(fleetSize()));
+        const auto size = static_cast<double>(fleetSize());
+        const auto upstreams = static_cast<double>(m_registry.entries.size());
+        m_task.setFleetShare({.retrySlack = m_settings.retrySlack / size, .probesPerSecond = m_settings.probesPerUpstream * ProbeShare * upstreams / size});
     }
 
     void updateReadiness()
@@ -416,6 +445,9 @@
     HttpServer m_directory;
     OperatorsPort m_operators;
     MembershipTask m_membership;
+    ExchangeServer m_exchangeServer;
+    ExchangeClient m_exchangeClient;
+    StoreCheckTask m_storeCheck;
     StoreWatchTask m_routes;
     StoreWatchTask m_registrations;
     HttpClient m_storeClient;
--- a/src/tasks/gateway.h
+++ b/src/tasks/gateway.h
@@ -21,12 +21,14 @@
     Endpoint readinessPort;
     Endpoint directoryPort;
     Endpoint membershipPort; ///< UDP, towards other entry VMs.
+    Endpoint exchangePort; ///< gRPC, towards other entry VMs.
     Endpoint operatorsPort;
     Endpoint store;
     std::vector<Endpoint> seeds; ///< Membership endpoints where others may be found.
     double retryShare = 0.0; ///< Repeated attempts for each call, over the fleet.
     double retrySlack = 0.0; ///< Repeated attempts beside that in a window, over the fleet.
     Duration retryWindow{};
+    double probesPerUpstream = 0.0; ///< Questions a second that the fleet may put to one upstream.
     Duration stopTime{}; ///< From the request to stop to the forced end.
     std::uint64_t seed = 0; ///< Of the random generators.
 };
--- a/src/tasks/gatewaycodec.h
+++ b/src/tasks/gatewaycodec.h
@@ -60,6 +60,9 @@
     /** Decodes the answer of a list or a watch. */
     StoreAnswer (*decodePage)(StoreKind kind, const SendResult &result, bool isWatch, StorePage &page);
     HttpRequest (*encodeRegistration)(const EntryVmRecord &record, bool isUpdate);
+    /** A cheap read whose only purpose is an answer. */
+    HttpRequest (*encodeCheck)(const std::string &name);
+    bool (*isCheckPassed)(const SendResult &result);
     HttpRequest (*encodeDeregistration)(const std::string &name);
 };
 
--- a/src/tasks/gatewaytask.cpp
+++ b/src/tasks/gatewaytask.cpp
@@ -270,9 +270,9 @@
     d->feed(UpstreamsReplaced{upstreams});
 }
 
-void GatewayTask::setRetrySlack(double slack)
+void GatewayTask::setFleetShare(const FleetShareChanged &share)
 {
-    d->feed(RetrySlackChanged{slack});
+    d->feed(share);
 }
 
 void GatewayTask::refuseNewCalls()
--- a/src/tasks/gatewaytask.h
+++ b/src/tasks/gatewaytask.h
@@ -31,8 +31,7 @@
     /** Says whether the platform confirmed the table lately. */
     void setTableFresh(bool isFresh);
     void setUpstreams(const std::vector<RegisteredUpstream> &upstreams);
-    /** Sets this entry VM's part of the slack for repeated attempts. */
-    void setRetrySlack(double slack);
+    void setFleetShare(const FleetShareChanged &share);
     /** From now on new calls are refused. */
     void refuseNewCalls();
 
--- a/src/tasks/storewatchtask.cpp
+++ b/src/tasks/storewatchtask.cpp
@@ -59,12 +59,12 @@
         if (action.after.empty()) {
             m_listedNames.clear();
         }
-        m_client.send(m_store, m_codec.encodeList(m_kind, action.after), Clock::now() + ListTime);
+        m_call = m_client.send(m_store, m_codec.encodeList(m_kind, action.after), Clock::now() + ListTime);
     }
 
     void carryOut(const SendStoreWatch &action)
     {
-        m_client.send(m_store, m_codec.encodeWatch(m_kind, action.revision, WatchTime), Clock::now() + WatchTime + AnswerMargin);
+        m_call = m_client.send(m_store, m_codec.encodeWatch(m_kind, action.revision, WatchTime), Clock::now() + WatchTime + AnswerMargin);
     }
 
     void carryOut(const CompleteStoreList &)
@@ -124,6 +124,7 @@
     QTimer m_timer;
     StoreWatch m_watch;
     std::vector<std::string> m_listedNames;
+    SendId m_call = 0;
 };
 
 StoreWatchTask::StoreWatchTask(StoreKind kind, const Endpoint &store, const GatewayCodec &codec, std::uint64_t seed, QObject *parent)
@@ -139,6 +140,14 @@
     d->feed(StoreTimerFired{});
 }
 
+void StoreWatchTask::restart()
+{
+    if (d->m_watch.phase != StoreWatchPhase::Pausing) {
+        d->m_client.cancel(d->m_call);
+        d->feed(StoreCallFailed{});
+    }
+}
+
 bool StoreWatchTask::isListed() const
 {
     return d->m_watch.isListed;
--- a/src/tasks/storewatchtask.h
+++ b/src/tasks/storewatchtask.h
@@ -19,6 +19,8 @@
     ~StoreWatchTask() override;
 
     void start();
+    /** Gives the present call up and lists anew. */
+    void restart();
     /** Returns whether a whole list has come. */
     bool isListed() const;
     /** Returns whether the last call was answered. */
