--- /dev/null
+++ b/tests/platformcodectest.cpp
@@ -0,0 +1,179 @@
+#include "core/parseduration.h"
+#include "platform/callcodec.h"
+#include "platform/storecodec.h"
+
+#include <gtest/gtest.h>
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+namespace Plantainweir::Platform {
+namespace {
+
+constexpr TimePoint Now{std::chrono::seconds(1000)};
+
+QJsonObject parseObject(const char *text)
+{
+    const QJsonDocument document = QJsonDocument::fromJson(text);
+    EXPECT_TRUE(document.isObject()) << text;
+    return document.object();
+}
+
+const char *const ServerText
+    = R"({"service":"desk","address":"10.1.0.9:80","zone":"a","version":"v1","slots":4,"state":"ready","cold":"1500ms","sequence":4,"born":1790000000000})";
+
+TEST(PlatformValues, ReadTimesWithTheirUnit)
+{
+    EXPECT_EQ(parseDuration("1500ms"), std::chrono::milliseconds(1500));
+    EXPECT_EQ(parseDuration("2.5s"), std::chrono::milliseconds(2500));
+    for (const char *text : {"", "15", "ms", "1.5.5s", "2m", "-1s"}) {
+        EXPECT_FALSE(parseDuration(text)) << text;
+    }
+}
+
+TEST(PlatformStore, ReadsARegistration)
+{
+    const auto upstream = decodeUpstream("i-1", parseObject(ServerText));
+    ASSERT_TRUE(upstream);
+    EXPECT_EQ(upstream->id, "i-1");
+    EXPECT_EQ(upstream->slots, 4U);
+    EXPECT_EQ(upstream->coldTime, std::chrono::milliseconds(1500));
+    EXPECT_FALSE(upstream->isDraining);
+}
+
+TEST(PlatformStore, LeavesOutRegistrationsOfOtherWriters)
+{
+    const QJsonObject good = parseObject(ServerText);
+    for (const QString &field : good.keys()) {
+        QJsonObject missing = good;
+        missing.remove(field);
+        EXPECT_EQ(decodeUpstream("i-1", missing).has_value(), field == "born") << field.toStdString();
+        QJsonObject foreign = good;
+        foreign.insert(field, QJsonArray{1});
+        EXPECT_FALSE(decodeUpstream("i-1", foreign)) << field.toStdString();
+    }
+    QJsonObject unknown = good;
+    unknown.insert("state", "resting");
+    EXPECT_FALSE(decodeUpstream("i-1", unknown));
+    unknown = good;
+    unknown.insert("born", 1.5);
+    EXPECT_FALSE(decodeUpstream("i-1", unknown));
+}
+
+TEST(PlatformStore, ReadsTheConfiguration)
+{
+    const auto table = decodeRouteTable(parseObject(R"({"version":7,"resources":[
+        {"resourceKind":"routes","metadata":{"name":"r1"},"spec":{"host":"h","pathPrefix":"/a/","kind":"safe","timeout":"1500ms",
+         "targetLatency":"400ms","priority":1,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2}},
+        {"resourceKind":"routes","metadata":{"name":"r2"},"spec":{"host":"h","pathPrefix":"/b/","kind":"other","timeout":"2s","service":"s1"}},
+        {"resourceKind":"services","metadata":{"name":"s1"},"spec":{"healthPath":"/health","maxConnections":220}},
+        {"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":1000,"maxBodyBytes":2000,"headerTimeout":"3s","idleTimeout":"15s"}}]})"));
+    ASSERT_TRUE(table);
+    EXPECT_EQ(table->version, 7U);
+    ASSERT_EQ(table->routes.size(), 2U);
+    EXPECT_EQ(table->routes[0].repeatability, Repeatability::Idempotent);
+    EXPECT_EQ(table->routes[0].targets, (std::vector<RouteTarget>{{"s1", 90}, {"s2", 10}}));
+    EXPECT_EQ(table->routes[1].repeatability, Repeatability::AtMostOnce) << "an unknown kind must not be repeated";
+    EXPECT_EQ(table->routes[1].target, std::chrono::seconds(2));
+    EXPECT_EQ(table->services.at("s1").connectionLimit, 220U);
+    EXPECT_EQ(table->limits.idleTime, std::chrono::seconds(15));
+    EXPECT_FALSE(decodeRouteTable(parseObject(R"({"version":"7","resources":[]})")));
+    EXPECT_FALSE(decodeRouteTable(parseObject(R"({"version":7})")));
+}
+
+TEST(PlatformStore, TellsAPageFromDroppedHistoryAndFailure)
+{
+    StorePage page;
+    SendResult result{.outcome = SendOutcome::Answered, .response = {.status = 410, .fields = {}, .body = {}}};
+    EXPECT_EQ(decodePage(StoreKind::Upstreams, result, true, page), StoreAnswer::HistoryGone);
+    result.response.status = 503;
+    EXPECT_EQ(decodePage(StoreKind::Upstreams, result, true, page), StoreAnswer::Failed);
+    result.response
+        = {.status = 200, .fields = {}, .body = R"({"events":[{"deleted":true,"object":{"metadata":{"name":"i-1","revision":5}}}],"storeRevision":9})"};
+    EXPECT_EQ(decodePage(StoreKind::Upstreams, result, true, page), StoreAnswer::Page);
+    EXPECT_EQ(page.revision, 9U);
+    ASSERT_EQ(page.items.size(), 1U);
+    EXPECT_TRUE(page.items[0].isDeleted);
+    EXPECT_EQ(decodePage(StoreKind::Upstreams, {.outcome = SendOutcome::Lost, .response = {}}, true, page), StoreAnswer::Failed);
+}
+
+TEST(PlatformCalls, HandTheUpstreamWhatIsLeftOfTheTime)
+{
+    const HttpRequest request{.method = "POST",
+                              .target = "/a/x?q=1",
+                              .fields = {{"Host", "h"}, {RequestIdField, "id1"}, {"x-plantainweir-deadline-ms", "3000"}, {"X-Own", "kept"}},
+                              .body = "b"};
+    const RoutedCall call = decodeCall(request, Now);
+    EXPECT_EQ(call.path, "/a/x");
+    EXPECT_EQ(call.timeLeft, std::chrono::milliseconds(3000));
+    const HttpRequest attempt = encodeAttempt(request, {.key = 1, .id = "i-9"}, std::chrono::milliseconds(750));
+    EXPECT_EQ(attempt.target, request.target);
+    EXPECT_EQ(fieldValue(attempt.fields, "X-Plantainweir-Deadline-Ms"), "750");
+    EXPECT_EQ(fieldValue(attempt.fields, "X-Plantainweir-Expect-Instance"), "i-9");
+    EXPECT_EQ(fieldValue(attempt.fields, "X-Own"), "kept");
+}
+
+TEST(PlatformCalls, OnlyRefusalsPromiseThatNothingRan)
+{
+    const auto statusOf = [](const CallReply &reply) {
+        return encodeReply(reply, "id1", Now).status;
+    };
+    EXPECT_EQ(statusOf(refusedReply(RefusalReason::QueueFull, Now)), 503);
+    EXPECT_EQ(statusOf(refusedReply(RefusalReason::UnknownRoute, Now)), 404);
+    EXPECT_EQ(statusOf(unknownReply(UnknownReason::ConnectionLost)), 502);
+    EXPECT_EQ(statusOf(unknownReply(UnknownReason::DeadlinePassed)), 504);
+    const HttpResponse refusal = encodeReply(refusedReply(RefusalReason::QueueFull, Now + std::chrono::milliseconds(250)), "id1", Now);
+    EXPECT_EQ(fieldValue(refusal.fields, "Retry-After"), "0.250");
+}
+
+TEST(PlatformCalls, TellWhatAnUpstreamsAnswerMeans)
+{
+    const auto outcomeOf = [](int status, HttpFields fields) {
+        return decodeAnswer({.status = status, .fields = std::move(fields), .body = {}}).outcome;
+    };
+    EXPECT_EQ(outcomeOf(200, {{"X-Plantainweir-Response-Stamp", "s"}}), ProxyAttemptOutcome::Succeeded);
+    EXPECT_EQ(outcomeOf(200, {}), ProxyAttemptOutcome::Lost) << "a success without its signature is not the upstream's";
+    EXPECT_EQ(outcomeOf(503, {{"X-Plantainweir-Not-Executed", "1"}}), ProxyAttemptOutcome::Shed);
+    EXPECT_EQ(outcomeOf(503, {}), ProxyAttemptOutcome::ServerError);
+    EXPECT_EQ(outcomeOf(504, {}), ProxyAttemptOutcome::ServerError);
+    EXPECT_EQ(outcomeOf(421, {}), ProxyAttemptOutcome::Replaced);
+    EXPECT_EQ(outcomeOf(404, {}), ProxyAttemptOutcome::Succeeded);
+}
+
+TEST(PlatformCalls, ReadLoadReports)
+{
+    const auto load = parseLoad("2,1,8,500");
+    ASSERT_TRUE(load);
+    EXPECT_EQ(load->running, 2U);
+    EXPECT_EQ(load->waiting, 1U);
+    EXPECT_EQ(load->slots, 8U);
+    EXPECT_DOUBLE_EQ(load->pace, 5.0);
+    EXPECT_DOUBLE_EQ(parseLoad("2,1,8")->pace, 1.0);
+    for (const char *text : {"", "2,1", "a,b,c", "2,,8", "-1,0,3"}) {
+        EXPECT_FALSE(parseLoad(text)) << text;
+    }
+}
+
+TEST(PlatformCalls, TellAnotherUpstreamAtTheAddress)
+{
+    const RegisteredUpstream upstream{.key = 1, .id = "i-1"};
+    const HttpResponse other{.status = 200, .fields = {{"X-Plantainweir-Instance-Id", "i-2"}}, .body = {}};
+    EXPECT_EQ(decodeProbe(other, upstream).outcome, ProbeOutcome::Replaced);
+    const HttpResponse ill{.status = 503, .fields = {{"X-Plantainweir-Instance-Id", "i-1"}}, .body = {}};
+    EXPECT_EQ(decodeProbe(ill, upstream).outcome, ProbeOutcome::Unhealthy);
+}
+
+TEST(PlatformDirectory, AnswersOnlyItsQuestion)
+{
+    const auto query = decodeDirectoryQuery({.method = "GET", .target = "/v1/resolve?name=h.example&region=r&zone=z-1", .fields = {}, .body = {}});
+    ASSERT_TRUE(query);
+    EXPECT_EQ(query->host, "h.example");
+    EXPECT_EQ(query->availabilityZone, "z-1");
+    EXPECT_FALSE(decodeDirectoryQuery({.method = "GET", .target = "/v1/other", .fields = {}, .body = {}}));
+    const HttpResponse answer = encodeDirectoryAnswer({{.address = "10.0.0.1", .port = 80}}, std::chrono::seconds(2));
+    EXPECT_EQ(answer.body, R"({"addresses":["10.0.0.1:80"],"ttl":"2000ms"})");
+    EXPECT_EQ(encodeDirectoryAnswer({}, std::chrono::seconds(2)).status, 503);
+}
+
+}
+}
--- /dev/null
+++ b/tests/proxyingtest.cpp
@@ -0,0 +1,371 @@
+#include "decision/proxying.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace Plantainweir {
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(1000)};
+
+RegisteredUpstream makeUpstream(UpstreamKey key, const std::string &zone = "a")
+{
+    return {.key = key,
+            .id = "u" + std::to_string(key),
+            .service = "desk",
+            .endpoint = {.address = "10.0.0.1", .port = static_cast<std::uint16_t>(key)},
+            .availabilityZone = zone,
+            .slots = 3};
+}
+
+/** Feeds the step and keeps what it asked for. */
+class ProxyingTest : public testing::Test
+{
+protected:
+    ProxyingTest()
+    {
+        state.settings = {.availabilityZone = "a", .retryShare = 0.2, .retrySlack = 10.0, .probesPerSecond = 1000.0};
+    }
+
+    void feed(const ProxyEvent &event)
+    {
+        for (const ProxyAction &action : step(state, event, now, random)) {
+            if (const auto *probe = std::get_if<StartProbe>(&action)) {
+                probes.push_back(*probe);
+            } else if (const auto *attempt = std::get_if<StartProxyAttempt>(&action)) {
+                attempts.push_back(*attempt);
+            } else if (const auto *end = std::get_if<EndProxyCall>(&action)) {
+                ends.push_back(*end);
+            } else {
+                cancelled.push_back(std::get<CancelProxyAttempt>(action).id);
+            }
+        }
+    }
+
+    void setUpstreams(const std::vector<RegisteredUpstream> &upstreams)
+    {
+        feed(UpstreamsReplaced{upstreams});
+    }
+
+    void admit(ProxyCallId id, Repeatability repeatability = Repeatability::AtMostOnce)
+    {
+        feed(ProxyCallAdmitted{
+            .id = id,
+            .service = "desk",
+            .repeatability = repeatability,
+            .maximumAttempts = 2,
+            .target = std::chrono::milliseconds(400),
+            .deadline = now + std::chrono::seconds(2),
+        });
+    }
+
+    /** Answers open probes, also those that follow, with the load that @p loadOf returns. */
+    void answerProbes(const std::function<UpstreamLoad(const RegisteredUpstream &)> &loadOf)
+    {
+        while (!probes.empty()) {
+            const StartProbe probe = probes.front();
+            probes.pop_front();
+            feed(ProbeEnded{.id = probe.id, .outcome = ProbeOutcome::Answered, .load = loadOf(probe.upstream)});
+        }
+    }
+
+    void answerQuiet()
+    {
+        answerProbes([](const RegisteredUpstream &) {
+            return UpstreamLoad{.running = 0, .waiting = 0, .slots = 3, .pace = 1.0};
+        });
+    }
+
+    void endLastAttempt(ProxyAttemptOutcome outcome)
+    {
+        feed(ProxyAttemptEnded{.id = attempts.back().id, .outcome = outcome, .load = std::nullopt});
+    }
+
+    void advanceTime(Duration duration)
+    {
+        const TimePoint end = now + duration;
+        while (nextWakeUp(state) && *nextWakeUp(state) <= end) {
+            now = std::max(now, *nextWakeUp(state));
+            feed(ProxyTimerFired{});
+        }
+        now = end;
+    }
+
+    TimePoint now = Start;
+    std::mt19937_64 random{7};
+    ProxyState state;
+    std::deque<StartProbe> probes;
+    std::vector<StartProxyAttempt> attempts;
+    std::vector<EndProxyCall> ends;
+    std::vector<ProxyAttemptId> cancelled;
+};
+
+TEST_F(ProxyingTest, SendsToTheQuietOneOfThoseAsked)
+{
+    setUpstreams({makeUpstream(1), makeUpstream(2)});
+    admit(1);
+    EXPECT_EQ(probes.size(), 2U);
+    answerProbes([](const RegisteredUpstream &upstream) {
+        return UpstreamLoad{.running = 0, .waiting = 0, .slots = 3, .pace = upstream.key == 1 ? 5.0 : 1.0};
+    });
+    ASSERT_EQ(attempts.size(), 1U);
+    EXPECT_EQ(attempts[0].upstream.key, 2U);
+}
+
+TEST_F(ProxyingTest, AsksNearUpstreamsFirst)
+{
+    setUpstreams({makeUpstream(1, "b"), makeUpstream(2, "a"), makeUpstream(3, "b"), makeUpstream(4, "a")});
+    admit(1);
+    for (const StartProbe &probe : probes) {
+        EXPECT_EQ(probe.upstream.availabilityZone, "a");
+    }
+}
+
+TEST_F(ProxyingTest, FreshAnswerSavesAQuestion)
+{
+    setUpstreams({makeUpstream(1)});
+    admit(1);
+    answerQuiet();
+    now += std::chrono::milliseconds(10);
+    admit(2);
+    EXPECT_TRUE(probes.empty());
+    EXPECT_EQ(attempts.size(), 2U);
+    now += std::chrono::milliseconds(50);
+    admit(3);
+    EXPECT_EQ(probes.size(), 1U);
+}
+
+TEST_F(ProxyingTest, RefusesSoonAndTruthfullyWhenAllAreFull)
+{
+    setUpstreams({makeUpstream(1)});
+    admit(1);
+    const auto full = [](const RegisteredUpstream &) {
+        return UpstreamLoad{.running = 3, .waiting = 2, .slots = 3, .pace = 1.0};
+    };
+    for (int round = 0; round < 20 && ends.empty(); ++round) {
+        answerProbes(full);
+        advanceTime(std::chrono::milliseconds(10));
+    }
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, CallOutcome::NotRun);
+    EXPECT_EQ(ends[0].refusal, RefusalReason::QueueFull);
+    EXPECT_GT(ends[0].retryAfter, Duration(0));
+    EXPECT_LE(now - Start, std::chrono::milliseconds(100));
+    EXPECT_TRUE(attempts.empty());
+}
+
+TEST_F(ProxyingTest, NeverRepeatsAtMostOnceWorkThatMayHaveRun)
+{
+    for (const auto outcome : {ProxyAttemptOutcome::Lost, ProxyAttemptOutcome::DeadlinePassed, ProxyAttemptOutcome::ServerError}) {
+        setUpstreams({makeUpstream(1), makeUpstream(2), makeUpstream(3)});
+        attempts.clear();
+        ends.clear();
+        admit(static_cast<ProxyCallId>(outcome) + 1);
+        answerQuiet();
+        endLastAttempt(outcome);
+        answerQuiet();
+        EXPECT_EQ(attempts.size(), 1U);
+        ASSERT_EQ(ends.size(), 1U);
+        EXPECT_NE(ends[0].outcome, CallOutcome::NotRun);
+    }
+}
+
+TEST_F(ProxyingTest, RepeatsShedWorkElsewhereWithinTheBudget)
+{
+    setUpstreams({makeUpstream(1), makeUpstream(2)});
+    advanceTime(std::chrono::seconds(10));
+    admit(1);
+    answerQuiet();
+    now += std::chrono::seconds(10);
+    feed(ProxyAttemptEnded{.id = attempts.back().id, .outcome = ProxyAttemptOutcome::Shed, .load = std::nullopt});
+    EXPECT_EQ(attempts.size(), 1U) << "its deadline has passed";
+    admit(2);
+    answerQuiet();
+    endLastAttempt(ProxyAttemptOutcome::Shed);
+    answerQuiet();
+    ASSERT_EQ(attempts.size(), 3U);
+    EXPECT_EQ(attempts[2].retry, RetryReason::UpstreamShed);
+    EXPECT_NE(attempts[2].upstream.key, attempts[1].upstream.key);
+}
+
+TEST_F(ProxyingTest, AvoidsAReplacedUpstream)
+{
+    setUpstreams({makeUpstream(1), makeUpstream(2)});
+    admit(1);
+    answerQuiet();
+    const UpstreamKey replaced = attempts[0].upstream.key;
+    endLastAttempt(ProxyAttemptOutcome::Replaced);
+    for (ProxyCallId id = 2; id < 20; ++id) {
+        now += std::chrono::milliseconds(100);
+        probes.clear();
+        admit(id);
+        answerQuiet();
+        EXPECT_NE(attempts.back().upstream.key, replaced);
+        endLastAttempt(ProxyAttemptOutcome::Succeeded);
+    }
+}
+
+TEST_F(ProxyingTest, CancelsIdempotentWorkOfACallerThatLeftAndKeepsOther)
+{
+    setUpstreams({makeUpstream(1), makeUpstream(2)});
+    admit(1, Repeatability::Idempotent);
+    answerQuiet();
+    feed(ProxyCallAbandoned{1});
+    EXPECT_EQ(cancelled.size(), 1U);
+    admit(2, Repeatability::AtMostOnce);
+    answerQuiet();
+    feed(ProxyCallAbandoned{2});
+    EXPECT_EQ(cancelled.size(), 1U);
+    endLastAttempt(ProxyAttemptOutcome::Succeeded);
+    EXPECT_TRUE(ends.empty());
+    EXPECT_TRUE(state.calls.empty());
+}
+
+TEST_F(ProxyingTest, EndsACallAtItsDeadline)
+{
+    setUpstreams({makeUpstream(1)});
+    admit(1);
+    answerQuiet();
+    advanceTime(std::chrono::seconds(3));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, CallOutcome::Unknown);
+    EXPECT_EQ(ends[0].unknown, UnknownReason::DeadlinePassed);
+    EXPECT_EQ(cancelled.size(), 1U);
+}
+
+TEST_F(ProxyingTest, KeepsTheProbeLimit)
+{
+    state.settings.probesPerSecond = 50.0;
+    setUpstreams({makeUpstream(1), makeUpstream(2), makeUpstream(3), makeUpstream(4)});
+    std::size_t asked = 0;
+    for (ProxyCallId id = 1; id <= 1000; ++id) {
+        admit(id);
+        asked += probes.size();
+        answerProbes([](const RegisteredUpstream &) {
+            return UpstreamLoad{.running = 3, .waiting = 1, .slots = 3, .pace = 1.0};
+        });
+        advanceTime(std::chrono::milliseconds(10));
+        asked += probes.size();
+        answerQuiet();
+    }
+    EXPECT_LE(asked, 50U * 11U);
+    EXPECT_GE(asked, 50U * 5U);
+}
+
+/**
+ * Random calls, answers, faults and departures over many seeds: each call ends exactly once; work that must not repeat
+ * reaches a second upstream only after the first one said that it did not run; "not run" is said only if that is so; the
+ * repeated attempts stay within the budget.
+ */
+TEST(ProxyingExploration, KeepsThePromisesInAnyOrderOfEvents)
+{
+    constexpr int Seeds = 400;
+    constexpr int Events = 400;
+    for (int seed = 0; seed < Seeds; ++seed) {
+        std::mt19937_64 random(seed);
+        ProxyState state;
+        state.settings = {.availabilityZone = "a", .retryShare = 0.2, .retrySlack = 5.0, .probesPerSecond = 500.0};
+        TimePoint now = Start;
+        std::map<ProxyCallId, Repeatability> calls;
+        std::map<ProxyCallId, bool> mayHaveRun;
+        std::map<ProxyCallId, int> endCounts;
+        std::set<ProxyCallId> abandoned;
+        std::map<ProxyAttemptId, ProxyCallId> attempts;
+        std::vector<ProbeId> probes;
+        int retries = 0;
+        ProxyCallId lastCall = 0;
+        const auto feed = [&](const ProxyEvent &event) {
+            for (const ProxyAction &action : step(state, event, now, random)) {
+                if (const auto *probe = std::get_if<StartProbe>(&action)) {
+                    probes.push_back(probe->id);
+                } else if (const auto *attempt = std::get_if<StartProxyAttempt>(&action)) {
+                    const bool isOnce = calls.at(attempt->call) == Repeatability::AtMostOnce;
+                    ASSERT_FALSE(isOnce && mayHaveRun[attempt->call]) << "seed " << seed;
+                    ASSERT_FALSE(abandoned.contains(attempt->call)) << "seed " << seed;
+                    attempts.emplace(attempt->id, attempt->call);
+                    retries += attempt->retry && *attempt->retry != RetryReason::ConnectFailed ? 1 : 0;
+                } else if (const auto *end = std::get_if<EndProxyCall>(&action)) {
+                    ASSERT_EQ(++endCounts[end->call], 1) << "seed " << seed;
+                    ASSERT_FALSE(abandoned.contains(end->call)) << "seed " << seed;
+                    ASSERT_FALSE(end->outcome == CallOutcome::NotRun && mayHaveRun[end->call]) << "seed " << seed;
+                } else {
+                    const ProxyAttemptId id = std::get<CancelProxyAttempt>(action).id;
+                    mayHaveRun[attempts.at(id)] = true;
+                    attempts.erase(id);
+                }
+            }
+        };
+        for (int event = 0; event < Events; ++event) {
+            switch (random() % 8) {
+            case 0:
+            case 1: {
+                const auto repeatability = random() % 2 == 0 ? Repeatability::AtMostOnce : Repeatability::Idempotent;
+                calls.emplace(++lastCall, repeatability);
+                feed(ProxyCallAdmitted{.id = lastCall,
+                                       .service = "desk",
+                                       .repeatability = repeatability,
+                                       .maximumAttempts = 1 + static_cast<std::uint32_t>(random() % 3),
+                                       .target = std::chrono::milliseconds(200),
+                                       .deadline = now + std::chrono::milliseconds(100 + random() % 1000)});
+                break;
+            }
+            case 2:
+            case 3:
+            case 4:
+                if (!probes.empty()) {
+                    const std::size_t index = random() % probes.size();
+                    const ProbeId id = probes[index];
+                    probes.erase(probes.begin() + static_cast<std::ptrdiff_t>(index));
+                    const auto outcome = random() % 4 == 0 ? static_cast<ProbeOutcome>(random() % 4) : ProbeOutcome::Answered;
+                    feed(ProbeEnded{.id = id, .outcome = outcome, .load = {.running = static_cast<std::uint32_t>(random() % 4), .slots = 3}});
+                }
+                break;
+            case 5:
+                if (!attempts.empty()) {
+                    auto chosen = std::next(attempts.begin(), static_cast<std::ptrdiff_t>(random() % attempts.size()));
+                    const auto [id, call] = *chosen;
+                    attempts.erase(chosen);
+                    const auto outcome = static_cast<ProxyAttemptOutcome>(random() % enumCount<ProxyAttemptOutcome>());
+                    const bool isNotRun
+                        = outcome == ProxyAttemptOutcome::Shed || outcome == ProxyAttemptOutcome::Replaced || outcome == ProxyAttemptOutcome::NotSent;
+                    mayHaveRun[call] = mayHaveRun[call] || !isNotRun;
+                    feed(ProxyAttemptEnded{.id = id, .outcome = outcome, .load = std::nullopt});
+                }
+                break;
+            case 6: {
+                std::vector<RegisteredUpstream> upstreams;
+                for (UpstreamKey key = 1; key <= 6; ++key) {
+                    if (random() % 4 != 0) {
+                        upstreams.push_back(makeUpstream(key, key % 2 == 0 ? "a" : "b"));
+                        upstreams.back().isDraining = random() % 5 == 0;
+                    }
+                }
+                feed(UpstreamsReplaced{upstreams});
+                break;
+            }
+            default:
+                if (lastCall > 0 && random() % 4 == 0) {
+                    const ProxyCallId id = 1 + random() % lastCall;
+                    if (state.calls.contains(id) && !abandoned.contains(id)) {
+                        abandoned.insert(id);
+                        feed(ProxyCallAbandoned{id});
+                    }
+                }
+                now += std::chrono::milliseconds(random() % 30);
+                feed(ProxyTimerFired{});
+            }
+            ASSERT_FALSE(testing::Test::HasFatalFailure()) << "seed " << seed;
+        }
+        now += std::chrono::seconds(5);
+        feed(ProxyTimerFired{});
+        for (const auto &[id, repeatability] : calls) {
+            ASSERT_EQ(endCounts[id], abandoned.contains(id) ? 0 : 1) << "seed " << seed << " call " << id;
+        }
+        const double seconds = toMilliseconds(now - Start) / 1000.0;
+        ASSERT_LE(retries, 0.2 * static_cast<double>(lastCall) + 5.0 * (1.0 + seconds / 10.0)) << "seed " << seed;
+    }
+}
+
+}
+}
--- /dev/null
+++ b/tests/routechaintest.cpp
@@ -0,0 +1,98 @@
+#include "filters/routechain.h"
+#include "decision/weightedrotation.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace Plantainweir {
+namespace {
+
+constexpr TimePoint Now{std::chrono::seconds(1000)};
+
+RouteTable makeTable()
+{
+    Route wide{.name = "wide", .host = "rink.example", .pathPrefix = "/a/"};
+    wide.timeout = std::chrono::seconds(2);
+    wide.targets = {{.service = "desk", .weight = 1}};
+    Route narrow = wide;
+    narrow.name = "narrow";
+    narrow.pathPrefix = "/a/b/";
+    return {.version = 3, .routes = {narrow, wide}, .services = {}, .limits = {}};
+}
+
+RoutedCall makeCall(const std::string &path)
+{
+    return {.host = "rink.example", .path = path, .requestId = "1", .timeLeft = std::chrono::seconds(1), .arrivedAt = Now};
+}
+
+RefusalReason refusalOf(const RoutedCall &call, const RouteEnvironment &environment)
+{
+    RouteContext context{.call = call};
+    EXPECT_EQ(runRouteChain(context, environment), RouteOutcome::Refuse);
+    return context.refusal;
+}
+
+TEST(RouteChain, LongestPrefixOfTheHostWins)
+{
+    const RouteTable table = makeTable();
+    EXPECT_EQ(findRoute(table, "rink.example", "/a/b/c")->name, "narrow");
+    EXPECT_EQ(findRoute(table, "rink.example", "/a/c")->name, "wide");
+    EXPECT_EQ(findRoute(table, "rink.example", "/a"), nullptr);
+    EXPECT_EQ(findRoute(table, "other.example", "/a/c"), nullptr);
+}
+
+TEST(RouteChain, KnowsNoMissingRouteWithoutAFreshTable)
+{
+    const RouteTable table = makeTable();
+    EXPECT_EQ(refusalOf(makeCall("/x/"), {.table = table, .isTableFresh = true, .now = Now}), RefusalReason::UnknownRoute);
+    EXPECT_EQ(refusalOf(makeCall("/x/"), {.table = table, .isTableFresh = false, .now = Now}), RefusalReason::NotReady);
+    EXPECT_EQ(refusalOf(makeCall("/a/c"), {.table = RouteTable{}, .now = Now}), RefusalReason::NotReady);
+}
+
+TEST(RouteChain, DeadlineIsTheSoonerOfCallersAndRoutes)
+{
+    const RouteTable table = makeTable();
+    const RoutedCall hurried = makeCall("/a/c");
+    RouteContext context{.call = hurried};
+    EXPECT_EQ(runRouteChain(context, {.table = table, .now = Now}), RouteOutcome::Continue);
+    EXPECT_EQ(context.deadline, Now + std::chrono::seconds(1));
+    RoutedCall patient = makeCall("/a/c");
+    patient.timeLeft = std::chrono::seconds(9);
+    RouteContext patientContext{.call = patient};
+    EXPECT_EQ(runRouteChain(patientContext, {.table = table, .now = Now}), RouteOutcome::Continue);
+    EXPECT_EQ(patientContext.deadline, Now + std::chrono::seconds(2));
+}
+
+TEST(RouteChain, RefusesWhileStoppingAndAfterTheDeadline)
+{
+    const RouteTable table = makeTable();
+    EXPECT_EQ(refusalOf(makeCall("/a/c"), {.table = table, .isStopping = true, .now = Now}), RefusalReason::Stopping);
+    EXPECT_EQ(refusalOf(makeCall("/a/c"), {.table = table, .now = Now + std::chrono::seconds(3)}), RefusalReason::DeadlinePassed);
+}
+
+TEST(WeightedRotation, KeepsTheSharesFromAnyStart)
+{
+    for (std::uint64_t start = 0; start < 100; ++start) {
+        WeightedRotation rotation = makeRotation({{.service = "a", .weight = 90}, {.service = "b", .weight = 10}}, start);
+        std::map<std::string, int> calls;
+        for (int call = 0; call < 100; ++call) {
+            ++calls[nextService(rotation)];
+        }
+        EXPECT_EQ(calls["a"], 90) << start;
+        EXPECT_EQ(calls["b"], 10) << start;
+    }
+}
+
+TEST(WeightedRotation, ServiceWithoutWeightGetsNothing)
+{
+    WeightedRotation rotation = makeRotation({{.service = "a", .weight = 0}, {.service = "b", .weight = 5}}, 3);
+    for (int call = 0; call < 20; ++call) {
+        EXPECT_EQ(nextService(rotation), "b");
+    }
+    WeightedRotation none = makeRotation({{.service = "a", .weight = 0}}, 0);
+    EXPECT_EQ(nextService(none), "");
+}
+
+}
+}
--- /dev/null
+++ b/tests/storewatchtest.cpp
@@ -0,0 +1,140 @@
+#include "controllers/storewatch.h"
+#include "controllers/upstreamregistry.h"
+
+#include <gtest/gtest.h>
+
+namespace Plantainweir {
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(1000)};
+
+class StoreWatchTest : public testing::Test
+{
+protected:
+    std::vector<StoreWatchAction> feed(const StoreWatchEvent &event)
+    {
+        return step(watch, event, now, random);
+    }
+
+    std::vector<StoreWatchAction> fireTimer()
+    {
+        now = std::max(now, watch.nextAt);
+        return feed(StoreTimerFired{});
+    }
+
+    void listUpTo(std::uint64_t revision)
+    {
+        fireTimer();
+        feed(StorePageArrived{.revision = revision, .lastName = "z", .hasMore = false});
+    }
+
+    TimePoint now = Start;
+    std::mt19937_64 random{1};
+    StoreWatch watch;
+};
+
+TEST_F(StoreWatchTest, ListsAllPagesThenWatches)
+{
+    EXPECT_EQ(std::get<SendStoreList>(fireTimer().at(0)).after, "");
+    EXPECT_EQ(std::get<SendStoreList>(feed(StorePageArrived{.revision = 7, .lastName = "m", .hasMore = true}).at(0)).after, "m");
+    EXPECT_FALSE(watch.isListed);
+    const auto actions = feed(StorePageArrived{.revision = 8, .lastName = "z", .hasMore = false});
+    ASSERT_EQ(actions.size(), 2U);
+    EXPECT_TRUE(std::holds_alternative<CompleteStoreList>(actions[0]));
+    EXPECT_EQ(std::get<SendStoreWatch>(actions[1]).revision, 8U);
+}
+
+TEST_F(StoreWatchTest, ListsAnewAfterACutWatch)
+{
+    listUpTo(8);
+    feed(StoreCallFailed{});
+    const auto actions = fireTimer();
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<SendStoreList>(actions[0])) << "a watch at the old revision may have become deaf";
+}
+
+TEST_F(StoreWatchTest, ListsAnewWhenTheHistoryIsGone)
+{
+    listUpTo(8);
+    EXPECT_TRUE(std::holds_alternative<SendStoreList>(feed(StoreHistoryGone{}).at(0)));
+}
+
+TEST_F(StoreWatchTest, TakesChangesThatComeCloseTogetherWithOneCall)
+{
+    listUpTo(8);
+    EXPECT_TRUE(feed(StoreChangesArrived{.revision = 9, .isEmpty = false}).empty());
+    EXPECT_GT(watch.nextAt, now);
+    EXPECT_EQ(std::get<SendStoreWatch>(fireTimer().at(0)).revision, 9U);
+}
+
+TEST_F(StoreWatchTest, BacksOffAndTellsOfTheReturn)
+{
+    listUpTo(8);
+    Duration longest{};
+    for (int failures = 0; failures < 20; ++failures) {
+        feed(StoreCallFailed{});
+        longest = std::max(longest, Duration(watch.nextAt - now));
+        fireTimer();
+    }
+    EXPECT_GT(longest, std::chrono::milliseconds(200));
+    EXPECT_LT(longest, std::chrono::seconds(1));
+    const auto actions = feed(StorePageArrived{.revision = 20, .lastName = "z", .hasMore = false});
+    EXPECT_GT(std::get<ReportStoreReturned>(actions.at(0)).away, std::chrono::seconds(1));
+}
+
+UpstreamRecord makeRecord(const std::string &id)
+{
+    return {.id = id, .service = "desk", .endpoint = {.address = "10.0.0.1", .port = 80}, .availabilityZone = "a", .slots = 3};
+}
+
+TEST(UpstreamRegistry, DropsARemovedUpstreamAtOnceWhileThePlatformIsWell)
+{
+    UpstreamRegistry registry;
+    learnUpstream(registry, makeRecord("u1"), 5, Start);
+    forgetUpstream(registry, "u1", Start);
+    EXPECT_TRUE(registeredUpstreams(registry).empty());
+}
+
+TEST(UpstreamRegistry, KeepsWhatIsMissingForAWhileAfterThePlatformsReturn)
+{
+    UpstreamRegistry registry;
+    learnUpstream(registry, makeRecord("u1"), 5, Start);
+    learnUpstream(registry, makeRecord("u2"), 6, Start);
+    notePlatformReturned(registry, Start);
+    retainUpstreams(registry, {}, Start);
+    EXPECT_EQ(registeredUpstreams(registry).size(), 2U);
+    learnUpstream(registry, makeRecord("u1"), 9, Start + std::chrono::seconds(1));
+    ASSERT_TRUE(nextLapse(registry));
+    EXPECT_TRUE(dropLapsed(registry, *nextLapse(registry)));
+    ASSERT_EQ(registeredUpstreams(registry).size(), 1U);
+    EXPECT_EQ(registeredUpstreams(registry)[0].id, "u1");
+}
+
+TEST(UpstreamRegistry, NewIncarnationGetsANewKey)
+{
+    UpstreamRegistry registry;
+    UpstreamRecord record = makeRecord("u1");
+    record.startedAtMs = 100;
+    learnUpstream(registry, record, 5, Start);
+    const UpstreamKey first = registeredUpstreams(registry)[0].key;
+    record.isDraining = true;
+    learnUpstream(registry, record, 6, Start);
+    EXPECT_EQ(registeredUpstreams(registry)[0].key, first);
+    record.startedAtMs = 200;
+    learnUpstream(registry, record, 7, Start);
+    EXPECT_NE(registeredUpstreams(registry)[0].key, first);
+}
+
+TEST(UpstreamRegistry, IgnoresOlderNews)
+{
+    UpstreamRegistry registry;
+    UpstreamRecord record = makeRecord("u1");
+    record.isDraining = true;
+    learnUpstream(registry, record, 6, Start);
+    record.isDraining = false;
+    learnUpstream(registry, record, 5, Start);
+    EXPECT_TRUE(registeredUpstreams(registry)[0].isDraining);
+}
+
+}
+}
--- /dev/null
+++ b/tests/tcpstreamtest.cpp
@@ -0,0 +1,215 @@
+#include "fakes/eventloop.h"
+#include "fakes/rawserver.h"
+#include "http/httpclient.h"
+#include "http/httpserver.h"
+
+#include <gtest/gtest.h>
+
+#include <QTcpSocket>
+
+namespace Plantainweir {
+namespace {
+
+constexpr auto CorrelationField = "Call-Id";
+
+/** A client, and a server whose every byte the test writes. */
+class RawExchange : public testing::Test
+{
+protected:
+    RawExchange()
+    {
+        client.setCorrelationField(CorrelationField);
+        QObject::connect(&client, &HttpClient::finished, &client, [this](SendId id, const SendResult &result) {
+            results[id] = result;
+        });
+    }
+
+    SendId send(const std::string &correlation = "call-1")
+    {
+        const HttpRequest request{.method = "GET", .target = "/", .fields = {{CorrelationField, correlation}}, .body = {}};
+        return client.send(server.endpoint(), request, Clock::now() + std::chrono::seconds(10));
+    }
+
+    SendResult waitFor(SendId id)
+    {
+        EXPECT_TRUE(waitUntil([this, id] {
+            return results.contains(id);
+        }));
+        return results[id];
+    }
+
+    RawServer server;
+    HttpClient client{HttpLimits{}};
+    std::map<SendId, SendResult> results;
+};
+
+TEST_F(RawExchange, EndOfStreamCompletesAResponseWithoutLength)
+{
+    server.onRequest = [this](RawConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\n\r\nwhole");
+        connection.finish();
+    };
+    const SendResult result = waitFor(send());
+    EXPECT_EQ(result.outcome, SendOutcome::Answered);
+    EXPECT_EQ(result.response.body, "whole");
+}
+
+TEST_F(RawExchange, ResetDoesNotCompleteAResponseWithoutLength)
+{
+    server.onRequest = [](RawConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\n\r\npart");
+        connection.reset();
+    };
+    EXPECT_EQ(waitFor(send()).outcome, SendOutcome::Lost);
+}
+
+TEST_F(RawExchange, EndBeforeTheAnnouncedLengthIsALoss)
+{
+    server.onRequest = [](RawConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart");
+        connection.finish();
+    };
+    EXPECT_EQ(waitFor(send()).outcome, SendOutcome::Lost);
+}
+
+TEST_F(RawExchange, LateResponseOfAnotherRequestIsSkipped)
+{
+    server.onRequest = [](RawConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\nCall-Id: call-0\r\nContent-Length: 5\r\n\r\nother");
+        connection.write("HTTP/1.1 200 OK\r\nCall-Id: call-1\r\nContent-Length: 4\r\n\r\nmine");
+    };
+    EXPECT_EQ(waitFor(send()).response.body, "mine");
+}
+
+TEST_F(RawExchange, BytesAfterAResponseEndTheConnection)
+{
+    server.onRequest = [](RawConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+    };
+    EXPECT_EQ(waitFor(send()).response.body, "ok");
+    EXPECT_EQ(waitFor(send("call-2")).response.body, "ok");
+    EXPECT_EQ(server.acceptedCount(), 2);
+}
+
+TEST_F(RawExchange, ConnectionIsNotReusedUpToTheServersIdleTime)
+{
+    server.onRequest = [](RawConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok");
+    };
+    waitFor(send());
+    waitFor(send());
+    EXPECT_EQ(server.acceptedCount(), 2);
+}
+
+TEST_F(RawExchange, RefusedConnectionSendsNothing)
+{
+    const Endpoint closed = server.endpoint();
+    server.close();
+    const SendId id = client.send(closed, {}, Clock::now() + std::chrono::seconds(5));
+    EXPECT_EQ(waitFor(id).outcome, SendOutcome::NotSent);
+}
+
+/** A server, and a caller whose every byte the test writes. */
+class RawCaller : public testing::Test
+{
+protected:
+    RawCaller()
+    {
+        EXPECT_TRUE(server.listen({.address = "127.0.0.1", .port = 0}));
+        QObject::connect(&server, &HttpServer::requestReceived, &server, [this](ExchangeId exchange, const HttpRequest &request) {
+            exchanges.emplace_back(exchange, request);
+        });
+        QObject::connect(&server, &HttpServer::requesterGone, &server, [this](ExchangeId exchange) {
+            gone.push_back(exchange);
+        });
+        socket.connectToHost("127.0.0.1", server.port());
+    }
+
+    bool waitForRequests(std::size_t count)
+    {
+        return waitUntil([this, count] {
+            return exchanges.size() >= count;
+        });
+    }
+
+    QByteArray readUntil(const QByteArray &end)
+    {
+        QByteArray received;
+        EXPECT_TRUE(waitUntil([this, &received, &end] {
+            received += socket.readAll();
+            return received.endsWith(end);
+        }));
+        return received;
+    }
+
+    void respond(std::size_t index, const std::string &body)
+    {
+        server.respond(exchanges.at(index).first, {.status = 200, .fields = {}, .body = body});
+    }
+
+    HttpServer server{HttpLimits{}};
+    QTcpSocket socket;
+    std::vector<std::pair<ExchangeId, HttpRequest>> exchanges;
+    std::vector<ExchangeId> gone;
+};
+
+TEST_F(RawCaller, PipelinedSafeRequestsRunSideBySideAndAreAnsweredInOrder)
+{
+    socket.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(2));
+    respond(1, "second");
+    respond(0, "first");
+    const QByteArray received = readUntil("second");
+    EXPECT_LT(received.indexOf("first"), received.indexOf("second"));
+}
+
+TEST_F(RawCaller, RequestWithSideEffectsWaitsForTheResponsesBeforeIt)
+{
+    socket.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(1));
+    socket.write(" ");
+    EXPECT_EQ(exchanges.size(), 1U);
+    respond(0, "first");
+    ASSERT_TRUE(waitForRequests(2));
+    EXPECT_EQ(exchanges[1].second.target, "/b");
+}
+
+TEST_F(RawCaller, OnlyTheLastTakenRequestsResponseClosesTheConnection)
+{
+    socket.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(2));
+    server.closeAfterResponses();
+    respond(0, "first");
+    respond(1, "second");
+    const QByteArray received = readUntil("second");
+    EXPECT_EQ(received.count("Connection: close"), 1);
+    EXPECT_GT(received.indexOf("Connection: close"), received.indexOf("first"));
+}
+
+TEST_F(RawCaller, EveryUnansweredRequestOfAClosedConnectionIsReportedGone)
+{
+    socket.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(2));
+    socket.abort();
+    EXPECT_TRUE(waitUntil([this] {
+        return gone.size() == 2;
+    }));
+}
+
+TEST_F(RawCaller, FieldsOfTheConnectionAreNotPassedOn)
+{
+    socket.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(1));
+    EXPECT_EQ(fieldValue(exchanges[0].second.fields, "X-Hop"), "");
+    EXPECT_EQ(fieldValue(exchanges[0].second.fields, "X-Kept"), "2");
+}
+
+}
+}
+
+int main(int argc, char **argv)
+{
+    QCoreApplication application(argc, argv);
+    testing::InitGoogleTest(&argc, argv);
+    return RUN_ALL_TESTS();
+}
