Ask upstreams of other zones when the near ones are busy; take store changes once a second

The store's changes were taken every 0.4 s, each with a priced call. Ruled out: the retry budget (35 repeats).

--- a/src/controllers/storewatch.cpp
+++ b/src/controllers/storewatch.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /** Changes that come close together are taken with one call. */
-constexpr std::chrono::milliseconds ChangePause{400};
+constexpr std::chrono::milliseconds ChangePause{1000};
 constexpr std::chrono::milliseconds MinimumBackoff{80};
 constexpr std::chrono::milliseconds MaximumBackoff{600};
 constexpr std::uint32_t MaximumDoublings = 3;
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -10,7 +10,9 @@
 /** Age up to which the answers of one round are compared. */
 constexpr std::chrono::milliseconds RoundLoadAge{150};
 constexpr std::uint32_t ProbesAtOnce = 2;
-constexpr std::size_t ProbesOfRound = 6;
+/** Upstreams asked in one round: of the entry VM's own availability zone, then of others. */
+constexpr std::size_t NearProbes = 6;
+constexpr std::size_t FarProbes = 4;
 constexpr std::chrono::milliseconds ProbeTime{150};
 constexpr std::chrono::milliseconds RoundPause{20};
 /** Part of the target that a call may wait for a quiet upstream. */
@@ -169,12 +171,20 @@
     return best;
 }
 
+void startRound(ProxyCall &call)
+{
+    call.probed.clear();
+    call.nearProbes = 0;
+    call.farProbes = 0;
+}
+
 void startProbe(ProxyStep &context, ProxyCallId id, const PooledUpstream &upstream)
 {
     ProxyCall &call = context.state.calls.at(id);
     const ProbeId probe = ++context.state.lastId;
     context.state.probes.emplace(probe, ProxyProbe{id, call.admitted.service, upstream.registration.key});
     call.probed.insert(upstream.registration.key);
+    ++(isNear(context, upstream) ? call.nearProbes : call.farProbes);
     ++call.openProbes;
     context.actions.emplace_back(StartProbe{probe, upstream.registration, context.now + ProbeTime});
 }
@@ -197,15 +207,13 @@
 {
     ProxyCall &call = context.state.calls.at(id);
     for (const UpstreamKey key : candidates) {
-        if (call.openProbes >= ProbesAtOnce || call.probed.size() >= ProbesOfRound) {
-            return;
-        }
         const PooledUpstream &upstream = service.pool.upstreams.at(key);
         const bool isKnown = readinessOf(upstream, FreshLoadAge, context.now) != Readiness::Unknown;
-        if (isKnown || call.probed.contains(key)) {
+        const bool isSpent = isNear(context, upstream) ? call.nearProbes >= NearProbes : call.farProbes >= FarProbes;
+        if (isKnown || isSpent || call.probed.contains(key)) {
             continue;
         }
-        if (!withdrawProbe(context)) {
+        if (call.openProbes >= ProbesAtOnce || !withdrawProbe(context)) {
             return;
         }
         startProbe(context, id, upstream);
@@ -230,7 +238,7 @@
         return;
     }
     if (context.now < call.patienceEnd && !candidates.empty()) {
-        call.probed.clear();
+        startRound(call);
         call.nextRoundAt = std::min(context.now + RoundPause, call.patienceEnd);
         setTimer(context, id, call.nextRoundAt);
         return;
@@ -267,7 +275,7 @@
         return false;
     }
     call.retry = reason;
-    call.probed.clear();
+    startRound(call);
     call.nextRoundAt = {};
     call.patienceEnd = std::max(call.patienceEnd, context.now + call.admitted.target / PatienceDivisor);
     service.waiting.insert(id);
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -137,6 +137,8 @@
     TimePoint patienceEnd; ///< Until then a quiet upstream is waited for.
     std::set<UpstreamKey> tried;
     std::set<UpstreamKey> probed; ///< In the present round.
+    std::uint32_t nearProbes = 0; ///< In the present round, to this entry VM's availability zone.
+    std::uint32_t farProbes = 0; ///< In the present round, to others.
     std::uint32_t openProbes = 0;
     std::uint32_t attempts = 0; ///< That may have reached an upstream.
     std::uint32_t failedConnects = 0;
