--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t NearProbes = 6;
 constexpr std::size_t FarProbes = 4;
 constexpr std::chrono::milliseconds ProbeTime{150};
+/** Probes of so many seconds may be saved up for a burst; the platform counts them over much longer times. */
+constexpr double ProbeBurstSeconds = 8.0;
 constexpr std::chrono::milliseconds RoundPause{20};
 /** Part of the target that a call may wait for a quiet upstream. */
 constexpr int PatienceDivisor = 8;
@@ -194,7 +196,7 @@
 {
     ProxyState &state = context.state;
     const double seconds = toMilliseconds(context.now - state.probeTokensAt) / 1000.0;
-    state.probeTokens = std::min(state.settings.probesPerSecond, state.probeTokens + seconds * state.settings.probesPerSecond);
+    state.probeTokens = std::min(state.settings.probesPerSecond * ProbeBurstSeconds, state.probeTokens + seconds * state.settings.probesPerSecond);
     state.probeTokensAt = context.now;
     if (state.probeTokens < 1.0) {
         return false;
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -32,7 +32,7 @@
 constexpr double ConnectionShare = 0.8;
 constexpr std::size_t MinimumConnections = 8;
 /** Part of the permitted questions to upstreams that is used. */
-constexpr double ProbeShare = 0.6;
+constexpr double ProbeShare = 0.75;
 constexpr std::chrono::milliseconds RegistrationTime{1500};
 constexpr std::chrono::milliseconds RegistrationPause{2000};
 /** Time kept between the last answer and the forced end. */
