Serve by own counts beyond the probe limit; find the fleet by the seeds; pause the busiest entry VM in tests

- Beyond its share of probes an entry VM refused calls although upstreams were idle (gatewaytest, draining: 503 from about 30 calls a second on).
It now goes by the calls that it has in flight itself.
Ruled out: the registry, which held the upstream.
- A connection that the HTTP server gave up closed only with the next turn of the event loop; it closes at once (gatewaytest, cut watches, failed before).
- Seeds from the settings come first; an entry VM registers at the store only if nobody answers there, which saves two priced calls a start.
- The pause tests paused an entry VM that the caller did not use; they pause the one that has answered most.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -180,6 +180,25 @@
     call.farProbes = 0;
 }
 
+/** Returns the candidate with the fewest of this entry VM's own calls and a slot left, or null; near ones go first. */
+PooledUpstream *leastUsedOf(ProxyStep &context, ProxyService &service, const std::vector<UpstreamKey> &candidates)
+{
+    PooledUpstream *best = nullptr;
+    for (const UpstreamKey key : candidates) {
+        PooledUpstream &upstream = service.pool.upstreams.at(key);
+        if (upstream.inFlight >= upstream.registration.slots) {
+            continue;
+        }
+        if (best != nullptr && isNear(context, *best) && !isNear(context, upstream)) {
+            break;
+        }
+        if (best == nullptr || upstream.inFlight < best->inFlight) {
+            best = &upstream;
+        }
+    }
+    return best;
+}
+
 void startProbe(ProxyStep &context, ProxyCallId id, const PooledUpstream &upstream)
 {
     ProxyCall &call = context.state.calls.at(id);
@@ -215,7 +234,11 @@
         if (isKnown || isSpent || call.probed.contains(key)) {
             continue;
         }
-        if (call.openProbes >= ProbesAtOnce || !withdrawProbe(context)) {
+        if (call.openProbes >= ProbesAtOnce) {
+            return;
+        }
+        if (!withdrawProbe(context)) {
+            call.isProbeDenied = true;
             return;
         }
         startProbe(context, id, upstream);
@@ -239,6 +262,14 @@
     if (call.openProbes > 0) {
         return;
     }
+    if (call.isProbeDenied) {
+        // Beyond the limit on probes, what this entry VM itself has in flight must do.
+        call.isProbeDenied = false;
+        if (PooledUpstream *upstream = leastUsedOf(context, service, candidates)) {
+            startAttempt(context, id, *upstream);
+            return;
+        }
+    }
     if (context.now < call.patienceEnd && !candidates.empty()) {
         startRound(call);
         call.nextRoundAt = std::min(context.now + RoundPause, call.patienceEnd);
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -145,6 +145,7 @@
     std::optional<ProxyAttemptId> running;
     std::optional<ProxyAttemptId> lastAnswer; ///< An answer to fall back on: a server error.
     std::optional<RetryReason> retry; ///< Why the next attempt is made.
+    bool isProbeDenied = false; ///< The limit on probes was met in the present round.
     bool mayHaveRun = false;
     bool isAbandoned = false;
     TimePoint nextRoundAt; ///< The epoch while a round is under way.
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -104,6 +104,7 @@
         auto *stream = new TcpStream(this);
         stream->adopt(descriptor);
         if (m_connections.size() >= m_limits.connections) {
+            stream->close();
             stream->deleteLater();
             return;
         }
@@ -293,6 +294,7 @@
             }
         }
         stream->disconnect(this);
+        stream->close();
         stream->deleteLater();
         m_connections.erase(found);
         for (const ExchangeId exchange : unanswered) {
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -178,6 +178,11 @@
         connect(&m_fleetTimer, &QTimer::timeout, this, [this] {
             m_isFleetSettled = true;
             noteFleetSize();
+            // The seeds led nowhere: they are down, or this is the first entry VM.
+            const bool isAlone = liveMembers(m_membership.membership()).size() <= 1;
+            if (isAlone && m_registration == 0) {
+                registerSelf();
+            }
         });
     }
 
@@ -203,7 +208,9 @@
         m_routes.start();
         m_registrations.start();
         m_storeCheck.start();
-        registerSelf();
+        if (m_settings.seeds.empty()) {
+            registerSelf();
+        }
         m_fleetTimer.start(FleetSettlingTime);
         return true;
     }
@@ -413,7 +420,9 @@
         m_isReady = false;
         m_membership.setEntry(selfEntry());
         m_callers.closeAfterResponses();
-        m_storeClient.send(m_settings.store, m_codec.encodeDeregistration(m_settings.name), Clock::now() + RegistrationTime);
+        if (m_registration != 0) {
+            m_storeClient.send(m_settings.store, m_codec.encodeDeregistration(m_settings.name), Clock::now() + RegistrationTime);
+        }
         const auto stopTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.stopTime);
         QTimer::singleShot(stopTime / 2, this, [this] {
             m_task.refuseNewCalls();
--- /dev/null
+++ b/tests/fakes/fakestore.cpp
@@ -0,0 +1,198 @@
+#include "fakes/fakestore.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QTimer>
+#include <QUrl>
+#include <QUrlQuery>
+
+#include <deque>
+
+namespace Plantainweir {
+namespace {
+
+struct Change {
+    std::uint64_t revision = 0;
+    std::string kind;
+    QJsonObject object;
+    bool isDeleted = false;
+};
+
+struct WaitingWatch {
+    ExchangeId exchange = 0;
+    std::string kind;
+    std::uint64_t revision = 0;
+};
+
+HttpResponse jsonResponse(int status, const QJsonObject &body)
+{
+    return {.status = status, .fields = {{"Content-Type", "application/json"}}, .body = QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString()};
+}
+
+}
+
+class FakeStore::Private : public QObject
+{
+public:
+    Private()
+        : m_server(HttpLimits{})
+    {
+        m_server.listen({.address = "127.0.0.1", .port = 0});
+        connect(&m_server, &HttpServer::requestReceived, this, &Private::handle);
+    }
+
+    void handle(ExchangeId exchange, const HttpRequest &request)
+    {
+        const QUrl url(QString::fromStdString(request.target));
+        const QUrlQuery query(url);
+        const QStringList parts = url.path().split(QLatin1Char('/'), Qt::SkipEmptyParts);
+        m_callCount += query.hasQueryItem("serializable") ? 0 : 1;
+        if (m_faults.isSilent) {
+            return;
+        }
+        if (m_faults.isBusy || parts.size() < 3) {
+            m_server.respond(exchange, jsonResponse(503, {}));
+            return;
+        }
+        const std::string kind = parts.at(2).toStdString();
+        const std::string name = parts.size() > 3 ? parts.at(3).toStdString() : std::string();
+        if (request.method == "GET" && query.hasQueryItem("watch")) {
+            watch({.exchange = exchange, .kind = kind, .revision = query.queryItemValue("watch").toULongLong()});
+        } else if (request.method == "GET" && name.empty()) {
+            m_server.respond(exchange, listResponse(kind));
+        } else if (request.method == "GET") {
+            m_server.respond(exchange, jsonResponse(m_objects[kind].contains(name) ? 200 : 404, {}));
+        } else if (request.method == "DELETE") {
+            remove(kind, name);
+            m_server.respond(exchange, jsonResponse(200, {}));
+        } else {
+            write(exchange, kind, request);
+        }
+    }
+
+    HttpResponse listResponse(const std::string &kind)
+    {
+        QJsonArray items;
+        for (const auto &[name, object] : m_objects[kind]) {
+            items.append(object);
+        }
+        return jsonResponse(200, {{"items", items}, {"hasMore", false}, {"storeRevision", static_cast<qint64>(m_revision)}});
+    }
+
+    void write(ExchangeId exchange, const std::string &kind, const HttpRequest &request)
+    {
+        const QJsonObject object = QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
+        const std::string name = object["metadata"].toObject()["name"].toString().toStdString();
+        if (request.method == "POST" && m_objects[kind].contains(name)) {
+            m_server.respond(exchange, jsonResponse(409, m_objects[kind][name]));
+            return;
+        }
+        put(kind, name, object["spec"].toObject());
+        m_server.respond(exchange, jsonResponse(200, m_objects[kind][name]));
+    }
+
+    void watch(const WaitingWatch &watch)
+    {
+        if (watch.revision < m_oldestRevision) {
+            m_server.respond(watch.exchange, jsonResponse(410, {}));
+            return;
+        }
+        m_watches.push_back(watch);
+        answerWatches();
+    }
+
+    void put(const std::string &kind, const std::string &name, const QJsonObject &spec)
+    {
+        const QJsonObject metadata{{"name", QString::fromStdString(name)}, {"revision", static_cast<qint64>(++m_revision)}};
+        m_objects[kind][name] = {{"metadata", metadata}, {"spec", spec}};
+        m_history.push_back({m_revision, kind, m_objects[kind][name], false});
+        answerWatches();
+    }
+
+    void remove(const std::string &kind, const std::string &name)
+    {
+        m_history.push_back({++m_revision, kind, m_objects[kind][name], true});
+        m_objects[kind].erase(name);
+        answerWatches();
+    }
+
+    void answerWatches()
+    {
+        if (m_faults.isDeaf || m_faults.isSilent) {
+            return;
+        }
+        std::erase_if(m_watches, [this](const WaitingWatch &watch) {
+            QJsonArray events;
+            for (const Change &change : m_history) {
+                if (change.kind == watch.kind && change.revision > watch.revision) {
+                    events.append(QJsonObject{{"object", change.object}, {"deleted", change.isDeleted}});
+                }
+            }
+            if (events.isEmpty()) {
+                return false;
+            }
+            m_server.respond(watch.exchange, jsonResponse(200, {{"events", events}, {"storeRevision", static_cast<qint64>(m_revision)}}));
+            return true;
+        });
+    }
+
+    void cutWatches()
+    {
+        const auto watches = std::move(m_watches);
+        m_watches.clear();
+        for (const WaitingWatch &watch : watches) {
+            m_server.abandon(watch.exchange);
+        }
+        m_history.clear();
+        m_oldestRevision = m_revision;
+    }
+
+    HttpServer m_server;
+    FakeStoreFaults m_faults;
+    std::map<std::string, std::map<std::string, QJsonObject>> m_objects;
+    std::deque<Change> m_history;
+    std::vector<WaitingWatch> m_watches;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_oldestRevision = 0;
+    int m_callCount = 0;
+};
+
+FakeStore::FakeStore(QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>())
+{
+}
+
+FakeStore::~FakeStore() = default;
+
+Endpoint FakeStore::endpoint() const
+{
+    return {.address = "127.0.0.1", .port = d->m_server.port()};
+}
+
+void FakeStore::setFaults(const FakeStoreFaults &faults)
+{
+    d->m_faults = faults;
+}
+
+void FakeStore::put(const std::string &kind, const std::string &name, const QJsonObject &spec)
+{
+    d->put(kind, name, spec);
+}
+
+void FakeStore::remove(const std::string &kind, const std::string &name)
+{
+    d->remove(kind, name);
+}
+
+void FakeStore::cutWatches()
+{
+    d->cutWatches();
+}
+
+int FakeStore::callCount() const
+{
+    return d->m_callCount;
+}
+
+}
--- a/tests/fakes/fleet.cpp
+++ b/tests/fakes/fleet.cpp
@@ -77,6 +77,18 @@
     return static_cast<int>(object["versions"].toObject()["services"].toObject().size());
 }
 
+/** Returns the sum of the finished calls in @p metrics, over all ranks and outcomes. */
+double countedCalls(const std::string &metrics)
+{
+    double sum = 0.0;
+    for (const QString &line : QString::fromStdString(metrics).split(QLatin1Char('\n'))) {
+        if (line.startsWith(QLatin1String("plantainweir_calls_total{"))) {
+            sum += line.section(QLatin1Char(' '), -1).toDouble();
+        }
+    }
+    return sum;
+}
+
 }
 
 Endpoint EntryVm::callerPort() const
@@ -281,6 +293,20 @@
     return *m_entries.front();
 }
 
+EntryVm &Fleet::busiestEntry()
+{
+    EntryVm *busiest = m_entries.front().get();
+    double most = -1.0;
+    for (const auto &vm : m_entries) {
+        const double calls = countedCalls(request(vm->entrydOperatorsPort(), "GET", "/metrics").value_or(""));
+        if (calls > most) {
+            most = calls;
+            busiest = vm.get();
+        }
+    }
+    return *busiest;
+}
+
 EntryVm &Fleet::entryOtherThan(const EntryVm &vm)
 {
     return m_entries.front().get() == &vm ? *m_entries.at(1) : *m_entries.front();
--- a/tests/fakes/fleet.h
+++ b/tests/fakes/fleet.h
@@ -69,6 +69,8 @@
     std::size_t entryCount() const;
     /** Returns the entry VM that the directory names first for @p service. */
     EntryVm &ownerOf(const std::string &service);
+    /** Returns the entry VM that has answered the most calls so far. */
+    EntryVm &busiestEntry();
     /** Returns an entry VM that is not @p vm. */
     EntryVm &entryOtherThan(const EntryVm &vm);
     /** Waits until the entry VM is ready and knows @p members members that do not leave. */
--- /dev/null
+++ b/tests/gatewaytest.cpp
@@ -0,0 +1,321 @@
+#include "tasks/gateway.h"
+#include "fakes/eventloop.h"
+#include "fakes/fakestore.h"
+#include "http/httpclient.h"
+#include "http/httpserver.h"
+#include "platform/platformcodec.h"
+
+#include <gtest/gtest.h>
+
+#include <QJsonArray>
+#include <QTcpServer>
+
+namespace Plantainweir {
+namespace {
+
+constexpr auto Host = "rink.example";
+
+/** An upstream that speaks the platform's headers; the test decides when calls are answered. */
+class RoutedUpstream
+{
+public:
+    explicit RoutedUpstream(const std::string &id)
+        : m_id(id)
+    {
+        EXPECT_TRUE(m_server.listen({.address = "127.0.0.1", .port = 0}));
+        QObject::connect(&m_server, &HttpServer::requestReceived, &m_server, [this](ExchangeId exchange, const HttpRequest &request) {
+            handle(exchange, request);
+        });
+    }
+
+    QJsonObject registration(const QString &state = "ready") const
+    {
+        return {{"service", "desk"},
+                {"address", QString::fromStdString(toString(Endpoint{"127.0.0.1", m_server.port()}))},
+                {"zone", "a"},
+                {"version", "v1"},
+                {"slots", 3},
+                {"state", state},
+                {"cold", "0ms"},
+                {"sequence", 1}};
+    }
+
+    void answerHeld()
+    {
+        for (const auto &[exchange, request] : m_held) {
+            answer(exchange, request);
+        }
+        m_held.clear();
+    }
+
+    bool isHolding = false;
+    std::vector<HttpRequest> calls;
+
+private:
+    void handle(ExchangeId exchange, const HttpRequest &request)
+    {
+        if (request.target == "/health") {
+            m_server.respond(exchange,
+                             {.status = 200, .fields = {{"X-Plantainweir-Instance-Id", m_id}, {"X-Plantainweir-Backend-Load", "0,0,3,100"}}, .body = "ok"});
+            return;
+        }
+        calls.push_back(request);
+        if (isHolding) {
+            m_held.emplace_back(exchange, request);
+            return;
+        }
+        answer(exchange, request);
+    }
+
+    void answer(ExchangeId exchange, const HttpRequest &request)
+    {
+        m_server.respond(exchange,
+                         {.status = 200,
+                          .fields = {{"X-Plantainweir-Response-Stamp", "stamp"},
+                                     {"X-Plantainweir-Request-Id", std::string(fieldValue(request.fields, "X-Plantainweir-Request-Id"))}},
+                          .body = m_id});
+    }
+
+    std::string m_id;
+    HttpServer m_server{HttpLimits{}};
+    std::vector<std::pair<ExchangeId, HttpRequest>> m_held;
+};
+
+Endpoint freeEndpoint()
+{
+    QTcpServer probe;
+    EXPECT_TRUE(probe.listen(QHostAddress::LocalHost));
+    return {.address = "127.0.0.1", .port = probe.serverPort()};
+}
+
+QJsonObject configuration(int version, const QString &prefix = "/a/")
+{
+    const QJsonObject route{
+        {"host", Host}, {"pathPrefix", prefix}, {"kind", "unsafe"}, {"timeout", "2s"}, {"targetLatency", "400ms"}, {"service", "desk"}, {"maxAttempts", 2}};
+    return {{"version", version},
+            {"resources",
+             QJsonArray{QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", "r1"}}}, {"spec", route}},
+                        QJsonObject{{"resourceKind", "services"},
+                                    {"metadata", QJsonObject{{"name", "desk"}}},
+                                    {"spec", QJsonObject{{"healthPath", "/health"}, {"maxConnections", 200}}}}}}};
+}
+
+/** One gatewayd's tasks, a stand-in store and upstreams, in one process over loopback. */
+class GatewayTest : public testing::Test
+{
+protected:
+    GatewayTest()
+    {
+        settings.name = "e1";
+        settings.availabilityZone = "a";
+        for (Endpoint *port : {&settings.callerPort,
+                               &settings.readinessPort,
+                               &settings.directoryPort,
+                               &settings.membershipPort,
+                               &settings.exchangePort,
+                               &settings.operatorsPort}) {
+            *port = freeEndpoint();
+        }
+        settings.store = store.endpoint();
+        settings.retryShare = 0.2;
+        settings.retrySlack = 56;
+        settings.retryWindow = std::chrono::seconds(10);
+        settings.probesPerUpstream = 60;
+        settings.stopTime = std::chrono::seconds(2);
+        settings.seed = 1;
+        QObject::connect(&client, &HttpClient::finished, &client, [this](SendId id, const SendResult &result) {
+            results[id] = result;
+        });
+        store.put("config", "main", configuration(3));
+        store.put("servers", "i-1", upstream.registration());
+    }
+
+    void start()
+    {
+        gateway = std::make_unique<Gateway>(settings, Platform::platformCodec());
+        QObject::connect(gateway.get(), &Gateway::stopped, gateway.get(), [this] {
+            isStopped = true;
+        });
+        ASSERT_TRUE(gateway->start());
+        EXPECT_TRUE(becomesReady());
+    }
+
+    SendId send(const std::string &target)
+    {
+        const HttpRequest request{
+            .method = "POST",
+            .target = target,
+            .fields = {{"Host", Host}, {"X-Plantainweir-Request-Id", "id-" + std::to_string(++sentCount)}, {"X-Plantainweir-Deadline-Ms", "2000"}},
+            .body = "ticket"};
+        return client.send(settings.callerPort, request, Clock::now() + std::chrono::seconds(10));
+    }
+
+    SendResult waitFor(SendId id)
+    {
+        EXPECT_TRUE(waitUntil([this, id] {
+            return results.contains(id);
+        }));
+        return results[id];
+    }
+
+    int statusOf(const std::string &target)
+    {
+        return waitFor(send(target)).response.status;
+    }
+
+    SendResult get(const Endpoint &endpoint, const std::string &target)
+    {
+        return waitFor(client.send(endpoint, {.method = "GET", .target = target, .fields = {}, .body = {}}, Clock::now() + std::chrono::seconds(5)));
+    }
+
+    bool isReady()
+    {
+        return get(settings.readinessPort, "/v1/ready").response.status == 200;
+    }
+
+    bool becomesReady()
+    {
+        for (int tries = 0; tries < 200; ++tries) {
+            if (isReady()) {
+                return true;
+            }
+        }
+        return waitUntil([this] {
+            return isReady();
+        });
+    }
+
+    /** Repeats the call until it ends with @p status. */
+    bool becomes(const std::string &target, int status)
+    {
+        const TimePoint giveUpAt = Clock::now() + std::chrono::seconds(20);
+        while (Clock::now() < giveUpAt) {
+            if (statusOf(target) == status) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    FakeStore store;
+    RoutedUpstream upstream{"i-1"};
+    GatewaySettings settings;
+    std::unique_ptr<Gateway> gateway;
+    HttpClient client{HttpLimits{}};
+    std::map<SendId, SendResult> results;
+    int sentCount = 0;
+    bool isStopped = false;
+};
+
+TEST_F(GatewayTest, ServesACallByHostAndPath)
+{
+    start();
+    const SendResult result = waitFor(send("/a/x?q=1"));
+    EXPECT_EQ(result.response.status, 200);
+    EXPECT_EQ(result.response.body, "i-1");
+    EXPECT_EQ(fieldValue(result.response.fields, "X-Plantainweir-Response-Stamp"), "stamp");
+    ASSERT_EQ(upstream.calls.size(), 1U);
+    EXPECT_EQ(upstream.calls[0].target, "/a/x?q=1");
+    EXPECT_EQ(upstream.calls[0].body, "ticket");
+    EXPECT_EQ(fieldValue(upstream.calls[0].fields, "Host"), Host);
+    EXPECT_EQ(fieldValue(upstream.calls[0].fields, "X-Plantainweir-Expect-Instance"), "i-1");
+    EXPECT_EQ(statusOf("/unknown/"), 404);
+}
+
+TEST_F(GatewayTest, DirectoryNamesTheCallerPort)
+{
+    start();
+    EXPECT_TRUE(waitUntil([this] {
+        return get(settings.directoryPort, "/v1/resolve?name=rink.example&region=r&zone=a").response.body.find(toString(settings.callerPort))
+               != std::string::npos;
+    }));
+}
+
+TEST_F(GatewayTest, IsNotReadyAndRefusesWithoutAConfiguration)
+{
+    store.setFaults({.isBusy = true});
+    gateway = std::make_unique<Gateway>(settings, Platform::platformCodec());
+    ASSERT_TRUE(gateway->start());
+    EXPECT_FALSE(isReady());
+    EXPECT_EQ(statusOf("/a/x"), 503);
+    store.setFaults({});
+    EXPECT_TRUE(becomes("/a/x", 200));
+}
+
+TEST_F(GatewayTest, NewConfigurationComesIntoForceAndAnOlderOneNever)
+{
+    start();
+    EXPECT_EQ(statusOf("/a/x"), 200);
+    store.put("config", "main", configuration(5, "/b/"));
+    EXPECT_TRUE(becomes("/b/x", 200));
+    EXPECT_EQ(statusOf("/a/x"), 404);
+    store.put("config", "main", configuration(4, "/a/"));
+    store.put("config", "main", configuration(6, "/c/"));
+    EXPECT_TRUE(becomes("/c/x", 200));
+    EXPECT_EQ(statusOf("/a/x"), 404);
+}
+
+TEST_F(GatewayTest, ChangeWhileWatchesAreDeafIsFoundOnceTheyAreCut)
+{
+    start();
+    store.setFaults({.isDeaf = true});
+    store.put("config", "main", configuration(5, "/b/"));
+    store.cutWatches();
+    EXPECT_TRUE(becomes("/b/x", 200));
+}
+
+TEST_F(GatewayTest, ChangeIsFoundAfterTheStoreWasSilent)
+{
+    start();
+    store.setFaults({.isSilent = true});
+    store.put("config", "main", configuration(5, "/b/"));
+    EXPECT_EQ(statusOf("/a/x"), 200) << "the last configuration serves on";
+    EXPECT_TRUE(becomes("/x/", 503)) << "without the store a missing route may be a new one";
+    store.setFaults({});
+    EXPECT_TRUE(becomes("/b/x", 200));
+}
+
+TEST_F(GatewayTest, DrainingUpstreamGetsNoNewCall)
+{
+    RoutedUpstream other("i-2");
+    store.put("servers", "i-2", other.registration());
+    start();
+    store.put("servers", "i-1", upstream.registration("draining"));
+    const TimePoint drained = Clock::now() + std::chrono::seconds(2);
+    while (Clock::now() < drained) {
+        EXPECT_EQ(statusOf("/a/x"), 200);
+    }
+    upstream.calls.clear();
+    for (int call = 0; call < 20; ++call) {
+        EXPECT_EQ(statusOf("/a/x"), 200);
+    }
+    EXPECT_TRUE(upstream.calls.empty());
+}
+
+TEST_F(GatewayTest, PlannedStopAnswersWhatIsInFlight)
+{
+    start();
+    upstream.isHolding = true;
+    const SendId held = send("/a/x");
+    EXPECT_TRUE(waitUntil([this] {
+        return upstream.calls.size() == 1;
+    }));
+    gateway->leave();
+    EXPECT_FALSE(isReady());
+    EXPECT_FALSE(isStopped);
+    upstream.answerHeld();
+    EXPECT_EQ(waitFor(held).response.status, 200);
+    EXPECT_TRUE(waitUntil([this] {
+        return isStopped;
+    }));
+}
+
+}
+}
+
+int main(int argc, char **argv)
+{
+    testing::InitGoogleTest(&argc, argv);
+    QCoreApplication application(argc, argv);
+    return RUN_ALL_TESTS();
+}
--- a/tests/processfaulttest.cpp
+++ b/tests/processfaulttest.cpp
@@ -33,9 +33,9 @@
 {
     fleet.start(Entries);
     ASSERT_FALSE(HasFailure());
-    EntryVm &paused = fleet.ownerOf("rinkdesk");
     QProcess &calls = fleet.startCalls({.count = 3000, .callsPerSecond = 300, .timeoutMs = 10'000, .tryTimeoutMs = 500, .mix = BookingMix});
     fleet.waitForExecutions(300);
+    EntryVm &paused = fleet.busiestEntry();
     Fleet::signalProcess(*paused.entryd, SIGSTOP);
     Fleet::signalProcess(*paused.controld, SIGSTOP);
     fleet.waitUntilReady(fleet.entryOtherThan(paused), Entries - 1);
@@ -54,9 +54,9 @@
 {
     fleet.start(Entries);
     ASSERT_FALSE(HasFailure());
-    EntryVm &paused = fleet.ownerOf("rinkdesk");
     QProcess &calls = fleet.startCalls({.count = 2400, .callsPerSecond = 300, .timeoutMs = 10'000, .tryTimeoutMs = 500, .mix = BookingMix});
     fleet.waitForExecutions(300);
+    EntryVm &paused = fleet.busiestEntry();
     Fleet::signalProcess(*paused.entryd, SIGSTOP);
     fleet.waitForExecutions(900);
     Fleet::signalProcess(*paused.entryd, SIGCONT);
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -234,6 +234,22 @@
     EXPECT_EQ(cancelled.size(), 1U);
 }
 
+TEST_F(ProxyingTest, ServesByItsOwnCountsBeyondTheProbeLimit)
+{
+    state.settings.probesPerSecond = 0.1;
+    setUpstreams({makeUpstream(1), makeUpstream(2)});
+    for (ProxyCallId id = 1; id <= 6; ++id) {
+        admit(id);
+    }
+    EXPECT_TRUE(probes.empty());
+    EXPECT_EQ(attempts.size(), 6U);
+    EXPECT_EQ(state.services.at("desk").pool.upstreams.at(1).inFlight, 3U);
+    admit(7);
+    advanceTime(std::chrono::milliseconds(100));
+    ASSERT_EQ(ends.size(), 1U) << "no slot is left";
+    EXPECT_EQ(ends[0].outcome, CallOutcome::NotRun);
+}
+
 TEST_F(ProxyingTest, KeepsTheProbeLimit)
 {
     state.settings.probesPerSecond = 50.0;
--- a/tests/tcpstreamtest.cpp
+++ b/tests/tcpstreamtest.cpp
@@ -45,7 +45,7 @@
 
 TEST_F(RawExchange, EndOfStreamCompletesAResponseWithoutLength)
 {
-    server.onRequest = [this](RawConnection &connection) {
+    server.onRequest = [](RawConnection &connection) {
         connection.write("HTTP/1.1 200 OK\r\n\r\nwhole");
         connection.finish();
     };
