--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -9,6 +9,8 @@
 constexpr std::chrono::milliseconds FreshLoadAge{20};
 /** Age up to which the answers of one round are compared. */
 constexpr std::chrono::milliseconds RoundLoadAge{150};
+/** For so long an upstream that was full is taken to be full where it cannot be asked. */
+constexpr std::chrono::seconds RememberedLoadAge{1};
 constexpr std::uint32_t ProbesAtOnce = 2;
 /** Upstreams asked in one round: of the entry VM's own availability zone, then of others. */
 constexpr std::size_t NearProbes = 6;
@@ -180,13 +182,14 @@
     call.farProbes = 0;
 }
 
-/** Returns the candidate with the fewest of this entry VM's own calls and a slot left, or null; near ones go first. */
+/** Returns the candidate with the fewest of this entry VM's own calls that was not full lately, or null; near ones first. */
 PooledUpstream *leastUsedOf(ProxyStep &context, ProxyService &service, const std::vector<UpstreamKey> &candidates)
 {
     PooledUpstream *best = nullptr;
     for (const UpstreamKey key : candidates) {
         PooledUpstream &upstream = service.pool.upstreams.at(key);
-        if (upstream.inFlight >= upstream.registration.slots) {
+        const bool wasFull = readinessOf(upstream, RememberedLoadAge, context.now) == Readiness::Full;
+        if (wasFull || upstream.inFlight >= upstream.registration.slots) {
             continue;
         }
         if (best != nullptr && isNear(context, *best) && !isNear(context, upstream)) {
@@ -388,6 +391,8 @@
     --upstream.inFlight;
     if (event.load) {
         recordLoad(upstream, *event.load, now);
+    } else {
+        recordDeparture(upstream);
     }
     switch (event.outcome) {
     case ProxyAttemptOutcome::Succeeded:
--- a/src/decision/upstreampool.cpp
+++ b/src/decision/upstreampool.cpp
@@ -65,6 +65,15 @@
     upstream.sentSinceLoad = 0;
 }
 
+void recordDeparture(PooledUpstream &upstream)
+{
+    if (upstream.sentSinceLoad > 0) {
+        --upstream.sentSinceLoad;
+    } else if (upstream.load.running > 0) {
+        --upstream.load.running;
+    }
+}
+
 void recordSuccess(PooledUpstream &upstream)
 {
     upstream.failureShare *= 1.0 - FailureWeight;
--- a/src/decision/upstreampool.h
+++ b/src/decision/upstreampool.h
@@ -65,6 +65,8 @@
 PooledUpstream *findUpstream(UpstreamPool &pool, UpstreamKey key);
 
 void recordLoad(PooledUpstream &upstream, const UpstreamLoad &load, TimePoint now);
+/** Takes one call that ended without a load answer out of the last one. */
+void recordDeparture(PooledUpstream &upstream);
 /** Records an attempt's success. */
 void recordSuccess(PooledUpstream &upstream);
 /** Records an attempt that failed; ejects the upstream if it fails often. */
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -250,6 +250,25 @@
     EXPECT_EQ(ends[0].outcome, CallOutcome::NotRun);
 }
 
+TEST_F(ProxyingTest, SendsNothingBlindlyToAnUpstreamThatWasFullLately)
+{
+    state.settings.probesPerSecond = 0.25; // Two may be saved up.
+    setUpstreams({makeUpstream(1)});
+    now += std::chrono::seconds(20);
+    admit(1);
+    answerProbes([](const RegisteredUpstream &) {
+        return UpstreamLoad{.running = 3, .waiting = 2, .slots = 3, .pace = 1.0};
+    });
+    for (int round = 0; round < 30; ++round) {
+        probes.clear();
+        advanceTime(std::chrono::milliseconds(10));
+    }
+    state.probeTokens = 0.0;
+    admit(2);
+    advanceTime(std::chrono::milliseconds(100));
+    EXPECT_TRUE(attempts.empty());
+}
+
 TEST_F(ProxyingTest, KeepsTheProbeLimit)
 {
     state.settings.probesPerSecond = 50.0;
