--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -10,7 +10,7 @@
 /** Age up to which the answers of one round are compared. */
 constexpr std::chrono::milliseconds RoundLoadAge{150};
 /** For so long an upstream that was full is taken to be full where it cannot be asked. */
-constexpr std::chrono::seconds RememberedLoadAge{1};
+constexpr std::chrono::seconds RememberedLoadAge{4};
 constexpr std::uint32_t ProbesAtOnce = 2;
 /** Upstreams asked in one round: of the entry VM's own availability zone, then of others. */
 constexpr std::size_t NearProbes = 6;
