Use missing upstreams only if most of a service is missing

Ruled out: a draining mark that was lost (the marks were there); the store's own trouble (80 ms). A few that are missing have left; only where most of a service is missing have registrations lapsed. After less than a second nothing lapses.

--- a/src/controllers/upstreamregistry.cpp
+++ b/src/controllers/upstreamregistry.cpp
@@ -7,6 +7,13 @@
 
 /** Lapsed registrations are back within about two seconds of the platform's return (docs/PLATFORM.md). */
 constexpr std::chrono::milliseconds LapseTime{2400};
+/** A registration outlives silence of three heartbeats; nothing lapses in a shorter time than this. */
+constexpr std::chrono::milliseconds ShortestLapse{1000};
+
+bool isMissing(const RegistryEntry &entry)
+{
+    return entry.keptUntil != TimePoint{};
+}
 
 bool isSameIncarnation(const UpstreamRecord &left, const UpstreamRecord &right)
 {
@@ -15,9 +22,11 @@
 
 }
 
-void notePlatformReturned(UpstreamRegistry &registry, TimePoint now)
+void notePlatformReturned(UpstreamRegistry &registry, Duration away, TimePoint now)
 {
-    registry.lapsesUntil = now + LapseTime;
+    if (away >= ShortestLapse) {
+        registry.lapsesUntil = now + LapseTime;
+    }
 }
 
 void learnUpstream(UpstreamRegistry &registry, const UpstreamRecord &record, std::uint64_t revision, TimePoint now)
@@ -73,7 +82,7 @@
 {
     return std::erase_if(registry.entries,
                          [now](const auto &item) {
-                             return item.second.keptUntil != TimePoint{} && item.second.keptUntil <= now;
+                             return isMissing(item.second) && item.second.keptUntil <= now;
                          })
            > 0;
 }
@@ -82,7 +91,7 @@
 {
     std::optional<TimePoint> next;
     for (const auto &[id, entry] : registry.entries) {
-        if (entry.keptUntil != TimePoint{} && (!next || entry.keptUntil < *next)) {
+        if (isMissing(entry) && (!next || entry.keptUntil < *next)) {
             next = entry.keptUntil;
         }
     }
@@ -91,9 +100,16 @@
 
 std::vector<RegisteredUpstream> registeredUpstreams(const UpstreamRegistry &registry)
 {
+    std::map<std::string, int> surplus; // Of present upstreams over missing ones, by service.
+    for (const auto &[id, entry] : registry.entries) {
+        surplus[entry.record.service] += isMissing(entry) ? -1 : 1;
+    }
     std::vector<RegisteredUpstream> upstreams;
     for (const auto &[id, entry] : registry.entries) {
-        upstreams.push_back(entry.upstream);
+        // Where most are present, the others left while this process could not hear of it.
+        if (!isMissing(entry) || surplus[entry.record.service] < 0) {
+            upstreams.push_back(entry.upstream);
+        }
     }
     return upstreams;
 }
--- a/src/controllers/upstreamregistry.h
+++ b/src/controllers/upstreamregistry.h
@@ -11,7 +11,8 @@
  * The upstreams that are registered at the platform, as this entry VM last heard.
  *
  * Registrations lapse while the platform is away, although their upstreams live. What is missing when it returns is
- * therefore kept for a while, and dropped if it has not come back by then.
+ * therefore kept for a while, and dropped if it has not come back by then. It is used only if most of its service is
+ * missing: a few that are missing have left.
  */
 namespace Plantainweir {
 
@@ -41,8 +42,8 @@
     UpstreamKey lastKey = 0;
 };
 
-/** The platform can be reached again after having been away. */
-void notePlatformReturned(UpstreamRegistry &registry, TimePoint now);
+/** The platform can be reached again after having been away for so long. */
+void notePlatformReturned(UpstreamRegistry &registry, Duration away, TimePoint now);
 
 /** Takes one record that was written at @p revision; older news are ignored. */
 void learnUpstream(UpstreamRegistry &registry, const UpstreamRecord &record, std::uint64_t revision, TimePoint now);
@@ -59,6 +60,7 @@
 /** Returns when dropLapsed() has something to do, or nothing. */
 std::optional<TimePoint> nextLapse(const UpstreamRegistry &registry);
 
+/** Returns the upstreams to use: those that are registered, and missing ones of a service that misses more than half. */
 std::vector<RegisteredUpstream> registeredUpstreams(const UpstreamRegistry &registry);
 
 }
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -128,8 +128,8 @@
             publishUpstreams();
             updateReadiness();
         });
-        connect(&m_registrations, &StoreWatchTask::storeReturned, this, [this] {
-            notePlatformReturned(m_registry, Clock::now());
+        connect(&m_registrations, &StoreWatchTask::storeReturned, this, [this](Duration away) {
+            notePlatformReturned(m_registry, away, Clock::now());
         });
         for (StoreWatchTask *watch : {&m_routes, &m_registrations}) {
             const std::string_view kind = nameOf(watch == &m_routes ? StoreKind::Configuration : StoreKind::Upstreams);
