--- a/bench/policydriver.cpp
+++ b/bench/policydriver.cpp
@@ -421,7 +421,7 @@
     const std::size_t peer = numberIn(action.peer);
     const PeerReport report{
         .peer = entryName(entry),
-        .freeSlots = action.freeSlots,
+        .openSlots = action.openSlots,
         .queuedCalls = action.queuedCalls,
         .handOversReceived = action.handOversReceived,
     };
--- a/src/decision/binding.cpp
+++ b/src/decision/binding.cpp
@@ -94,36 +94,48 @@
     return call.arrival.handedOverBy.empty() && !call.wasHandedOver && call.runningCount == 0;
 }
 
-bool isWaitLong(const ServiceState &state)
+/** Returns whether the waiting calls of @p rank and better ones wait longer than a way to a co-owner takes. */
+bool isWaitLong(const ServiceState &state, std::size_t rank)
 {
     double waiting = 0.0;
-    for (std::size_t index = 0; index < state.queue.ranks.size(); ++index) {
+    for (std::size_t index = 0; index <= rank; ++index) {
         waiting += state.latencies[index].meanNanoseconds * state.queue.ranks[index].size;
     }
     return waiting > static_cast<double>(Duration{HandOverCost}.count()) * state.slots;
 }
 
-/** Takes one of the last waiting calls that may be handed over, or returns null. */
-CallState *takeLastCall(ServiceState &state)
-{
-    for (std::size_t index = state.queue.ranks.size(); index-- > 0;) {
-        RankQueue &rank = state.queue.ranks[index];
-        while (rank.size > 0) {
-            const QueueEntry entry = rank.entries.back();
-            CallState *call = waitingCall(state, entry);
-            if (call != nullptr && !mayBeHandedOver(*call)) {
-                break;
-            }
-            popLast(rank);
-            if (call != nullptr) {
-                leaveQueue(state, *call);
-                return call;
-            }
+/** Takes one of the last waiting calls of @p rank that may be handed over, or returns null. */
+CallState *takeLastCall(ServiceState &state, RankQueue &rank)
+{
+    while (rank.size > 0) {
+        const QueueEntry entry = rank.entries.back();
+        CallState *call = waitingCall(state, entry);
+        if (call != nullptr && !mayBeHandedOver(*call)) {
+            return nullptr;
+        }
+        popLast(rank);
+        if (call != nullptr) {
+            leaveQueue(state, *call);
+            return call;
         }
     }
     return nullptr;
 }
 
+/** Hands over calls of one rank while they wait long here and a co-owner has open slots for them. */
+void handOverCallsOf(StepContext &context, std::size_t rank)
+{
+    ServiceState &state = context.state;
+    while (isWaitLong(state, rank)) {
+        PeerState *peer = peerWithOpenSlot(state.handOver, static_cast<Rank>(rank));
+        CallState *call = peer != nullptr ? takeLastCall(state, state.queue.ranks[rank]) : nullptr;
+        if (call == nullptr) {
+            return;
+        }
+        startHandOver(context, *call, *peer);
+    }
+}
+
 }
 
 void enqueue(StepContext &context, CallState &call, bool isAgain)
@@ -153,6 +165,7 @@
     const Duration service = meanServiceTime(state.latencies[static_cast<std::size_t>(call.arrival.rank)]);
     const AttemptId attempt = ++state.lastAttempt;
     ++state.upstreams[upstream].inFlight;
+    ++state.running[static_cast<std::size_t>(call.arrival.rank)];
     ++call.attempts;
     call.running[call.runningCount++] = attempt;
     call.lastUpstream = upstream;
@@ -228,14 +241,8 @@
 
 void handOverCalls(StepContext &context)
 {
-    ServiceState &state = context.state;
-    while (state.queue.size > 0 && isWaitLong(state)) {
-        PeerState *peer = peerWithFreeSlot(state.handOver);
-        CallState *call = peer != nullptr ? takeLastCall(state) : nullptr;
-        if (call == nullptr) {
-            return;
-        }
-        startHandOver(context, *call, *peer);
+    for (std::size_t rank = context.state.queue.ranks.size(); rank-- > 0 && context.state.queue.size > 0;) {
+        handOverCallsOf(context, rank);
     }
 }
 
--- a/src/decision/dispatch.cpp
+++ b/src/decision/dispatch.cpp
@@ -263,12 +263,21 @@
     return wasDue;
 }
 
+SlotUse slotUseOf(const ServiceState &state)
+{
+    SlotUse use{.freeSlots = state.freeSlots, .running = state.running};
+    for (std::size_t rank = 0; rank < use.queued.size(); ++rank) {
+        use.queued[rank] = state.queue.ranks[rank].size;
+    }
+    return use;
+}
+
 /** Reports to the co-owners when the slots to spare have changed, at most once an interval. */
 void reportToPeers(StepContext &context)
 {
     HandOverState &handOver = context.state.handOver;
-    const std::uint32_t slots = slotsToReport(context.state.freeSlots, context.state.queue.size);
-    const bool hasNews = slots != handOver.reportedFreeSlots || handOver.hasUnreportedArrivals;
+    const OpenSlots slots = openSlotsOf(slotUseOf(context.state));
+    const bool hasNews = slots != handOver.reportedSlots || handOver.hasUnreportedArrivals;
     if (handOver.peers.empty() || handOver.isReportScheduled || !hasNews) {
         return;
     }
@@ -278,7 +287,7 @@
         return;
     }
     handOver.nextReportAt = context.now + PeerReportInterval;
-    reportToPeers(handOver, context.state.freeSlots, context.state.queue.size, context.actions);
+    reportToPeers(handOver, slots, context.state.queue.size, context.actions);
 }
 
 }
--- a/src/decision/handover.cpp
+++ b/src/decision/handover.cpp
@@ -1,6 +1,7 @@
 #include "decision/handover.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace Plantainweir {
 namespace {
@@ -8,10 +9,11 @@
 constexpr std::size_t MaximumPeers = 3;
 constexpr std::uint32_t MaximumReportedSlots = 4;
 
-std::uint32_t unclaimedSlots(const PeerState &peer)
+std::uint32_t unclaimedSlots(const PeerState &peer, Rank rank)
 {
+    const std::uint32_t openSlots = peer.openSlots[static_cast<std::size_t>(rank)];
     const std::uint64_t underWay = peer.handOversSent - std::min(peer.handOversReported, peer.handOversSent);
-    return peer.freeSlots > underWay ? peer.freeSlots - static_cast<std::uint32_t>(underWay) : 0;
+    return openSlots > underWay ? openSlots - static_cast<std::uint32_t>(underWay) : 0;
 }
 
 PeerState *findPeer(HandOverState &state, const std::string &name)
@@ -41,7 +43,7 @@
         if (hasRestarted) {
             peer->handOversSent = report.handOversReceived;
         }
-        peer->freeSlots = report.freeSlots;
+        peer->openSlots = report.openSlots;
         peer->handOversReported = report.handOversReceived;
     }
 }
@@ -54,30 +56,38 @@
     }
 }
 
-PeerState *peerWithFreeSlot(HandOverState &state)
+PeerState *peerWithOpenSlot(HandOverState &state, Rank rank)
 {
     PeerState *best = nullptr;
     for (PeerState &peer : state.peers) {
-        if (unclaimedSlots(peer) > (best != nullptr ? unclaimedSlots(*best) : 0)) {
+        if (unclaimedSlots(peer, rank) > (best != nullptr ? unclaimedSlots(*best, rank) : 0)) {
             best = &peer;
         }
     }
     return best;
 }
 
-std::uint32_t slotsToReport(std::uint32_t freeSlots, std::uint32_t queuedCalls)
+OpenSlots openSlotsOf(const SlotUse &use)
 {
-    return queuedCalls > 0 ? 0 : std::min(freeSlots, MaximumReportedSlots);
+    OpenSlots openSlots{};
+    std::uint32_t lowerRunning = std::accumulate(use.running.begin(), use.running.end(), 0U);
+    std::uint32_t queuedBefore = 0;
+    for (std::size_t rank = 0; rank < openSlots.size(); ++rank) {
+        lowerRunning -= use.running[rank];
+        queuedBefore += use.queued[rank];
+        openSlots[rank] = queuedBefore > 0 ? 0 : std::min(use.freeSlots + lowerRunning, MaximumReportedSlots);
+    }
+    return openSlots;
 }
 
-void reportToPeers(HandOverState &state, std::uint32_t freeSlots, std::uint32_t queuedCalls, ServiceActions &actions)
+void reportToPeers(HandOverState &state, const OpenSlots &openSlots, std::uint32_t queuedCalls, ServiceActions &actions)
 {
-    state.reportedFreeSlots = slotsToReport(freeSlots, queuedCalls);
+    state.reportedSlots = openSlots;
     state.hasUnreportedArrivals = false;
     for (const PeerState &peer : state.peers) {
         actions.emplace_back(SendPeerReport{
             .peer = peer.name,
-            .freeSlots = state.reportedFreeSlots,
+            .openSlots = openSlots,
             .queuedCalls = queuedCalls,
             .handOversReceived = peer.handOversReceived,
         });
--- a/src/decision/handover.h
+++ b/src/decision/handover.h
@@ -9,15 +9,16 @@
 /**
  * Work that moves between the owners of a service.
  *
- * An owner with free slots and no queue tells its co-owners. Each report counts the calls received so far, so that a
- * co-owner subtracts those still under way: a stale report is never used twice.
+ * An owner tells its co-owners, rank by rank, for how many more calls it has slots: free ones, and those whose calls of
+ * a lower rank end soon. Each report counts the calls received so far, so that a co-owner subtracts those still under
+ * way: a stale report is never used twice.
  */
 namespace Plantainweir {
 
 /** One co-owner. */
 struct PeerState {
     std::string name;
-    std::uint32_t freeSlots = 0; ///< As last reported.
+    OpenSlots openSlots{}; ///< As last reported.
     std::uint64_t handOversSent = 0;
     std::uint64_t handOversReported = 0; ///< Of those sent, the ones that the last report counted.
     std::uint64_t handOversReceived = 0; ///< From this co-owner.
@@ -26,7 +27,7 @@
 /** All co-owners and what they were told last. */
 struct HandOverState {
     std::vector<PeerState> peers;
-    std::uint32_t reportedFreeSlots = 0;
+    OpenSlots reportedSlots{};
     TimePoint nextReportAt;
     bool isReportScheduled = false;
     bool hasUnreportedArrivals = false; ///< Calls were received that no report has counted yet.
@@ -41,13 +42,20 @@
 /** Notes that a call arrived from @p peer. */
 void recordArrival(HandOverState &state, const std::string &peer);
 
-/** Returns the co-owner with the most free slots, or null if none has one. */
-PeerState *peerWithFreeSlot(HandOverState &state);
+/** Returns the co-owner with the most open slots for calls of @p rank, or null if none has one. */
+PeerState *peerWithOpenSlot(HandOverState &state, Rank rank);
 
-/** Returns the free slots to report: those to spare, up to the number beyond which more make no difference. */
-std::uint32_t slotsToReport(std::uint32_t freeSlots, std::uint32_t queuedCalls);
+/** What the open slots of an owner follow from. */
+struct SlotUse {
+    std::uint32_t freeSlots = 0;
+    std::array<std::uint32_t, enumCount<Rank>()> running{};
+    std::array<std::uint32_t, enumCount<Rank>()> queued{};
+};
+
+/** Returns the slots to report for each rank: none if calls of the rank or a better one wait, and at most a few. */
+OpenSlots openSlotsOf(const SlotUse &use);
 
 /** Appends a report to each co-owner. */
-void reportToPeers(HandOverState &state, std::uint32_t freeSlots, std::uint32_t queuedCalls, ServiceActions &actions);
+void reportToPeers(HandOverState &state, const OpenSlots &openSlots, std::uint32_t queuedCalls, ServiceActions &actions);
 
 }
--- a/src/decision/serviceevents.h
+++ b/src/decision/serviceevents.h
@@ -5,6 +5,7 @@
 #include "core/time.h"
 #include "core/work.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -91,10 +92,13 @@
     std::vector<std::string> peers;
 };
 
+/** Calls of each rank that an owner would start within about one service time: into free slots, or next after lower ranks. */
+using OpenSlots = std::array<std::uint32_t, enumCount<Rank>()>;
+
 /** What a co-owner told by SendPeerReport; as old as its way here. */
 struct PeerReport {
     std::string peer;
-    std::uint32_t freeSlots = 0;
+    OpenSlots openSlots{};
     std::uint32_t queuedCalls = 0;
     std::uint64_t handOversReceived = 0; ///< Calls that it has received from this owner so far; reveals those under way.
 };
@@ -114,7 +118,7 @@
 };
 
 /**
- * Sends the call to a co-owner, which has free slots; the co-owner decides on it as on a call of its own.
+ * Sends the call to a co-owner, which has open slots for its rank; the co-owner decides on it as on a call of its own.
  *
  * It is an attempt like any other: exactly one AttemptFinished must follow unless it is cancelled. A refusal by the
  * co-owner is AttemptOutcome::Shed, for then nothing has run; its "unknown" is Lost or DeadlinePassed.
@@ -129,7 +133,7 @@
 /** Sends a PeerReport to a co-owner; may be lost without harm. */
 struct SendPeerReport {
     std::string peer;
-    std::uint32_t freeSlots = 0;
+    OpenSlots openSlots{};
     std::uint32_t queuedCalls = 0;
     std::uint64_t handOversReceived = 0;
 };
--- a/src/decision/servicestate.h
+++ b/src/decision/servicestate.h
@@ -84,6 +84,7 @@
     std::vector<UpstreamIndex> trials; ///< Ejected upstreams that wait for a trial call.
     std::uint32_t slots = 0; ///< Calls that the usable upstreams run well at the same time.
     std::uint32_t freeSlots = 0;
+    std::array<std::uint32_t, enumCount<Rank>()> running{}; ///< Attempts at upstreams, by rank.
     std::uint32_t usableUpstreams = 0; ///< Assigned and not leaving.
     std::uint32_t ejectedUpstreams = 0;
     PeerReference reference;
--- a/src/decision/upstreams.cpp
+++ b/src/decision/upstreams.cpp
@@ -147,8 +147,9 @@
 }
 
 /** Takes an attempt that ended or was given up off the upstream. */
-void endAttempt(UpstreamState &upstream, const AttemptState &attempt)
+void endAttempt(ServiceState &state, UpstreamState &upstream, const AttemptState &attempt)
 {
+    --state.running[static_cast<std::size_t>(attempt.rank)];
     --upstream.inFlight;
     if (attempt.isOverdue) {
         --upstream.overdueInFlight;
@@ -273,7 +274,7 @@
     const UpstreamIndex index = *attempt.upstream;
     UpstreamState &upstream = context.state.upstreams[index];
     const Duration elapsed = context.now - attempt.startedAt;
-    endAttempt(upstream, attempt);
+    endAttempt(context.state, upstream, attempt);
     switch (outcome) {
     case AttemptOutcome::Succeeded:
         recordSuccessOf(context, attempt, elapsed);
@@ -301,7 +302,7 @@
 {
     const UpstreamIndex index = *attempt.upstream;
     UpstreamState &upstream = context.state.upstreams[index];
-    endAttempt(upstream, attempt);
+    endAttempt(context.state, upstream, attempt);
     if (attempt.isOverdue) {
         recordLatency(upstream.health, context.now - attempt.startedAt);
     }
--- a/src/rpc/peermessages.cpp
+++ b/src/rpc/peermessages.cpp
@@ -39,7 +39,7 @@
     wire::LoadReport message;
     message.set_service(load.service);
     message.set_sender(load.report.peer);
-    message.set_free_slots(load.report.freeSlots);
+    message.mutable_open_slots()->Add(load.report.openSlots.begin(), load.report.openSlots.end());
     message.set_queued_calls(load.report.queuedCalls);
     message.set_hand_overs_received(load.report.handOversReceived);
     return message;
@@ -47,11 +47,13 @@
 
 OwnerLoad fromMessage(const wire::LoadReport &message)
 {
+    OpenSlots openSlots{};
+    std::copy_n(message.open_slots().begin(), std::min<std::size_t>(openSlots.size(), message.open_slots_size()), openSlots.begin());
     return {
         .service = message.service(),
         .report = {
             .peer = message.sender(),
-            .freeSlots = message.free_slots(),
+            .openSlots = openSlots,
             .queuedCalls = message.queued_calls(),
             .handOversReceived = message.hand_overs_received(),
         },
--- a/tests/dispatchtest.cpp
+++ b/tests/dispatchtest.cpp
@@ -3,6 +3,7 @@
 #include <gmock/gmock.h>
 
 #include <algorithm>
+#include <set>
 
 namespace Plantainweir {
 namespace {
@@ -204,15 +205,46 @@
     for (int call = 0; call < 4; ++call) {
         arrive(Rank::Low, milliseconds(500));
     }
-    send(PeerReport{.peer = "peer", .freeSlots = 1});
+    send(PeerReport{.peer = "peer", .openSlots = {1, 1, 1}});
     const HandOverCall handOver = only<HandOverCall>();
     EXPECT_EQ(handOver.peer, "peer");
-    send(PeerReport{.peer = "peer", .freeSlots = 1});
+    send(PeerReport{.peer = "peer", .openSlots = {1, 1, 1}});
     EXPECT_TRUE(all<HandOverCall>().empty()) << "the report does not count the call under way yet";
     finish(handOver.attempt);
     EXPECT_EQ(only<AnswerCall>().call, handOver.call);
 }
 
+TEST_F(DispatchTest, offersItsSlotsToHigherRanksWhileLowerOnesFillThem)
+{
+    assign(1, 2);
+    send(PeersAssigned{.peers = {"peer"}});
+    m_now += milliseconds(5);
+    for (int call = 0; call < 6; ++call) {
+        arrive(Rank::Low, milliseconds(5000));
+    }
+    m_now += milliseconds(5);
+    send(TimerFired{});
+    ASSERT_FALSE(all<SendPeerReport>().empty());
+    const SendPeerReport report = all<SendPeerReport>().back();
+    EXPECT_EQ(report.openSlots, (OpenSlots{2, 2, 0})) << "a booking from a co-owner would be the next to start";
+}
+
+TEST_F(DispatchTest, handsOverTheRankThatTheCoOwnerHasSlotsFor)
+{
+    assign(1, 1);
+    send(PeersAssigned{.peers = {"peer"}});
+    learn(Rank::Low);
+    learn(Rank::Middle);
+    std::set<CallId> bookings;
+    for (int call = 0; call < 4; ++call) {
+        arrive(Rank::Low, milliseconds(5000));
+        bookings.insert(arrive(Rank::Middle, milliseconds(5000)));
+    }
+    send(PeerReport{.peer = "peer", .openSlots = {1, 1, 0}});
+    const HandOverCall handOver = only<HandOverCall>();
+    EXPECT_TRUE(bookings.contains(handOver.call));
+}
+
 TEST_F(DispatchTest, aCallerWithManyCallsDoesNotDelayAnother)
 {
     assign(1, 1);
