--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -13,8 +13,13 @@
 constexpr std::chrono::seconds RememberedLoadAge{4};
 constexpr std::uint32_t ProbesAtOnce = 2;
 /** Upstreams asked in one round: of the entry VM's own availability zone, then of others. */
-constexpr std::size_t NearProbes = 6;
-constexpr std::size_t FarProbes = 4;
+constexpr std::uint32_t NearProbes = 6;
+constexpr std::uint32_t FarProbes = 4;
+/** Weight of the newest answer in the share of quiet upstreams in other availability zones. */
+constexpr double FarQuietWeight = 0.1;
+/** Below this share, asking there mostly fails, and only some rounds ask one upstream there. */
+constexpr double WorthAskingFar = 0.15;
+constexpr double FarTrialShare = 0.1;
 constexpr std::chrono::milliseconds ProbeTime{150};
 /** Probes of so many seconds may be saved up for a burst; the platform counts them over much longer times. */
 constexpr double ProbeBurstSeconds = 8.0;
@@ -175,11 +180,28 @@
     return best;
 }
 
-void startRound(ProxyCall &call)
+/** Returns how many upstreams of other availability zones a round may ask; most urgent calls ask in any case. */
+std::uint32_t drawFarLimit(ProxyStep &context, const ProxyService &service, const ProxyCall &call)
+{
+    if (call.admitted.priority == 0 || service.farQuietShare >= WorthAskingFar) {
+        return FarProbes;
+    }
+    return std::bernoulli_distribution(FarTrialShare)(context.random) ? 1 : 0;
+}
+
+void startRound(ProxyStep &context, const ProxyService &service, ProxyCall &call)
 {
     call.probed.clear();
     call.nearProbes = 0;
     call.farProbes = 0;
+    call.farLimit = drawFarLimit(context, service, call);
+}
+
+/** Learns from an answer of another availability zone whether asking there pays. */
+void learnFarReadiness(ProxyService &service, const PooledUpstream &upstream, TimePoint now)
+{
+    const bool isQuiet = readinessOf(upstream, FreshLoadAge, now) == Readiness::Quiet;
+    service.farQuietShare += FarQuietWeight * ((isQuiet ? 1.0 : 0.0) - service.farQuietShare);
 }
 
 /** Returns the candidate with the fewest of this entry VM's own calls that was not full lately, or null; near ones first. */
@@ -233,7 +255,7 @@
     for (const UpstreamKey key : candidates) {
         const PooledUpstream &upstream = service.pool.upstreams.at(key);
         const bool isKnown = readinessOf(upstream, FreshLoadAge, context.now) != Readiness::Unknown;
-        const bool isSpent = isNear(context, upstream) ? call.nearProbes >= NearProbes : call.farProbes >= FarProbes;
+        const bool isSpent = isNear(context, upstream) ? call.nearProbes >= NearProbes : call.farProbes >= call.farLimit;
         if (isKnown || isSpent || call.probed.contains(key)) {
             continue;
         }
@@ -274,7 +296,7 @@
         }
     }
     if (context.now < call.patienceEnd && !candidates.empty()) {
-        startRound(call);
+        startRound(context, service, call);
         call.nextRoundAt = std::min(context.now + RoundPause, call.patienceEnd);
         setTimer(context, id, call.nextRoundAt);
         return;
@@ -311,7 +333,7 @@
         return false;
     }
     call.retry = reason;
-    startRound(call);
+    startRound(context, service, call);
     call.nextRoundAt = {};
     call.patienceEnd = std::max(call.patienceEnd, context.now + call.admitted.target / PatienceDivisor);
     service.waiting.insert(id);
@@ -325,6 +347,7 @@
     deposit(service.retryBudget);
     ProxyCall call{.admitted = event};
     call.patienceEnd = context.now + event.target / PatienceDivisor;
+    startRound(context, service, call);
     context.state.calls.emplace(event.id, std::move(call));
     service.waiting.insert(event.id);
     setTimer(context, event.id, event.deadline);
@@ -375,6 +398,9 @@
     context.state.probes.erase(found);
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, probe.service).pool, probe.upstream)) {
         learnFromProbe(*upstream, event, context.now);
+        if (!isNear(context, *upstream)) {
+            learnFarReadiness(serviceOf(context, probe.service), *upstream, context.now);
+        }
     }
     const auto call = context.state.calls.find(probe.call);
     if (call == context.state.calls.end()) {
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -1,5 +1,6 @@
 #include "tasks/gateway.h"
 
+#include "controllers/fleetshare.h"
 #include "controllers/upstreamregistry.h"
 #include "http/httpserver.h"
 #include "http/operatorsport.h"
@@ -25,14 +26,7 @@
 constexpr std::size_t MinimumNearEntries = 2;
 /** Callers take so many addresses at most. */
 constexpr std::size_t MaximumEntries = 64;
-/** Size of the fleet that is assumed until members are known; the part of the retry slack shrinks with it. */
-constexpr std::size_t AssumedFleetSize = 64;
 constexpr std::chrono::milliseconds FleetSettlingTime{3000};
-/** Part of an upstream's connections that the fleet uses. */
-constexpr double ConnectionShare = 0.8;
-constexpr std::size_t MinimumConnections = 8;
-/** Part of the permitted questions to upstreams that is used. */
-constexpr double ProbeShare = 0.75;
 constexpr std::chrono::milliseconds RegistrationTime{1500};
 constexpr std::chrono::milliseconds RegistrationPause{2000};
 /** Time kept between the last answer and the forced end. */
@@ -72,7 +66,7 @@
         , m_codec(codec)
         , m_task({.availabilityZone = settings.availabilityZone,
                   .retryShare = settings.retryShare,
-                  .retrySlack = settings.retrySlack / AssumedFleetSize,
+                  .retrySlack = fleetShare({.retrySlack = settings.retrySlack, .probesPerUpstream = 0.0}, {}, 0).retrySlack,
                   .retryWindow = settings.retryWindow},
                  m_metrics,
                  settings.seed)
@@ -176,7 +170,7 @@
         connect(&m_storeClient, &HttpClient::finished, this, &Private::handleRegistrationAnswer);
         m_fleetTimer.setSingleShot(true);
         connect(&m_fleetTimer, &QTimer::timeout, this, [this] {
-            m_isFleetSettled = true;
+            m_fleet.isSettled = true;
             noteFleetSize();
             // The seeds led nowhere: they are down, or this is the first entry VM.
             const bool isAlone = liveMembers(m_membership.membership()).size() <= 1;
@@ -280,11 +274,8 @@
     std::size_t connectionLimitOf(const RegisteredUpstream &upstream) const
     {
         const auto service = m_task.table().services.find(upstream.service);
-        if (service == m_task.table().services.end()) {
-            return MinimumConnections;
-        }
-        const auto share = static_cast<std::size_t>(service->second.connectionLimit * ConnectionShare / static_cast<double>(fleetSize()));
-        return std::max(MinimumConnections, share);
+        const std::size_t limit = service == m_task.table().services.end() ? 0 : service->second.connectionLimit;
+        return connectionShare(limit, m_fleet);
     }
 
     void scheduleLapse()
@@ -294,17 +285,11 @@
         }
     }
 
-    std::size_t fleetSize() const
-    {
-        return m_isFleetSettled ? std::max<std::size_t>(1, m_largestFleet) : AssumedFleetSize;
-    }
-
     void noteFleetSize()
     {
-        m_largestFleet = std::max(m_largestFleet, liveMembers(m_membership.membership()).size());
-        const auto size = static_cast<double>(fleetSize());
-        const auto upstreams = static_cast<double>(m_registry.entries.size());
-        m_task.setFleetShare({.retrySlack = m_settings.retrySlack / size, .probesPerSecond = m_settings.probesPerUpstream * ProbeShare * upstreams / size});
+        m_fleet.largestSize = std::max(m_fleet.largestSize, liveMembers(m_membership.membership()).size());
+        const FleetLimits limits{.retrySlack = m_settings.retrySlack, .probesPerUpstream = m_settings.probesPerUpstream};
+        m_task.setFleetShare(fleetShare(limits, m_fleet, m_registry.entries.size()));
     }
 
     void updateReadiness()
@@ -465,11 +450,10 @@
     QTimer m_fleetTimer;
     std::vector<EntryMember> m_entries;
     std::chrono::milliseconds m_longestIdleTime{0};
-    std::size_t m_largestFleet = 0;
+    FleetKnowledge m_fleet;
     SendId m_registration = 0;
     SendId m_entryVmList = 0;
     bool m_isRegistrationKnown = false;
-    bool m_isFleetSettled = false;
     bool m_isReady = false;
     bool m_isLeaving = false;
     bool m_isDraining = false;
--- a/tests/membershipexplorationtest.cpp
+++ b/tests/membershipexplorationtest.cpp
@@ -156,8 +156,8 @@
                           .availabilityZone = "z",
                           .entry = std::nullopt};
         m_truth[{self.name, self.incarnation}] = self;
-        m_processes[index]
-            = Process{.membership = makeMembership(self, {}, m_now, m_random), .pausedUntil = m_now, .startsAt = m_now, .hasLeft = false, .seen = {}, .seenLeaving = {}};
+        m_processes[index] = Process{
+            .membership = makeMembership(self, {}, m_now, m_random), .pausedUntil = m_now, .startsAt = m_now, .hasLeft = false, .seen = {}, .seenLeaving = {}};
         std::vector<Endpoint> seeds;
         for (std::size_t other = 0; other < m_processes.size(); ++other) {
             seeds.push_back(endpointOf(other));
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -48,12 +48,13 @@
         feed(UpstreamsReplaced{upstreams});
     }
 
-    void admit(ProxyCallId id, Repeatability repeatability = Repeatability::AtMostOnce)
+    void admit(ProxyCallId id, Repeatability repeatability = Repeatability::AtMostOnce, std::uint32_t priority = 0)
     {
         feed(ProxyCallAdmitted{
             .id = id,
             .service = "desk",
             .repeatability = repeatability,
+            .priority = priority,
             .maximumAttempts = 2,
             .target = std::chrono::milliseconds(400),
             .deadline = now + std::chrono::seconds(2),
@@ -122,6 +123,33 @@
     }
 }
 
+TEST_F(ProxyingTest, AsksOtherZonesLittleWhileTheyAreFull)
+{
+    setUpstreams({makeUpstream(1, "a"), makeUpstream(2, "b"), makeUpstream(3, "b"), makeUpstream(4, "c"), makeUpstream(5, "c")});
+    std::size_t farProbes = 0;
+    const auto full = [&farProbes](const RegisteredUpstream &upstream) {
+        farProbes += upstream.availabilityZone != "a" ? 1 : 0;
+        return UpstreamLoad{.running = 3, .waiting = 2, .slots = 3, .pace = 1.0};
+    };
+    const auto runCalls = [&](ProxyCallId first, std::uint32_t priority) {
+        farProbes = 0;
+        for (ProxyCallId id = first; id < first + 50; ++id) {
+            admit(id, Repeatability::AtMostOnce, priority);
+            for (int round = 0; round < 10; ++round) {
+                answerProbes(full);
+                advanceTime(std::chrono::milliseconds(10));
+            }
+        }
+        return farProbes;
+    };
+    const std::size_t before = runCalls(1, 1);
+    const std::size_t after = runCalls(101, 1);
+    const std::size_t urgent = runCalls(201, 0);
+    EXPECT_LT(after, before / 2) << before;
+    EXPECT_GT(after, 0U) << "or nobody would learn that they have room again";
+    EXPECT_GT(urgent, 3 * after);
+}
+
 TEST_F(ProxyingTest, FreshAnswerSavesAQuestion)
 {
     setUpstreams({makeUpstream(1)});
