Add a seeded fault soak of gatewayd's real processes

plantainweir-soak runs gatewayd as processes among a stand-in store, upstreams and callers, and by a seed injects faults from outside: links delayed, silenced, cut one way or reset by a loopback proxy; processes stopped, killed and paused by signals; a store that is silent, busy or drops its history; upstreams that leave, are replaced or lost; routes that move. Phases of planned work alternate with phases of anything; up to three faults overlap. The listener of HttpServer moved to http/listener.h.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "http/httpcodec.h"
+#include "http/listener.h"
 #include "http/tcpstream.h"
 
 #include <QHostAddress>
@@ -62,19 +63,6 @@
     return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
 
-/** Listens, and hands accepted connections out without a QTcpSocket around them. */
-class Listener : public QTcpServer
-{
-public:
-    std::function<void(qintptr)> onAccepted;
-
-protected:
-    void incomingConnection(qintptr descriptor) override
-    {
-        onAccepted(descriptor);
-    }
-};
-
 }
 
 class HttpServer::Private : public QObject
--- /dev/null
+++ b/tests/processsoaktest.cpp
@@ -0,0 +1,35 @@
+#include "soak/soak.h"
+#include <gtest/gtest.h>
+
+#include <QCoreApplication>
+#include <QTemporaryDir>
+
+namespace Plantainweir {
+namespace {
+
+class SoakTest : public testing::Test
+{
+protected:
+    static void expectPromisesKept(std::uint64_t seed)
+    {
+        int argumentCount = 1;
+        char program[] = "test";
+        char *arguments[] = {program, nullptr};
+        const QCoreApplication application(argumentCount, arguments);
+        const QTemporaryDir directory;
+        Soak soak({.seed = seed, .duration = std::chrono::seconds(15), .isTimed = false, .directory = directory.path().toStdString()});
+        const Ledger &ledger = soak.run();
+        for (const std::string &violation : ledger.violations) {
+            ADD_FAILURE() << "seed " << seed << ": " << violation;
+        }
+        EXPECT_GT(ledger.answered, 0U);
+    }
+};
+
+TEST_F(SoakTest, KeepsThePromisesUnderFaults)
+{
+    expectPromisesKept(1);
+}
+
+}
+}
--- /dev/null
+++ b/tests/soak/ledger.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/time.h"
+#include "core/work.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+/**
+ * What callers and upstreams saw during a soak, and the promises that it is judged by. Free functions over a plain
+ * struct; time is passed in.
+ */
+namespace Plantainweir {
+
+/** One call of a caller. */
+struct LedgerCall {
+    Repeatability repeatability = Repeatability::AtMostOnce;
+    std::string entry; ///< Entry VM that it was sent to.
+    TimePoint sentAt;
+    std::vector<std::string> ranAt; ///< Upstreams that began to run it.
+    bool isPromisedNotRun = false;
+};
+
+struct Ledger {
+    std::map<std::string, LedgerCall> calls; ///< By request id.
+    std::map<std::string, TimePoint> leavingSince; ///< Upstreams that the store shows as leaving or no longer.
+    std::set<std::string> stopping; ///< Entry VMs that were asked to stop.
+    std::string movedTo; ///< Service that the configuration last moved idempotent calls to.
+    TimePoint movedAt;
+    bool isTimed = true; ///< Bounds on time are judged too; a machine that is busy with other work may break them.
+    TimePoint disturbedUntil; ///< When the last fault ended; the far future while one lasts.
+    std::size_t answered = 0;
+    std::size_t refused = 0;
+    std::size_t lost = 0;
+    std::vector<std::string> violations;
+};
+
+/** Notes that a fault begins, or that the last one has ended. */
+void noteDisturbance(Ledger &ledger, bool isOver, TimePoint now);
+void noteSent(Ledger &ledger, const std::string &id, const LedgerCall &call);
+/** Judges the run of a call at an upstream of @p service. */
+void noteRun(Ledger &ledger, const std::string &id, const std::string &upstream, const std::string &service, TimePoint now);
+/** Judges an answer with @p status; @p runOf is the call whose run the body tells of, empty if it tells of none. */
+void noteAnswer(Ledger &ledger, const std::string &id, int status, const std::string &runOf);
+/** Judges a connection that ended, or stayed silent, without an answer. */
+void noteNoAnswer(Ledger &ledger, const std::string &id, TimePoint now);
+void noteLeaving(Ledger &ledger, const std::string &upstream, TimePoint now);
+/** Notes that idempotent calls go to @p service from now on. */
+void noteMoved(Ledger &ledger, const std::string &service, TimePoint now);
+/** Judges what can only be said at the end. */
+void judgeEnd(Ledger &ledger);
+
+}
--- /dev/null
+++ b/tests/soak/loopbackproxy.cpp
@@ -0,0 +1,151 @@
+#include "soak/loopbackproxy.h"
+
+#include "http/listener.h"
+#include "http/tcpstream.h"
+
+#include <QPointer>
+#include <QTimer>
+
+#include <set>
+
+namespace Plantainweir {
+namespace {
+
+constexpr std::chrono::milliseconds PieceDelay{120};
+
+/** One connection through the proxy. */
+struct Link {
+    TcpStream *caller = nullptr;
+    TcpStream *server = nullptr;
+    bool isForwardCut = false;
+    bool isBackwardCut = false;
+};
+
+}
+
+class LoopbackProxy::Private : public QObject
+{
+public:
+    explicit Private(const Endpoint &target)
+        : m_target(target)
+    {
+        m_listener.onAccepted = [this](qintptr descriptor) {
+            accept(descriptor);
+        };
+        m_listener.listen(QHostAddress(QHostAddress::LocalHost));
+    }
+
+    void accept(qintptr descriptor)
+    {
+        auto *link = new Link{.caller = new TcpStream(this), .server = new TcpStream(this)};
+        m_links.insert(link);
+        link->caller->adopt(descriptor);
+        if (m_fault == LinkFault::Reset) {
+            remove(link);
+            return;
+        }
+        cut(*link);
+        connect(link->caller, &TcpStream::received, this, [this, link](const std::string &bytes) {
+            pass(link->isForwardCut, link->server, bytes);
+        });
+        connect(link->server, &TcpStream::received, this, [this, link](const std::string &bytes) {
+            pass(link->isBackwardCut, link->caller, bytes);
+        });
+        for (TcpStream *stream : {link->caller, link->server}) {
+            connect(stream, &TcpStream::ended, this, [this, link] {
+                handleEnded(link);
+            });
+        }
+        link->server->connectTo(m_target);
+    }
+
+    /** Applies a lasting fault to a connection. */
+    void cut(Link &link) const
+    {
+        link.isForwardCut = link.isForwardCut || m_fault == LinkFault::Silence;
+        link.isBackwardCut = link.isBackwardCut || m_fault == LinkFault::Silence || m_fault == LinkFault::OneWay;
+    }
+
+    void pass(bool isCut, TcpStream *to, const std::string &bytes)
+    {
+        if (isCut) {
+            return;
+        }
+        if (m_fault != LinkFault::Delay) {
+            to->write(bytes);
+            return;
+        }
+        QTimer::singleShot(PieceDelay, this, [stream = QPointer<TcpStream>(to), bytes] {
+            if (stream != nullptr && stream->isOpen()) {
+                stream->write(bytes);
+            }
+        });
+    }
+
+    void handleEnded(Link *link)
+    {
+        const bool isHidden = link->isForwardCut || link->isBackwardCut;
+        if (!isHidden) {
+            remove(link);
+        }
+    }
+
+    void remove(Link *link)
+    {
+        if (m_links.erase(link) == 0) {
+            return;
+        }
+        for (TcpStream *stream : {link->caller, link->server}) {
+            stream->disconnect(this);
+            stream->close();
+            stream->deleteLater();
+        }
+        delete link;
+    }
+
+    void setFault(LinkFault fault)
+    {
+        m_fault = fault;
+        const std::set<Link *> links = m_links;
+        for (Link *link : links) {
+            if (fault == LinkFault::Reset) {
+                remove(link);
+            } else {
+                cut(*link);
+            }
+        }
+    }
+
+    ~Private() override
+    {
+        const std::set<Link *> links = m_links;
+        for (Link *link : links) {
+            remove(link);
+        }
+    }
+
+    Endpoint m_target;
+    Listener m_listener;
+    LinkFault m_fault = LinkFault::None;
+    std::set<Link *> m_links;
+};
+
+LoopbackProxy::LoopbackProxy(const Endpoint &target, QObject *parent)
+    : QObject(parent)
+    , d(std::make_unique<Private>(target))
+{
+}
+
+LoopbackProxy::~LoopbackProxy() = default;
+
+Endpoint LoopbackProxy::endpoint() const
+{
+    return {.address = "127.0.0.1", .port = d->m_listener.serverPort()};
+}
+
+void LoopbackProxy::setFault(LinkFault fault)
+{
+    d->setFault(fault);
+}
+
+}
--- /dev/null
+++ b/tests/soak/plantainweirsoak.cpp
@@ -0,0 +1,60 @@
+#include "core/commandline.h"
+#include "soak/soak.h"
+
+#include <QCoreApplication>
+#include <QTemporaryDir>
+
+#include <fmt/core.h>
+
+using namespace Plantainweir;
+
+namespace {
+
+/** Runs one soak; returns whether all promises were kept. */
+bool runSoak(std::uint64_t seed, const CommandLine &commandLine)
+{
+    QTemporaryDir directory;
+    Soak soak({.seed = seed,
+               .duration = std::chrono::duration_cast<std::chrono::seconds>(commandLine.duration("duration")),
+               .entries = static_cast<std::size_t>(commandLine.number("entries")),
+               .directory = directory.path().toStdString()});
+    const Ledger &ledger = soak.run();
+    fmt::print("seed {}: {} calls, {} answered, {} refused, {} without an answer, {} violations\n",
+               seed,
+               ledger.calls.size(),
+               ledger.answered,
+               ledger.refused,
+               ledger.lost,
+               ledger.violations.size());
+    for (const std::string &violation : ledger.violations) {
+        fmt::print("  {}\n", violation);
+    }
+    if (!ledger.violations.empty()) {
+        directory.setAutoRemove(false);
+        fmt::print("  logs: {}\n", directory.path().toStdString());
+    }
+    std::fflush(stdout);
+    return ledger.violations.empty();
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    CommandLine commandLine("plantainweir-soak", "Runs gatewayd among stand-ins and injects faults from outside, by seeds.");
+    commandLine.addNumber("first-seed", "seed of the first run", 0.0, 1e15);
+    commandLine.addNumber("seeds", "number of runs", 1.0, 10'000.0);
+    commandLine.addDuration("duration", "of the faults in each run");
+    commandLine.addNumber("entries", "entry VMs of each run", 1.0, 60.0);
+    if (const auto status = commandLine.parse(argc, argv)) {
+        return static_cast<int>(*status);
+    }
+    QCoreApplication application(argc, argv);
+    const auto first = static_cast<std::uint64_t>(commandLine.number("first-seed"));
+    const auto count = static_cast<std::uint64_t>(commandLine.number("seeds"));
+    bool isKept = true;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        isKept = runSoak(seed, commandLine) && isKept;
+    }
+    return static_cast<int>(isKept ? ExitStatus::Success : ExitStatus::Failure);
+}
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,482 @@
+#include "soak/soak.h"
+
+#include "fakes/fakestore.h"
+#include "http/httpclient.h"
+#include "soak/loopbackproxy.h"
+#include "soak/soakupstream.h"
+
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QJsonArray>
+#include <QProcess>
+#include <QTimer>
+
+#include <fmt/core.h>
+
+#include <csignal>
+#include <deque>
+#include <functional>
+#include <random>
+
+namespace Plantainweir {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto CallerHost = "soak.example";
+constexpr std::array Services{"desk", "till"};
+constexpr std::uint16_t CallerPort = 8080;
+constexpr std::uint16_t FirstVmNumber = 10;
+
+constexpr milliseconds CallTime{4000};
+constexpr milliseconds RestartDelay{300};
+constexpr milliseconds StartTime{60'000};
+/** Once all faults have ended, each entry VM serves again within this time ("recover"). */
+constexpr milliseconds RecoveryTime{15'000};
+/** From SIGTERM to the end of the process ("grace"), with a margin for a busy machine. */
+constexpr milliseconds StopTime{6000};
+constexpr milliseconds StopMargin{10'000};
+/** Planned work only, then anything, in turns. */
+constexpr milliseconds PhaseTime{7000};
+constexpr std::size_t MostFaultsAtOnce = 3;
+
+/** One entry VM of the soak. */
+struct SoakEntry {
+    std::string name;
+    std::string address;
+    std::unique_ptr<LoopbackProxy> store;
+    std::unique_ptr<QProcess> process;
+    bool isEndExpected = false;
+    bool isPaused = false;
+
+    Endpoint callerEndpoint() const
+    {
+        return {.address = address, .port = CallerPort};
+    }
+};
+
+struct OpenCall {
+    std::string id;
+    std::size_t entry = 0;
+};
+
+}
+
+class Soak::Private : public QObject
+{
+public:
+    explicit Private(const SoakSettings &settings)
+        : m_settings(settings)
+        , m_random(settings.seed)
+        , m_client(HttpLimits{})
+    {
+        m_ledger.isTimed = settings.isTimed;
+        connect(&m_client, &HttpClient::finished, this, &Private::finishCall);
+        for (std::size_t index = 0; index < settings.upstreams; ++index) {
+            for (const char *service : Services) {
+                addUpstream(service);
+            }
+        }
+        changeConfiguration(Services.front());
+        const auto pid = static_cast<std::uint64_t>(QCoreApplication::applicationPid());
+        for (std::size_t index = 0; index < settings.entries; ++index) {
+            auto entry = std::make_unique<SoakEntry>();
+            entry->name = fmt::format("e{}", index);
+            entry->address = fmt::format("127.{}.{}.{}", 1 + (pid >> 8) % 250, pid % 256, FirstVmNumber + index);
+            entry->store = std::make_unique<LoopbackProxy>(m_store.endpoint());
+            m_entries.push_back(std::move(entry));
+        }
+    }
+
+    ~Private() override
+    {
+        for (const auto &entry : m_entries) {
+            if (entry->process != nullptr) {
+                entry->process->disconnect(this);
+                entry->process->kill();
+                entry->process->waitForFinished();
+            }
+        }
+    }
+
+    const Ledger &run()
+    {
+        for (const auto &entry : m_entries) {
+            startEntry(*entry);
+        }
+        if (!waitUntilServing(StartTime)) {
+            m_ledger.violations.emplace_back("an entry VM does not serve after the start");
+            return m_ledger;
+        }
+        noteDisturbance(m_ledger, true, Clock::now());
+        injectFaults();
+        if (!waitUntilServing(RecoveryTime)) {
+            m_ledger.violations.emplace_back("an entry VM does not serve after all faults have ended");
+        }
+        stopAll();
+        judgeEnd(m_ledger);
+        return m_ledger;
+    }
+
+    std::size_t below(std::size_t count)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random);
+    }
+
+    milliseconds between(int shortest, int longest)
+    {
+        return milliseconds(std::uniform_int_distribution<int>(shortest, longest)(m_random));
+    }
+
+    void waitFor(milliseconds time)
+    {
+        QEventLoop loop;
+        QTimer::singleShot(time, &loop, &QEventLoop::quit);
+        loop.exec();
+    }
+
+    /** Runs @p action later, unless the soak is over by then. */
+    void later(milliseconds time, const std::function<void()> &action)
+    {
+        QTimer::singleShot(time, this, action);
+    }
+
+    void startEntry(SoakEntry &entry)
+    {
+        entry.isEndExpected = false;
+        entry.process = std::make_unique<QProcess>();
+        const QString log = QString::fromStdString(fmt::format("{}/{}-{}.log", m_settings.directory, entry.name, ++m_lastProcess));
+        entry.process->setStandardOutputFile(log);
+        entry.process->setStandardErrorFile(log + ".err");
+        const auto port = [&entry](int number) {
+            return QString::fromStdString(fmt::format("{}:{}", entry.address, number));
+        };
+        QStringList seeds;
+        for (const auto &other : m_entries) {
+            seeds << QString::fromStdString(other->address) + ":7401";
+        }
+        connect(entry.process.get(), &QProcess::finished, this, [this, &entry](int code, QProcess::ExitStatus status) {
+            handleEnd(entry, code, status);
+        });
+        entry.process->start(PLANTAINWEIR_BIN_DIR "/plantainweir-gatewayd",
+                             {"--name",
+                              QString::fromStdString(entry.name),
+                              "--availability-zone",
+                              "a",
+                              "--caller-port",
+                              port(CallerPort),
+                              "--readiness-port",
+                              port(8081),
+                              "--directory-port",
+                              port(8082),
+                              "--membership-port",
+                              port(7401),
+                              "--exchange-port",
+                              port(7402),
+                              "--operators-port",
+                              port(7403),
+                              "--store",
+                              QString::fromStdString(toString(entry.store->endpoint())),
+                              "--seeds",
+                              seeds.join(','),
+                              "--retry-share",
+                              "0.2",
+                              "--retry-slack",
+                              "50",
+                              "--retry-window",
+                              "10s",
+                              "--probe-limit",
+                              "100",
+                              "--stop-time",
+                              "6s"});
+    }
+
+    void handleEnd(SoakEntry &entry, int code, QProcess::ExitStatus status)
+    {
+        const bool isOwnEnd = !entry.isEndExpected;
+        const bool isFailure = status == QProcess::NormalExit && code != 0;
+        if (isOwnEnd || isFailure) {
+            m_ledger.violations.push_back(fmt::format("{} ended by itself or with a failure, exit code {}", entry.name, code));
+        }
+        m_ledger.stopping.erase(entry.name);
+        entry.isPaused = false;
+        if (!m_isOver) {
+            later(RestartDelay, [this, &entry] {
+                startEntry(entry);
+            });
+        }
+    }
+
+    SoakUpstream &addUpstream(const std::string &service)
+    {
+        auto upstream = std::make_unique<SoakUpstream>(fmt::format("i-{}", ++m_lastUpstream), service, m_random());
+        SoakUpstream &added = *upstream;
+        connect(&added, &SoakUpstream::started, this, [this, &added](const std::string &requestId) {
+            if (requestId.starts_with("c-")) {
+                noteRun(m_ledger, requestId, added.id(), added.service(), Clock::now());
+            }
+        });
+        m_store.put("servers", added.id(), added.registration("ready"));
+        m_upstreams.push_back(std::move(upstream));
+        return added;
+    }
+
+    void changeConfiguration(const std::string &service)
+    {
+        const auto route = [](const char *name, const char *prefix, const char *kind, const std::string &target) {
+            const QJsonObject spec{{"host", CallerHost},
+                                   {"pathPrefix", prefix},
+                                   {"kind", kind},
+                                   {"timeout", "2s"},
+                                   {"targetLatency", "400ms"},
+                                   {"service", QString::fromStdString(target)},
+                                   {"maxAttempts", 2}};
+            return QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", name}}}, {"spec", spec}};
+        };
+        QJsonArray resources{route("look", "/look/", "safe", service), route("book", "/book/", "unsafe", Services.front())};
+        for (const char *name : Services) {
+            resources.append(QJsonObject{{"resourceKind", "services"},
+                                         {"metadata", QJsonObject{{"name", name}}},
+                                         {"spec", QJsonObject{{"healthPath", "/health"}, {"maxConnections", 300}}}});
+        }
+        m_store.put("config", "main", {{"version", ++m_version}, {"resources", resources}});
+        noteMoved(m_ledger, service, Clock::now());
+    }
+
+    void sendCall(std::size_t entry)
+    {
+        const bool isOnce = below(2) == 0;
+        const std::string id = fmt::format("c-{}", ++m_lastCall);
+        noteSent(m_ledger,
+                 id,
+                 {.repeatability = isOnce ? Repeatability::AtMostOnce : Repeatability::Idempotent,
+                  .entry = m_entries[entry]->name,
+                  .sentAt = Clock::now(),
+                  .ranAt = {}});
+        const HttpRequest request{.method = isOnce ? "POST" : "GET",
+                                  .target = isOnce ? "/book/x" : "/look/x",
+                                  .fields = {{"Host", CallerHost}, {"X-Plantainweir-Request-Id", id}, {"X-Plantainweir-Deadline-Ms", "3000"}},
+                                  .body = isOnce ? "work" : ""};
+        m_open.emplace(m_client.send(m_entries[entry]->callerEndpoint(), request, Clock::now() + CallTime), OpenCall{.id = id, .entry = entry});
+    }
+
+    void finishCall(SendId send, const SendResult &result)
+    {
+        const OpenCall call = m_open.extract(send).mapped();
+        switch (result.outcome) {
+        case SendOutcome::Answered:
+            noteAnswer(m_ledger, call.id, result.response.status, result.response.body);
+            if (result.response.status == 200) {
+                m_serving.insert(call.entry);
+            }
+            return;
+        case SendOutcome::NotSent:
+            m_ledger.calls.at(call.id).isPromisedNotRun = true;
+            return;
+        case SendOutcome::Lost:
+        case SendOutcome::DeadlinePassed:
+            noteNoAnswer(m_ledger, call.id, Clock::now());
+            return;
+        }
+    }
+
+    bool waitUntilServing(milliseconds time)
+    {
+        m_serving.clear();
+        const TimePoint end = Clock::now() + time;
+        while (m_serving.size() < m_entries.size() && Clock::now() < end) {
+            for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
+                sendCall(entry);
+            }
+            waitFor(milliseconds(50));
+        }
+        return m_serving.size() == m_entries.size();
+    }
+
+    void injectFaults()
+    {
+        QTimer calls;
+        connect(&calls, &QTimer::timeout, this, [this] {
+            sendCall(below(m_entries.size()));
+        });
+        calls.start(milliseconds(static_cast<int>(1000.0 / (m_settings.callsPerSecond * static_cast<double>(m_entries.size())))));
+        const TimePoint start = Clock::now();
+        while (Clock::now() < start + m_settings.duration) {
+            const auto phase = (Clock::now() - start) / PhaseTime;
+            begin(static_cast<SoakFault>(phase % 2 == 0 ? PlannedFrom + below(enumCount<SoakFault>() - PlannedFrom) : below(enumCount<SoakFault>())));
+            waitFor(between(100, 1500));
+        }
+        while (m_lasting > 0) {
+            waitFor(milliseconds(50));
+        }
+    }
+
+    /** Starts a fault that lasts for a while; @p end undoes it. */
+    void disturb(const std::function<void()> &end)
+    {
+        ++m_lasting;
+        noteDisturbance(m_ledger, false, Clock::now());
+        later(between(200, 4000), [this, end] {
+            end();
+            --m_lasting;
+            noteDisturbance(m_ledger, m_lasting == 0, Clock::now());
+        });
+    }
+
+    LinkFault drawLinkFault()
+    {
+        return static_cast<LinkFault>(1 + below(enumCount<LinkFault>() - 1));
+    }
+
+    void begin(SoakFault fault)
+    {
+        SoakEntry &entry = *m_entries[below(m_entries.size())];
+        SoakUpstream &upstream = *m_upstreams[m_upstreams.size() - 1 - below(m_settings.upstreams)];
+        const bool isRunning = entry.process->state() == QProcess::Running && !entry.isEndExpected && !entry.isPaused;
+        if (m_lasting >= MostFaultsAtOnce) {
+            return;
+        }
+        switch (fault) {
+        case SoakFault::StoreLink:
+            entry.store->setFault(drawLinkFault());
+            disturb([&entry] {
+                entry.store->setFault(LinkFault::None);
+            });
+            return;
+        case SoakFault::UpstreamLink:
+            upstream.proxy().setFault(drawLinkFault());
+            disturb([&upstream] {
+                upstream.proxy().setFault(LinkFault::None);
+            });
+            return;
+        case SoakFault::StoreSilent:
+        case SoakFault::StoreBusy:
+            m_store.setFaults({.isSilent = fault == SoakFault::StoreSilent, .isBusy = fault == SoakFault::StoreBusy});
+            disturb([this] {
+                m_store.setFaults({});
+                m_store.cutWatches();
+            });
+            return;
+        case SoakFault::WatchesCut:
+            m_store.cutWatches();
+            disturb([] {});
+            return;
+        case SoakFault::UpstreamLost:
+            m_store.remove("servers", upstream.id());
+            noteLeaving(m_ledger, upstream.id(), Clock::now());
+            upstream.proxy().setFault(LinkFault::Reset);
+            addUpstream(upstream.service());
+            disturb([] {});
+            return;
+        case SoakFault::Kill:
+            if (isRunning) {
+                entry.isEndExpected = true;
+                entry.process->kill();
+                disturb([] {});
+            }
+            return;
+        case SoakFault::Pause:
+            if (isRunning) {
+                pause(entry);
+            }
+            return;
+        case SoakFault::Terminate:
+            if (isRunning) {
+                terminate(entry);
+            }
+            return;
+        case SoakFault::Release:
+            release(upstream);
+            return;
+        case SoakFault::Move:
+            changeConfiguration(Services[below(Services.size())]);
+            return;
+        }
+    }
+
+    void pause(SoakEntry &entry)
+    {
+        const auto pid = static_cast<pid_t>(entry.process->processId());
+        entry.isPaused = true;
+        ::kill(pid, SIGSTOP);
+        disturb([&entry, pid] {
+            if (entry.isPaused) {
+                entry.isPaused = false;
+                ::kill(pid, SIGCONT);
+            }
+        });
+    }
+
+    void terminate(SoakEntry &entry)
+    {
+        entry.isEndExpected = true;
+        m_ledger.stopping.insert(entry.name);
+        entry.process->terminate();
+    }
+
+    /** The new upstream comes first; the old one serves on for a while after it said that it leaves. */
+    void release(SoakUpstream &upstream)
+    {
+        if (m_ledger.leavingSince.contains(upstream.id())) {
+            return;
+        }
+        addUpstream(upstream.service());
+        m_store.put("servers", upstream.id(), upstream.registration("draining"));
+        noteLeaving(m_ledger, upstream.id(), Clock::now());
+        later(between(2500, 4000), [this, id = upstream.id()] {
+            m_store.remove("servers", id);
+        });
+    }
+
+    void stopAll()
+    {
+        m_isOver = true;
+        const TimePoint end = Clock::now() + StopTime + StopMargin;
+        for (const auto &entry : m_entries) {
+            terminate(*entry);
+        }
+        const auto isRunning = [this] {
+            return std::any_of(m_entries.begin(), m_entries.end(), [](const auto &entry) {
+                return entry->process->state() != QProcess::NotRunning;
+            });
+        };
+        while (isRunning() && Clock::now() < end) {
+            waitFor(milliseconds(50));
+        }
+        if (isRunning()) {
+            m_ledger.violations.emplace_back("an entry VM does not end when it is asked to");
+        }
+    }
+
+    static constexpr std::size_t PlannedFrom = static_cast<std::size_t>(SoakFault::Terminate);
+
+    SoakSettings m_settings;
+    std::mt19937_64 m_random;
+    Ledger m_ledger;
+    FakeStore m_store;
+    std::deque<std::unique_ptr<SoakUpstream>> m_upstreams;
+    std::vector<std::unique_ptr<SoakEntry>> m_entries;
+    HttpClient m_client;
+    std::map<SendId, OpenCall> m_open;
+    std::set<std::size_t> m_serving;
+    std::size_t m_lasting = 0; ///< Faults that last.
+    int m_version = 0;
+    std::uint64_t m_lastCall = 0;
+    std::uint64_t m_lastUpstream = 0;
+    std::uint64_t m_lastProcess = 0;
+    bool m_isOver = false;
+};
+
+Soak::Soak(const SoakSettings &settings)
+    : d(std::make_unique<Private>(settings))
+{
+}
+
+Soak::~Soak() = default;
+
+const Ledger &Soak::run()
+{
+    return d->run();
+}
+
+}
