Ask callers back soon if an upstream with room refused their call

The budget for repeated attempts is soon spent; the callers were then told to come back after 200 to 500 ms, beyond the target of the calls (150 and 200 ms). Ruled out: overload (the load answers show free slots); a larger budget (it is the platform's bound). Change: if the upstream that refused says that it has a free slot and its usual pace, the caller is asked back after 10 to 40 ms; full upstreams keep the longer time. Test: ProxyingTest.AsksACallerBackSoonThatAnUpstreamWithRoomRefused (failed before).

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -31,6 +31,9 @@
 /** Bounds of the time after which a refused caller is told to come back; drawn, so that callers spread. */
 constexpr std::chrono::milliseconds MinimumRetryAfter{200};
 constexpr std::chrono::milliseconds MaximumRetryAfter{500};
+/** The same after upstreams with free slots refused the call: others are as likely to take it at once. */
+constexpr std::chrono::milliseconds MinimumRetryAfterWithRoom{10};
+constexpr std::chrono::milliseconds MaximumRetryAfterWithRoom{40};
 
 /** Shares of the fleet's slack that a bucket may hold, and that it gains in a window. */
 constexpr double SlackCapacity = 0.4;
@@ -97,9 +100,11 @@
     call.running.reset();
 }
 
-Duration drawRetryAfter(ProxyStep &context)
+Duration drawRetryAfter(ProxyStep &context, bool hasRoom)
 {
-    std::uniform_int_distribution<std::int64_t> distribution(MinimumRetryAfter.count(), MaximumRetryAfter.count());
+    const auto minimum = hasRoom ? MinimumRetryAfterWithRoom : MinimumRetryAfter;
+    const auto maximum = hasRoom ? MaximumRetryAfterWithRoom : MaximumRetryAfter;
+    std::uniform_int_distribution<std::int64_t> distribution(minimum.count(), maximum.count());
     return std::chrono::milliseconds(distribution(context.random));
 }
 
@@ -115,7 +120,7 @@
         end.outcome = CallOutcome::Unknown;
     } else {
         end.outcome = CallOutcome::NotRun;
-        end.retryAfter = drawRetryAfter(context);
+        end.retryAfter = drawRetryAfter(context, call.isShedWithRoom);
     }
     endCall(context, end);
 }
@@ -489,11 +494,14 @@
     }
     const ProxyAttempt attempt = found->second;
     context.state.attempts.erase(found);
+    bool hasRoom = false;
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, attempt.service).pool, attempt.upstream)) {
         learnFromAttempt(*upstream, event, context.now);
+        hasRoom = event.load && readinessOf(*upstream, FreshLoadAge, context.now) == Readiness::Quiet;
     }
     const auto call = context.state.calls.find(attempt.call);
     if (call != context.state.calls.end()) {
+        call->second.isShedWithRoom = event.outcome == ProxyAttemptOutcome::Shed && hasRoom;
         call->second.running.reset();
         continueAfter(context, attempt.call, event.id, event.outcome);
     }
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -147,6 +147,7 @@
     std::optional<ProxyAttemptId> lastAnswer; ///< An answer to fall back on: a server error.
     std::optional<RetryReason> retry; ///< Why the next attempt is made.
     bool isProbeDenied = false; ///< The limit on probes was met in the present round.
+    bool isShedWithRoom = false; ///< The last upstream refused the call though it says that it has a free slot.
     bool mayHaveRun = false;
     bool isAbandoned = false;
     TimePoint nextRoundAt; ///< The epoch while a round is under way.
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -217,6 +217,27 @@
     EXPECT_NE(attempts[2].upstream.key, attempts[1].upstream.key);
 }
 
+TEST_F(ProxyingTest, AsksACallerBackSoonThatAnUpstreamWithRoomRefused)
+{
+    for (const std::uint32_t running : {0U, 3U}) {
+        setUpstreams({makeUpstream(1)});
+        ends.clear();
+        admit(1 + running);
+        answerQuiet();
+        feed(ProxyAttemptEnded{
+            .id = attempts.back().id,
+            .outcome = ProxyAttemptOutcome::Shed,
+            .load = UpstreamLoad{.running = running, .waiting = running, .slots = 3, .pace = 1.0},
+        });
+        ASSERT_EQ(ends.size(), 1U);
+        EXPECT_EQ(ends[0].outcome, CallOutcome::NotRun);
+        const bool isSoon = ends[0].retryAfter < std::chrono::milliseconds(100);
+        EXPECT_EQ(isSoon, running == 0) << "a full one needs time";
+        EXPECT_GT(ends[0].retryAfter, Duration(0));
+        setUpstreams({});
+    }
+}
+
 TEST_F(ProxyingTest, AvoidsAReplacedUpstream)
 {
     setUpstreams({makeUpstream(1), makeUpstream(2)});
