Call the store less: take changes together for 1.3 s, back off to a second

Per VM most are watches that follow each change of a registration at a pause of one second, and lists of six pages each time while the store is away or cuts watches. Change: a VM that has a state pauses 1.3 s after a change and backs off up to 1 s. Bounds are 2 s and more. Test: StoreWatchTest.CallsRarelyOnceItHasAStateToServeWith (failed before).

--- a/src/controllers/storewatch.cpp
+++ b/src/controllers/storewatch.cpp
@@ -6,10 +6,12 @@
 namespace {
 
 /** Changes that come close together are taken with one call. */
-constexpr std::chrono::milliseconds ChangePause{1000};
+constexpr std::chrono::milliseconds ChangePause{1300};
 constexpr std::chrono::milliseconds MinimumBackoff{80};
-constexpr std::chrono::milliseconds MaximumBackoff{600};
-constexpr std::uint32_t MaximumDoublings = 3;
+/** Before the first whole list, and after it, when the last state serves on and calls to the store are paid for. */
+constexpr std::chrono::milliseconds MaximumFirstBackoff{600};
+constexpr std::chrono::milliseconds MaximumBackoff{1000};
+constexpr std::uint32_t MaximumDoublings = 5;
 
 void pause(StoreWatch &watch, Duration time, TimePoint now)
 {
@@ -22,7 +24,8 @@
     if (watch.failures == 0) {
         watch.failingSince = now;
     }
-    const auto backoff = std::min(MinimumBackoff * (1U << std::min(watch.failures, MaximumDoublings)), MaximumBackoff);
+    const auto maximum = watch.isListed ? MaximumBackoff : MaximumFirstBackoff;
+    const auto backoff = std::min(MinimumBackoff * (1U << std::min(watch.failures, MaximumDoublings)), maximum);
     ++watch.failures;
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
     watch.after.clear();
--- a/tests/storewatchtest.cpp
+++ b/tests/storewatchtest.cpp
@@ -87,6 +87,26 @@
     return {.id = id, .service = "desk", .endpoint = {.address = "10.0.0.1", .port = 80}, .availabilityZone = "a", .slots = 3};
 }
 
+TEST_F(StoreWatchTest, CallsRarelyOnceItHasAStateToServeWith)
+{
+    const auto callsIn = [this](Duration time) {
+        const TimePoint end = now + time;
+        int calls = 0;
+        while (watch.nextAt < end) {
+            fireTimer();
+            ++calls;
+            feed(StoreCallFailed{});
+            EXPECT_LE(watch.nextAt - now, std::chrono::seconds(1)) << "the return is noticed soon";
+        }
+        return calls;
+    };
+    const int before = callsIn(std::chrono::seconds(20));
+    listUpTo(8);
+    feed(StoreCallFailed{});
+    const int after = callsIn(std::chrono::seconds(20));
+    EXPECT_LT(after, 2 * before / 3);
+}
+
 TEST(UpstreamRegistry, DropsARemovedUpstreamAtOnceWhileThePlatformIsWell)
 {
     UpstreamRegistry registry;
