--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -304,7 +304,7 @@
         while (Clock::now() < start + m_settings.duration) {
             const auto phase = (Clock::now() - start) / PhaseTime;
             begin(static_cast<SoakFault>(phase % 2 == 0 ? PlannedFrom + below(enumCount<SoakFault>() - PlannedFrom) : below(enumCount<SoakFault>())));
-            waitFor(between(100, 1500));
+            waitFor(between(100, 700));
         }
         while (m_lasting > 0) {
             waitFor(milliseconds(50));
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -47,7 +47,7 @@
     std::chrono::seconds duration{20}; ///< Of the faults; the start and the recovery come besides.
     std::size_t entries = 3;
     std::size_t upstreams = 4; ///< Of each of two services.
-    double callsPerSecond = 60.0; ///< To each entry VM.
+    double callsPerSecond = 30.0; ///< To each entry VM.
     bool isTimed = true; ///< Ledger::isTimed.
     std::string directory; ///< For the logs of the programs.
 };
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint32_t Slots = 3;
 constexpr std::uint32_t QueueLength = 6;
 constexpr int ShortestRunMs = 2;
-constexpr int LongestRunMs = 40;
+constexpr int LongestRunMs = 200;
 constexpr auto RequestIdField = "X-Plantainweir-Request-Id";
 
 }
