Start no process of the soak once it stops all

Cause: seed 302 said that an entry VM does not end. Its log shows a process that ended 34 ms before all were asked to stop and was started again 0.3 s later, since the soak looked at its end only when it planned the start. Ruled out: gatewayd (the process had never been asked to stop). The seed is kept in processsoaktest.

--- a/tests/processsoaktest.cpp
+++ b/tests/processsoaktest.cpp
@@ -31,5 +31,11 @@
     expectPromisesKept(1);
 }
 
+/** The soak itself started a process that had just ended while it was stopping all, and then waited for its end. */
+TEST_F(SoakTest, Seed302EndsWithAProcessThatIsBetweenTwoRuns)
+{
+    expectPromisesKept(302);
+}
+
 }
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -200,11 +200,11 @@
         }
         m_ledger.stopping.erase(entry.name);
         entry.isPaused = false;
-        if (!m_isOver) {
-            later(RestartDelay, [this, &entry] {
+        later(RestartDelay, [this, &entry] {
+            if (!m_isOver) {
                 startEntry(entry);
-            });
-        }
+            }
+        });
     }
 
     SoakUpstream &addUpstream(const std::string &service)
