--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -135,7 +135,7 @@
         loop.exec();
     }
 
-    /** Runs @p action later, unless the soak is over by then. */
+    /** Runs @p action after @p time. */
     void later(milliseconds time, const std::function<void()> &action)
     {
         QTimer::singleShot(time, this, action);
