--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -68,6 +68,7 @@
     explicit Private(const SoakSettings &settings)
         : m_settings(settings)
         , m_random(settings.seed)
+        , m_callRandom(settings.seed + 1)
         , m_client(HttpLimits{})
     {
         m_ledger.isTimed = settings.isTimed;
@@ -245,7 +246,7 @@
 
     void sendCall(std::size_t entry)
     {
-        const bool isOnce = below(2) == 0;
+        const bool isOnce = (m_callRandom() & 1U) == 0;
         const std::string id = fmt::format("c-{}", ++m_lastCall);
         noteSent(m_ledger,
                  id,
@@ -297,7 +298,7 @@
     {
         QTimer calls;
         connect(&calls, &QTimer::timeout, this, [this] {
-            sendCall(below(m_entries.size()));
+            sendCall(m_callRandom() % m_entries.size());
         });
         calls.start(milliseconds(static_cast<int>(1000.0 / (m_settings.callsPerSecond * static_cast<double>(m_entries.size())))));
         const TimePoint start = Clock::now();
@@ -451,7 +452,8 @@
     static constexpr std::size_t PlannedFrom = static_cast<std::size_t>(SoakFault::Terminate);
 
     SoakSettings m_settings;
-    std::mt19937_64 m_random;
+    std::mt19937_64 m_random; ///< For the faults; the calls, whose number differs from run to run, have their own.
+    std::mt19937_64 m_callRandom;
     Ledger m_ledger;
     FakeStore m_store;
     std::deque<std::unique_ptr<SoakUpstream>> m_upstreams;
