Report a refusal after a lost try as unknown

Cause: decideAfterReply() finished a call as "not run" when its last try was refused, although earlier tries with the same key had timed out at a paused entry VM and could still arrive and run there. The same holds for idempotent calls, whose tries have different keys.

Ruled out: the key owner's idempotency table. It erases the record of a refused key on purpose, so that the key can be tried again, and therefore cannot know of copies that are still in transit.

--- a/src/caller/callprogress.cpp
+++ b/src/caller/callprogress.cpp
@@ -29,14 +29,20 @@
     return {.step = needsSameKey ? NextStep::RetrySameKey : NextStep::RetryNewKey, .outcome = CallOutcome::Unknown, .reason = {}};
 }
 
+/** Ends a call whose last try did not run it. An earlier try without a response may have, or may still arrive and run. */
+CallDecision finishNotRun(const CallProgress &progress, std::string_view reason)
+{
+    return progress.mayHaveRun ? finish(CallOutcome::Unknown, nameOf(CallerReason::ConnectionLost)) : finish(CallOutcome::NotRun, reason);
+}
+
 CallDecision decideAfterReply(const CallProgress &progress, const TryResult &result, bool mayRetry)
 {
+    if (result.callOutcome == CallOutcome::NotRun) {
+        return mayRetry && isRetryableElsewhere(result.reason) ? retry(progress) : finishNotRun(progress, result.reason);
+    }
     if (!mayRetry || result.callOutcome == CallOutcome::Answered) {
         return finish(result.callOutcome, result.reason);
     }
-    if (result.callOutcome == CallOutcome::NotRun) {
-        return isRetryableElsewhere(result.reason) ? retry(progress) : finish(CallOutcome::NotRun, result.reason);
-    }
     return progress.repeatability == Repeatability::Idempotent ? retry(progress) : finish(CallOutcome::Unknown, result.reason);
 }
 
@@ -47,6 +53,8 @@
     ++progress.tries;
     const bool hasDeadlinePassed = now >= progress.deadline;
     const bool mayRetry = !hasDeadlinePassed && progress.tries < maximumTries;
+    const bool hasUnknownOutcome = result.outcome == TryOutcome::Replied && result.callOutcome == CallOutcome::Unknown;
+    progress.mayHaveRun = progress.mayHaveRun || result.outcome == TryOutcome::NoResponse || hasUnknownOutcome;
     if (result.outcome == TryOutcome::Replied) {
         return decideAfterReply(progress, result, mayRetry);
     }
@@ -54,7 +62,7 @@
     if (mayRetry) {
         return retry(progress);
     }
-    if (!progress.mayHaveArrived) {
+    if (!progress.mayHaveRun) {
         return finish(CallOutcome::NotRun, nameOf(CallerReason::ConnectFailed));
     }
     return finish(CallOutcome::Unknown, nameOf(hasDeadlinePassed ? CallerReason::DeadlinePassed : CallerReason::ConnectionLost));
--- a/src/caller/callprogress.h
+++ b/src/caller/callprogress.h
@@ -58,6 +58,7 @@
     std::vector<UuidV7> earlierKeys; ///< Keys of earlier tries; for at-most-once work only keys under which no entry VM ran the call.
     std::uint32_t tries = 0;
     bool mayHaveArrived = false; ///< Whether some try of @ref key may have reached an entry VM.
+    bool mayHaveRun = false; ///< Whether some try, with any key, may have run the call or may still run it.
     TimePoint deadline;
 };
 
--- a/tests/callertest.cpp
+++ b/tests/callertest.cpp
@@ -77,6 +77,27 @@
     EXPECT_EQ(decideAfterTry(overload, replied(CallOutcome::NotRun, "queue_full"), MaximumTries, Now).step, NextStep::Finish);
 }
 
+TEST(CallProgress, IsUnknownIfARefusalFollowsATryWithoutResponse)
+{
+    for (const Repeatability repeatability : {Repeatability::AtMostOnce, Repeatability::Idempotent}) {
+        CallProgress progress = progressOf(repeatability);
+        EXPECT_NE(decideAfterTry(progress, noResponse(), MaximumTries, Now).step, NextStep::Finish);
+        const CallDecision decision = decideAfterTry(progress, replied(CallOutcome::NotRun, "queue_full"), MaximumTries, Now);
+        EXPECT_EQ(decision.step, NextStep::Finish);
+        EXPECT_EQ(decision.outcome, CallOutcome::Unknown) << "the first try may still arrive and run";
+        EXPECT_EQ(decision.reason, "caller_connection_lost");
+    }
+}
+
+TEST(CallProgress, IsUnknownIfTheLastTriesOfRepeatedWorkWereNotSent)
+{
+    CallProgress progress = progressOf(Repeatability::Idempotent);
+    EXPECT_EQ(decideAfterTry(progress, replied(CallOutcome::Unknown, "connection_lost"), MaximumTries, Now).step, NextStep::RetryNewKey);
+    progress.mayHaveArrived = false; // A new key was assigned.
+    EXPECT_EQ(decideAfterTry(progress, replied(CallOutcome::NotRun, "not_ready"), MaximumTries, Now).step, NextStep::RetryNewKey);
+    EXPECT_EQ(decideAfterTry(progress, notSent(), MaximumTries, Now).outcome, CallOutcome::Unknown);
+}
+
 TEST(CallProgress, EndsAtItsDeadline)
 {
     CallProgress progress = progressOf(Repeatability::Idempotent);
