--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -66,15 +66,17 @@
         {"resourceKind":"routes","metadata":{"name":"r1"},"spec":{"host":"h","pathPrefix":"/a/","kind":"safe","timeout":"1500ms",
          "targetLatency":"400ms","priority":1,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2}},
         {"resourceKind":"routes","metadata":{"name":"r2"},"spec":{"host":"h","pathPrefix":"/b/","kind":"other","timeout":"2s","service":"s1"}},
+        {"resourceKind":"routes","metadata":{"name":"r3"},"spec":{"host":"h","pathPrefix":"/c/","kind":"download","timeout":"2s","service":"s1"}},
         {"resourceKind":"services","metadata":{"name":"s1"},"spec":{"healthPath":"/health","maxConnections":220}},
         {"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":1000,"maxBodyBytes":2000,"headerTimeout":"3s","idleTimeout":"15s"}}]})"));
     ASSERT_TRUE(table);
     EXPECT_EQ(table->version, 7U);
-    ASSERT_EQ(table->routes.size(), 2U);
+    ASSERT_EQ(table->routes.size(), 3U);
     EXPECT_EQ(table->routes[0].repeatability, Repeatability::Idempotent);
     EXPECT_EQ(table->routes[0].targets, (std::vector<RouteTarget>{{"s1", 90}, {"s2", 10}}));
     EXPECT_EQ(table->routes[1].repeatability, Repeatability::AtMostOnce) << "an unknown kind must not be repeated";
     EXPECT_EQ(table->routes[1].target, std::chrono::seconds(2));
+    EXPECT_EQ(table->routes[2].repeatability, Repeatability::Idempotent) << "a download may be repeated";
     EXPECT_EQ(table->services.at("s1").connectionLimit, 220U);
     EXPECT_EQ(table->limits.idleTimeout, std::chrono::seconds(15));
     EXPECT_FALSE(decodeRouteTable(parseObject(R"({"version":"7","resources":[]})")));
