Obey Server-Leaving and Retry-After of upstreams

Cause: the answers of an upstream were read for their outcome and load only. An upstream that says in all its answers that it leaves, while the store still lists it as ready, got calls for as long as it ran; one that refused a call and asked for quiet got the next call at once.

An incarnation (id and start time) that said it leaves gets no further call, whatever later lists or registrations say. The quiet time is checked (numbers above zero, at most five minutes) and kept until its end; if all upstreams of a service asked for quiet, a call is refused at once with the time at which the first of them accepts calls again.

Both tests of proxyingtest fail when the mechanism is taken out.

--- a/src/controllers/upstreamregistry.cpp
+++ b/src/controllers/upstreamregistry.cpp
@@ -46,6 +46,7 @@
         .slots = record.slots,
         .isDraining = record.isDraining,
         .coldUntil = coldUntil,
+        .startedAtMs = record.startedAtMs,
     };
     entry.record = record;
     entry.revision = revision;
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -125,6 +125,10 @@
     } else {
         end.outcome = CallOutcome::NotRun;
         end.retryAfter = drawRetryAfter(context, call.wasShedWithFreeSlot);
+        const auto quietEnd = firstQuietEnd(serviceOf(context, call.admitted.service).pool, context.now);
+        if (refusal == RefusalReason::NoUpstream && quietEnd) {
+            end.retryAfter = std::max(end.retryAfter, Duration(*quietEnd - context.now));
+        }
     }
     endCall(context, end);
 }
@@ -421,6 +425,7 @@
     context.state.probes.erase(found);
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, probe.service).pool, probe.upstream)) {
         recordProbeResult(*upstream, event, context.now);
+        recordNotice(serviceOf(context, probe.service).pool, *upstream, event.notice, context.now);
         if (!isSameZone(context, *upstream)) {
             recordOtherZoneAvailability(serviceOf(context, probe.service), *upstream, context.now);
         }
@@ -515,6 +520,7 @@
     bool hasFreeSlot = false;
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, attempt.service).pool, attempt.upstream)) {
         recordAttemptResult(*upstream, event, context.now);
+        recordNotice(serviceOf(context, attempt.service).pool, *upstream, event.notice, context.now);
         hasFreeSlot = event.load && loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Available;
     }
     const auto call = context.state.calls.find(attempt.call);
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -59,6 +59,7 @@
     ProbeId id = 0;
     ProbeOutcome outcome = ProbeOutcome::Unreachable;
     UpstreamLoad load;
+    UpstreamNotice notice;
 };
 /** The outcome of an attempt at an upstream. */
 enum class ProxyAttemptOutcome {
@@ -88,6 +89,7 @@
     ProxyAttemptId id = 0;
     ProxyAttemptOutcome outcome = ProxyAttemptOutcome::ConnectionLost;
     std::optional<UpstreamLoad> load;
+    UpstreamNotice notice;
 };
 struct ProxyTimerFired {
 };
--- a/src/decision/upstreampool.cpp
+++ b/src/decision/upstreampool.cpp
@@ -20,6 +20,11 @@
 constexpr std::chrono::milliseconds UnreachableEjectionTime{700};
 constexpr std::uint32_t MaximumDoublings = 3;
 constexpr std::chrono::seconds ReplacedEjectionTime{60};
+/** Longest quiet time that an upstream can ask for; a longer one is cut to this. */
+constexpr std::chrono::minutes MaximumQuietTime{5};
+/** Far longer than an upstream that is leaving stays registered. */
+constexpr std::chrono::hours LeavingMemory{1};
+constexpr std::size_t MaximumLeavingIncarnations = 4096;
 
 void eject(PooledUpstream &upstream, Duration time, TimePoint now)
 {
@@ -39,6 +44,16 @@
     return std::max(upstream.load.running + upstream.sentSinceLoadReport, upstream.inFlight);
 }
 
+UpstreamIncarnation incarnationOf(const RegisteredUpstream &registration)
+{
+    return {.id = registration.id, .startedAtMs = registration.startedAtMs};
+}
+
+bool acceptsCalls(const UpstreamPool &pool, const PooledUpstream &upstream)
+{
+    return !upstream.registration.isDraining && !pool.leaving.contains(incarnationOf(upstream.registration));
+}
+
 }
 
 void replaceUpstreams(UpstreamPool &pool, const std::vector<RegisteredUpstream> &upstreams)
@@ -100,6 +115,23 @@
     upstream.ejectedUntil = now + ReplacedEjectionTime;
 }
 
+void recordNotice(UpstreamPool &pool, PooledUpstream &upstream, const UpstreamNotice &notice, TimePoint now)
+{
+    if (notice.quietTime) {
+        const Duration quietTime = std::clamp(*notice.quietTime, Duration(0), Duration(MaximumQuietTime));
+        upstream.quietUntil = std::max(upstream.quietUntil, now + quietTime);
+    }
+    if (!notice.isLeaving) {
+        return;
+    }
+    if (pool.leaving.size() >= MaximumLeavingIncarnations) {
+        std::erase_if(pool.leaving, [now](const auto &row) {
+            return row.second <= now;
+        });
+    }
+    pool.leaving[incarnationOf(upstream.registration)] = now + LeavingMemory;
+}
+
 double expectedSlowdown(const PooledUpstream &upstream, TimePoint now)
 {
     const bool isAboveKnee = runningCalls(upstream) + 1 > KneeShare * slotsOf(upstream);
@@ -125,7 +157,7 @@
     std::vector<UpstreamKey> usable;
     std::vector<UpstreamKey> ejected;
     for (const auto &[key, upstream] : pool.upstreams) {
-        if (upstream.registration.isDraining) {
+        if (!acceptsCalls(pool, upstream) || upstream.quietUntil > now) {
             continue;
         }
         // Only recordReplaced() ejects an upstream for longer than half of ReplacedEjectionTime.
@@ -142,4 +174,16 @@
     return usable;
 }
 
+std::optional<TimePoint> firstQuietEnd(const UpstreamPool &pool, TimePoint now)
+{
+    std::optional<TimePoint> first;
+    for (const auto &[key, upstream] : pool.upstreams) {
+        const bool isQuiet = acceptsCalls(pool, upstream) && upstream.quietUntil > now;
+        if (isQuiet && (!first || upstream.quietUntil < *first)) {
+            first = upstream.quietUntil;
+        }
+    }
+    return first;
+}
+
 }
--- a/src/decision/upstreampool.h
+++ b/src/decision/upstreampool.h
@@ -25,6 +25,7 @@
     std::uint32_t slots = 1;
     bool isDraining = false;
     TimePoint coldUntil; ///< End of the cold start, during which work takes longer.
+    std::int64_t startedAtMs = 0; ///< Unix time of its start in milliseconds, zero if not given.
     bool operator==(const RegisteredUpstream &) const = default;
 };
 
@@ -36,6 +37,13 @@
     double workTimeFactor = 1.0; ///< Current factor on the time of work, caused by the other upstreams on its VM.
 };
 
+/** What an upstream says in an answer about the further calls that it wants from this entry VM. */
+struct UpstreamNotice {
+    bool isLeaving = false; ///< It is leaving and takes no new calls.
+    std::optional<Duration> quietTime; ///< Time from the answer during which it wants no calls.
+    bool operator==(const UpstreamNotice &) const = default;
+};
+
 /** Classifies an upstream by its last load report. */
 enum class LoadState {
     Available, ///< A slot is free, and work takes about its usual time.
@@ -53,10 +61,23 @@
     double failureRate = 0.0; ///< Exponentially weighted share of failed attempts.
     std::uint32_t consecutiveEjections = 0; ///< Since the last successful attempt.
     TimePoint ejectedUntil;
+    TimePoint quietUntil; ///< It asked for no calls before this time.
+};
+
+/** Identifies an incarnation of an upstream across registrations, which each get a new key. */
+struct UpstreamIncarnation {
+    std::string id;
+    std::int64_t startedAtMs = 0;
+    auto operator<=>(const UpstreamIncarnation &) const = default;
 };
 
 struct UpstreamPool {
     std::map<UpstreamKey, PooledUpstream> upstreams;
+    /**
+     * Incarnations that said that they leave, with the time until which this is remembered. A registration that says
+     * otherwise is outdated.
+     */
+    std::map<UpstreamIncarnation, TimePoint> leaving;
 };
 
 /** Replaces the registered upstreams. The state of upstreams that stay registered is kept. */
@@ -76,13 +97,25 @@
 /** Ejects an upstream whose address is used by another process. It returns with a new key when it is registered again. */
 void recordReplaced(PooledUpstream &upstream, TimePoint now);
 
+/** Records what @p upstream said about further calls. */
+void recordNotice(UpstreamPool &pool, PooledUpstream &upstream, const UpstreamNotice &notice, TimePoint now);
+
 /** Returns the factor by which a call sent now is expected to take longer than at an idle upstream. */
 double expectedSlowdown(const PooledUpstream &upstream, TimePoint now);
 
 /** Returns the state according to the last load report, or LoadState::Unknown if the report is older than @p maximumAge. */
 LoadState loadStateOf(const PooledUpstream &upstream, Duration maximumAge, TimePoint now);
 
-/** Returns the upstreams that may receive calls. If more than half of them are ejected, the ejected ones are included. */
+/**
+ * Returns the upstreams that may receive calls: none that are leaving or asked for quiet. If more than half of the others
+ * are ejected, the ejected ones are included.
+ */
 std::vector<UpstreamKey> usableUpstreams(const UpstreamPool &pool, TimePoint now);
 
+/**
+ * Returns when the first upstream that asked for quiet accepts calls again, or nothing if none of those that stay
+ * registered has asked.
+ */
+std::optional<TimePoint> firstQuietEnd(const UpstreamPool &pool, TimePoint now);
+
 }
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -146,6 +146,8 @@
         {LogEvent::ReadinessChanged, Info, "readiness_changed", "gatewayd became ready for callers, or is no longer ready."},
         {LogEvent::ObjectUnusable, Warning, "object_unusable", "An object in the store cannot be decoded and is ignored."},
         {LogEvent::EntriesChanged, Info, "entries_changed", "The entry VMs that the directory can return changed."},
+        {LogEvent::UpstreamLeaving, Info, "upstream_leaving", "An upstream said in an answer that it leaves; it gets no new calls."},
+        {LogEvent::UpstreamQuiet, Info, "upstream_quiet", "An upstream that refused a call asked for no calls for the given time."},
         {LogEvent::StoreLost, Warning, "store_lost", "A call to the store failed; the last state stays in force."},
         {LogEvent::StoreReturned, Info, "store_returned", "The store answers again."},
         {LogEvent::LogLinesDropped,
@@ -156,6 +158,12 @@
          Info,
          "reload_requested",
          "A signal asked for a reload of the settings, which has no effect: gatewayd reads its settings only when it starts."},
+        {LogEvent::StoreReadingChanged,
+         Info,
+         "store_reading_changed",
+         "gatewayd started or stopped to read the store itself; the fields give the age of its knowledge, -1 if it has none."},
+        {LogEvent::FeedEnded, Warning, "feed_ended", "The feed of the store's objects from another entry VM ended or could not be opened."},
+        {LogEvent::FeedMalformed, Error, "feed_malformed", "An entry VM sent a malformed update of the store's objects; its feed is closed."},
     };
     return s_events;
 }
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -66,10 +66,15 @@
     ReadinessChanged = 1512,
     ObjectUnusable = 1513,
     EntriesChanged = 1514,
+    UpstreamLeaving = 1515,
+    UpstreamQuiet = 1516,
     StoreLost = 1520,
     StoreReturned = 1521,
     LogLinesDropped = 1522,
     ReloadRequested = 1530,
+    StoreReadingChanged = 1540,
+    FeedEnded = 1541,
+    FeedMalformed = 1542,
 };
 
 /** A row of the event catalogue. */
--- a/src/tasks/gatewaycodec.h
+++ b/src/tasks/gatewaycodec.h
@@ -26,12 +26,14 @@
 struct DecodedAttemptResponse {
     ProxyAttemptOutcome outcome = ProxyAttemptOutcome::ConnectionLost;
     std::optional<UpstreamLoad> load;
+    UpstreamNotice notice;
 };
 
 /** The outcome of a probe and the load that the upstream reported. */
 struct DecodedProbeResponse {
     ProbeOutcome outcome = ProbeOutcome::Unreachable;
     UpstreamLoad load;
+    UpstreamNotice notice;
 };
 
 /** How a list or watch request ended. */
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -198,12 +198,25 @@
             if (call != m_calls.end()) {
                 call->second.responses.emplace(result.ended.id, result.response);
                 logFailure(call->second, result.ended);
+                logNotice(call->second.lastUpstream, result.ended.notice);
             }
             m_attempts.erase(attempt);
         }
         handleEvent(result.ended);
     }
 
+    void logNotice(const std::string &upstream, const UpstreamNotice &notice)
+    {
+        if (notice.isLeaving) {
+            logEvent(LogEvent::UpstreamLeaving, {{"upstream", upstream}});
+        }
+        if (notice.quietTime) {
+            m_metrics.addToCounter("plantainweir_quiet_requests_total", "Refusals of upstreams that asked for no calls for a time.");
+            logEvent(LogEvent::UpstreamQuiet,
+                     {{"upstream", upstream}, {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(*notice.quietTime).count()}});
+        }
+    }
+
     void logFailure(const OpenCall &call, const ProxyAttemptEnded &ended)
     {
         if (ended.outcome == ProxyAttemptOutcome::Succeeded) {
--- a/src/tasks/proxyupstreamport.cpp
+++ b/src/tasks/proxyupstreamport.cpp
@@ -52,22 +52,24 @@
 
     void finishProbe(const OutgoingProbe &probe, const HttpRequestResult &result)
     {
-        ProbeEnded ended{.id = probe.id, .outcome = ProbeOutcome::Unreachable, .load = {}};
+        ProbeEnded ended{.id = probe.id, .outcome = ProbeOutcome::Unreachable, .load = {}, .notice = {}};
         if (result.outcome == HttpRequestOutcome::Answered) {
             const DecodedProbeResponse decoded = m_codec.decodeProbeResponse(result.response, probe.upstream);
             ended.outcome = decoded.outcome;
             ended.load = decoded.load;
+            ended.notice = decoded.notice;
         }
         Q_EMIT q->probeEnded(ended);
     }
 
     void finishAttempt(ProxyAttemptId id, const HttpRequestResult &result)
     {
-        ProxyAttemptResult attempt{.ended = {.id = id, .outcome = outcomeOf(result.outcome), .load = std::nullopt}, .response = nullptr};
+        ProxyAttemptResult attempt{.ended = {.id = id, .outcome = outcomeOf(result.outcome), .load = std::nullopt, .notice = {}}, .response = nullptr};
         if (result.outcome == HttpRequestOutcome::Answered) {
             const DecodedAttemptResponse decoded = m_codec.decodeAttemptResponse(result.response);
             attempt.ended.outcome = decoded.outcome;
             attempt.ended.load = decoded.load;
+            attempt.ended.notice = decoded.notice;
             attempt.response = std::make_shared<const ResponseMessage>(result.response);
         }
         Q_EMIT q->attemptEnded(attempt);
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -142,6 +142,24 @@
     EXPECT_EQ(outcomeOf(404, {}), ProxyAttemptOutcome::Succeeded);
 }
 
+TEST(PlatformCalls, DecodeWhatAnUpstreamSaysAboutFurtherCalls)
+{
+    const HttpFields leaving{{"X-Plantainweir-Response-Stamp", "s"}, {"Server-Leaving", "1"}};
+    EXPECT_TRUE(decodeAttemptResponse({.status = 200, .fields = leaving, .body = {}}).notice.isLeaving);
+    EXPECT_TRUE(decodeProbeResponse({.status = 503, .fields = leaving, .body = {}}, {.key = 1, .id = "i-1"}).notice.isLeaving);
+    EXPECT_FALSE(decodeAttemptResponse({.status = 200, .fields = {{"Server-Leaving", "0"}}, .body = {}}).notice.isLeaving);
+    const auto quietTimeOf = [](int status, const std::string &retryAfter) {
+        return decodeAttemptResponse({.status = status, .fields = {{"X-Plantainweir-Not-Executed", "1"}, {"Retry-After", retryAfter}}, .body = {}})
+            .notice.quietTime;
+    };
+    EXPECT_EQ(quietTimeOf(503, "1.5"), std::chrono::milliseconds(1500));
+    EXPECT_EQ(quietTimeOf(429, "1.5"), std::nullopt);
+    for (const char *text : {"", "-1", "0", "soon", "nan", "Fri, 31 Dec 2027 23:59:59 GMT", "1e999"}) {
+        EXPECT_EQ(quietTimeOf(503, text), std::nullopt) << text;
+    }
+    EXPECT_GT(quietTimeOf(503, "1e300"), std::chrono::hours(1));
+}
+
 TEST(PlatformCalls, ParseLoadReports)
 {
     const auto load = parseLoadHeader("2,1,8,500");
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -452,5 +452,58 @@
     }
 }
 
+TEST_F(ProxyingTest, AnUpstreamThatSaidItLeavesGetsNoCallWhateverItsRegistrationSays)
+{
+    RegisteredUpstream leaving = makeUpstream(1);
+    leaving.startedAtMs = 5;
+    setUpstreams({leaving, makeUpstream(2, "b")});
+    admit(1);
+    answerIdle();
+    ASSERT_EQ(attempts.back().upstream.key, 1U);
+    feed(ProxyAttemptEnded{.id = attempts.back().id, .outcome = ProxyAttemptOutcome::Succeeded, .load = std::nullopt, .notice = {.isLeaving = true}});
+    admit(2);
+    answerIdle();
+    EXPECT_EQ(attempts.back().upstream.key, 2U);
+    endLastAttempt(ProxyAttemptOutcome::Succeeded);
+    // Its registration lapses, and the same incarnation registers again under a new key.
+    setUpstreams({makeUpstream(2, "b")});
+    leaving.key = 3;
+    setUpstreams({leaving, makeUpstream(2, "b")});
+    advanceTime(std::chrono::milliseconds(100)); // No load report is fresh.
+    admit(3);
+    answerIdle();
+    EXPECT_EQ(attempts.back().upstream.key, 2U);
+    endLastAttempt(ProxyAttemptOutcome::Succeeded);
+    leaving.key = 4;
+    leaving.startedAtMs = 6;
+    setUpstreams({leaving, makeUpstream(2, "b")});
+    advanceTime(std::chrono::milliseconds(100));
+    admit(4);
+    answerIdle();
+    EXPECT_EQ(attempts.back().upstream.key, 4U) << "a new incarnation is another upstream";
+}
+
+TEST_F(ProxyingTest, AnUpstreamThatAskedForQuietGetsNoCallUntilItsEnd)
+{
+    setUpstreams({makeUpstream(1)});
+    admit(1);
+    answerIdle();
+    feed(ProxyAttemptEnded{
+        .id = attempts.back().id, .outcome = ProxyAttemptOutcome::Shed, .load = std::nullopt, .notice = {.quietTime = std::chrono::milliseconds(1500)}});
+    ASSERT_EQ(ends.size(), 1U) << "no other upstream is left, so the call is refused at once";
+    EXPECT_EQ(ends[0].outcome, CallOutcome::NotRun);
+    advanceTime(std::chrono::milliseconds(1000));
+    probes.clear();
+    admit(2);
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(ends[1].refusal, RefusalReason::NoUpstream);
+    EXPECT_EQ(ends[1].retryAfter, std::chrono::milliseconds(500)) << "the end of the quiet time";
+    EXPECT_TRUE(probes.empty());
+    advanceTime(std::chrono::milliseconds(500));
+    admit(3);
+    answerIdle();
+    EXPECT_EQ(attempts.size(), 2U);
+}
+
 }
 }
