Keep one odd entry from hiding the others of its page

Cause: a page of the store was parsed as one document. An entry of another writer that was nested deeper than 1,024 levels, had a number too large for a double or bytes that are not UTF-8 made the parser reject the whole page, so that the VM listed again and again and followed the list no more; an entry whose last name could not be read requested the same page for ever. Numbers beyond 32 bits were truncated, to zero slots for example, and port 0 was accepted.

One that cannot be decoded counts as a change of its name and names no upstream; an earlier version of it does not stay in use.

--- a/src/core/parseduration.cpp
+++ b/src/core/parseduration.cpp
@@ -3,6 +3,12 @@
 #include "core/parsenumber.h"
 
 namespace Plantainweir {
+namespace {
+
+/** About 30 years; a longer duration could overflow when it is added to a time. */
+constexpr double MaximumMilliseconds = 1e12;
+
+}
 
 std::optional<Duration> parseDuration(std::string_view text)
 {
@@ -15,7 +21,8 @@
     if (!number || (unit != "ms" && unit != "s")) {
         return std::nullopt;
     }
-    return fromMilliseconds(unit == "ms" ? *number : *number * 1000.0);
+    const double milliseconds = unit == "ms" ? *number : *number * 1000.0;
+    return milliseconds <= MaximumMilliseconds ? std::optional(fromMilliseconds(milliseconds)) : std::nullopt;
 }
 
 }
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -99,6 +99,79 @@
     EXPECT_EQ(decodePage(StoreObjectKind::Upstreams, {.outcome = HttpRequestOutcome::ConnectionLost, .response = {}}, true, page), StoreReadOutcome::Failed);
 }
 
+/** Decodes a list with @p odd between two valid registrations; returns the names of the valid ones, and in @p all all names. */
+std::vector<std::string> validNamesAround(const std::string &odd, bool isWatch, std::vector<std::string> &all)
+{
+    const auto item = [isWatch](const std::string &name) {
+        const std::string object = R"({"metadata":{"name":")" + name + R"(","revision":5},"spec":)" + upstreamSpec + "}";
+        return isWatch ? R"({"object":)" + object + "}" : object;
+    };
+    const std::string body
+        = std::string(R"({")") + (isWatch ? "events" : "items") + R"(":[)" + item("i-1") + "," + odd + "," + item("i-2") + R"(],"storeRevision":9})";
+    const HttpRequestResult result{.outcome = HttpRequestOutcome::Answered, .response = {.status = 200, .fields = {}, .body = body}};
+    StorePage page;
+    EXPECT_EQ(decodePage(StoreObjectKind::Upstreams, result, isWatch, page), StoreReadOutcome::Page);
+    std::vector<std::string> valid;
+    for (const StoreObject &object : page.objects) {
+        all.push_back(object.name);
+        if (std::holds_alternative<UpstreamRecord>(object.value)) {
+            valid.push_back(object.name);
+        }
+    }
+    return valid;
+}
+
+TEST(PlatformStore, OneOddEntryDoesNotHideTheOthers)
+{
+    const std::string opening(100'000, '[');
+    const std::string closing(100'000, ']');
+    const auto spec = [](const std::string &field, const std::string &value) {
+        QJsonObject object = parseObject(upstreamSpec);
+        object.remove(QString::fromStdString(field));
+        std::string text = QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+        text.insert(1, "\"" + field + "\":" + value + ",");
+        return text;
+    };
+    const std::vector<std::string> oddSpecs{
+        opening + closing,
+        spec("nested", opening + closing),
+        spec("slots", "1" + std::string(400, '0')),
+        spec("slots", "1e400"),
+        spec("slots", "-1"),
+        spec("slots", "4294967296"),
+        spec("slots", "0"),
+        spec("slots", "\"3\""),
+        spec("sequence", "1e300"),
+        spec("born", "-" + std::string(30, '9')),
+        spec("address", "\"10.1.0.9:0\""),
+        spec("address", "\"10.1.0.9:65536\""),
+        spec("address", "\"10.1.0.9:-1\""),
+        spec("address", "\"10.1.0.9\""),
+        spec("address", "80"),
+        spec("cold", "\"9999999999999999999999s\""),
+        spec("zone", "\"\xff\xfe\x80\""),
+        spec("state", "null"),
+        "null",
+        "7",
+        "\"text\"",
+    };
+    for (const bool isWatch : {false, true}) {
+        for (const std::string &oddSpec : oddSpecs) {
+            SCOPED_TRACE(oddSpec.substr(0, 80));
+            const std::string object = R"({"metadata":{"name":"i-odd","revision":6},"spec":)" + oddSpec + "}";
+            std::vector<std::string> all;
+            EXPECT_EQ(validNamesAround(isWatch ? R"({"object":)" + object + "}" : object, isWatch, all), (std::vector<std::string>{"i-1", "i-2"}));
+            EXPECT_EQ(all, (std::vector<std::string>{"i-1", "i-odd", "i-2"})) << "an earlier version of the entry must not stay in use";
+        }
+        for (const std::string &unnamed :
+             {std::string("null"), std::string("{}"), opening + closing, R"({"metadata":{"name":")" + std::string(1'000'000, 'x') + R"("}})"}) {
+            SCOPED_TRACE(unnamed.substr(0, 80));
+            std::vector<std::string> all;
+            EXPECT_EQ(validNamesAround(unnamed, isWatch, all), (std::vector<std::string>{"i-1", "i-2"}));
+        }
+    }
+}
+
 TEST(PlatformCalls, AttemptCarriesTheRemainingTime)
 {
     const HttpRequest request{.method = "POST",
