Choose the ports of tests below the ephemeral range

Seen once: controldtest TerminatedMemberIsSeenAsLeft beside other tests. From its log: the third controld ended with listen_failed, because the port that the test had found free was taken by an outgoing connection of another test before the process used it.

--- a/tests/controldtest.cpp
+++ b/tests/controldtest.cpp
@@ -3,6 +3,7 @@
 #include "control.grpc.pb.h"
 #include "fakes/eventloop.h"
 #include "fakes/fakeplatform.h"
+#include "fakes/freeendpoint.h"
 #include "observability/metrics.h"
 #include "rpc/membershipmessages.h"
 #include "tasks/controlclient.h"
@@ -12,7 +13,6 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <QProcess>
-#include <QTcpServer>
 #include <QTcpSocket>
 #include <QUdpSocket>
 
@@ -24,20 +24,6 @@
 namespace Plantainweir {
 namespace {
 
-Endpoint freeTcpPort()
-{
-    QTcpServer server;
-    server.listen(QHostAddress::LocalHost);
-    return {"127.0.0.1", server.serverPort()};
-}
-
-Endpoint freeUdpPort()
-{
-    QUdpSocket socket;
-    socket.bind(QHostAddress::LocalHost);
-    return {"127.0.0.1", socket.localPort()};
-}
-
 /** One controld, with its status as operators see it. */
 struct Member {
     explicit Member(ControldSettings memberSettings)
@@ -81,10 +67,10 @@
         settings.watcherHandOverDelay = std::chrono::milliseconds(500);
         settings.self.name = "m" + std::to_string(m_members.size());
         settings.self.incarnation = 1000;
-        settings.self.membershipEndpoint = freeUdpPort();
-        settings.self.exchangeEndpoint = freeTcpPort();
+        settings.self.membershipEndpoint = freeEndpoint();
+        settings.self.exchangeEndpoint = freeEndpoint();
         settings.self.availabilityZone = "regina";
-        settings.controlEndpoint = freeTcpPort();
+        settings.controlEndpoint = freeEndpoint();
         settings.platform = platform.value_or(Endpoint{"127.0.0.1", m_platform.port()});
         if (!m_members.empty()) {
             settings.seeds = {m_members.front()->settings.self.membershipEndpoint};
@@ -163,7 +149,7 @@
 {
     const std::vector<std::string> names{"m0", "m1", "m2", "m3", "m4"};
     const auto expectedWatchers = chooseWatchers(names, DistributionSettings{}.watcherCount);
-    const Endpoint closedPort = freeTcpPort();
+    const Endpoint closedPort = freeEndpoint();
     const auto isWithoutPlatform = [&expectedWatchers](const std::string &name) {
         return std::find(expectedWatchers.begin(), expectedWatchers.end(), name) != expectedWatchers.end();
     };
@@ -258,8 +244,8 @@
     const EntryMember entry{
         .name = "silent",
         .incarnation = "silent-1",
-        .callerEndpoint = freeTcpPort(),
-        .peerEndpoint = freeTcpPort(),
+        .callerEndpoint = freeEndpoint(),
+        .peerEndpoint = freeEndpoint(),
         .availabilityZone = "regina",
     };
     ASSERT_TRUE(silentStream->Write(toMessage(EntryState{.self = entry, .isReady = true, .upstreamStatuses = {}})));
@@ -354,8 +340,8 @@
     ControldProcessTest()
     {
         for (int index = 0; index < 3; ++index) {
-            m_operators.push_back(freeTcpPort());
-            m_membership.push_back(freeUdpPort());
+            m_operators.push_back(freeEndpoint());
+            m_membership.push_back(freeEndpoint());
         }
         for (int index = 0; index < 3; ++index) {
             start(index);
@@ -383,11 +369,11 @@
                                    "--availability-zone",
                                    "regina",
                                    "--control-port",
-                                   toArgument(freeTcpPort()),
+                                   toArgument(freeEndpoint()),
                                    "--membership-port",
                                    toArgument(m_membership[at]),
                                    "--exchange-port",
-                                   toArgument(freeTcpPort()),
+                                   toArgument(freeEndpoint()),
                                    "--operators-port",
                                    toArgument(m_operators[at]),
                                    "--seeds",
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -1,6 +1,7 @@
 #include "tasks/gateway.h"
 #include "fakes/eventloop.h"
 #include "fakes/fakestore.h"
+#include "fakes/freeendpoint.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 #include "platform/platformcodec.h"
@@ -8,7 +9,6 @@
 #include <gtest/gtest.h>
 
 #include <QJsonArray>
-#include <QTcpServer>
 
 namespace Plantainweir {
 namespace {
@@ -81,13 +81,6 @@
     std::vector<std::pair<HttpExchangeId, HttpRequest>> m_delayed;
 };
 
-Endpoint freeEndpoint()
-{
-    QTcpServer server;
-    EXPECT_TRUE(server.listen(QHostAddress::LocalHost));
-    return {.address = "127.0.0.1", .port = server.serverPort()};
-}
-
 QJsonObject configuration(int version, const QString &prefix = "/a/")
 {
     const QJsonObject route{
--- a/tests/platformprocesstest.cpp
+++ b/tests/platformprocesstest.cpp
@@ -2,12 +2,12 @@
 #include "fakes/eventloop.h"
 #include "fakes/fakeplatform.h"
 #include "fakes/fakeupstream.h"
+#include "fakes/freeendpoint.h"
 #include "http/headers.h"
 #include "http/httpclient.h"
 
 #include <QCoreApplication>
 #include <QProcess>
-#include <QTcpServer>
 #include <QTemporaryDir>
 
 #include <gtest/gtest.h>
@@ -18,14 +18,6 @@
 namespace Plantainweir {
 namespace {
 
-/** Returns a loopback endpoint whose port was free when it was chosen. */
-Endpoint freeEndpoint()
-{
-    QTcpServer server;
-    server.listen(QHostAddress::LocalHost);
-    return {.address = "127.0.0.1", .port = server.serverPort()};
-}
-
 class PlatformProcessTest : public testing::Test
 {
 protected:
--- a/tests/storemirrortest.cpp
+++ b/tests/storemirrortest.cpp
@@ -35,6 +35,7 @@
 std::vector<std::string> namesOf(const std::vector<StoreObject> &objects)
 {
     std::vector<std::string> names;
+    names.reserve(objects.size());
     for (const StoreObject &object : objects) {
         names.push_back((object.isDeleted ? "-" : "") + object.name);
     }
@@ -122,6 +123,7 @@
         const auto readFromStore = [&](StoreMirror &reader) {
             if (reader.revision == 0 || pick(6) == 0) {
                 std::vector<StoreObject> objects;
+                objects.reserve(store.size());
                 for (const auto &[name, revision] : store) {
                     objects.push_back(makeUpstreamObject(name, revision));
                 }
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -1,6 +1,7 @@
 #include "tasks/storesourcetask.h"
 #include "fakes/eventloop.h"
 #include "fakes/fakestore.h"
+#include "fakes/freeendpoint.h"
 #include "observability/metrics.h"
 #include "platform/platformcodec.h"
 #include "tasks/exchangeserver.h"
@@ -8,20 +9,12 @@
 #include <gtest/gtest.h>
 
 #include <QJsonArray>
-#include <QTcpServer>
 
 namespace Plantainweir {
 namespace {
 
 using namespace std::chrono_literals;
 
-Endpoint freeEndpoint()
-{
-    QTcpServer server;
-    EXPECT_TRUE(server.listen(QHostAddress::LocalHost));
-    return {.address = "127.0.0.1", .port = server.serverPort()};
-}
-
 QJsonObject registration(const QString &state = "ready")
 {
     return {
