Keep gossip, probes and exchanges inside large availability zones

Cause: each of 472 members sent each change of a record nine times to members of any zone.

In zones of eight members or more, members probe and gossip among themselves. The two most capable ones, the carriers, send the records of their own zone's members to the carriers of the other zones, twice each, and compare records with them. A VM that joins asks a seed in another zone for its own zone's records only. Small zones work as before.

AChangeCrossesZonesAFewTimesOnly counts the transmissions of one change: at most 12 between four zones of 30 members. The fault exploration now has up to three zones.

--- a/src/controllers/membership.cpp
+++ b/src/controllers/membership.cpp
@@ -64,6 +64,53 @@
     return record != nullptr && isLive(record->state);
 }
 
+bool isInOwnZone(const Membership &membership, const MemberRecord &record)
+{
+    return record.availabilityZone == selfRecord(membership).availabilityZone;
+}
+
+/** Returns whether @p name is a live member of another zone, and this member's zone is large. */
+bool isAcrossZones(const Membership &membership, const std::string &name)
+{
+    const MemberRecord *record = findRecord(membership, name);
+    return membership.zoneRole.isLargeZone && record != nullptr && !isInOwnZone(membership, *record);
+}
+
+/** Returns the live members of each zone. */
+std::map<std::string, std::vector<const MemberRecord *>> liveRecordsByZone(const Membership &membership)
+{
+    std::map<std::string, std::vector<const MemberRecord *>> zones;
+    for (const auto &[name, member] : membership.members) {
+        if (isLive(member.record.state)) {
+            zones[member.record.availabilityZone].push_back(&member.record);
+        }
+    }
+    return zones;
+}
+
+/** Reduces the members of one zone to its carriers: the most capable ones, chosen alike by all members that know them. */
+void keepCarriers(const Membership &membership, std::vector<const MemberRecord *> &zone)
+{
+    const auto rankOf = [](const MemberRecord *record) {
+        return std::pair(record->capacity, rendezvousWeight(record->name, "carriers"));
+    };
+    const std::size_t count = std::min(membership.settings.carriersPerZone, zone.size());
+    std::partial_sort(zone.begin(), zone.begin() + static_cast<std::ptrdiff_t>(count), zone.end(), [&rankOf](const auto *left, const auto *right) {
+        return rankOf(left) > rankOf(right);
+    });
+    zone.resize(count);
+}
+
+void updateZoneRole(Membership &membership)
+{
+    auto zones = liveRecordsByZone(membership);
+    auto &zone = zones[selfRecord(membership).availabilityZone];
+    membership.zoneRole.isLargeZone = zone.size() >= membership.settings.largeZoneMembers;
+    keepCarriers(membership, zone);
+    const bool isChosen = std::find(zone.begin(), zone.end(), &selfRecord(membership)) != zone.end();
+    membership.zoneRole.isCarrier = membership.zoneRole.isLargeZone && isChosen;
+}
+
 void toggleDigest(Membership &membership, const MemberRecord &record)
 {
     if (isLive(record.state)) {
@@ -74,6 +121,9 @@
 void queueRecord(Membership &membership, const std::string &name)
 {
     membership.disseminationQueue.records[name] = transmissionLimit(membership);
+    if (membership.zoneRole.isCarrier && isInOwnZone(membership, membership.members.at(name).record)) {
+        membership.otherZonesQueue.records[name] = membership.settings.carrierRounds;
+    }
 }
 
 void insertIntoProbeOrder(Membership &membership, const std::string &name, std::mt19937_64 &random)
@@ -185,32 +235,59 @@
     queueRecord(context.membership, name);
 }
 
-/** Adds the sender, the digests and pending updates to @p datagram and sends it. */
-void send(const StepContext &context, const Endpoint &to, MembershipDatagram datagram)
+void addSender(const Membership &membership, MembershipDatagram &datagram)
 {
-    Membership &membership = context.membership;
     datagram.sender = membership.self;
     datagram.membersDigest = combine(membership.digests);
     datagram.objectsDigest = membership.objectsDigest;
+}
+
+/** Fills @p datagram with updates from @p queue. */
+void addUpdates(const Membership &membership, DisseminationQueue &queue, MembershipDatagram &datagram)
+{
     const auto recordOf = [&membership](const std::string &name) {
         return findRecord(membership, name);
     };
-    addPendingUpdates(membership.disseminationQueue, recordOf, membership.settings.payloadBytes, datagram);
+    addPendingUpdates(queue, recordOf, membership.settings.payloadBytes, datagram);
+}
+
+/** Adds the sender, the digests and, unless the receiver is in another zone, pending updates to @p datagram and sends it. */
+void send(const StepContext &context, const Endpoint &to, MembershipDatagram datagram)
+{
+    Membership &membership = context.membership;
+    addSender(membership, datagram);
+    if (!isAcrossZones(membership, datagram.target)) {
+        addUpdates(membership, membership.disseminationQueue, datagram);
+    }
     context.actions.datagrams.push_back({to, std::move(datagram)});
 }
 
-/** Returns up to @p count distinct random live members, without @p excluded. */
+/** Returns up to @p count distinct random live members, without @p excluded, and of this zone only if it is large. */
 std::vector<std::string> pickPeers(const StepContext &context, std::size_t count, const std::string &excluded)
 {
-    const auto &order = context.membership.probeOrder;
+    std::vector<std::string> candidates;
+    for (const std::string &name : context.membership.probeOrder) {
+        if (name != excluded && isLiveMember(context.membership, name) && !isAcrossZones(context.membership, name)) {
+            candidates.push_back(name);
+        }
+    }
     std::vector<std::string> peers;
-    const std::size_t attempts = order.empty() ? 0 : 4 * count;
-    for (std::size_t attempt = 0; attempt < attempts && peers.size() < count; ++attempt) {
-        const std::string &name = order[randomIndex(order.size(), context.random)];
-        const bool isPicked = std::find(peers.begin(), peers.end(), name) != peers.end();
-        if (!isPicked && name != excluded && isLiveMember(context.membership, name)) {
-            peers.push_back(name);
+    std::sample(candidates.begin(), candidates.end(), std::back_inserter(peers), count, context.random);
+    return peers;
+}
+
+/** Returns one random live member of each other zone. A carrier chooses among the other carriers, which it feeds. */
+std::vector<std::string> pickFromOtherZones(const StepContext &context)
+{
+    std::vector<std::string> peers;
+    for (auto &[zone, records] : liveRecordsByZone(context.membership)) {
+        if (zone == selfRecord(context.membership).availabilityZone) {
+            continue;
         }
+        if (context.membership.zoneRole.isCarrier) {
+            keepCarriers(context.membership, records);
+        }
+        peers.push_back(records[randomIndex(records.size(), context.random)]->name);
     }
     return peers;
 }
@@ -263,18 +340,33 @@
 {
     while (membership.nextProbe < membership.probeOrder.size()) {
         const std::string &name = membership.probeOrder[membership.nextProbe++];
-        if (isLiveMember(membership, name)) {
+        if (isLiveMember(membership, name) && !isAcrossZones(membership, name)) {
             return name;
         }
     }
     return std::nullopt;
 }
 
+/** Returns the member of another zone to probe, if one is due. */
+std::optional<std::string> nextInOtherZone(const StepContext &context)
+{
+    Membership &membership = context.membership;
+    if (!membership.zoneRole.isLargeZone || membership.periodsUntilOtherZone-- > 0) {
+        return std::nullopt;
+    }
+    membership.periodsUntilOtherZone = membership.zoneRole.isCarrier ? 1 : membership.settings.otherZoneProbePeriods - 1;
+    const std::vector<std::string> peers = pickFromOtherZones(context);
+    return peers.empty() ? std::nullopt : std::optional(peers[randomIndex(peers.size(), context.random)]);
+}
+
 void startProbe(const StepContext &context)
 {
     Membership &membership = context.membership;
     membership.probe.reset();
-    auto target = nextInRound(membership);
+    auto target = nextInOtherZone(context);
+    if (!target) {
+        target = nextInRound(membership);
+    }
     if (!target) {
         startRound(context);
         target = nextInRound(membership);
@@ -388,6 +480,7 @@
         return;
     }
     membership.nextPeriodAt = context.now + membership.settings.period;
+    updateZoneRole(membership);
     std::erase_if(membership.relays, [&context](const auto &row) {
         return row.second.expiresAt <= context.now;
     });
@@ -403,13 +496,34 @@
     --membership.periodsUntilReconnect;
 }
 
+/** Sends the same updates to one member of each other zone. */
+void sendGossipToOtherZones(const StepContext &context)
+{
+    Membership &membership = context.membership;
+    if (!hasPendingUpdates(membership.otherZonesQueue)) {
+        return;
+    }
+    MembershipDatagram datagram;
+    addSender(membership, datagram);
+    addUpdates(membership, membership.otherZonesQueue, datagram);
+    for (const std::string &peer : pickFromOtherZones(context)) {
+        datagram.target = peer;
+        context.actions.datagrams.push_back({membership.members.at(peer).record.membershipEndpoint, datagram});
+    }
+}
+
 void sendGossip(const StepContext &context)
 {
     Membership &membership = context.membership;
-    if (!hasPendingUpdates(membership.disseminationQueue) || context.now < membership.nextGossipAt) {
+    const bool isPending = hasPendingUpdates(membership.disseminationQueue) || hasPendingUpdates(membership.otherZonesQueue);
+    if (!isPending || context.now < membership.nextGossipAt) {
         return;
     }
     membership.nextGossipAt = context.now + membership.settings.gossipInterval;
+    sendGossipToOtherZones(context);
+    if (!hasPendingUpdates(membership.disseminationQueue)) {
+        return;
+    }
     for (const std::string &peer : pickPeers(context, membership.settings.gossipFanout, std::string())) {
         MembershipDatagram datagram;
         datagram.target = peer;
@@ -444,7 +558,10 @@
     ack.target = ping.sender;
     addClaimAbout(context.membership, ping.sender, ack);
     const bool isUnknownSender = !isLiveMember(context.membership, ping.sender);
-    if (isUnknownSender || ping.target.empty()) {
+    const bool isClaimRefuted = std::any_of(ping.records.begin(), ping.records.end(), [&context](const MemberRecord &record) {
+        return record.name == context.membership.self;
+    });
+    if (isUnknownSender || isClaimRefuted || ping.target.empty()) {
         ack.records.push_back(selfRecord(context.membership));
     }
     send(context, to, std::move(ack));
@@ -491,9 +608,21 @@
     if (isEqual || !areRecordsStable || context.now < membership.nextSynchronizeAt || !isLiveMember(membership, datagram.sender)) {
         return;
     }
+    const bool isAcross = isAcrossZones(membership, datagram.sender);
+    if (isAcross && !membership.zoneRole.isCarrier && context.now < membership.nextOtherZoneSynchronizeAt) {
+        return;
+    }
     const Duration wait = isJoining ? settings.joinInterval : settings.synchronizePeriod + randomDuration(settings.synchronizePeriod, context.random);
     membership.nextSynchronizeAt = context.now + wait;
-    context.actions.synchronizeWith = membership.members.at(datagram.sender).record.exchangeEndpoint;
+    if (isAcross) {
+        membership.nextOtherZoneSynchronizeAt
+            = context.now + settings.otherZoneSynchronizePeriod + randomDuration(settings.otherZoneSynchronizePeriod, context.random);
+    }
+    const MemberRecord &peer = membership.members.at(datagram.sender).record;
+    context.actions.synchronizeWith = peer.exchangeEndpoint;
+    // The members of this zone, once known, send the records of the other zones at no price.
+    const bool isZoneEnough = isJoining && !membership.zoneRole.isLargeZone && !isInOwnZone(membership, peer) && !membership.wantsAllZones;
+    context.actions.synchronizedZone = isZoneEnough ? selfRecord(membership).availabilityZone : std::string();
 }
 
 void respond(const StepContext &context, const DatagramReceived &event)
@@ -590,10 +719,16 @@
 
 void handle(const StepContext &context, const RecordsReceived &event)
 {
-    context.membership.isSynchronized = true;
+    Membership &membership = context.membership;
+    membership.isSynchronized = true;
     for (const MemberRecord &record : event.records) {
         mergeRecord(context, record, RecordSource::Exchange);
     }
+    const bool hasZonePeer = std::any_of(membership.probeOrder.begin(), membership.probeOrder.end(), [&membership](const std::string &name) {
+        return isLiveMember(membership, name) && isInOwnZone(membership, membership.members.at(name).record);
+    });
+    membership.wantsAllZones = !hasZonePeer;
+    updateZoneRole(membership);
 }
 
 void handle(const StepContext &context, const ObjectsChanged &event)
@@ -602,6 +737,10 @@
     membership.objectsDigest = event.digest;
     for (const ObjectVersion &announced : event.announcedVersions) {
         membership.disseminationQueue.announcedVersions[announced.key] = {.version = announced.version, .transmissionsLeft = transmissionLimit(membership)};
+        if (membership.zoneRole.isCarrier) {
+            membership.otherZonesQueue.announcedVersions[announced.key]
+                = {.version = announced.version, .transmissionsLeft = membership.settings.carrierRounds};
+        }
     }
 }
 
@@ -648,7 +787,8 @@
     if (membership.probe) {
         deadline = std::min(deadline, membership.probe->nextStepAt);
     }
-    if (hasPendingUpdates(membership.disseminationQueue) && !membership.probeOrder.empty()) {
+    const bool isPending = hasPendingUpdates(membership.disseminationQueue) || hasPendingUpdates(membership.otherZonesQueue);
+    if (isPending && !membership.probeOrder.empty()) {
         deadline = std::min(deadline, membership.nextGossipAt);
     }
     for (const std::string &name : membership.suspects) {
@@ -700,12 +840,13 @@
     return names.empty() ? liveMembers(membership) : names;
 }
 
-std::vector<MemberRecord> recordsInDifferingBuckets(const Membership &membership, const BucketDigests &digests)
+std::vector<MemberRecord> recordsInDifferingBuckets(const Membership &membership, const BucketDigests &digests, const std::string &availabilityZone)
 {
     std::vector<MemberRecord> records;
     for (const auto &[name, member] : membership.members) {
         const std::size_t bucket = bucketOf(name);
-        if (membership.digests.at(bucket) != digests.at(bucket)) {
+        const bool isWanted = availabilityZone.empty() || member.record.availabilityZone == availabilityZone;
+        if (isWanted && membership.digests.at(bucket) != digests.at(bucket)) {
             records.push_back(member.record);
         }
     }
--- a/src/controllers/membership.h
+++ b/src/controllers/membership.h
@@ -22,6 +22,9 @@
  * refute a suspicion or to announce a change. Digests on the heartbeats reveal differences that remain after lost
  * updates; the members then exchange records (anti-entropy).
  *
+ * In a large availability zone, members probe and gossip mostly among themselves, and a few of them, the carriers, pass the
+ * updates about the zone's own members on to the other zones, since bytes between zones have a price.
+ *
  * A pure step function without I/O; MembershipTask runs it and owns the socket.
  */
 namespace Plantainweir {
@@ -35,12 +38,23 @@
     std::size_t gossipFanout = 3;
     std::uint32_t transmissionFactor = 3; ///< Transmissions of one update, multiplied by the logarithm of the fleet's size.
     Duration joinDuration = std::chrono::seconds(10); ///< Time after the start during which missing seeds are pinged at the join interval.
-    Duration joinInterval = std::chrono::milliseconds(400); ///< Interval between pings of the missing seeds after the start.
+    Duration joinInterval = std::chrono::milliseconds(300); ///< Interval between pings of the missing seeds after the start.
     std::uint32_t reconnectPeriods = 10; ///< Periods between pings of a dead member or a missing seed.
     Duration synchronizePeriod = std::chrono::seconds(5); ///< Minimum interval between exchanges of records.
     Duration deadMemberRetention = std::chrono::hours(24); ///< Time after which the record of a dead or left member is removed.
     std::size_t payloadBytes = 1000; ///< Size limit of the records and object versions in one datagram.
     std::size_t maximumMembers = 4096;
+    std::size_t largeZoneMembers = 8; ///< A zone with at least as many members is large.
+    std::size_t carriersPerZone = 2; ///< Members of a large zone that send updates to other zones.
+    std::uint32_t carrierRounds = 2; ///< How often a carrier sends an update to each other zone.
+    std::uint32_t otherZoneProbePeriods = 6; ///< A member of a large zone probes one of another zone once in so many periods; a carrier, in two.
+    Duration otherZoneSynchronizePeriod = std::chrono::seconds(60); ///< Minimum interval between exchanges with other zones, except for carriers.
+};
+
+/** A member's place in its availability zone, as far as it knows the zone's members. */
+struct ZoneRole {
+    bool isLargeZone = false;
+    bool isCarrier = false;
 };
 
 /** The record of a member and the deadline of its state. */
@@ -77,7 +91,11 @@
     std::optional<Probe> probe;
     std::map<std::uint64_t, RelayedPing> relays; ///< By the sequence number of the relayed ping.
     std::uint64_t lastSequence = 0;
+    ZoneRole zoneRole;
     DisseminationQueue disseminationQueue;
+    DisseminationQueue otherZonesQueue; ///< Updates that a carrier still has to send to the other zones.
+    std::uint32_t periodsUntilOtherZone = 0;
+    TimePoint nextOtherZoneSynchronizeAt;
     std::vector<Endpoint> seeds;
     std::uint32_t periodsUntilReconnect = 0;
     TimePoint joinUntil;
@@ -87,6 +105,7 @@
     TimePoint nextSynchronizeAt;
     TimePoint lastChangeAt;
     bool isSynchronized = false; ///< Whether an exchange of records has completed since the start.
+    bool wantsAllZones = false; ///< Whether an exchange for this zone's records only has shown that the peer knows none.
 };
 
 /** The time of nextDeadline() has been reached. */
@@ -141,6 +160,7 @@
     bool isRefuted = false; ///< This member refuted another member's claim about it.
     bool isResumed = false; ///< This process was paused for longer than a period.
     std::optional<Endpoint> synchronizeWith; ///< Exchange endpoint of the member to exchange records with.
+    std::string synchronizedZone; ///< If not empty, only records of this availability zone are exchanged.
     std::optional<PeerDigest> peerDigest;
 };
 
@@ -167,7 +187,10 @@
 std::vector<std::string> liveMembers(const Membership &membership);
 /** Returns the live members that are eligible to watch the platform: those that can reach it, or all if none can. */
 std::vector<std::string> watcherCandidates(const Membership &membership);
-/** Returns the records of all members in buckets whose digests differ from @p digests. */
-std::vector<MemberRecord> recordsInDifferingBuckets(const Membership &membership, const BucketDigests &digests);
+/**
+ * Returns the records of all members in buckets whose digests differ from @p digests.
+ * @param availabilityZone if not empty, only records of this zone are returned.
+ */
+std::vector<MemberRecord> recordsInDifferingBuckets(const Membership &membership, const BucketDigests &digests, const std::string &availabilityZone = {});
 
 }
--- a/src/tasks/controld.cpp
+++ b/src/tasks/controld.cpp
@@ -124,8 +124,8 @@
             &m_exchangeServer,
             &ExchangeServer::membersRequested,
             q,
-            [this](ExchangeCallId call, const BucketDigests &digests) {
-                m_exchangeServer.replyWithMembers(call, recordsInDifferingBuckets(m_membership.membership(), digests));
+            [this](ExchangeCallId call, const BucketDigests &digests, const std::string &zone) {
+                m_exchangeServer.replyWithMembers(call, recordsInDifferingBuckets(m_membership.membership(), digests, zone));
             },
             Qt::QueuedConnection);
         connect(
--- a/src/tasks/exchangeclient.cpp
+++ b/src/tasks/exchangeclient.cpp
@@ -83,12 +83,14 @@
 
 ExchangeClient::~ExchangeClient() = default;
 
-void ExchangeClient::compareMembers(const Endpoint &peer, const BucketDigests &digests)
+void ExchangeClient::compareMembers(const Endpoint &peer, const BucketDigests &digests, const std::string &availabilityZone)
 {
     using Reply = MembershipProtocol::CompareMembersReply;
+    MembershipProtocol::CompareRequest request = toMessage(digests);
+    request.set_availability_zone(availabilityZone);
     d->run<MembershipProtocol::CompareRequest, Reply>(
         peer,
-        toMessage(digests),
+        request,
         [](auto &call, auto done) {
             call.stub->async()->CompareMembers(&call.context, &call.request, &call.reply, std::move(done));
         },
--- a/src/tasks/exchangeclient.h
+++ b/src/tasks/exchangeclient.h
@@ -26,7 +26,8 @@
     explicit ExchangeClient(Metrics &metrics, QObject *parent = nullptr);
     ~ExchangeClient() override;
 
-    void compareMembers(const Endpoint &peer, const BucketDigests &digests);
+    /** @param availabilityZone if not empty, only records of this zone are wanted. */
+    void compareMembers(const Endpoint &peer, const BucketDigests &digests, const std::string &availabilityZone);
     void compareObjects(const Endpoint &peer, const BucketDigests &digests);
     void pullObjects(const Endpoint &peer, const std::vector<std::string> &keys);
 
--- a/src/tasks/exchangeserver.cpp
+++ b/src/tasks/exchangeserver.cpp
@@ -61,7 +61,7 @@
     {
         return post(context, *request, reply, [this](ExchangeCallId id, const MembershipProtocol::CompareRequest &message) {
             const auto digests = fromMessage(message);
-            return digests ? (Q_EMIT q->membersRequested(id, *digests), true) : false;
+            return digests ? (Q_EMIT q->membersRequested(id, *digests, message.availability_zone()), true) : false;
         });
     }
 
--- a/src/tasks/exchangeserver.h
+++ b/src/tasks/exchangeserver.h
@@ -38,7 +38,8 @@
     void replyWithObjects(ExchangeCallId call, const ObjectSet &objects);
 
 Q_SIGNALS:
-    void membersRequested(ExchangeCallId call, const BucketDigests &digests);
+    /** @p availabilityZone is not empty if only records of this zone are wanted. */
+    void membersRequested(ExchangeCallId call, const BucketDigests &digests, const std::string &availabilityZone);
     void versionsRequested(ExchangeCallId call, const BucketDigests &digests);
     void objectsRequested(ExchangeCallId call, const std::vector<std::string> &keys);
 
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -203,8 +203,8 @@
             }
         });
         connect(&m_membership, &MembershipTask::memberComparisonRequested, &m_exchangeClient, &ExchangeClient::compareMembers, Qt::QueuedConnection);
-        connect(&m_exchangeServer, &ExchangeServer::membersRequested, this, [this](ExchangeCallId call, const BucketDigests &digests) {
-            m_exchangeServer.replyWithMembers(call, recordsInDifferingBuckets(m_membership.membership(), digests));
+        connect(&m_exchangeServer, &ExchangeServer::membersRequested, this, [this](ExchangeCallId call, const BucketDigests &digests, const std::string &zone) {
+            m_exchangeServer.replyWithMembers(call, recordsInDifferingBuckets(m_membership.membership(), digests, zone));
         });
         connect(&m_exchangeClient, &ExchangeClient::membersCompared, this, [this](const Endpoint &, const std::optional<std::vector<MemberRecord>> &records) {
             if (records) {
--- a/src/tasks/membershiptask.cpp
+++ b/src/tasks/membershiptask.cpp
@@ -64,7 +64,7 @@
         schedule();
         emitChanges(actions);
         if (actions.synchronizeWith) {
-            Q_EMIT q->memberComparisonRequested(*actions.synchronizeWith, m_membership.digests);
+            Q_EMIT q->memberComparisonRequested(*actions.synchronizeWith, m_membership.digests, actions.synchronizedZone);
         }
         if (actions.peerDigest) {
             Q_EMIT q->peerDigestReceived(*actions.peerDigest);
--- a/src/tasks/membershiptask.h
+++ b/src/tasks/membershiptask.h
@@ -47,7 +47,7 @@
     /** The list of members that may watch the platform changed. */
     void candidatesChanged(const std::vector<std::string> &names);
     /** Requests an anti-entropy comparison of member records with @p peer. */
-    void memberComparisonRequested(const Endpoint &peer, const BucketDigests &digests);
+    void memberComparisonRequested(const Endpoint &peer, const BucketDigests &digests, const std::string &availabilityZone);
     /** A member gossiped the digest and versions of its objects. */
     void peerDigestReceived(const PeerDigest &digest);
     /**
--- a/tests/membershipexplorationtest.cpp
+++ b/tests/membershipexplorationtest.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <map>
 #include <queue>
 #include <set>
@@ -23,6 +24,10 @@
 constexpr std::uint64_t StartSpreadMilliseconds = 300;
 /** Time from the last start until all members must know each other. Afterwards gatewayd relies on the size of the fleet. */
 constexpr Duration JoinTimeLimit = 3s;
+/** The same across the zones of a fleet with large zones. Calls arrive at the earliest 8 s after a fleet has started. */
+constexpr Duration ZonesJoinTimeLimit = 8s;
+constexpr std::size_t ZonedFleetSize = 120;
+constexpr std::size_t ZonedFleetZones = 4;
 
 /** A message in flight. Datagrams may be lost, duplicated and reordered; exchanges run over a connection. */
 struct Delivery {
@@ -32,6 +37,7 @@
     std::size_t to = 0;
     std::optional<MembershipDatagram> datagram;
     std::optional<BucketDigests> request;
+    std::string requestedZone;
     std::optional<std::vector<MemberRecord>> reply;
 
     bool operator>(const Delivery &other) const
@@ -53,10 +59,26 @@
 class Fleet
 {
 public:
-    explicit Fleet(std::uint64_t seed, std::optional<std::size_t> size = std::nullopt)
+    /** A small fleet of random size and zones, in which each zone with two members counts as large. */
+    explicit Fleet(std::uint64_t seed)
         : m_random(seed)
+        , m_zones(number(1, 3))
     {
-        m_processes.resize(size.value_or(number(2, 4)));
+        m_settings.largeZoneMembers = 2;
+        m_settings.carriersPerZone = 1;
+        start(number(2, 4));
+    }
+
+    Fleet(std::uint64_t seed, std::size_t size, std::size_t zones = 1)
+        : m_random(seed)
+        , m_zones(zones)
+    {
+        start(size);
+    }
+
+    void start(std::size_t size)
+    {
+        m_processes.resize(size);
         for (std::size_t index = 0; index < m_processes.size(); ++index) {
             restart(index);
         }
@@ -79,7 +101,7 @@
     }
 
     /** Starts all members almost at once with a few seeds, of which one may be stopped; all must find each other in time. */
-    std::optional<std::string> runCommonStart()
+    std::optional<std::string> runCommonStart(Duration timeLimit = JoinTimeLimit)
     {
         const std::size_t stoppedSeed = number(0, SeedCount);
         for (std::size_t index = 0; index < m_processes.size(); ++index) {
@@ -88,7 +110,7 @@
             m_processes[index].pausedUntil = m_processes[index].startsAt;
             feed(index, SeedsChanged{{endpointOf(0), endpointOf(1), endpointOf(2)}});
         }
-        const TimePoint end = m_now + std::chrono::milliseconds(StartSpreadMilliseconds) + JoinTimeLimit;
+        const TimePoint end = m_now + std::chrono::milliseconds(StartSpreadMilliseconds) + timeLimit;
         while (!m_failure && m_now < end) {
             advance(end);
         }
@@ -98,6 +120,22 @@
         return m_failure;
     }
 
+    /** Returns how often a change of one member's record is sent across zones until all members have it. */
+    std::size_t transmissionsAcrossZones()
+    {
+        const TimePoint quietFrom = m_now + 60s;
+        while (m_now < quietFrom) {
+            advance(quietFrom);
+        }
+        m_countedMember = nameOfProcess(5);
+        changeEntry(5, true);
+        const TimePoint end = m_now + 20s;
+        while (m_now < end) {
+            advance(end);
+        }
+        return hasConverged() ? m_countedTransmissions : std::numeric_limits<std::size_t>::max();
+    }
+
     /** Partitions the fleet for an hour. While the partitions merge, no member may be declared dead. */
     std::optional<std::string> runPartition()
     {
@@ -143,6 +181,11 @@
         return {"127.0.0.1", static_cast<std::uint16_t>(7000 + index)};
     }
 
+    std::string zoneOf(std::size_t index) const
+    {
+        return "z" + std::to_string(index % m_zones);
+    }
+
     void restart(std::size_t index)
     {
         // The wall clock may have been set back since the earlier run.
@@ -153,10 +196,10 @@
                           .state = MemberState::Alive,
                           .membershipEndpoint = endpointOf(index),
                           .exchangeEndpoint = endpointOf(index),
-                          .availabilityZone = "z",
+                          .availabilityZone = zoneOf(index),
                           .entry = std::nullopt};
         m_ownRecords[{self.name, self.incarnation}] = self;
-        m_processes[index] = Process{.membership = makeMembership(self, {}, m_now, m_random),
+        m_processes[index] = Process{.membership = makeMembership(self, m_settings, m_now, m_random),
                                      .pausedUntil = m_now,
                                      .startsAt = m_now,
                                      .hasLeft = false,
@@ -233,6 +276,12 @@
     void sendDatagram(std::size_t from, const OutgoingDatagram &outgoing)
     {
         const std::size_t to = outgoing.to.port - 7000U;
+        if (zoneOf(from) != zoneOf(to)) {
+            m_countedTransmissions += static_cast<std::size_t>(
+                std::count_if(outgoing.datagram.records.begin(), outgoing.datagram.records.end(), [this](const MemberRecord &record) {
+                    return record.name == m_countedMember;
+                }));
+        }
         const std::uint64_t copies = m_lossPercent > 0 ? number(1, 2) : 1;
         for (std::uint64_t copy = 0; copy < copies; ++copy) {
             if (!isLost(from, to)) {
@@ -250,7 +299,14 @@
         }
         if (actions.synchronizeWith && !isLost(index, actions.synchronizeWith->port - 7000U)) {
             const std::size_t to = actions.synchronizeWith->port - 7000U;
-            deliverLater({.at = {}, .order = 0, .from = index, .to = to, .datagram = {}, .request = m_processes[index].membership.digests, .reply = {}});
+            deliverLater({.at = {},
+                          .order = 0,
+                          .from = index,
+                          .to = to,
+                          .datagram = {},
+                          .request = m_processes[index].membership.digests,
+                          .requestedZone = actions.synchronizedZone,
+                          .reply = {}});
         }
     }
 
@@ -352,7 +408,7 @@
         } else if (delivery.reply) {
             feed(to, RecordsReceived{*delivery.reply});
         } else if (!isLost(to, delivery.from)) {
-            const auto records = recordsInDifferingBuckets(m_processes[to].membership, *delivery.request);
+            const auto records = recordsInDifferingBuckets(m_processes[to].membership, *delivery.request, delivery.requestedZone);
             deliverLater({.at = {}, .order = 0, .from = to, .to = delivery.from, .datagram = {}, .request = {}, .reply = records});
         }
     }
@@ -408,6 +464,10 @@
     }
 
     std::mt19937_64 m_random;
+    std::size_t m_zones;
+    MembershipSettings m_settings;
+    std::string m_countedMember;
+    std::size_t m_countedTransmissions = 0; ///< Of the record of @ref m_countedMember, across zones.
     TimePoint m_now{1h};
     std::vector<Process> m_processes;
     std::priority_queue<Delivery, std::vector<Delivery>, std::greater<>> m_deliveries;
@@ -444,6 +504,26 @@
     }
 }
 
+TEST(MembershipExploration, MembersOfLargeZonesFindEachOtherSoon)
+{
+    const auto failures = explore("start in zones", CommonStartRuns, [](std::uint64_t seed) {
+        return Fleet(seed, ZonedFleetSize, ZonedFleetZones).runCommonStart(ZonesJoinTimeLimit);
+    });
+    for (const std::string &failure : failures) {
+        ADD_FAILURE() << failure;
+    }
+}
+
+TEST(MembershipExploration, AChangeCrossesZonesAFewTimesOnly)
+{
+    const MembershipSettings settings;
+    const std::size_t limit = settings.carriersPerZone * settings.carrierRounds * (ZonedFleetZones - 1);
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        Fleet fleet(seed, ZonedFleetSize, ZonedFleetZones);
+        EXPECT_LE(fleet.transmissionsAcrossZones(), limit);
+    }
+}
+
 TEST(MembershipExploration, PartitionsMergeAfterAnHourWithoutFlapping)
 {
     const auto failures = explore("partition", PartitionRuns, [](std::uint64_t seed) {
