Count the fleet as known only once no further member is found

Cause: after 3 s the members that were known then counted as the whole fleet. In 472 VMs that start together, a VM knows fewer than half of them by then, and the shares of the retry slack would add up to twice the limit of the fleet.

--- a/src/controllers/fleetshare.cpp
+++ b/src/controllers/fleetshare.cpp
@@ -12,6 +12,8 @@
  * limits them over hours.
  */
 constexpr std::size_t AssumedProbingFleetSize = 8;
+/** The members have found each other once none has been found for this time. */
+constexpr std::chrono::seconds ConvergenceTime{3};
 /** Fraction of an upstream's connection limit that the fleet uses. */
 constexpr double UsableConnectionFraction = 0.8;
 constexpr std::size_t MinimumConnections = 8;
@@ -25,6 +27,15 @@
 
 }
 
+void observeFleetSize(FleetSizeEstimate &fleet, std::size_t size, TimePoint now)
+{
+    if (size > fleet.largestSize) {
+        fleet.largestSize = size;
+        fleet.convergesAt = now + ConvergenceTime;
+    }
+    fleet.isConverged = fleet.isConverged || now >= fleet.convergesAt;
+}
+
 std::size_t fleetSize(const FleetSizeEstimate &fleet)
 {
     return fleet.isConverged ? std::max<std::size_t>(1, fleet.largestSize) : std::max(AssumedFleetSize, fleet.largestSize);
--- a/src/controllers/fleetshare.h
+++ b/src/controllers/fleetshare.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/time.h"
 #include "decision/proxying.h"
 
 #include <cstddef>
@@ -19,9 +20,13 @@
 /** One member's estimate of the fleet's size. */
 struct FleetSizeEstimate {
     std::size_t largestSize = 0; ///< Largest number of members that were live at the same time.
-    bool isConverged = false; ///< Whether enough time has passed for the members to find each other.
+    bool isConverged = false; ///< Whether the members have found each other.
+    TimePoint convergesAt; ///< When the members count as having found each other, unless more of them are found before.
 };
 
+/** Takes into account that @p size members are live; to be called at changes and at FleetSizeEstimate::convergesAt. */
+void observeFleetSize(FleetSizeEstimate &fleet, std::size_t size, TimePoint now);
+
 /** Returns the fleet size by which to divide limits that must hold at any time. */
 std::size_t fleetSize(const FleetSizeEstimate &fleet);
 
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -33,10 +33,7 @@
 constexpr std::size_t UpstreamBodyBytes = 64 * 1024 * 1024;
 /** Idle timeout of caller connections until the first configuration arrives. */
 constexpr std::chrono::milliseconds InitialIdleTimeout{60'000};
-/**
- * After this time the size of the fleet counts as known, and an entry VM that has found no other member registers itself
- * in the store.
- */
+/** An entry VM that has found no other member after this time registers itself in the store. */
 constexpr std::chrono::milliseconds SeedResponseTimeout{3000};
 constexpr std::chrono::milliseconds StoreCallTimeout{1500};
 constexpr std::chrono::milliseconds StoreRetryDelay{2000};
@@ -192,6 +189,8 @@
             logEvent(LogEvent::EntriesChanged, {{"entries", entries.size()}});
             updateFleetShare();
         });
+        m_convergenceTimer.setSingleShot(true);
+        connect(&m_convergenceTimer, &QTimer::timeout, this, &Private::updateFleetShare);
         m_membersTimer.setSingleShot(true);
         connect(&m_membersTimer, &QTimer::timeout, this, [this] {
             const Membership &membership = m_membership.membership();
@@ -214,8 +213,6 @@
         connect(&m_storeClient, &HttpClient::finished, this, &Private::handleRegistrationAnswer);
         m_seedResponseTimer.setSingleShot(true);
         connect(&m_seedResponseTimer, &QTimer::timeout, this, [this] {
-            m_fleetSize.isConverged = true;
-            updateFleetShare();
             // No seed answered: they are all down, or this is the first entry VM.
             const bool hasNoOtherMember = liveMembers(m_membership.membership()).size() <= 1;
             if (hasNoOtherMember && m_registrationRequest == 0) {
@@ -332,7 +329,11 @@
 
     void updateFleetShare()
     {
-        m_fleetSize.largestSize = std::max(m_fleetSize.largestSize, liveMembers(m_membership.membership()).size());
+        const TimePoint now = Clock::now();
+        observeFleetSize(m_fleetSize, liveMembers(m_membership.membership()).size(), now);
+        if (!m_fleetSize.isConverged) {
+            m_convergenceTimer.start(std::chrono::ceil<std::chrono::milliseconds>(m_fleetSize.convergesAt - now));
+        }
         const FleetLimits limits{.retrySlack = m_settings.retrySlack, .probesPerSecondPerUpstream = m_settings.probesPerSecondPerUpstream};
         m_proxy.setFleetShare(fleetShare(limits, m_fleetSize, m_upstreamRegistry.entries.size()));
     }
@@ -493,6 +494,7 @@
     QTimer m_expiryTimer;
     QTimer m_seedResponseTimer;
     QTimer m_membersTimer;
+    QTimer m_convergenceTimer;
     std::vector<EntryMember> m_entries;
     std::chrono::milliseconds m_longestIdleTimeout{0};
     FleetSizeEstimate m_fleetSize;
--- a/tests/fleetsharetest.cpp
+++ b/tests/fleetsharetest.cpp
@@ -31,6 +31,25 @@
     EXPECT_LE(share.probesPerSecond * 200.0, 60.0 * 29.0);
 }
 
+TEST(FleetShare, TheFleetIsKnownOnceNoFurtherMemberIsFound)
+{
+    using namespace std::chrono_literals;
+    constexpr TimePoint Start{1000s};
+    FleetSizeEstimate fleet;
+    observeFleetSize(fleet, 1, Start);
+    for (int step = 1; step <= 20; ++step) {
+        observeFleetSize(fleet, static_cast<std::size_t>(step) * 20, Start + step * 500ms);
+        EXPECT_FALSE(fleet.isConverged) << "more members are found after " << step * 500 << " ms";
+    }
+    observeFleetSize(fleet, 390, Start + 12900ms);
+    EXPECT_FALSE(fleet.isConverged);
+    observeFleetSize(fleet, 390, fleet.convergesAt);
+    EXPECT_TRUE(fleet.isConverged);
+    EXPECT_EQ(fleetSize(fleet), 400U);
+    observeFleetSize(fleet, 401, Start + 60s);
+    EXPECT_TRUE(fleet.isConverged) << "one more member is no reason to assume a larger fleet";
+}
+
 TEST(FleetShare, ConnectionsAreSharedWithAMinimum)
 {
     EXPECT_EQ(connectionShare(220, {.largestSize = 13, .isConverged = true}), 13U);
