Bound the memory of messages without end

Cause: an upstream's body could take 64 MiB for each call, whatever memory the VM has, and an incomplete chunk header, trailer or chunk extension was kept without any limit, since the limit held for the message header only. Interim responses and late responses to other requests could come without end.

The largest body of a response is a sixteenth of the memory that the settings give, and all incomplete messages of a port together an eighth: beyond that the largest one is given up (a response: its call may have run; a request: refused). Unconsumed bytes are limited at every place of a message; more than 16 interim responses or 8 responses to other requests break the connection.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -19,6 +19,8 @@
 /** Time before the server's announced idle timeout at which an idle connection is closed, to avoid a race with the server's close. */
 constexpr std::chrono::milliseconds IdleTimeoutMargin{1500};
 constexpr std::chrono::milliseconds SweepPeriod{500};
+/** A server that sends more responses to other requests before the expected one is considered broken. */
+constexpr int MaximumForeignResponses = 8;
 
 /** One outgoing connection; it carries one request at a time. */
 struct ClientConnection {
@@ -30,6 +32,8 @@
     HttpRequestId requestId = 0; ///< Zero while idle.
     bool isRequestSent = false;
     bool isHead = false;
+    std::size_t bufferedBytes = 0; ///< Part of the response that has been received.
+    int foreignResponses = 0; ///< Responses to other requests that were received instead.
     std::string correlation; ///< The request's value of the correlation field.
     TimePoint deadline; ///< Deadline of the request, or end of the idle timeout.
 };
@@ -73,6 +77,7 @@
         connection->isHead = request.method == "HEAD";
         connection->decoder = std::make_unique<HttpResponseDecoder>(m_limits, connection->isHead);
         connection->buffer.clear();
+        connection->foreignResponses = 0;
         connection->unsentBytes = encodeRequest(request, toString(endpoint));
         connection->correlation = m_correlationField.empty() ? std::string() : std::string(fieldValue(request.fields, m_correlationField));
         m_pendingRequests.emplace(id, connection);
@@ -145,10 +150,16 @@
         DecodeState state = connection->decoder->decode(connection->buffer);
         while (state == DecodeState::Complete && isResponseToOtherRequest(*connection)) {
             // A late or duplicate response to an earlier request; the expected response follows it.
+            if (++connection->foreignResponses > MaximumForeignResponses) {
+                finish(connection, HttpRequestOutcome::ConnectionLost, false);
+                return;
+            }
             connection->decoder = std::make_unique<HttpResponseDecoder>(m_limits, connection->isHead);
             state = connection->decoder->decode(connection->buffer);
         }
         if (state == DecodeState::Incomplete) {
+            countBufferedBytes(*connection, connection->decoder->bodyBytes() + connection->buffer.size());
+            limitBufferedBytes();
             return;
         }
         if (state != DecodeState::Complete) {
@@ -159,6 +170,24 @@
         finish(connection, HttpRequestOutcome::Answered, isReusable);
     }
 
+    void countBufferedBytes(ClientConnection &connection, std::size_t bytes)
+    {
+        m_bufferedBytes = m_bufferedBytes - connection.bufferedBytes + bytes;
+        connection.bufferedBytes = bytes;
+    }
+
+    /** Ends the largest incomplete response if all of them together are too large. */
+    void limitBufferedBytes()
+    {
+        if (m_bufferedBytes <= m_limits.totalBytes) {
+            return;
+        }
+        const auto largest = std::max_element(m_pendingRequests.begin(), m_pendingRequests.end(), [](const auto &left, const auto &right) {
+            return left.second->bufferedBytes < right.second->bufferedBytes;
+        });
+        finish(largest->second, HttpRequestOutcome::ConnectionLost, false);
+    }
+
     /** Returns whether the decoded response belongs to another request. */
     bool isResponseToOtherRequest(const ClientConnection &connection) const
     {
@@ -200,6 +229,7 @@
     /** Ends the request of @p connection; then keeps the connection as idle if it is reusable, else closes it. */
     void endRequest(ClientConnection *connection, bool isReusable, std::chrono::milliseconds idleTimeout = {})
     {
+        countBufferedBytes(*connection, 0);
         m_deadlines.erase({connection->deadline, connection->requestId});
         m_pendingRequests.erase(connection->requestId);
         connection->requestId = 0;
@@ -282,6 +312,7 @@
     QTimer m_deadlineTimer;
     QTimer m_sweepTimer;
     HttpRequestId m_lastRequestId = 0;
+    std::size_t m_bufferedBytes = 0; ///< Of all incomplete responses.
     std::map<Endpoint, std::size_t> m_connectionLimits;
     std::map<Endpoint, std::size_t> m_connectionCounts;
     std::map<Endpoint, std::vector<ClientConnection *>> m_idleConnections;
--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -13,6 +13,9 @@
 namespace Plantainweir {
 namespace {
 
+/** More interim responses before the final one are malformed. */
+constexpr int MaximumInterimResponses = 16;
+
 /** Returns whether @p field describes one connection and is never forwarded (RFC 9110, section 7.6.1). */
 bool isConnectionField(http::field field)
 {
@@ -105,8 +108,8 @@
     if (parser.is_done()) {
         return DecodeState::Complete;
     }
-    // Beast does not consume an incomplete header, so the buffer has the size of the header so far.
-    if (!parser.is_header_done() && buffer.size() > limits.headerBytes) {
+    // Beast does not consume an incomplete header of the message or of a chunk, so the buffer has its size so far.
+    if (buffer.size() > limits.headerBytes) {
         return DecodeState::HeaderTooLarge;
     }
     return DecodeState::Incomplete;
@@ -176,6 +179,11 @@
     return parseBytes(d->m_parser, buffer, d->m_limits);
 }
 
+std::size_t HttpRequestDecoder::bodyBytes() const
+{
+    return d->m_parser.get().body().size();
+}
+
 bool HttpRequestDecoder::isKeepAlive() const
 {
     return d->m_parser.get().keep_alive();
@@ -222,6 +230,7 @@
 
     HttpLimits m_limits;
     bool m_isHead;
+    int m_interimResponses = 0;
     std::optional<http::response_parser<http::string_body>> m_parser;
 };
 
@@ -236,6 +245,9 @@
 {
     DecodeState state = parseBytes(*d->m_parser, buffer, d->m_limits);
     while (state == DecodeState::Complete && d->isInterim()) {
+        if (++d->m_interimResponses > MaximumInterimResponses) {
+            return DecodeState::Malformed;
+        }
         d->restart();
         state = parseBytes(*d->m_parser, buffer, d->m_limits);
     }
@@ -255,6 +267,11 @@
     return !error && d->m_parser->is_done() ? DecodeState::Complete : DecodeState::Malformed;
 }
 
+std::size_t HttpResponseDecoder::bodyBytes() const
+{
+    return d->m_parser->get().body().size();
+}
+
 bool HttpResponseDecoder::isKeepAlive() const
 {
     return d->m_parser->get().keep_alive();
--- a/src/http/httpcodec.h
+++ b/src/http/httpcodec.h
@@ -37,6 +37,8 @@
 
     /** Consumes bytes from the front of @p buffer; bytes after a complete message stay in it. */
     DecodeState decode(std::string &buffer);
+    /** Returns the size of the body received so far. */
+    std::size_t bodyBytes() const;
     /** Returns whether the sender wants to keep the connection open; valid when complete. */
     bool isKeepAlive() const;
     /** Returns whether the sender waits for "100 Continue" before it sends the body; false until the header is complete. */
@@ -63,6 +65,8 @@
     DecodeState decode(std::string &buffer);
     /** Handles an orderly close by the sender, which completes a response without a length. */
     DecodeState finish();
+    /** Returns the size of the body received so far. */
+    std::size_t bodyBytes() const;
     bool isKeepAlive() const;
     /** Returns the value of a field, or an empty view; valid when complete. */
     std::string_view field(std::string_view name) const;
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -9,6 +9,7 @@
 #include <QTcpServer>
 #include <QTimer>
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -32,6 +33,8 @@
         return {.status = 431, .fields = {{"Content-Type", "text/plain"}}, .body = "request header too large\n"};
     case DecodeState::BodyTooLarge:
         return {.status = 413, .fields = {{"Content-Type", "text/plain"}}, .body = "request body too large\n"};
+    case DecodeState::Incomplete:
+        return {.status = 503, .fields = {{"Content-Type", "text/plain"}, {"Retry-After", "1"}}, .body = "too many incomplete requests\n"};
     default:
         return {.status = 400, .fields = {{"Content-Type", "text/plain"}}, .body = "malformed request\n"};
     }
@@ -56,6 +59,7 @@
     bool isContinueSent = false;
     bool isClosing = false;
     bool isReadingPaused = false;
+    std::size_t bufferedBytes = 0; ///< Part of the request being received.
 };
 
 bool isSafeMethod(const std::string &method)
@@ -159,9 +163,12 @@
         }
         const DecodeState state = connection.decoder->decode(connection.buffer);
         if (state == DecodeState::Incomplete) {
+            countBufferedBytes(connection, connection.decoder->bodyBytes() + connection.buffer.size());
             sendContinue(connection);
+            limitBufferedBytes();
             return false;
         }
+        countBufferedBytes(connection, 0);
         if (state != DecodeState::Complete) {
             rejectRequest(connection, state);
             return false;
@@ -170,6 +177,25 @@
         return true;
     }
 
+    void countBufferedBytes(Connection &connection, std::size_t bytes)
+    {
+        m_bufferedBytes = m_bufferedBytes - connection.bufferedBytes + bytes;
+        connection.bufferedBytes = bytes;
+    }
+
+    /** Refuses the largest incomplete request if all of them together are too large. */
+    void limitBufferedBytes()
+    {
+        if (m_bufferedBytes <= m_limits.totalBytes) {
+            return;
+        }
+        const auto largest = std::max_element(m_connections.begin(), m_connections.end(), [](const auto &left, const auto &right) {
+            return left.second->bufferedBytes < right.second->bufferedBytes;
+        });
+        countBufferedBytes(*largest->second, 0);
+        rejectRequest(*largest->second, DecodeState::Incomplete);
+    }
+
     void takeRequest(Connection &connection)
     {
         connection.isKeepAlive = connection.decoder->isKeepAlive();
@@ -192,7 +218,7 @@
         connection.stream->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
 
-    /** Responds with an error to a request that cannot be decoded, after the responses to earlier requests. */
+    /** Responds with an error to a request that cannot be received, after the responses to earlier requests. */
     void rejectRequest(Connection &connection, DecodeState state)
     {
         connection.isKeepAlive = false;
@@ -281,6 +307,7 @@
                 unanswered.push_back(exchange.id);
             }
         }
+        countBufferedBytes(*found->second, 0);
         stream->disconnect(this);
         stream->close();
         stream->deleteLater();
@@ -335,6 +362,7 @@
     Listener m_listener;
     QTimer m_sweepTimer;
     HttpExchangeId m_lastExchangeId = 0;
+    std::size_t m_bufferedBytes = 0; ///< Of all incomplete requests.
     bool m_isDraining = false;
     bool m_isClosingAfterResponses = false;
     std::unordered_map<TcpStream *, std::unique_ptr<Connection>> m_connections;
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -30,7 +30,12 @@
 constexpr std::size_t DirectoryConnectionLimit = 1000;
 constexpr int ConflictStatus = 409;
 constexpr int FirstRedirectionStatus = 300;
-constexpr std::size_t UpstreamBodyBytes = 64 * 1024 * 1024;
+/**
+ * Largest body of an upstream's response, and all incomplete responses or requests together, as parts of the memory. A
+ * complete body is copied up to three times on its way.
+ */
+constexpr std::size_t BodyMemoryDivisor = 16;
+constexpr std::size_t TotalMemoryDivisor = 8;
 /** Idle timeout of caller connections until the first configuration arrives. */
 constexpr std::chrono::milliseconds InitialIdleTimeout{60'000};
 /** An entry VM that has found no other member after this time registers itself in the store. */
@@ -47,9 +52,15 @@
 /** How long before the end of the stop time stopped() is emitted if callers are still connected. */
 constexpr std::chrono::milliseconds ForcedStopMargin{300};
 
-HttpLimits toHttpLimits(const CallerLimits &limits, std::chrono::milliseconds idleTimeout)
+HttpLimits upstreamLimits(const GatewaySettings &settings)
+{
+    return {.bodyBytes = settings.memoryBytes / BodyMemoryDivisor, .totalBytes = settings.memoryBytes / TotalMemoryDivisor};
+}
+
+HttpLimits toHttpLimits(const CallerLimits &limits, std::chrono::milliseconds idleTimeout, const GatewaySettings &settings)
 {
     HttpLimits http;
+    http.totalBytes = settings.memoryBytes / TotalMemoryDivisor;
     http.headerBytes = limits.headerBytes;
     http.bodyBytes = limits.bodyBytes;
     http.connections = CallerConnectionLimit;
@@ -110,8 +121,8 @@
                    .retryWindow = settings.retryWindow},
                   m_metrics,
                   settings.seed)
-        , m_upstreamPort(codec, HttpLimits{.bodyBytes = UpstreamBodyBytes})
-        , m_callerServer(toHttpLimits({}, InitialIdleTimeout))
+        , m_upstreamPort(codec, upstreamLimits(settings))
+        , m_callerServer(toHttpLimits({}, InitialIdleTimeout, settings))
         , m_readinessServer(HttpLimits{.connections = ReadinessConnectionLimit})
         , m_directoryServer(HttpLimits{.connections = DirectoryConnectionLimit})
         , m_operatorsPort(m_metrics,
@@ -278,7 +289,7 @@
     void applyCallerLimits(const CallerLimits &limits)
     {
         m_longestIdleTimeout = std::max(m_longestIdleTimeout, std::chrono::duration_cast<std::chrono::milliseconds>(limits.idleTimeout));
-        m_callerServer.setLimits(toHttpLimits(limits, m_longestIdleTimeout));
+        m_callerServer.setLimits(toHttpLimits(limits, m_longestIdleTimeout, m_settings));
     }
 
     void applyUpstreamRecords(const std::vector<StoreObject> &objects)
--- a/tests/badinputtest.cpp
+++ b/tests/badinputtest.cpp
@@ -1,9 +1,9 @@
 #include "fakes/entryfixture.h"
+#include "fakes/residentmemory.h"
 #include "http/httpserver.h"
 #include "http/operatorsport.h"
 #include "observability/metrics.h"
 
-#include <QFile>
 #include <QTcpSocket>
 
 namespace Plantainweir {
@@ -11,14 +11,6 @@
 
 constexpr std::size_t MaximumMemoryGrowth = 64 * 1024 * 1024;
 
-/** Returns the resident memory of this process in bytes. */
-std::size_t residentBytes()
-{
-    QFile file("/proc/self/statm");
-    EXPECT_TRUE(file.open(QIODevice::ReadOnly));
-    return static_cast<std::size_t>(file.readAll().split(' ').at(1).toLongLong()) * 4096;
-}
-
 /** A client that writes arbitrary bytes. */
 class RawSender
 {
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -2,6 +2,7 @@
 #include "fakes/eventloop.h"
 #include "fakes/fakestore.h"
 #include "fakes/freeendpoint.h"
+#include "fakes/residentmemory.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
 #include "platform/platformcodec.h"
@@ -9,6 +10,10 @@
 #include <gtest/gtest.h>
 
 #include <QJsonArray>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <set>
 
 namespace Plantainweir {
 namespace {
@@ -81,6 +86,72 @@
     std::vector<std::pair<HttpExchangeId, HttpRequest>> m_delayed;
 };
 
+/** An upstream that answers each call with a body that does not end, as fast as the gateway reads it. */
+class EndlessUpstream
+{
+public:
+    EndlessUpstream()
+    {
+        EXPECT_TRUE(m_server.listen(QHostAddress::LocalHost));
+        QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] {
+            QTcpSocket *socket = m_server.nextPendingConnection();
+            QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket] {
+                answer(*socket, socket->readAll().startsWith("GET /health"));
+            });
+            QObject::connect(socket, &QTcpSocket::bytesWritten, socket, [this, socket] {
+                if (m_endless.contains(socket) && socket->bytesToWrite() < PartBytes) {
+                    socket->write(QByteArray(PartBytes, 'x'));
+                }
+            });
+            QObject::connect(socket, &QTcpSocket::disconnected, socket, [this, socket] {
+                m_endless.erase(socket);
+                socket->deleteLater();
+            });
+        });
+    }
+
+    ~EndlessUpstream()
+    {
+        m_server.disconnect();
+    }
+
+    QJsonObject registration() const
+    {
+        return {{"service", "desk"},
+                {"address", "127.0.0.1:" + QString::number(m_server.serverPort())},
+                {"zone", "a"},
+                {"version", "v1"},
+                {"slots", 100},
+                {"state", "ready"},
+                {"cold", "0ms"},
+                {"sequence", 1}};
+    }
+
+    std::size_t endlessCount() const
+    {
+        return m_endless.size();
+    }
+
+    int callCount = 0;
+
+private:
+    static constexpr int PartBytes = 64 * 1024;
+
+    void answer(QTcpSocket &socket, bool isProbe)
+    {
+        if (isProbe) {
+            socket.write("HTTP/1.1 200 OK\r\nX-Plantainweir-Instance-Id: i-2\r\nX-Plantainweir-Backend-Load: 0,0,100,100\r\nContent-Length: 2\r\n\r\nok");
+            return;
+        }
+        ++callCount;
+        m_endless.insert(&socket);
+        socket.write("HTTP/1.1 200 OK\r\nX-Plantainweir-Response-Stamp: s\r\n\r\n");
+    }
+
+    QTcpServer m_server;
+    std::set<QTcpSocket *> m_endless; ///< Connections that receive a body.
+};
+
 QJsonObject configuration(int version, const QString &prefix = "/a/")
 {
     const QJsonObject route{
@@ -303,6 +374,39 @@
     }));
 }
 
+TEST_F(GatewayTest, AnswersWithoutEndTakeBoundedMemoryAndDelayNoOtherCall)
+{
+    constexpr std::size_t Memory = 64 * 1024 * 1024;
+    constexpr int EndlessCalls = 24;
+    EndlessUpstream endless;
+    settings.memoryBytes = Memory;
+    store.remove("servers", "i-1");
+    store.put("servers", "i-2", endless.registration());
+    start();
+    const std::size_t before = residentBytes();
+    std::vector<HttpRequestId> calls;
+    for (int call = 0; call < EndlessCalls; ++call) {
+        calls.push_back(send("/a/x"));
+    }
+    std::size_t peak = before;
+    Duration slowest{};
+    const TimePoint end = Clock::now() + std::chrono::seconds(4);
+    while (Clock::now() < end) {
+        const TimePoint sentAt = Clock::now();
+        EXPECT_TRUE(isReady());
+        slowest = std::max(slowest, Duration(Clock::now() - sentAt));
+        peak = std::max(peak, residentBytes());
+    }
+    EXPECT_GT(endless.callCount, 0);
+    for (const HttpRequestId call : calls) {
+        const int status = waitFor(call).response.status;
+        EXPECT_TRUE(status == 502 || status == 504 || status == 503) << status << ": a call that may have run is unknown";
+    }
+    EXPECT_EQ(endless.endlessCount(), 0U) << "the connections must be closed";
+    EXPECT_LT(peak - before, Memory / 2);
+    EXPECT_LT(slowest, std::chrono::milliseconds(500));
+}
+
 }
 }
 
--- a/tests/responsedecodertest.cpp
+++ b/tests/responsedecodertest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+#include <vector>
+
 namespace Plantainweir {
 namespace {
 
@@ -38,5 +41,44 @@
     EXPECT_EQ(finishAfter("HTTP/1.1 200 OK\r\n\r\nabc"), DecodeState::Complete);
 }
 
+/** Feeds @p part again and again, without end; returns the state with which the decoder gives up, and the bytes it kept. */
+std::pair<DecodeState, std::size_t> decodeWithoutEnd(std::string start, const std::string &part, std::size_t parts)
+{
+    HttpLimits limits;
+    limits.bodyBytes = 1024 * 1024;
+    HttpResponseDecoder decoder(limits, false);
+    std::string buffer = std::move(start);
+    DecodeState state = decoder.decode(buffer);
+    for (std::size_t index = 0; index < parts && state == DecodeState::Incomplete; ++index) {
+        buffer += part;
+        state = decoder.decode(buffer);
+    }
+    return {state, buffer.size() + decoder.bodyBytes()};
+}
+
+TEST(HttpResponseDecoder, GivesUpOnBytesWithoutEnd)
+{
+    const std::string kilobyte(1024, 'x');
+    const std::string chunkedHeader = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> streams{
+        {"", kilobyte}, // No answer at all.
+        {"HTTP/1.1 200 OK\r\n", "X-Field: " + kilobyte + "\r\n"}, // A header without end.
+        {"HTTP/1.1 200 OK\r\nX-Field: ", kilobyte}, // A field without end.
+        {"HTTP/1.1 200 OK\r\n\r\n", kilobyte}, // A body without length.
+        {chunkedHeader, "400\r\n" + kilobyte + "\r\n"}, // Chunks without end.
+        {chunkedHeader + "4;", kilobyte}, // A chunk extension without end.
+        {chunkedHeader, "00000000"}, // A chunk size without end.
+        {chunkedHeader + "0\r\n", "X-Trailer: " + kilobyte + "\r\n"}, // A trailer without end.
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"}, // Interim responses without end.
+    };
+    for (const auto &[start, part] : streams) {
+        SCOPED_TRACE(start + part.substr(0, 40));
+        const auto [state, bytes] = decodeWithoutEnd(start, part, 100'000);
+        EXPECT_NE(state, DecodeState::Incomplete);
+        EXPECT_NE(state, DecodeState::Complete);
+        EXPECT_LE(bytes, 1024U * 1024U + 64U * 1024U);
+    }
+}
+
 }
 }
