Read the first objects at once if no feed delivers them

A VM without objects after 250 ms reads the configuration consistently, so that none reverts, and the upstreams with a stale read at a tenth of the price. It then serves, and reads the store like one with old knowledge if no reader confirms its objects within the maximum age.

--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -47,7 +47,7 @@
 
 bool isTooOld(const StoreSource &source, TimePoint now)
 {
-    return source.hasObjects && (!source.confirmedAt || now - *source.confirmedAt >= source.settings.maximumAge);
+    return source.hasObjects && !isCurrent(source, now);
 }
 
 void startReading(StepContext &context)
@@ -171,6 +171,10 @@
         return;
     }
     if (!source.isReading) {
+        if (!source.hasObjects && !source.hasReadFirst && context.now >= source.startedAt + source.settings.firstReadDelay) {
+            source.hasReadFirst = true;
+            context.actions.emplace_back(ReadFirstObjects{});
+        }
         // Before the first confirmation, the objects may come from a member that is not a reader, which confirms nothing.
         const bool mayBeConfirmed = !source.confirmedAt && context.now < source.startDeadline;
         if (isTooOld(source, context.now) && !mayBeConfirmed) {
@@ -300,6 +304,7 @@
         }
     };
     include(source.startedAt + SettlingTime);
+    include(source.startedAt + source.settings.firstReadDelay);
     include(source.startDeadline);
     if (source.confirmedAt) {
         include(*source.confirmedAt + source.settings.maximumAge);
@@ -321,7 +326,7 @@
 
 bool isCurrent(const StoreSource &source, TimePoint now)
 {
-    return source.hasObjects && !isTooOld(source, now);
+    return source.hasObjects && source.confirmedAt && now - *source.confirmedAt < source.settings.maximumAge;
 }
 
 std::vector<FeedMember> chooseReaders(std::vector<FeedMember> members, std::size_t count)
--- a/src/controllers/storesource.h
+++ b/src/controllers/storesource.h
@@ -26,7 +26,8 @@
 
 struct StoreSourceSettings {
     Duration maximumAge = std::chrono::seconds(2); ///< Age of the knowledge from which on a member reads the store itself.
-    Duration startDelay = std::chrono::seconds(1); ///< Longest time after the start to wait for a feed with the first objects.
+    Duration startDelay = std::chrono::seconds(1); ///< Longest time after the start to wait for objects that are known to be current.
+    Duration firstReadDelay = std::chrono::seconds(1); ///< Time after the start after which a member without objects reads the first ones.
     std::size_t readersPerZone = 2;
     std::size_t minimumMembers = 8; ///< In a zone with fewer members, all of them read the store.
 };
@@ -64,7 +65,8 @@
     std::optional<TimePoint> feedConfirmedAt; ///< The newest confirmation by a member that reads the store.
     TimePoint storeConfirmedAt; ///< The newest confirmation to this member itself.
     TimePoint startedAt;
-    TimePoint startDeadline; ///< When the first objects are read from the store if no feed has delivered them.
+    TimePoint startDeadline; ///< When the store is read if no feed has delivered objects that are known to be current.
+    bool hasReadFirst = false; ///< Whether ReadFirstObjects has been returned.
     TimePoint readingSince;
     bool isChecking = false;
     std::uint32_t failedChecks = 0; ///< Consecutive checks without an answer by the store.
@@ -104,6 +106,9 @@
 };
 struct StopReading {
 };
+/** Reads the first objects from the store once, so that calls do not wait for feeds. They may be seconds old. */
+struct ReadFirstObjects {
+};
 struct OpenFeed {
     std::string member;
     Endpoint endpoint;
@@ -118,7 +123,7 @@
 struct ReportStoreReachability {
     bool isUnreachable = false;
 };
-using StoreSourceAction = std::variant<StartReading, StopReading, OpenFeed, CloseFeed, CheckStore, ReportStoreReachability>;
+using StoreSourceAction = std::variant<StartReading, StopReading, ReadFirstObjects, OpenFeed, CloseFeed, CheckStore, ReportStoreReachability>;
 
 StoreSource makeStoreSource(const std::string &self, const StoreSourceSettings &settings, TimePoint now, std::mt19937_64 &random);
 
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -165,6 +165,7 @@
          "gatewayd started or stopped to read the store itself; the fields give the age of its knowledge, -1 if it has none."},
         {LogEvent::FeedEnded, Warning, "feed_ended", "The feed of the store's objects from another entry VM ended or could not be opened."},
         {LogEvent::FeedMalformed, Error, "feed_malformed", "An entry VM sent a malformed update of the store's objects; its feed is closed."},
+        {LogEvent::FirstReadFailed, Warning, "first_read_failed", "The first objects could not be read from the store; gatewayd waits for other entry VMs."},
     };
     return s_events;
 }
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -76,6 +76,7 @@
     StoreReadingChanged = 1540,
     FeedEnded = 1541,
     FeedMalformed = 1542,
+    FirstReadFailed = 1543,
 };
 
 /** A row of the event catalogue. */
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -42,9 +42,9 @@
 constexpr std::chrono::milliseconds SeedResponseTimeout{3000};
 constexpr std::chrono::milliseconds StoreCallTimeout{1500};
 constexpr std::chrono::milliseconds StoreRetryDelay{2000};
-/** Longest time that an entry VM waits for the first objects from other ones before it reads the store. */
-constexpr std::chrono::milliseconds StartDelay{1200};
-/** The same if the whole fleet starts, so that no calls wait. */
+/** Time after which an entry VM without any objects reads the first ones itself. */
+constexpr std::chrono::milliseconds FirstReadDelay{250};
+/** Time after which an entry VM reads the store if a whole fleet starts, so that no calls wait. */
 constexpr std::chrono::milliseconds FleetStartDelay{5000};
 constexpr double CapacityUnitsPerCore = 1000.0;
 /** Changes of the members in quick succession are passed on together. */
@@ -84,10 +84,13 @@
 
 StoreSourceTaskSettings storeSourceSettings(const GatewaySettings &settings)
 {
+    const Duration maximumAge = maximumKnowledgeAge(settings.changeBound);
     return {
         .name = settings.name,
         .store = settings.store,
-        .source = {.maximumAge = maximumKnowledgeAge(settings.changeBound), .startDelay = settings.isFleetStarting ? FleetStartDelay : StartDelay},
+        .source = {.maximumAge = maximumAge,
+                   .startDelay = settings.isFleetStarting ? FleetStartDelay : maximumAge,
+                   .firstReadDelay = settings.isFleetStarting ? FleetStartDelay : FirstReadDelay},
         .seed = settings.seed + 1,
     };
 }
@@ -420,7 +423,8 @@
 
     void listEntryVms()
     {
-        m_entryVmListRequest = m_storeClient.send(m_settings.store, m_codec.encodeList(StoreObjectKind::EntryVms, {}), Clock::now() + StoreCallTimeout);
+        m_entryVmListRequest = m_storeClient.send(
+            m_settings.store, m_codec.encodeList(StoreObjectKind::EntryVms, {}, ReadConsistency::Consistent), Clock::now() + StoreCallTimeout);
     }
 
     void handleRegistrationAnswer(HttpRequestId id, const HttpRequestResult &result)
--- a/src/tasks/gatewaycodec.h
+++ b/src/tasks/gatewaycodec.h
@@ -43,6 +43,12 @@
     Failed,
 };
 
+/** Whether a read of the store must show all changes that the store has acknowledged. */
+enum class ReadConsistency {
+    Consistent,
+    Stale, ///< The answer may be seconds old; the read costs a tenth.
+};
+
 struct GatewayCodec {
     std::string correlationField; ///< Request field that upstreams copy to their response; a response with another value is dropped.
 
@@ -59,7 +65,7 @@
     HttpResponse (*encodeDirectoryAnswer)(const std::vector<Endpoint> &entries, Duration timeToLive);
     bool (*isReadinessQuery)(const HttpRequest &request);
 
-    HttpRequest (*encodeList)(StoreObjectKind kind, const std::string &after);
+    HttpRequest (*encodeList)(StoreObjectKind kind, const std::string &after, ReadConsistency consistency);
     HttpRequest (*encodeWatch)(StoreObjectKind kind, std::uint64_t revision, Duration wait);
     /** Decodes the answer to a list or watch request into @p page. */
     StoreReadOutcome (*decodePage)(StoreObjectKind kind, const HttpRequestResult &result, bool isWatch, StorePage &page);
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -6,6 +6,7 @@
 #include "tasks/storefeedclient.h"
 #include "tasks/storefeedserver.h"
 #include "tasks/storehealthchecktask.h"
+#include "tasks/storelisttask.h"
 #include "tasks/storewatchtask.h"
 
 #include <QTimer>
@@ -64,6 +65,8 @@
         , m_source(makeStoreSource(settings.name, settings.source, suspendAwareNow(), m_random))
         , m_configurationWatch(StoreObjectKind::Configuration, settings.store, codec, settings.seed + 1)
         , m_upstreamWatch(StoreObjectKind::Upstreams, settings.store, codec, settings.seed + 2)
+        , m_firstConfiguration(StoreObjectKind::Configuration, settings.store, codec)
+        , m_firstUpstreams(StoreObjectKind::Upstreams, settings.store, codec)
         , m_check(settings.store, codec, settings.name)
         , m_feedServer(metrics)
         , m_feedClient(metrics, feedRequestPeriod(settings.source))
@@ -74,6 +77,7 @@
             handleEvent(SourceTimerFired{});
         });
         connectReading();
+        connectFirstRead();
         connectFeeds();
     }
 
@@ -115,6 +119,25 @@
         });
     }
 
+    void connectFirstRead()
+    {
+        connect(&m_firstConfiguration, &StoreListTask::listed, this, [this](const StoreDelta &delta, TimePoint sentAt) {
+            adoptDelta(delta);
+            confirm(delta.kind, sentAt);
+            m_firstUpstreams.start(ReadConsistency::Stale);
+        });
+        connect(&m_firstUpstreams, &StoreListTask::listed, this, [this](const StoreDelta &delta, TimePoint) {
+            adoptDelta(delta);
+            reportListed();
+            handleEvent(SourceTimerFired{});
+        });
+        for (StoreListTask *list : {&m_firstConfiguration, &m_firstUpstreams}) {
+            connect(list, &StoreListTask::failed, this, [] {
+                logEvent(LogEvent::FirstReadFailed);
+            });
+        }
+    }
+
     void connectFeeds()
     {
         connect(&m_feedClient, &StoreFeedClient::received, this, &Private::handleFeedUpdate);
@@ -168,7 +191,11 @@
         }
         updatePace();
         reportCurrency(now);
-        const Duration wait = std::max(Duration(0), Duration(nextDeadline(m_source, now) - suspendAwareNow()));
+        TimePoint deadline = nextDeadline(m_source, now);
+        if (const auto confirmed = kind(StoreObjectKind::Configuration).confirmedAt; confirmed && m_isCurrent) {
+            deadline = std::min(deadline, *confirmed + m_source.settings.maximumAge);
+        }
+        const Duration wait = std::max(Duration(0), Duration(deadline - suspendAwareNow()));
         m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
     }
 
@@ -189,8 +216,10 @@
 
     void reportCurrency(TimePoint now)
     {
-        const bool isReadingCurrent = m_source.isReading && !m_configurationWatch.isFailing() && !m_upstreamWatch.isFailing();
-        const bool isCurrentNow = isReadingCurrent ? m_isListed : isCurrent(m_source, now);
+        const bool isReadingCurrent = m_source.isReading && !m_configurationWatch.isFailing();
+        const std::optional<TimePoint> confirmed = kind(StoreObjectKind::Configuration).confirmedAt;
+        const bool isYoung = confirmed && now - *confirmed < m_source.settings.maximumAge;
+        const bool isCurrentNow = m_isListed && (isReadingCurrent || isYoung);
         if (isCurrentNow != m_isCurrent) {
             m_isCurrent = isCurrentNow;
             Q_EMIT q->currentChanged(isCurrentNow);
@@ -224,6 +253,12 @@
                  {{"reading", m_source.isReading}, {"reader", m_source.isReader}, {"age_ms", age}, {"members", m_source.members.size()}});
     }
 
+    void execute(const ReadFirstObjects &)
+    {
+        // The configuration must not be older than one that was in force before a restart.
+        m_firstConfiguration.start(ReadConsistency::Consistent);
+    }
+
     void execute(const OpenFeed &action)
     {
         m_feedClient.open(action.member, action.endpoint, revisions());
@@ -264,7 +299,14 @@
     {
         std::optional<TimePoint> &known = kind(confirmed).confirmedAt;
         known = std::max(known, std::optional(at));
-        if (!m_isListed && confirmedAt()) {
+        if (confirmedAt()) {
+            reportListed();
+        }
+    }
+
+    void reportListed()
+    {
+        if (!m_isListed) {
             m_isListed = true;
             Q_EMIT q->listed();
         }
@@ -388,6 +430,8 @@
     std::array<KindState, KindCount> m_kinds; ///< By StoreObjectKind.
     StoreWatchTask m_configurationWatch;
     StoreWatchTask m_upstreamWatch;
+    StoreListTask m_firstConfiguration;
+    StoreListTask m_firstUpstreams;
     StoreHealthCheckTask m_check;
     StoreFeedServer m_feedServer;
     StoreFeedClient m_feedClient;
--- a/src/tasks/storesourcetask.h
+++ b/src/tasks/storesourcetask.h
@@ -44,14 +44,17 @@
     /** Sets the live members of this availability zone, and whether other members have sent their records. */
     void setMembers(const std::vector<FeedMember> &members, bool isFleetKnown);
 
-    /** Returns whether all objects of all kinds have been received, and the store has confirmed them to a reader. */
+    /**
+     * Returns whether all objects of all kinds have been received. Until feeds or the store confirm them, upstreams may be
+     * seconds old.
+     */
     bool isListed() const;
 
 Q_SIGNALS:
     void objectsChanged(StoreObjectKind kind, const std::vector<StoreObject> &objects);
     /** isListed() has become true. */
     void listed();
-    /** Whether the objects are known to have been current a short while ago has changed; at first they are not. */
+    /** Whether the configuration is known to have been current a short while ago has changed; at first it is not. */
     void currentChanged(bool isCurrent);
     /** The store answers again after an outage; emitted before the objects that it answers with. */
     void storeRecovered(Duration outage);
--- a/src/tasks/storewatchtask.cpp
+++ b/src/tasks/storewatchtask.cpp
@@ -91,7 +91,7 @@
 
     void execute(const SendStoreList &action)
     {
-        send(m_codec.encodeList(m_kind, action.afterName), ListTimeout);
+        send(m_codec.encodeList(m_kind, action.afterName, ReadConsistency::Consistent), ListTimeout);
         if (action.afterName.empty()) {
             m_listedObjects.clear();
             m_listStartedAt = m_sentAt;
--- a/tests/storesourcetest.cpp
+++ b/tests/storesourcetest.cpp
@@ -142,6 +142,26 @@
     EXPECT_TRUE(source.isReading) << "nobody confirmed them within the start delay";
 }
 
+TEST_F(StoreSourceTest, AMemberWithoutFeedsReadsTheFirstObjectsOnce)
+{
+    make("e1");
+    source.settings.firstReadDelay = 250ms;
+    feed(FeedMembersChanged{zone, true});
+    advance(200ms);
+    EXPECT_EQ(count<ReadFirstObjects>(), 0U);
+    advance(50ms);
+    EXPECT_EQ(count<ReadFirstObjects>(), 1U);
+    advance(100ms);
+    EXPECT_EQ(count<ReadFirstObjects>(), 0U);
+    EXPECT_FALSE(source.isReading);
+    make("e2");
+    source.settings.firstReadDelay = 250ms;
+    feed(FeedMembersChanged{zone, true});
+    feedFrom("e7");
+    advance(300ms);
+    EXPECT_EQ(count<ReadFirstObjects>(), 0U) << "a feed has delivered them";
+}
+
 TEST_F(StoreSourceTest, KnowledgeThatIsTooOldIsReadFromTheStoreItself)
 {
     make("e1");
