Answer requests that have reached only the system when a server drains

Cause: drain() closed the listening socket and all idle connections at once. Connections in the accept queue were reset, and a request in the receive buffer of an idle connection was closed without an answer.

drain() now accepts what waits, and reads what has arrived on idle connections, before it closes them.

--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -332,20 +332,31 @@
         }
     }
 
+    /** Returns the connections without a request. One that is being received is still answered before its connection closes. */
+    std::vector<TcpStream *> idleStreams() const
+    {
+        std::vector<TcpStream *> idle;
+        for (const auto &[stream, connection] : m_connections) {
+            if (connection->exchanges.empty() && !connection->hasPartialRequest && !connection->isClosing) {
+                idle.push_back(stream);
+            }
+        }
+        return idle;
+    }
+
     void drain()
     {
         m_isDraining = true;
         m_isClosingAfterResponses = true;
+        // Connections that the system has accepted, and requests that it has received, would be lost with the sockets.
+        while (m_listener.waitForNewConnection(0)) {
+        }
         m_listener.close();
-        std::vector<Connection *> idle;
-        for (const auto &[stream, connection] : m_connections) {
-            // A request that is being received is still read and answered before its connection closes.
-            if (connection->exchanges.empty() && !connection->hasPartialRequest && !connection->isClosing) {
-                idle.push_back(connection.get());
-            }
+        for (TcpStream *stream : idleStreams()) {
+            stream->readArrived();
         }
-        for (Connection *connection : idle) {
-            closeGracefully(*connection);
+        for (TcpStream *stream : idleStreams()) {
+            closeGracefully(*m_connections.at(stream));
         }
         emitIfDrained();
     }
--- a/src/http/tcpstream.cpp
+++ b/src/http/tcpstream.cpp
@@ -298,6 +298,13 @@
     }
 }
 
+void TcpStream::readArrived()
+{
+    if (isOpen() && !d->m_isReadingPaused) {
+        d->receive();
+    }
+}
+
 void TcpStream::close()
 {
     d->m_isEnded = true;
--- a/src/http/tcpstream.h
+++ b/src/http/tcpstream.h
@@ -53,6 +53,8 @@
     void finishWriting();
     /** Pauses or resumes reading; while reading is paused, the end of the stream is not detected. */
     void setReadingPaused(bool isPaused);
+    /** Reads the bytes that have arrived already, without waiting for the event loop; emits the same signals. */
+    void readArrived();
 
     /** Closes the connection at once; ended() is not emitted. */
     void close();
