--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -385,6 +385,7 @@
     start();
     const std::size_t before = residentBytes();
     std::vector<HttpRequestId> calls;
+    calls.reserve(EndlessCalls);
     for (int call = 0; call < EndlessCalls; ++call) {
         calls.push_back(send("/a/x"));
     }
