Wait for the age of the configuration without spinning

Cause: the timer of StoreSourceTask was set to the time at which the configuration ceases to be young, also when that time had passed while the VM reads the store itself.

WaitsWithoutSpinning fails without the change.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -161,15 +161,15 @@
 }
 
 /** Returns the usable upstreams that the call has not tried: the same availability zone first, otherwise in random order. */
-std::vector<UpstreamKey> candidatesOf(ProxyStepContext &context, ProxyService &service, const ProxyCall &call)
+std::vector<PooledUpstream *> candidatesOf(ProxyStepContext &context, ProxyService &service, const ProxyCall &call)
 {
-    std::vector<UpstreamKey> candidates = usableUpstreams(service.pool, context.now);
-    std::erase_if(candidates, [&call](UpstreamKey key) {
-        return call.tried.contains(key);
+    std::vector<PooledUpstream *> candidates = usableUpstreams(service.pool, context.now);
+    std::erase_if(candidates, [&call](const PooledUpstream *upstream) {
+        return call.tried.contains(upstream->registration.key);
     });
     std::shuffle(candidates.begin(), candidates.end(), context.random);
-    std::stable_partition(candidates.begin(), candidates.end(), [&](UpstreamKey key) {
-        return isSameZone(context, service.pool.upstreams.at(key));
+    std::partition(candidates.begin(), candidates.end(), [&context](const PooledUpstream *upstream) {
+        return isSameZone(context, *upstream);
     });
     return candidates;
 }
@@ -179,20 +179,18 @@
  *
  * The same availability zone is preferred.
  */
-PooledUpstream *
-bestCandidate(ProxyStepContext &context, ProxyService &service, const std::vector<UpstreamKey> &candidates, LoadState loadState, Duration maximumAge)
+PooledUpstream *bestCandidate(const ProxyStepContext &context, const std::vector<PooledUpstream *> &candidates, LoadState loadState, Duration maximumAge)
 {
     PooledUpstream *best = nullptr;
-    for (const UpstreamKey key : candidates) {
-        PooledUpstream &upstream = service.pool.upstreams.at(key);
-        if (loadStateOf(upstream, maximumAge, context.now) != loadState) {
+    for (PooledUpstream *upstream : candidates) {
+        if (loadStateOf(*upstream, maximumAge, context.now) != loadState) {
             continue;
         }
-        if (best != nullptr && isSameZone(context, *best) && !isSameZone(context, upstream)) {
+        if (best != nullptr && isSameZone(context, *best) && !isSameZone(context, *upstream)) {
             break;
         }
-        if (best == nullptr || expectedSlowdown(upstream, context.now) < expectedSlowdown(*best, context.now)) {
-            best = &upstream;
+        if (best == nullptr || expectedSlowdown(*upstream, context.now) < expectedSlowdown(*best, context.now)) {
+            best = upstream;
         }
     }
     return best;
@@ -231,20 +229,19 @@
  *
  * The same availability zone is preferred.
  */
-PooledUpstream *leastLoadedCandidate(ProxyStepContext &context, ProxyService &service, const std::vector<UpstreamKey> &candidates)
+PooledUpstream *leastLoadedCandidate(const ProxyStepContext &context, const std::vector<PooledUpstream *> &candidates)
 {
     PooledUpstream *best = nullptr;
-    for (const UpstreamKey key : candidates) {
-        PooledUpstream &upstream = service.pool.upstreams.at(key);
-        const bool wasFull = loadStateOf(upstream, FullLoadAge, context.now) == LoadState::Full;
-        if (wasFull || upstream.inFlight >= upstream.registration.slots) {
+    for (PooledUpstream *upstream : candidates) {
+        const bool wasFull = loadStateOf(*upstream, FullLoadAge, context.now) == LoadState::Full;
+        if (wasFull || upstream->inFlight >= upstream->registration.slots) {
             continue;
         }
-        if (best != nullptr && isSameZone(context, *best) && !isSameZone(context, upstream)) {
+        if (best != nullptr && isSameZone(context, *best) && !isSameZone(context, *upstream)) {
             break;
         }
-        if (best == nullptr || upstream.inFlight < best->inFlight) {
-            best = &upstream;
+        if (best == nullptr || upstream->inFlight < best->inFlight) {
+            best = upstream;
         }
     }
     return best;
@@ -275,15 +272,14 @@
     return true;
 }
 
-void startProbes(ProxyStepContext &context, ProxyService &service, ProxyCallId id, const std::vector<UpstreamKey> &candidates)
+void startProbes(ProxyStepContext &context, ProxyCallId id, const std::vector<PooledUpstream *> &candidates)
 {
     ProxyCall &call = context.state.calls.at(id);
-    for (const UpstreamKey key : candidates) {
-        const PooledUpstream &upstream = service.pool.upstreams.at(key);
-        const bool isKnown = loadStateOf(upstream, FreshLoadAge, context.now) != LoadState::Unknown;
+    for (const PooledUpstream *upstream : candidates) {
+        const bool isKnown = loadStateOf(*upstream, FreshLoadAge, context.now) != LoadState::Unknown;
         const bool isLimitReached
-            = isSameZone(context, upstream) ? call.sameZoneProbes >= MaximumSameZoneProbes : call.otherZoneProbes >= call.otherZoneProbeLimit;
-        if (isKnown || isLimitReached || call.probed.contains(key)) {
+            = isSameZone(context, *upstream) ? call.sameZoneProbes >= MaximumSameZoneProbes : call.otherZoneProbes >= call.otherZoneProbeLimit;
+        if (isKnown || isLimitReached || call.probed.contains(upstream->registration.key)) {
             continue;
         }
         if (call.openProbes >= MaximumConcurrentProbes) {
@@ -293,7 +289,7 @@
             call.isProbeLimited = true;
             return;
         }
-        startProbe(context, id, upstream);
+        startProbe(context, id, *upstream);
     }
 }
 
@@ -302,22 +298,22 @@
 {
     ProxyCall &call = context.state.calls.at(id);
     ProxyService &service = serviceOf(context, call.admitted.service);
-    const std::vector<UpstreamKey> candidates = candidatesOf(context, service, call);
-    if (PooledUpstream *available = bestCandidate(context, service, candidates, LoadState::Available, FreshLoadAge)) {
+    const std::vector<PooledUpstream *> candidates = candidatesOf(context, service, call);
+    if (PooledUpstream *available = bestCandidate(context, candidates, LoadState::Available, FreshLoadAge)) {
         startAttempt(context, id, *available);
         return;
     }
     if (call.nextRoundAt > context.now) {
         return;
     }
-    startProbes(context, service, id, candidates);
+    startProbes(context, id, candidates);
     if (call.openProbes > 0) {
         return;
     }
     if (call.isProbeLimited) {
         // Without probes, the choice is based on the calls that this entry VM has in flight.
         call.isProbeLimited = false;
-        if (PooledUpstream *upstream = leastLoadedCandidate(context, service, candidates)) {
+        if (PooledUpstream *upstream = leastLoadedCandidate(context, candidates)) {
             startAttempt(context, id, *upstream);
             return;
         }
@@ -329,7 +325,7 @@
         return;
     }
     for (const LoadState loadState : {LoadState::Available, LoadState::Slow}) {
-        if (PooledUpstream *upstream = bestCandidate(context, service, candidates, loadState, RoundLoadAge)) {
+        if (PooledUpstream *upstream = bestCandidate(context, candidates, loadState, RoundLoadAge)) {
             startAttempt(context, id, *upstream);
             return;
         }
--- a/src/decision/upstreampool.cpp
+++ b/src/decision/upstreampool.cpp
@@ -49,9 +49,9 @@
     return {.id = registration.id, .startedAtMs = registration.startedAtMs};
 }
 
-bool acceptsCalls(const UpstreamPool &pool, const PooledUpstream &upstream)
+bool acceptsCalls(const PooledUpstream &upstream)
 {
-    return !upstream.registration.isDraining && !pool.leaving.contains(incarnationOf(upstream.registration));
+    return !upstream.registration.isDraining && !upstream.isLeaving;
 }
 
 }
@@ -63,6 +63,7 @@
         const auto known = pool.upstreams.find(registration.key);
         PooledUpstream upstream = known == pool.upstreams.end() ? PooledUpstream{} : known->second;
         upstream.registration = registration;
+        upstream.isLeaving = pool.leaving.contains(incarnationOf(registration));
         replaced.emplace(registration.key, std::move(upstream));
     }
     pool.upstreams = std::move(replaced);
@@ -130,6 +131,7 @@
         });
     }
     pool.leaving[incarnationOf(upstream.registration)] = now + LeavingMemory;
+    upstream.isLeaving = true;
 }
 
 double expectedSlowdown(const PooledUpstream &upstream, TimePoint now)
@@ -152,20 +154,21 @@
     return expectedSlowdown(upstream, now) <= MaximumAvailableSlowdown ? LoadState::Available : LoadState::Slow;
 }
 
-std::vector<UpstreamKey> usableUpstreams(const UpstreamPool &pool, TimePoint now)
+std::vector<PooledUpstream *> usableUpstreams(UpstreamPool &pool, TimePoint now)
 {
-    std::vector<UpstreamKey> usable;
-    std::vector<UpstreamKey> ejected;
-    for (const auto &[key, upstream] : pool.upstreams) {
-        if (!acceptsCalls(pool, upstream) || upstream.quietUntil > now) {
+    std::vector<PooledUpstream *> usable;
+    std::vector<PooledUpstream *> ejected;
+    usable.reserve(pool.upstreams.size());
+    for (auto &[key, upstream] : pool.upstreams) {
+        if (!acceptsCalls(upstream) || upstream.quietUntil > now) {
             continue;
         }
         // Only recordReplaced() ejects an upstream for longer than half of ReplacedEjectionTime.
         const bool isReplaced = upstream.ejectedUntil > now + ReplacedEjectionTime / 2;
         if (upstream.ejectedUntil <= now) {
-            usable.push_back(key);
+            usable.push_back(&upstream);
         } else if (!isReplaced) {
-            ejected.push_back(key);
+            ejected.push_back(&upstream);
         }
     }
     if (usable.size() < ejected.size()) {
@@ -178,7 +181,7 @@
 {
     std::optional<TimePoint> first;
     for (const auto &[key, upstream] : pool.upstreams) {
-        const bool isQuiet = acceptsCalls(pool, upstream) && upstream.quietUntil > now;
+        const bool isQuiet = acceptsCalls(upstream) && upstream.quietUntil > now;
         if (isQuiet && (!first || upstream.quietUntil < *first)) {
             first = upstream.quietUntil;
         }
--- a/src/decision/upstreampool.h
+++ b/src/decision/upstreampool.h
@@ -62,6 +62,7 @@
     std::uint32_t consecutiveEjections = 0; ///< Since the last successful attempt.
     TimePoint ejectedUntil;
     TimePoint quietUntil; ///< It asked for no calls before this time.
+    bool isLeaving = false; ///< Whether its incarnation is among UpstreamPool::leaving.
 };
 
 /** Identifies an incarnation of an upstream across registrations, which each get a new key. */
@@ -110,7 +111,7 @@
  * Returns the upstreams that may receive calls: none that are leaving or asked for quiet. If more than half of the others
  * are ejected, the ejected ones are included.
  */
-std::vector<UpstreamKey> usableUpstreams(const UpstreamPool &pool, TimePoint now);
+std::vector<PooledUpstream *> usableUpstreams(UpstreamPool &pool, TimePoint now);
 
 /**
  * Returns when the first upstream that asked for quiet accepts calls again, or nothing if none of those that stay
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -394,6 +394,15 @@
     return d->m_listener.listen(QHostAddress(QString::fromStdString(endpoint.address)), endpoint.port);
 }
 
+void HttpServer::setAcceptingPaused(bool isPaused)
+{
+    if (isPaused) {
+        d->m_listener.pauseAccepting();
+    } else {
+        d->m_listener.resumeAccepting();
+    }
+}
+
 quint16 HttpServer::port() const
 {
     return d->m_listener.serverPort();
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -29,6 +29,11 @@
 
     /** Starts to listen on @p endpoint; port 0 selects a free port. Returns whether the port is open. */
     bool listen(const Endpoint &endpoint);
+    /**
+     * Pauses or resumes accepting connections. Meanwhile, the system keeps new connections and their requests; at first,
+     * accepting is not paused.
+     */
+    void setAcceptingPaused(bool isPaused);
     /** Returns the port that the server listens on. */
     quint16 port() const;
     /** Returns the number of open connections. */
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -42,10 +42,10 @@
 constexpr std::chrono::milliseconds SeedResponseTimeout{3000};
 constexpr std::chrono::milliseconds StoreCallTimeout{1500};
 constexpr std::chrono::milliseconds StoreRetryDelay{2000};
-/** Time after which an entry VM without any objects reads the first ones itself. */
-constexpr std::chrono::milliseconds FirstReadDelay{250};
 /** Time after which an entry VM reads the store if a whole fleet starts, so that no calls wait. */
 constexpr std::chrono::milliseconds FleetStartDelay{5000};
+/** Calls that arrive while this VM starts wait in the accept queue for at most this time. */
+constexpr std::chrono::milliseconds MaximumAcceptDelay{1000};
 constexpr double CapacityUnitsPerCore = 1000.0;
 /** Changes of the members in quick succession are passed on together. */
 constexpr std::chrono::milliseconds MembersBatchInterval{50};
@@ -90,7 +90,7 @@
         .store = settings.store,
         .source = {.maximumAge = maximumAge,
                    .startDelay = settings.isFleetStarting ? FleetStartDelay : maximumAge,
-                   .firstReadDelay = settings.isFleetStarting ? FleetStartDelay : FirstReadDelay},
+                   .firstReadDelay = settings.isFleetStarting ? Duration(FleetStartDelay) : Duration(0)},
         .seed = settings.seed + 1,
     };
 }
@@ -244,6 +244,11 @@
                 return reportListenFailure(endpoint);
             }
         }
+        // Refusals would use up the callers' retries, and other VMs may be starting too.
+        m_callerServer.setAcceptingPaused(true);
+        QTimer::singleShot(MaximumAcceptDelay, this, [this] {
+            m_callerServer.setAcceptingPaused(false);
+        });
         if (!m_operatorsPort.listen(m_settings.operatorsPort)) {
             return reportListenFailure(m_settings.operatorsPort);
         }
@@ -359,6 +364,7 @@
             return;
         }
         m_isReady = isReady;
+        m_callerServer.setAcceptingPaused(false);
         m_operatorsPort.setReady(isReady);
         logEvent(LogEvent::ReadinessChanged, {{"ready", isReady}, {"routes", m_proxy.table().version}});
         publishSelfEntry();
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -124,12 +124,11 @@
         connect(&m_firstConfiguration, &StoreListTask::listed, this, [this](const StoreDelta &delta, TimePoint sentAt) {
             adoptDelta(delta);
             confirm(delta.kind, sentAt);
-            m_firstUpstreams.start(ReadConsistency::Stale);
+            endFirstRead();
         });
         connect(&m_firstUpstreams, &StoreListTask::listed, this, [this](const StoreDelta &delta, TimePoint) {
             adoptDelta(delta);
-            reportListed();
-            handleEvent(SourceTimerFired{});
+            endFirstRead();
         });
         for (StoreListTask *list : {&m_firstConfiguration, &m_firstUpstreams}) {
             connect(list, &StoreListTask::failed, this, [] {
@@ -192,8 +191,11 @@
         updatePace();
         reportCurrency(now);
         TimePoint deadline = nextDeadline(m_source, now);
-        if (const auto confirmed = kind(StoreObjectKind::Configuration).confirmedAt; confirmed && m_isCurrent) {
-            deadline = std::min(deadline, *confirmed + m_source.settings.maximumAge);
+        const auto confirmed = kind(StoreObjectKind::Configuration).confirmedAt;
+        const TimePoint staleAt = confirmed ? *confirmed + m_source.settings.maximumAge : TimePoint{};
+        // While this VM reads the store, its configuration stays current beyond that time.
+        if (staleAt > now) {
+            deadline = std::min(deadline, staleAt);
         }
         const Duration wait = std::max(Duration(0), Duration(deadline - suspendAwareNow()));
         m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
@@ -257,6 +259,16 @@
     {
         // The configuration must not be older than one that was in force before a restart.
         m_firstConfiguration.start(ReadConsistency::Consistent);
+        m_firstUpstreams.start(ReadConsistency::Stale);
+    }
+
+    /** The objects can be used once the configuration was read consistently and upstreams are known. */
+    void endFirstRead()
+    {
+        if (hasAllKinds() && kind(StoreObjectKind::Configuration).confirmedAt) {
+            reportListed();
+        }
+        handleEvent(SourceTimerFired{});
     }
 
     void execute(const OpenFeed &action)
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -295,6 +295,14 @@
     }));
 }
 
+TEST_F(GatewayTest, ACallThatArrivesDuringTheStartIsServed)
+{
+    gateway = std::make_unique<Gateway>(settings, Platform::platformCodec());
+    ASSERT_TRUE(gateway->start());
+    const HttpRequestId early = send("/a/x");
+    EXPECT_EQ(waitFor(early).response.status, 200);
+}
+
 TEST_F(GatewayTest, IsNotReadyAndRefusesWithoutAConfiguration)
 {
     store.setFaults({.isBusy = true});
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -10,6 +10,8 @@
 
 #include <QJsonArray>
 
+#include <ctime>
+
 namespace Plantainweir {
 namespace {
 
@@ -31,7 +33,7 @@
 {
 public:
     Entry(const std::string &name, const Endpoint &store)
-        : m_source({.name = name, .store = store, .source = {.maximumAge = 1500ms, .startDelay = 1s, .readersPerZone = 1, .minimumMembers = 2}, .seed = 1},
+        : m_source({.name = name, .store = store, .source = {.maximumAge = 1000ms, .startDelay = 1s, .readersPerZone = 1, .minimumMembers = 2}, .seed = 1},
                    Platform::platformCodec(),
                    m_metrics)
         , m_server(std::make_unique<ExchangeServer>(m_metrics))
@@ -138,7 +140,7 @@
     EXPECT_TRUE(waitUntil([this] {
         return follower.version == 7;
     }));
-    EXPECT_LT(Clock::now() - changedAt, 2250ms) << "the maximum age and the time to read the store";
+    EXPECT_LT(Clock::now() - changedAt, 1750ms) << "the maximum age and the time to read the store";
 }
 
 TEST_F(StoreSourceTaskTest, KnowledgeIsNotCurrentWhileTheStoreIsDown)
@@ -158,6 +160,24 @@
     }));
 }
 
+TEST_F(StoreSourceTaskTest, WaitsWithoutSpinning)
+{
+    EXPECT_TRUE(waitUntil([this] {
+        return reader.isCurrent && follower.isCurrent;
+    }));
+    // In a small zone, regular checks are further apart than the maximum age.
+    reader.source().setMembers({reader.member("reader", 500)}, true);
+    const auto cpuTime = [] {
+        return std::chrono::milliseconds(std::clock() * 1000 / CLOCKS_PER_SEC);
+    };
+    const auto before = cpuTime();
+    const TimePoint end = Clock::now() + 4s;
+    EXPECT_TRUE(waitUntil([end] {
+        return Clock::now() >= end;
+    }));
+    EXPECT_LT(cpuTime() - before, 800ms);
+}
+
 }
 }
 
