Never block on the sockets of callers

Cause: accepted sockets do not inherit the non-blocking mode of their listener, so that recv() and send() on them wait. drain() reads what has arrived on each idle connection and waited there until the client sent or closed: with one idle caller, a planned stop ended with the grace time. A caller that does not read blocked the whole event loop in send() until the acknowledgement timeout of 2.5 s.

The second call of callertest also wrote to the first call's result, which is gone by then.

Ruled out: load (one process alone hangs as well), lost deadlines of HttpClient.

--- a/src/http/tcpstream.cpp
+++ b/src/http/tcpstream.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr std::size_t ReadChunkBytes = 16 * 1024;
+/** Accepted sockets do not inherit the non-blocking mode of the listening socket (accept(2)). */
+constexpr int SendFlags = MSG_NOSIGNAL | MSG_DONTWAIT;
 /** Bytes after which reading returns to the event loop, so that one fast peer does not block the others. */
 constexpr std::size_t MaximumBytesPerEvent = 128 * 1024;
 
@@ -155,7 +157,7 @@
             return;
         }
         while (m_sentOffset < m_outgoing.size()) {
-            const ssize_t count = ::send(m_descriptor, m_outgoing.data() + m_sentOffset, m_outgoing.size() - m_sentOffset, MSG_NOSIGNAL);
+            const ssize_t count = ::send(m_descriptor, m_outgoing.data() + m_sentOffset, m_outgoing.size() - m_sentOffset, SendFlags);
             if (count < 0) {
                 if (isRetryable(errno)) {
                     m_writeNotifier->setEnabled(true);
@@ -184,7 +186,7 @@
         std::array<char, ReadChunkBytes> chunk{};
         std::optional<StreamEnd> streamEnd;
         while (bytes.size() < MaximumBytesPerEvent) {
-            const ssize_t count = ::recv(m_descriptor, chunk.data(), chunk.size(), 0);
+            const ssize_t count = ::recv(m_descriptor, chunk.data(), chunk.size(), MSG_DONTWAIT);
             if (count > 0) {
                 bytes.append(chunk.data(), static_cast<std::size_t>(count));
                 // A short read has emptied the socket; the event loop reports further bytes.
--- a/tests/callertest.cpp
+++ b/tests/callertest.cpp
@@ -219,7 +219,8 @@
     FinishedCall callThrough(CallerTask &caller)
     {
         FinishedCall result;
-        QObject::connect(&caller, &CallerTask::finished, &loop, [this, &result](const FinishedCall &finished) {
+        QObject receiver; // Ends the connection with this function, since the next call uses the same task.
+        QObject::connect(&caller, &CallerTask::finished, &receiver, [this, &result](const FinishedCall &finished) {
             result = finished;
             loop.quit();
         });
--- a/tests/plannedstoptest.cpp
+++ b/tests/plannedstoptest.cpp
@@ -3,6 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdio>
+#include <cstdlib>
+#include <future>
+#include <thread>
+
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -55,6 +60,34 @@
     int m_descriptor;
 };
 
+/** Ends the test program if the event loop is blocked for 10 seconds. */
+class Watchdog
+{
+public:
+    explicit Watchdog(const char *reason)
+        : m_thread([this, reason] {
+            if (m_isDone.get_future().wait_for(std::chrono::seconds(10)) != std::future_status::ready) {
+                std::fprintf(stderr, "blocked: %s\n", reason);
+                std::abort();
+            }
+        })
+    {
+    }
+
+    ~Watchdog()
+    {
+        m_isDone.set_value();
+        m_thread.join();
+    }
+
+    Watchdog(const Watchdog &) = delete;
+    Watchdog &operator=(const Watchdog &) = delete;
+
+private:
+    std::promise<void> m_isDone;
+    std::thread m_thread;
+};
+
 class PlannedStopTest : public testing::Test
 {
 protected:
@@ -62,11 +95,14 @@
     {
         EXPECT_TRUE(server.listen({.address = "127.0.0.1", .port = 0}));
         QObject::connect(&server, &HttpServer::requestReceived, &server, [this](HttpExchangeId exchange, const HttpRequest &) {
-            server.respond(exchange, {.status = 200, .fields = {}, .body = "done"});
+            ++requests;
+            server.respond(exchange, {.status = 200, .fields = {}, .body = body});
         });
     }
 
     HttpServer server{HttpLimits{}};
+    std::string body = "done";
+    int requests = 0;
 };
 
 constexpr auto Request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -97,6 +133,33 @@
     EXPECT_EQ(client.receive(), "") << "the connection must close";
 }
 
+TEST_F(PlannedStopTest, AnIdleConnectionDoesNotDelayTheStop)
+{
+    BlockingClient idle(server.port());
+    idle.send(Request);
+    EXPECT_TRUE(idle.receive().starts_with("HTTP/1.1 200"));
+    const Watchdog watchdog("drain() waits for a client that sends nothing");
+    server.drain();
+    EXPECT_EQ(idle.receive(), "") << "the connection must close";
+}
+
+TEST_F(PlannedStopTest, AClientThatDoesNotReadDelaysNoOtherClient)
+{
+    constexpr std::size_t MoreThanSocketBuffers = 32 * 1024 * 1024;
+    body.assign(MoreThanSocketBuffers, 'x');
+    BlockingClient stalled(server.port());
+    stalled.send(Request);
+    const TimePoint start = Clock::now();
+    EXPECT_TRUE(waitUntil([this] {
+        return requests == 1;
+    }));
+    body = "done";
+    BlockingClient other(server.port());
+    other.send(Request);
+    EXPECT_TRUE(other.receive().ends_with("done"));
+    EXPECT_LT(Clock::now() - start, std::chrono::seconds(1)) << "a write to the stalled client blocks";
+}
+
 TEST_F(PlannedStopTest, AHalfReceivedRequestIsAnsweredAndPipelinedOnesAreNotCutOff)
 {
     BlockingClient half(server.port());
