Assume a large fleet until another member is found

A VM that reaches the store and no other VM now keeps the share that new VMs have. The timer of the estimate no longer runs while only a new member can change it.

AnEntryVmThatReachesNoOtherMemberAssumesALargeFleet fails without the change.

--- a/src/controllers/fleetshare.cpp
+++ b/src/controllers/fleetshare.cpp
@@ -5,7 +5,7 @@
 namespace Plantainweir {
 namespace {
 
-/** Minimum fleet size that is assumed until the members have had time to find each other. */
+/** Minimum fleet size that is assumed until the members have found each other. */
 constexpr std::size_t AssumedFleetSize = 64;
 /**
  * The assumed size for the share of the probes. It is smaller because a new entry VM needs probes most and the platform
@@ -20,6 +20,12 @@
 /** Fraction of the permitted probe rate that the fleet uses. */
 constexpr double UsableProbeFraction = 0.75;
 
+/** An entry VM that is cut off from all others looks like a fleet of one. */
+bool hasFoundOthers(const FleetSizeEstimate &fleet)
+{
+    return fleet.largestSize > 1;
+}
+
 std::size_t probingFleetSize(const FleetSizeEstimate &fleet)
 {
     return fleet.isConverged ? fleetSize(fleet) : std::max(AssumedProbingFleetSize, fleet.largestSize);
@@ -33,7 +39,15 @@
         fleet.largestSize = size;
         fleet.convergesAt = now + ConvergenceTime;
     }
-    fleet.isConverged = fleet.isConverged || now >= fleet.convergesAt;
+    fleet.isConverged = fleet.isConverged || (hasFoundOthers(fleet) && now >= fleet.convergesAt);
+}
+
+std::optional<TimePoint> nextFleetSizeChange(const FleetSizeEstimate &fleet, TimePoint now)
+{
+    if (fleet.isConverged || !hasFoundOthers(fleet)) {
+        return std::nullopt;
+    }
+    return std::max(now, fleet.convergesAt);
 }
 
 std::size_t fleetSize(const FleetSizeEstimate &fleet)
--- a/src/controllers/fleetshare.h
+++ b/src/controllers/fleetshare.h
@@ -4,6 +4,7 @@
 #include "decision/proxying.h"
 
 #include <cstddef>
+#include <optional>
 
 /**
  * Computes one entry VM's share of the limits that hold for the whole fleet, from its own estimate of the fleet's size.
@@ -20,13 +21,16 @@
 /** One member's estimate of the fleet's size. */
 struct FleetSizeEstimate {
     std::size_t largestSize = 0; ///< Largest number of members that were live at the same time.
-    bool isConverged = false; ///< Whether the members have found each other.
+    bool isConverged = false; ///< Whether the members have found each other. A member that has found no other one does not know.
     TimePoint convergesAt; ///< When the members count as having found each other, unless more of them are found before.
 };
 
-/** Takes into account that @p size members are live; to be called at changes and at FleetSizeEstimate::convergesAt. */
+/** Takes into account that @p size members are live; to be called at changes and at nextFleetSizeChange(). */
 void observeFleetSize(FleetSizeEstimate &fleet, std::size_t size, TimePoint now);
 
+/** Returns when the estimate changes if no further member is found, or nothing if only a further member changes it. */
+std::optional<TimePoint> nextFleetSizeChange(const FleetSizeEstimate &fleet, TimePoint now);
+
 /** Returns the fleet size by which to divide limits that must hold at any time. */
 std::size_t fleetSize(const FleetSizeEstimate &fleet);
 
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -350,8 +350,8 @@
     {
         const TimePoint now = Clock::now();
         observeFleetSize(m_fleetSize, liveMembers(m_membership.membership()).size(), now);
-        if (!m_fleetSize.isConverged) {
-            m_convergenceTimer.start(std::chrono::ceil<std::chrono::milliseconds>(m_fleetSize.convergesAt - now));
+        if (const auto next = nextFleetSizeChange(m_fleetSize, now)) {
+            m_convergenceTimer.start(std::chrono::ceil<std::chrono::milliseconds>(*next - now));
         }
         const FleetLimits limits{.retrySlack = m_settings.retrySlack, .probesPerSecondPerUpstream = m_settings.probesPerSecondPerUpstream};
         m_proxy.setFleetShare(fleetShare(limits, m_fleetSize, m_upstreamRegistry.entries.size()));
--- a/tests/fleetsharetest.cpp
+++ b/tests/fleetsharetest.cpp
@@ -50,6 +50,23 @@
     EXPECT_TRUE(fleet.isConverged) << "one more member is no reason to assume a larger fleet";
 }
 
+TEST(FleetShare, AnEntryVmThatReachesNoOtherMemberAssumesALargeFleet)
+{
+    using namespace std::chrono_literals;
+    constexpr TimePoint Start{1000s};
+    FleetSizeEstimate fleet;
+    observeFleetSize(fleet, 1, Start);
+    observeFleetSize(fleet, 1, Start + 600s);
+    const FleetShareChanged alone = fleetShare(Limits, fleet, 29);
+    EXPECT_LE(alone.retrySlack * 64.0, 56.0 * 1.0001) << "the others may be cut off from it and retry too";
+    EXPECT_FALSE(nextFleetSizeChange(fleet, Start + 600s)) << "only a member that is found changes the estimate";
+    observeFleetSize(fleet, 13, Start + 601s);
+    ASSERT_TRUE(nextFleetSizeChange(fleet, Start + 601s));
+    observeFleetSize(fleet, 13, *nextFleetSizeChange(fleet, Start + 601s));
+    EXPECT_EQ(fleetSize(fleet), 13U);
+    EXPECT_FALSE(nextFleetSizeChange(fleet, Start + 700s));
+}
+
 TEST(FleetShare, ConnectionsAreSharedWithAMinimum)
 {
     EXPECT_EQ(connectionShare(220, {.largestSize = 13, .isConverged = true}), 13U);
