Publish the members of a fleet together

Cause: each datagram with a changed record made a list of all serving entry VMs, compared it, copied it to its receivers and wrote a log line. After a common restart of 472 VMs each VM did so for each member that it found, in the second in which its tenth of a core was needed most. The first change is still published at once; those that follow within 50 ms are published together. The gateway's own batching is not needed any more.

TheMembersOfALargeFleetThatAreFoundOneByOneArePublishedTogether: 471 publications before, at most 47 allowed. Ruled out: batching in each receiver, since making the list is the cost.

--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -47,8 +47,6 @@
 /** Calls that arrive while this VM starts wait in the accept queue for at most this time. */
 constexpr std::chrono::milliseconds MaximumAcceptDelay{1000};
 constexpr double CapacityUnitsPerCore = 1000.0;
-/** Changes of the members in quick succession are passed on together. */
-constexpr std::chrono::milliseconds MembersBatchInterval{50};
 /** How long before the end of the stop time stopped() is emitted if callers are still connected. */
 constexpr std::chrono::milliseconds ForcedStopMargin{300};
 
@@ -205,16 +203,10 @@
         });
         m_convergenceTimer.setSingleShot(true);
         connect(&m_convergenceTimer, &QTimer::timeout, this, &Private::updateFleetShare);
-        m_membersTimer.setSingleShot(true);
-        connect(&m_membersTimer, &QTimer::timeout, this, [this] {
+        connect(&m_membership, &MembershipTask::candidatesChanged, this, [this] {
             const Membership &membership = m_membership.membership();
             m_storeSource.setMembers(feedMembers(membership, m_settings.availabilityZone), membership.isSynchronized);
         });
-        connect(&m_membership, &MembershipTask::candidatesChanged, this, [this] {
-            if (!m_membersTimer.isActive()) {
-                m_membersTimer.start(MembersBatchInterval);
-            }
-        });
         connect(&m_membership, &MembershipTask::memberComparisonRequested, &m_exchangeClient, &ExchangeClient::compareMembers, Qt::QueuedConnection);
         connect(&m_exchangeServer, &ExchangeServer::membersRequested, this, [this](ExchangeCallId call, const BucketDigests &digests, const std::string &zone) {
             m_exchangeServer.replyWithMembers(call, recordsInDifferingBuckets(m_membership.membership(), digests, zone));
@@ -514,7 +506,6 @@
     UpstreamRegistry m_upstreamRegistry;
     QTimer m_expiryTimer;
     QTimer m_seedResponseTimer;
-    QTimer m_membersTimer;
     QTimer m_convergenceTimer;
     std::vector<EntryMember> m_entries;
     std::chrono::milliseconds m_longestIdleTimeout{0};
--- a/src/tasks/membershiptask.cpp
+++ b/src/tasks/membershiptask.cpp
@@ -12,6 +12,9 @@
 namespace Plantainweir {
 namespace {
 
+/** Changes that follow another one within this time are published together, since the work for each grows with the fleet. */
+constexpr std::chrono::milliseconds PublishInterval{50};
+
 QHostAddress toAddress(const Endpoint &endpoint)
 {
     return QHostAddress(QString::fromStdString(endpoint.address));
@@ -33,6 +36,12 @@
         connect(&m_timer, &QTimer::timeout, task, [this] {
             handleEvent(MembershipTimerFired{});
         });
+        m_publishTimer.setSingleShot(true);
+        connect(&m_publishTimer, &QTimer::timeout, task, [this] {
+            if (m_hasUnpublishedChanges) {
+                publishMembers();
+            }
+        });
         connect(&m_socket, &QUdpSocket::readyRead, task, [this] {
             readDatagrams();
         });
@@ -101,9 +110,16 @@
         if (actions.isResumed) {
             logEvent(LogEvent::ProcessResumed);
         }
-        if (actions.changes.empty()) {
-            return;
+        m_hasUnpublishedChanges = m_hasUnpublishedChanges || !actions.changes.empty();
+        if (m_hasUnpublishedChanges && !m_publishTimer.isActive()) {
+            publishMembers();
         }
+    }
+
+    void publishMembers()
+    {
+        m_hasUnpublishedChanges = false;
+        m_publishTimer.start(PublishInterval);
         m_metrics.setGauge("plantainweir_members", "Members that are alive or suspect.", static_cast<double>(liveMembers(m_membership).size()));
         Q_EMIT q->candidatesChanged(watcherCandidates(m_membership));
         std::vector<EntryMember> entries = servingEntries(m_membership);
@@ -141,6 +157,8 @@
     Metrics &m_metrics;
     QUdpSocket m_socket;
     QTimer m_timer;
+    QTimer m_publishTimer; ///< Active for PublishInterval after the members were published.
+    bool m_hasUnpublishedChanges = false;
     std::vector<EntryMember> m_entries;
     bool m_isLeaveReported = false;
 };
--- a/src/tasks/membershiptask.h
+++ b/src/tasks/membershiptask.h
@@ -13,7 +13,8 @@
 /**
  * Task that runs the membership protocol (see membership.h) and owns its UDP socket.
  *
- * Datagrams that are too large or malformed are counted and dropped.
+ * Datagrams that are too large or malformed are counted and dropped. Changes of the members in quick succession lead to
+ * one signal.
  */
 class MembershipTask : public QObject
 {
