--- a/src/controllers/storeobject.h
+++ b/src/controllers/storeobject.h
@@ -49,7 +49,7 @@
 struct StorePage {
     std::uint64_t revision = 0;
     std::vector<StoreObject> objects;
-    std::string lastName; ///< Name of the last object; the next page starts after it.
+    std::string lastName; ///< The last usable name; the next page starts after it.
     bool hasMore = false;
     std::size_t ignoredObjects = 0; ///< Objects without a usable name.
 };
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -172,6 +172,20 @@
     }
 }
 
+TEST(PlatformStore, AListContinuesAfterAPageThatEndsWithAnOddEntry)
+{
+    const std::string valid = R"({"metadata":{"name":"i-1","revision":5},"spec":)" + std::string(upstreamSpec) + "}";
+    for (const std::string &odd : {std::string("{}"), std::string(R"({"metadata":{"name":7}})"), R"({"metadata":{"name":")" + std::string(1'000'000, 'x') + R"("}})"}) {
+        SCOPED_TRACE(odd.substr(0, 80));
+        const std::string body = R"({"items":[)" + valid + "," + odd + R"(],"hasMore":true,"storeRevision":9})";
+        const HttpRequestResult result{.outcome = HttpRequestOutcome::Answered, .response = {.status = 200, .fields = {}, .body = body}};
+        StorePage page;
+        ASSERT_EQ(decodePage(StoreObjectKind::Upstreams, result, false, page), StoreReadOutcome::Page);
+        EXPECT_EQ(page.lastName, "i-1") << "the target of the next request must be accepted";
+        EXPECT_EQ(page.objects.size(), 1U);
+    }
+}
+
 TEST(PlatformCalls, AttemptCarriesTheRemainingTime)
 {
     const HttpRequest request{.method = "POST",
