Fuzz the decoders of all that other programs send

Any JSON value among the upstreams hides no other; limits hold; what is accepted means the same when it is encoded again.

--- /dev/null
+++ b/tests/decoderfuzztest.cpp
@@ -0,0 +1,279 @@
+#include "http/httpcodec.h"
+#include "platform/callcodec.h"
+#include "platform/storecodec.h"
+#include "rpc/membershipmessages.h"
+#include "rpc/storemessages.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <random>
+
+/**
+ * Feeds damaged messages to the decoders of everything that other programs send. The environment variable
+ * PLANTAINWEIR_FUZZ_MESSAGES sets another number of messages for each decoder.
+ */
+namespace Plantainweir {
+namespace {
+
+constexpr TimePoint Now{std::chrono::seconds(1000)};
+constexpr std::uint64_t Seed = 20261205;
+constexpr std::size_t DefaultMessages = 200'000;
+constexpr int MaximumDamages = 6;
+constexpr int MaximumNesting = 5;
+
+std::size_t messageCount()
+{
+    const char *text = std::getenv("PLANTAINWEIR_FUZZ_MESSAGES");
+    return text == nullptr ? DefaultMessages : std::strtoul(text, nullptr, 10);
+}
+
+class DecoderFuzz : public testing::Test
+{
+protected:
+    std::size_t below(std::size_t bound)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
+    }
+
+    template<typename Value>
+    const Value &anyOf(const std::vector<Value> &values)
+    {
+        return values[below(values.size())];
+    }
+
+    /** Returns @p text with up to MaximumDamages bytes or ranges replaced, removed or repeated. */
+    std::string damaged(std::string text)
+    {
+        for (std::size_t count = 1 + below(MaximumDamages); count > 0 && !text.empty(); --count) {
+            const std::size_t at = below(text.size());
+            switch (below(4)) {
+            case 0:
+                text[at] = static_cast<char>(below(256));
+                break;
+            case 1:
+                text.erase(at, 1 + below(20));
+                break;
+            case 2:
+                text.insert(at, text.substr(below(text.size()), 1 + below(30)));
+                break;
+            default:
+                text.insert(at, anyOf(fragments));
+                break;
+            }
+        }
+        return text;
+    }
+
+    /** Returns any JSON value, with members that the decoders know, in places where they are not expected. */
+    std::string anyJson(int nesting = 0)
+    {
+        const std::size_t choice = below(nesting < MaximumNesting ? 4 : 2);
+        if (choice < 2) {
+            return anyOf(scalars);
+        }
+        std::string text;
+        for (std::size_t count = below(4); count > 0; --count) {
+            text += (text.empty() ? "" : ",") + (choice == 2 ? anyOf(keys) + ":" : std::string()) + anyJson(nesting + 1);
+        }
+        return choice == 2 ? "{" + text + "}" : "[" + text + "]";
+    }
+
+    std::mt19937_64 random{Seed};
+    const std::vector<std::string>
+        fragments{"\r\n", "\r\n\r\n", "0\r\n", "ffffffffffffffff", "Content-Length: 9", "Transfer-Encoding: chunked\r\n", ":", std::string(1, '\0')};
+    const std::vector<std::string> scalars{"null",
+                                           "true",
+                                           "0",
+                                           "-1",
+                                           "3",
+                                           "1e400",
+                                           "4294967296",
+                                           "9007199254740993",
+                                           "1.5",
+                                           "\"\"",
+                                           "\"ready\"",
+                                           "\"1500ms\"",
+                                           "\"10.1.0.9:80\"",
+                                           "\"10.1.0.9:65536\"",
+                                           "\"\xff\xfe\"",
+                                           "\"\\ud800\"",
+                                           "\"i-2\""};
+    const std::vector<std::string> keys{"\"service\"",
+                                        "\"address\"",
+                                        "\"zone\"",
+                                        "\"version\"",
+                                        "\"slots\"",
+                                        "\"state\"",
+                                        "\"cold\"",
+                                        "\"sequence\"",
+                                        "\"born\"",
+                                        "\"metadata\"",
+                                        "\"name\"",
+                                        "\"spec\"",
+                                        "\"object\"",
+                                        "\"items\"",
+                                        "\"storeRevision\"",
+                                        "\"hasMore\"",
+                                        "\"deleted\""};
+};
+
+constexpr auto ValidSpec = R"({"service":"desk","address":"10.1.0.9:80","zone":"a","version":"v1","slots":4,"state":"ready","cold":"1500ms","sequence":4})";
+
+std::string item(const std::string &name, const std::string &spec)
+{
+    return R"({"metadata":{"name":")" + name + R"(","revision":5},"spec":)" + spec + "}";
+}
+
+HttpRequestResult answerOf(const std::string &body)
+{
+    return {.outcome = HttpRequestOutcome::Answered, .response = {.status = 200, .fields = {}, .body = body}};
+}
+
+TEST_F(DecoderFuzz, AnyJsonValueAmongTheUpstreamsHidesNoOther)
+{
+    for (std::size_t count = messageCount(); count > 0; --count) {
+        const std::string odd = below(2) == 0 ? anyJson() : item("i-odd", anyJson());
+        const std::string body = R"({"items":[)" + item("i-1", ValidSpec) + "," + odd + "," + item("i-2", ValidSpec) + R"(],"storeRevision":9})";
+        StorePage page;
+        ASSERT_EQ(Platform::decodePage(StoreObjectKind::Upstreams, answerOf(body), false, page), StoreReadOutcome::Page) << odd;
+        ASSERT_GE(page.objects.size(), 2U) << odd;
+        ASSERT_TRUE(std::holds_alternative<UpstreamRecord>(page.objects.front().value)) << odd;
+        ASSERT_TRUE(std::holds_alternative<UpstreamRecord>(page.objects.back().value)) << odd;
+        ASSERT_EQ(page.lastName, "i-2") << odd;
+    }
+}
+
+TEST_F(DecoderFuzz, DamagedPagesNameNoUnusableUpstream)
+{
+    const std::string body = R"({"items":[)" + item("i-1", ValidSpec) + "," + item("i-2", ValidSpec) + R"(],"hasMore":true,"storeRevision":9})";
+    std::size_t decoded = 0;
+    for (std::size_t count = messageCount(); count > 0; --count) {
+        const std::string bytes = damaged(body);
+        for (const StoreObjectKind kind : {StoreObjectKind::Upstreams, StoreObjectKind::Configuration, StoreObjectKind::EntryVms}) {
+            StorePage page;
+            if (Platform::decodePage(kind, answerOf(bytes), below(2) == 0, page) != StoreReadOutcome::Page) {
+                continue;
+            }
+            ++decoded;
+            ASSERT_FALSE(page.hasMore && page.lastName.empty()) << bytes;
+            for (const StoreObject &object : page.objects) {
+                const auto *upstream = std::get_if<UpstreamRecord>(&object.value);
+                ASSERT_TRUE(upstream == nullptr || (upstream->endpoint.port != 0 && upstream->slots != 0)) << bytes;
+            }
+        }
+    }
+    EXPECT_GT(decoded, 0U);
+}
+
+TEST_F(DecoderFuzz, DamagedRequestsStayWithinTheLimits)
+{
+    const std::vector<std::string> requests{
+        "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nX-Plantainweir-Request-Id: id1\r\nX-Plantainweir-Deadline-Ms: 1200\r\nContent-Length: 5\r\n\r\nhello",
+        "PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "GET /v1/resolve?name=a.example&zone=b HTTP/1.1\r\nHost: h\r\n\r\n"};
+    const HttpLimits limits{.headerBytes = 512, .bodyBytes = 64};
+    std::size_t decoded = 0;
+    for (std::size_t count = messageCount(); count > 0; --count) {
+        std::string bytes = damaged(anyOf(requests));
+        HttpRequestDecoder decoder(limits);
+        std::string buffer;
+        DecodeState state = DecodeState::Incomplete;
+        while (state == DecodeState::Incomplete && !bytes.empty()) {
+            const std::size_t part = 1 + below(bytes.size());
+            buffer.append(bytes, 0, part);
+            bytes.erase(0, part);
+            state = decoder.decode(buffer);
+            ASSERT_LE(decoder.bodyBytes(), limits.bodyBytes);
+        }
+        if (state == DecodeState::Complete) {
+            ++decoded;
+            const HttpRequest request = decoder.takeRequest();
+            static_cast<void>(Platform::decodeDirectoryQuery(request));
+            const RoutedCall call = Platform::decodeCall(request, Now);
+            ASSERT_EQ(call.path.find('?'), std::string::npos);
+        }
+    }
+    EXPECT_GT(decoded, 0U);
+}
+
+TEST_F(DecoderFuzz, DamagedResponsesStayWithinTheLimitsAndPromiseNothingUnsaid)
+{
+    const std::vector<std::string> responses{
+        "HTTP/1.1 200 OK\r\nX-Plantainweir-Request-Id: id1\r\nX-Plantainweir-Response-Stamp: s\r\nX-Plantainweir-Backend-Load: 3,0,8,100\r\nContent-Length: "
+        "5\r\n\r\nhello",
+        "HTTP/1.1 503 Busy\r\nX-Plantainweir-Not-Executed: 1\r\nRetry-After: 1.5\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"};
+    const HttpLimits limits{.headerBytes = 512, .bodyBytes = 64};
+    std::size_t decoded = 0;
+    for (std::size_t count = messageCount(); count > 0; --count) {
+        std::string buffer = damaged(anyOf(responses));
+        HttpResponseDecoder decoder(limits, below(8) == 0);
+        DecodeState state = decoder.decode(buffer);
+        ASSERT_LE(decoder.bodyBytes(), limits.bodyBytes);
+        state = state == DecodeState::Incomplete ? decoder.finish() : state;
+        if (state != DecodeState::Complete) {
+            continue;
+        }
+        ++decoded;
+        const HttpResponse response = decoder.takeResponse();
+        const DecodedAttemptResponse attempt = Platform::decodeAttemptResponse(response);
+        if (attempt.outcome == ProxyAttemptOutcome::Shed) {
+            ASSERT_FALSE(fieldValue(response.fields, "X-Plantainweir-Not-Executed").empty());
+        }
+        if (attempt.notice.quietTime) {
+            ASSERT_GT(*attempt.notice.quietTime, Duration::zero());
+        }
+        static_cast<void>(Platform::decodeProbeResponse(response, RegisteredUpstream{.id = "i-1"}));
+    }
+    EXPECT_GT(decoded, 0U);
+}
+
+TEST_F(DecoderFuzz, DamagedDatagramsAreRejectedOrMeanTheSameWhenEncodedAgain)
+{
+    MembershipDatagram datagram{.kind = DatagramKind::Ping, .sender = "a", .sequence = 7, .target = "b"};
+    datagram.records.push_back({.name = "a", .incarnation = 3, .membershipEndpoint = {.address = "10.1.0.9", .port = 80}, .availabilityZone = "z"});
+    const std::string bytes = encodeDatagram(datagram);
+    std::size_t decoded = 0;
+    for (std::size_t count = messageCount(); count > 0; --count) {
+        const auto first = decodeDatagram(damaged(bytes));
+        if (!first) {
+            continue;
+        }
+        ++decoded;
+        const auto second = decodeDatagram(encodeDatagram(*first));
+        ASSERT_TRUE(second);
+        ASSERT_EQ(second->records, first->records);
+        ASSERT_EQ(second->sender, first->sender);
+    }
+    EXPECT_GT(decoded, 0U);
+}
+
+TEST_F(DecoderFuzz, DamagedFeedUpdatesAreRejectedOrMeanTheSameWhenEncodedAgain)
+{
+    StorePage page;
+    ASSERT_EQ(Platform::decodePage(StoreObjectKind::Upstreams, answerOf(R"({"items":[)" + item("i-1", ValidSpec) + R"(],"storeRevision":9})"), false, page),
+              StoreReadOutcome::Page);
+    const FeedUpdate update{.deltas = {{.kind = StoreObjectKind::Upstreams, .isComplete = true, .revision = 9, .objects = page.objects}},
+                            .confirmations = {{.kind = StoreObjectKind::Upstreams, .age = std::chrono::milliseconds(5)}},
+                            .isSenderReading = true,
+                            .echoedAt = Now};
+    const std::string bytes = toMessage(update).SerializeAsString();
+    std::size_t decoded = 0;
+    for (std::size_t count = messageCount(); count > 0; --count) {
+        StoreProtocol::FeedUpdate message;
+        const auto first = message.ParseFromString(damaged(bytes)) ? fromMessage(message) : std::nullopt;
+        if (!first) {
+            continue;
+        }
+        ++decoded;
+        const auto second = fromMessage(toMessage(*first));
+        ASSERT_TRUE(second);
+        ASSERT_EQ(second->deltas, first->deltas);
+        ASSERT_EQ(second->confirmations, first->confirmations);
+    }
+    EXPECT_GT(decoded, 0U);
+}
+
+}
+}
