Send followers only what changed after a list

Cause: a reader that listed the objects again did not know which of them had been created and deleted in between, and sent each follower all of them.

A delta now says since which revision it names all objects that changed and still exist. A follower that knows another one from that range, by another reader, deletes it. Only a follower whose revision lies strictly inside a range that a list has skipped gets all objects.

AReaderThatListsAgainTellsOnlyWhatChanged fails without the change, and FollowersOfLaggingReadersConvergeToTheStore now compares the follower with the store's history after each step, with what each reader counts as sent; it fails when the ranges or the deletions of unnamed objects are taken out.

--- a/src/controllers/storemirror.cpp
+++ b/src/controllers/storemirror.cpp
@@ -8,6 +8,7 @@
 
 /** Deleted objects that are kept for other entry VMs that still have to learn of them. */
 constexpr std::size_t MaximumDeletedObjects = 2048;
+constexpr std::size_t MaximumUnknownRanges = 64;
 
 /** Stores @p object if it differs from the known one; returns whether it does. */
 bool replaceObject(StoreMirror &mirror, const StoreObject &object, std::uint64_t revision)
@@ -34,6 +35,7 @@
     return {.name = object.name, .revision = object.revision, .isDeleted = true, .value = {}};
 }
 
+/** Returns the known objects that do not exist any more at the revision of @p delta, although it does not name them. */
 std::vector<StoreObject> missingObjects(const StoreMirror &mirror, const StoreDelta &delta)
 {
     std::set<std::string_view> present;
@@ -42,7 +44,8 @@
     }
     std::vector<StoreObject> missing;
     for (const auto &[name, mirrored] : mirror.objects) {
-        const bool isCovered = !mirrored.object.isDeleted && mirrored.object.revision <= delta.revision;
+        const bool isInRange = delta.isComplete || mirrored.object.revision > delta.since;
+        const bool isCovered = isInRange && !mirrored.object.isDeleted && mirrored.object.revision <= delta.revision;
         if (isCovered && !present.contains(name)) {
             missing.push_back(deletionOf(mirrored.object));
         }
@@ -62,6 +65,32 @@
         return row.second.object.isDeleted;
     });
     mirror.forgottenUntil = mirror.revision;
+    mirror.unknownRevisions.clear();
+}
+
+/** Records that @p delta does not name the objects that were created and deleted since the last one. */
+void noteUnknownRevisions(StoreMirror &mirror, const StoreDelta &delta)
+{
+    if (mirror.revision == 0) {
+        mirror.forgottenUntil = delta.revision;
+        return;
+    }
+    if (delta.revision <= mirror.revision + 1) {
+        return;
+    }
+    mirror.unknownRevisions.push_back({.from = mirror.revision, .to = delta.revision});
+    if (mirror.unknownRevisions.size() > MaximumUnknownRanges) {
+        mirror.forgottenUntil = mirror.unknownRevisions.front().to;
+        mirror.unknownRevisions.erase(mirror.unknownRevisions.begin());
+    }
+}
+
+bool areDeletionsKnownSince(const StoreMirror &mirror, std::uint64_t revision)
+{
+    return revision >= mirror.forgottenUntil
+           && std::none_of(mirror.unknownRevisions.begin(), mirror.unknownRevisions.end(), [revision](const UnknownRevisions &range) {
+                  return range.from < revision && revision < range.to;
+              });
 }
 
 }
@@ -73,16 +102,16 @@
         return {};
     }
     std::vector<StoreObject> objects = delta.objects;
-    if (delta.isComplete) {
+    const bool namesOnlyExisting = delta.isComplete || delta.since != 0;
+    if (namesOnlyExisting) {
         std::vector<StoreObject> missing = missingObjects(mirror, delta);
         objects.insert(objects.end(), missing.begin(), missing.end());
     }
     std::erase_if(objects, [&mirror, &delta](const StoreObject &object) {
         return !replaceObject(mirror, object, delta.revision);
     });
-    if (delta.isComplete && delta.revision > mirror.revision) {
-        // It does not name the objects that were created and deleted since the last update.
-        mirror.forgottenUntil = delta.revision;
+    if (namesOnlyExisting) {
+        noteUnknownRevisions(mirror, delta);
     }
     mirror.revision = delta.revision;
     forgetDeletions(mirror);
@@ -91,7 +120,8 @@
 
 StoreDelta deltaSince(const StoreMirror &mirror, std::uint64_t revision)
 {
-    StoreDelta delta{.kind = mirror.kind, .isComplete = revision < mirror.forgottenUntil, .revision = mirror.revision, .objects = {}};
+    const bool isComplete = revision == 0 || !areDeletionsKnownSince(mirror, revision);
+    StoreDelta delta{.kind = mirror.kind, .isComplete = isComplete, .revision = mirror.revision, .since = isComplete ? 0 : revision, .objects = {}};
     for (const auto &[name, mirrored] : mirror.objects) {
         const bool isIncluded = delta.isComplete ? !mirrored.object.isDeleted : mirrored.changedAt > revision;
         if (isIncluded) {
--- a/src/controllers/storemirror.h
+++ b/src/controllers/storemirror.h
@@ -18,6 +18,11 @@
     StoreObjectKind kind = StoreObjectKind::Configuration;
     bool isComplete = false; ///< Whether @ref objects are all objects of the kind; otherwise those that changed.
     std::uint64_t revision = 0; ///< All changes up to this revision are contained.
+    /**
+     * If set, @ref objects names each object that changed after this revision and still exists. One that changed then and
+     * is not named has been deleted.
+     */
+    std::uint64_t since = 0;
     std::vector<StoreObject> objects;
     bool operator==(const StoreDelta &) const = default;
 };
@@ -28,11 +33,18 @@
     std::uint64_t changedAt = 0; ///< Revision of the delta with which the object came or was deleted.
 };
 
+/** A range of revisions, without both ends, in which objects that were created and deleted again are not known. */
+struct UnknownRevisions {
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+};
+
 struct StoreMirror {
     StoreObjectKind kind = StoreObjectKind::Configuration;
     std::uint64_t revision = 0; ///< Zero until the first complete delta.
     std::map<std::string, MirroredObject, std::less<>> objects; ///< By name.
     std::uint64_t forgottenUntil = 0; ///< Deletions up to this revision are no longer kept.
+    std::vector<UnknownRevisions> unknownRevisions; ///< After forgottenUntil, in order.
 };
 
 /**
@@ -41,7 +53,10 @@
  */
 std::vector<StoreObject> adopt(StoreMirror &mirror, const StoreDelta &delta);
 
-/** Returns what a mirror at @p revision lacks: a complete delta if the changes since then are not known. */
+/**
+ * Returns what a mirror at @p revision lacks. That mirror may also have objects with later revisions from others. The delta is
+ * complete if the deletions of objects that it has up to @p revision are not known.
+ */
 StoreDelta deltaSince(const StoreMirror &mirror, std::uint64_t revision);
 
 }
--- a/src/rpc/storemessages.cpp
+++ b/src/rpc/storemessages.cpp
@@ -159,7 +159,7 @@
     if (!kind || message.revision() == 0) {
         return std::nullopt;
     }
-    StoreDelta delta{.kind = *kind, .isComplete = message.complete(), .revision = message.revision(), .objects = {}};
+    StoreDelta delta{.kind = *kind, .isComplete = message.complete(), .revision = message.revision(), .since = message.since(), .objects = {}};
     for (const StoreProtocol::Object &row : message.objects()) {
         auto object = fromMessage(row);
         if (!object) {
@@ -210,6 +210,7 @@
     message.set_kind(static_cast<std::uint32_t>(delta.kind));
     message.set_complete(delta.isComplete);
     message.set_revision(delta.revision);
+    message.set_since(delta.since);
     for (const StoreObject &object : delta.objects) {
         *message.add_objects() = toMessage(object);
     }
--- a/tests/storemirrortest.cpp
+++ b/tests/storemirrortest.cpp
@@ -106,6 +106,23 @@
     EXPECT_TRUE(deltaSince(mirror, 8).isComplete);
 }
 
+TEST(StoreMirror, AReaderThatListsAgainTellsOnlyWhatChanged)
+{
+    StoreMirror reader{.kind = StoreObjectKind::Upstreams};
+    adopt(reader, completeDelta(5, {makeUpstreamObject("u1", 3), makeUpstreamObject("u2", 4), makeUpstreamObject("u3", 5)}));
+    StoreMirror follower{.kind = StoreObjectKind::Upstreams};
+    adopt(follower, deltaSince(reader, 0));
+    // Another reader has told the follower of an object that is deleted again when this one lists the objects.
+    adopt(follower, changes(12, {makeUpstreamObject("brief", 12)}));
+    adopt(reader, completeDelta(20, {makeUpstreamObject("u1", 3), makeUpstreamObject("u2", 17)}));
+
+    const StoreDelta delta = deltaSince(reader, 5);
+    EXPECT_FALSE(delta.isComplete);
+    EXPECT_EQ(namesOf(delta.objects), (std::vector<std::string>{"u2", "-u3"}));
+    EXPECT_EQ(namesOf(adopt(follower, delta)), (std::vector<std::string>{"u2", "-u3", "-brief"}));
+    EXPECT_TRUE(deltaSince(reader, 12).isComplete) << "what existed at 12 is not known to this reader";
+}
+
 /** Readers list and watch a random history at different times; followers switch between them in any order. */
 TEST(StoreMirror, FollowersOfLaggingReadersConvergeToTheStore)
 {
@@ -119,6 +136,8 @@
         std::vector<StoreObject> history; // The change of revision N is at N - 1.
         std::array<StoreMirror, 3> readers;
         StoreMirror follower;
+        std::vector<std::map<std::string, std::uint64_t>> contents{{}}; // By revision.
+        std::array<std::uint64_t, 3> sentRevisions{}; // What the follower has by each reader's feed, as StoreFeedServer counts it.
         std::uint64_t highest = 0;
         const auto readFromStore = [&](StoreMirror &reader) {
             if (reader.revision == 0 || pick(6) == 0) {
@@ -145,13 +164,19 @@
             } else {
                 store[name] = revision;
             }
-            StoreMirror &reader = readers.at(pick(readers.size()));
+            contents.push_back(store);
+            const std::size_t chosen = pick(readers.size());
+            StoreMirror &reader = readers.at(chosen);
             if (pick(2) == 0) {
                 readFromStore(reader);
             }
-            if (reader.revision != 0) {
-                adopt(follower, deltaSince(reader, follower.revision));
+            const bool isNewFeed = sentRevisions.at(chosen) == 0 || pick(10) == 0;
+            const std::uint64_t known = isNewFeed ? follower.revision : sentRevisions.at(chosen);
+            if (reader.revision > known) {
+                adopt(follower, deltaSince(reader, known));
+                sentRevisions.at(chosen) = reader.revision;
             }
+            ASSERT_EQ(contentOf(follower), contents.at(follower.revision)) << round;
             EXPECT_GE(follower.revision, highest);
             highest = follower.revision;
         }
