--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -2,6 +2,7 @@
 #include "platform/callcodec.h"
 #include "platform/storecodec.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <QJsonArray>
@@ -172,6 +173,23 @@
     }
 }
 
+TEST(PlatformStore, AListContinuesAfterAPageThatEndsWithAnOddEntry)
+{
+    const std::string oddNames[]{"7", "null", '"' + std::string(1'000'000, 'x') + '"'};
+    for (const std::string &oddName : oddNames) {
+        SCOPED_TRACE(oddName.substr(0, 80));
+        const std::string body = fmt::format(
+            R"({{"items":[{{"metadata":{{"name":"i-1","revision":5}},"spec":{}}},{{"metadata":{{"name":{}}}}}],"hasMore":true,"storeRevision":9}})",
+            upstreamSpec,
+            oddName);
+        const HttpRequestResult result{.outcome = HttpRequestOutcome::Answered, .response = {.status = 200, .fields = {}, .body = body}};
+        StorePage page;
+        ASSERT_EQ(decodePage(StoreObjectKind::Upstreams, result, false, page), StoreReadOutcome::Page);
+        EXPECT_EQ(page.lastName, "i-1") << "the target of the next request must be accepted";
+        EXPECT_EQ(page.objects.size(), 1U);
+    }
+}
+
 TEST(PlatformCalls, AttemptCarriesTheRemainingTime)
 {
     const HttpRequest request{.method = "POST",
