Pass no report of an outage back between readers

Cause: the two readers of a zone follow each other. A reader that learned from the other that the store had been away passed this on to its own followers, the other reader among them, which passed it back.

ReadersPassNoReportOfAnOutageBackToEachOther fails without the change.

--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -374,7 +374,8 @@
     void handleFeedUpdate(const std::string &member, const FeedUpdate &update)
     {
         if (update.outage > Duration::zero()) {
-            recover(update.outage);
+            // It is not passed on: readers follow each other, and each tells its followers of its own outages.
+            Q_EMIT q->storeRecovered(update.outage);
         }
         const FeedRequest before = revisions();
         for (const StoreDelta &delta : update.deltas) {
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -32,8 +32,11 @@
 class Entry
 {
 public:
-    Entry(const std::string &name, const Endpoint &store)
-        : m_source({.name = name, .store = store, .source = {.maximumAge = 1000ms, .startDelay = 1s, .readersPerZone = 1, .minimumMembers = 2}, .seed = 1},
+    Entry(const std::string &name, const Endpoint &store, std::size_t readersPerZone = 1)
+        : m_source({.name = name,
+                    .store = store,
+                    .source = {.maximumAge = 1000ms, .startDelay = 1s, .readersPerZone = readersPerZone, .minimumMembers = 2},
+                    .seed = 1},
                    Platform::platformCodec(),
                    m_metrics)
         , m_server(std::make_unique<ExchangeServer>(m_metrics))
@@ -51,6 +54,9 @@
         QObject::connect(&m_source, &StoreSourceTask::currentChanged, &m_source, [this](bool isNowCurrent) {
             isCurrent = isNowCurrent;
         });
+        QObject::connect(&m_source, &StoreSourceTask::storeRecovered, &m_source, [this] {
+            ++recoveries;
+        });
         m_server->addService(m_source.feedService());
         EXPECT_TRUE(m_server->listen(m_endpoint));
         m_source.start();
@@ -80,6 +86,7 @@
     std::uint64_t version = 0;
     std::map<std::string, std::string> upstreams;
     bool isCurrent = false;
+    int recoveries = 0;
 
 private:
     Metrics m_metrics;
@@ -160,6 +167,34 @@
     }));
 }
 
+TEST_F(StoreSourceTaskTest, ReadersPassNoReportOfAnOutageBackToEachOther)
+{
+    Entry one("one", store.endpoint(), 2);
+    Entry two("two", store.endpoint(), 2);
+    const std::vector<FeedMember> members{one.member("one", 500), two.member("two", 500)};
+    one.source().setMembers(members, true);
+    two.source().setMembers(members, true);
+    EXPECT_TRUE(waitUntil([&] {
+        return one.isCurrent && two.isCurrent;
+    }));
+    store.setFaults({.isUnresponsive = true});
+    EXPECT_TRUE(waitUntil([&] {
+        return !one.isCurrent && !two.isCurrent;
+    }));
+    store.setFaults({});
+    EXPECT_TRUE(waitUntil([&] {
+        return one.isCurrent && two.isCurrent && one.recoveries > 0 && two.recoveries > 0;
+    }));
+    const int before = one.recoveries;
+    const TimePoint end = Clock::now() + 1s;
+    EXPECT_TRUE(waitUntil([end] {
+        return Clock::now() >= end;
+    }));
+    // Each of two readers may lose the store again with each check, four times a second, for each of two kinds of object.
+    constexpr int MaximumReports = 2 * 4 * 2;
+    EXPECT_LE(one.recoveries - before, MaximumReports);
+}
+
 TEST_F(StoreSourceTaskTest, WaitsWithoutSpinning)
 {
     EXPECT_TRUE(waitUntil([this] {
