--- a/tests/startcosttest.cpp
+++ b/tests/startcosttest.cpp
@@ -8,7 +8,7 @@
 
 #include <link.h>
 
-/** What a program pays before it serves its first call. */
+/** Checks the processor time in which a program starts. */
 namespace Plantainweir {
 namespace {
 
