--- /dev/null
+++ b/review/standins/silence.cpp
@@ -0,0 +1,169 @@
+// Connections to the store go silent while the configuration changes twice. Checks CONFIG.
+
+#include "standin.h"
+
+using namespace standin;
+
+namespace {
+
+constexpr int Gateways = 6;
+constexpr int BackendsPerService = 3;
+constexpr double StabilityWindowMs = 3000;
+constexpr double ConfigMs = 2000;
+constexpr double MarginMs = 100; // left to the stand-ins' own delays
+constexpr double CallsPerSecond = 150;
+constexpr int Rounds = 4;
+
+std::string servicesAndRoute(int version, const std::string &buyService, int lookupTimeoutMs)
+{
+    return configuration(version,
+                         {route("r-buy", "/buy/", "unsafe", buyService, 2000, 250), route("r-lookup", "/lookup/", "safe", "rinkdesk", lookupTimeoutMs, 400),
+                          service("rinkdesk"), service("tillside")});
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    if (argc < 2) {
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    Record recordFile(std::string(argv[1]) + "/record.txt");
+    record = &recordFile;
+    const bool isTroubled = hasTrouble();
+    const std::string folder = temporaryFolder();
+
+    auto *store = new Store;
+    store->open("127.0.0.1");
+    auto *runs = new Runs;
+    int lastBackend = 0;
+    std::map<std::string, std::string> serviceOfBackend;
+    for (const std::string name : {"rinkdesk", "tillside"}) {
+        for (int index = 0; index < BackendsPerService; ++index) {
+            auto *backend = new Backend;
+            backend->id = "i-" + std::to_string(++lastBackend);
+            backend->service = name;
+            backend->slots = 6;
+            backend->queue = 8;
+            backend->runs = runs;
+            backend->open("127.0.0.1");
+            store->put("servers", backend->id, backend->spec());
+            serviceOfBackend[backend->id] = name;
+        }
+    }
+    int version = 7;
+    store->put("config", "main", servicesAndRoute(version, "rinkdesk", 3000));
+
+    Processes processes;
+    const std::vector<Gateway> gateways = makeGateways(Gateways);
+    for (const Gateway &gateway : gateways) {
+        processes.start(gateway.name, commandLine(gateway, store->address, seedsOf(gateways), {}), folder + "/" + gateway.name + ".log");
+    }
+    if (!waitUntilReady(gateways, 15000)) {
+        record->line("the gateways did not become ready; logs in %s", folder.c_str());
+        return 2;
+    }
+    record->line("ready; logs in %s", folder.c_str());
+
+    struct Sent {
+        double at = 0;
+        std::string gateway;
+        int status = -2;
+    };
+    std::mutex mutex;
+    std::map<std::string, Sent> sent;
+    std::atomic<bool> isLoadOn = true;
+    std::atomic<int> open = 0;
+    std::thread load([&] {
+        std::mt19937_64 random(1);
+        int number = 0;
+        double at = nowMs();
+        while (isLoadOn) {
+            at += 1000.0 / CallsPerSecond;
+            sleepMs(at - nowMs());
+            const std::string id = "c" + std::to_string(++number);
+            const Gateway &gateway = gateways[random() % gateways.size()];
+            {
+                std::lock_guard lock(mutex);
+                sent[id] = {nowMs(), gateway.name, -2};
+            }
+            ++open;
+            std::thread([&, id, front = gateway.front()] {
+                Message answer;
+                const int status = call(front, makeRequest("POST", "/buy/" + id, id, 2000, "one ticket"), 3000, answer);
+                std::lock_guard lock(mutex);
+                sent[id].status = status;
+                --open;
+            }).detach();
+        }
+    });
+
+    struct Move {
+        std::string oldService;
+        int version = 0;
+        double acknowledgedAt = 0;
+        double silencedAt = 0;
+        double endsAt = 0;
+    };
+    std::vector<Move> moves;
+    const std::string names[] = {"rinkdesk", "tillside"};
+    sleepMs(5000);
+    for (int round = 0; round < Rounds; ++round) {
+        // Two configurations in quick succession: a new time-out, then a route that moves to the other service.
+        store->put("config", "main", servicesAndRoute(++version, names[round % 2], 3000 - 100 * (round + 1)));
+        record->line("version %d (a time-out) is acknowledged", version);
+        sleepMs(150);
+        Move move{.oldService = names[round % 2]};
+        move.silencedAt = nowMs();
+        if (isTroubled) {
+            const size_t count = store->silenceOpenConnections();
+            record->line("the open connections to the store go silent, %zu in all so far", count);
+        }
+        sleepMs(180);
+        move.acknowledgedAt = store->put("config", "main", servicesAndRoute(++version, names[(round + 1) % 2], 3000 - 100 * (round + 1)));
+        move.version = version;
+        record->line("version %d (/buy/ moves from %s to %s) is acknowledged", version, names[round % 2].c_str(), names[(round + 1) % 2].c_str());
+        sleepMs(12000);
+        move.endsAt = nowMs();
+        moves.push_back(move);
+    }
+    isLoadOn = false;
+    load.join();
+    const double until = nowMs() + 5000;
+    while (open > 0 && nowMs() < until) {
+        sleepMs(20);
+    }
+
+    std::map<int, int> byStatus;
+    int late = 0;
+    std::lock_guard lock(mutex);
+    for (const auto &[id, call] : sent) {
+        ++byStatus[call.status];
+        record->line("call %s sent at %.1f to %s: %d", id.c_str(), call.at, call.gateway.c_str(), call.status);
+    }
+    for (const Run &run : runs->runs) {
+        for (const Move &move : moves) {
+            const Sent &call = sent[run.id];
+            // Machines are in touch again once the stability window has passed since their connections went silent.
+            const bool isInTouch = !isTroubled || call.at > move.silencedAt + StabilityWindowMs + MarginMs;
+            const bool isBound = call.at > move.acknowledgedAt + ConfigMs + MarginMs && call.at < move.endsAt;
+            if (serviceOfBackend.at(run.backend) == move.oldService && isBound && isInTouch) {
+                ++late;
+                record->line("CONFIG: %s, sent to %s %.0f ms after the connections went silent and %.0f ms after version %d was acknowledged, was run by %s", run.id.c_str(),
+                             call.gateway.c_str(), call.at - move.silencedAt, call.at - move.acknowledgedAt, move.version, move.oldService.c_str());
+            }
+        }
+    }
+    for (const auto &[status, count] : byStatus) {
+        record->line("status %d: %d calls", status, count);
+    }
+    record->line("result: %d requests were run by the old service too late", late);
+    printf("%d requests were run by the old service too late, %d answered with 200\n", late, byStatus[200]);
+    fflush(stdout);
+    for (auto &[name, pid] : processes.pids) {
+        kill(pid, SIGKILL);
+        waitpid(pid, nullptr, 0);
+    }
+    _exit(byStatus[200] < 1000 ? 2 : late > 0 ? 1 : 0);
+}
