Replace review case 3: a lost answer of the store leaves a stale configuration in force

The checks that confirm a waiting watch pass although its answer was lost; the silent connections of the earlier case show the same code for a shorter time.

--- a/review/standins/silence.cpp
+++ b/review/standins/silentstore.cpp
@@ -1,4 +1,4 @@
-// Connections to the store go silent while the configuration changes twice. Checks CONFIG.
+// The store gives some machines no answers for a moment, in which the configuration changes. Checks CONFIG.
 
 #include "standin.h"
 
@@ -10,15 +10,16 @@
 constexpr int BackendsPerService = 3;
 constexpr double StabilityWindowMs = 3000;
 constexpr double ConfigMs = 2000;
+constexpr double OuterMs = 5000;
+constexpr double SilenceMs = 600;
+constexpr double SilentShare = 0.35;
 constexpr double MarginMs = 100; // left to the stand-ins' own delays
 constexpr double CallsPerSecond = 150;
-constexpr int Rounds = 4;
+constexpr int Rounds = 4; // 15 s each
 
-std::string servicesAndRoute(int version, const std::string &buyService, int lookupTimeoutMs)
+std::string routeTo(int version, const std::string &buyService)
 {
-    return configuration(version,
-                         {route("r-buy", "/buy/", "unsafe", buyService, 2000, 250), route("r-lookup", "/lookup/", "safe", "rinkdesk", lookupTimeoutMs, 400),
-                          service("rinkdesk"), service("tillside")});
+    return configuration(version, {route("r-buy", "/buy/", "unsafe", buyService, 2000, 250), service("rinkdesk"), service("tillside")});
 }
 
 }
@@ -53,12 +54,15 @@
         }
     }
     int version = 7;
-    store->put("config", "main", servicesAndRoute(version, "rinkdesk", 3000));
+    store->put("config", "main", routeTo(version, "rinkdesk"));
 
     Processes processes;
     const std::vector<Gateway> gateways = makeGateways(Gateways);
+    std::vector<StoreDoor *> doors;
     for (const Gateway &gateway : gateways) {
-        processes.start(gateway.name, commandLine(gateway, store->address, seedsOf(gateways), {}), folder + "/" + gateway.name + ".log");
+        doors.push_back(new StoreDoor(*store, gateway.name));
+        doors.back()->open("127.0.0.1");
+        processes.start(gateway.name, commandLine(gateway, doors.back()->address, seedsOf(gateways), {}), folder + "/" + gateway.name + ".log");
     }
     if (!waitUntilReady(gateways, 15000)) {
         record->line("the gateways did not become ready; logs in %s", folder.c_str());
@@ -103,28 +107,36 @@
         std::string oldService;
         int version = 0;
         double acknowledgedAt = 0;
-        double silencedAt = 0;
+        double calmAt = 0;
         double endsAt = 0;
     };
     std::vector<Move> moves;
     const std::string names[] = {"rinkdesk", "tillside"};
+    const size_t silentCount = static_cast<size_t>(SilentShare * Gateways);
     sleepMs(5000);
-    for (int round = 0; round < Rounds; ++round) {
-        // Two configurations in quick succession: a new time-out, then a route that moves to the other service.
-        store->put("config", "main", servicesAndRoute(++version, names[round % 2], 3000 - 100 * (round + 1)));
-        record->line("version %d (a time-out) is acknowledged", version);
-        sleepMs(150);
-        Move move{.oldService = names[round % 2]};
-        move.silencedAt = nowMs();
+    for (size_t round = 0; round < Rounds; ++round) {
+        std::vector<StoreDoor *> silent;
+        for (size_t index = 0; index < silentCount; ++index) {
+            silent.push_back(doors[(round * silentCount + index) % doors.size()]);
+        }
         if (isTroubled) {
-            const size_t count = store->silenceOpenConnections();
-            record->line("the open connections to the store go silent, %zu in all so far", count);
+            for (StoreDoor *door : silent) {
+                door->isSilent = true;
+            }
+            record->line("the store is silent for %zu of %d machines", silent.size(), Gateways);
         }
-        sleepMs(180);
-        move.acknowledgedAt = store->put("config", "main", servicesAndRoute(++version, names[(round + 1) % 2], 3000 - 100 * (round + 1)));
-        move.version = version;
+        sleepMs(SilenceMs / 3);
+        Move move{.oldService = names[round % 2]};
+        move.version = ++version;
+        move.acknowledgedAt = store->put("config", "main", routeTo(version, names[(round + 1) % 2]));
         record->line("version %d (/buy/ moves from %s to %s) is acknowledged", version, names[round % 2].c_str(), names[(round + 1) % 2].c_str());
-        sleepMs(12000);
+        sleepMs(SilenceMs * 2 / 3);
+        for (StoreDoor *door : silent) {
+            door->isSilent = false;
+        }
+        move.calmAt = nowMs();
+        record->line("the store answers all machines");
+        sleepMs(14000);
         move.endsAt = nowMs();
         moves.push_back(move);
     }
@@ -145,13 +157,14 @@
     for (const Run &run : runs->runs) {
         for (const Move &move : moves) {
             const Sent &call = sent[run.id];
-            // Machines are in touch again once the stability window has passed since their connections went silent.
-            const bool isInTouch = !isTroubled || call.at > move.silencedAt + StabilityWindowMs + MarginMs;
-            const bool isBound = call.at > move.acknowledgedAt + ConfigMs + MarginMs && call.at < move.endsAt;
+            // All machines are in touch again once the stability window has passed since the end of the disruption, and the
+            // bound is stretched by "outer" at most.
+            const bool isInTouch = call.at > move.calmAt + StabilityWindowMs + MarginMs;
+            const bool isBound = call.at > move.acknowledgedAt + ConfigMs + OuterMs + MarginMs && call.at < move.endsAt;
             if (serviceOfBackend.at(run.backend) == move.oldService && isBound && isInTouch) {
                 ++late;
-                record->line("CONFIG: %s, sent to %s %.0f ms after the connections went silent and %.0f ms after version %d was acknowledged, was run by %s", run.id.c_str(),
-                             call.gateway.c_str(), call.at - move.silencedAt, call.at - move.acknowledgedAt, move.version, move.oldService.c_str());
+                record->line("CONFIG: %s, sent to %s %.0f ms after the end of the disruption and %.0f ms after version %d was acknowledged, was run by %s", run.id.c_str(),
+                             call.gateway.c_str(), call.at - move.calmAt, call.at - move.acknowledgedAt, move.version, move.oldService.c_str());
             }
         }
     }
--- a/review/standins/standin.h
+++ b/review/standins/standin.h
@@ -28,7 +28,6 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
-#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -170,17 +169,6 @@
     return true;
 }
 
-// From now on the connection takes no packet of its peer: it is silent, and only a time-out shows it.
-inline void silence(int fd)
-{
-    sock_filter drop[] = {BPF_STMT(BPF_RET | BPF_K, 0)};
-    sock_fprog program{1, drop};
-    if (setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) != 0) {
-        perror("SO_ATTACH_FILTER");
-        exit(2);
-    }
-}
-
 inline std::string lower(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) {
@@ -362,30 +350,14 @@
                 }
                 const int one = 1;
                 setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
-                {
-                    std::lock_guard lock(m_connectionsMutex);
-                    m_connections.insert(fd);
-                }
                 std::thread([this, fd] {
                     serve(fd);
-                    std::lock_guard lock(m_connectionsMutex);
-                    m_connections.erase(fd);
                     close(fd);
                 }).detach();
             }
         }).detach();
     }
 
-    // Makes all connections that are open now silent.
-    size_t silenceOpenConnections()
-    {
-        std::lock_guard lock(m_connectionsMutex);
-        for (const int fd : m_connections) {
-            silence(fd);
-        }
-        return m_connections.size();
-    }
-
     Address address;
 
 protected:
@@ -393,8 +365,6 @@
 
 private:
     int m_listenFd = -1;
-    std::mutex m_connectionsMutex;
-    std::set<int> m_connections;
 };
 
 // The platform's store: linearizable lists, stale reads that are fresh, watches, creation, replacement and deletion.
@@ -441,8 +411,16 @@
         return nowMs();
     }
 
-    // Called with each request, before it is answered.
-    std::function<void(const Message &)> onRequest;
+    std::string answer(const Message &request)
+    {
+        const std::string target = request.word(1);
+        const std::string path = target.substr(0, target.find('?'));
+        const std::string prefix = "/v1/objects/";
+        if (!path.starts_with(prefix)) {
+            return reply(404, "{}");
+        }
+        return answerObjects(request, target, path.substr(prefix.size()));
+    }
 
 protected:
     static std::string text(const std::string &name, const Object &object)
@@ -456,9 +434,6 @@
         Reader reader(fd);
         Message request;
         while (reader.read(request, 600000) == ReadResult::Message) {
-            if (onRequest) {
-                onRequest(request);
-            }
             sleepMs(4);
             if (!sendAll(fd, answer(request))) {
                 return;
@@ -466,15 +441,8 @@
         }
     }
 
-    std::string answer(const Message &request)
+    std::string answerObjects(const Message &request, const std::string &target, const std::string &rest)
     {
-        const std::string target = request.word(1);
-        const std::string path = target.substr(0, target.find('?'));
-        const std::string prefix = "/v1/objects/";
-        if (!path.starts_with(prefix)) {
-            return reply(404, "{}");
-        }
-        const std::string rest = path.substr(prefix.size());
         const std::string kind = rest.substr(0, rest.find('/'));
         const std::string name = rest.find('/') == std::string::npos ? "" : rest.substr(rest.find('/') + 1);
         const std::string method = request.word(0);
@@ -556,6 +524,45 @@
     std::vector<Event> m_events;
 };
 
+// The store's address for one machine. While it is silent, the machine's calls get no answer; a connection on which an
+// answer is lost returns nothing further.
+class StoreDoor : public Listener
+{
+public:
+    StoreDoor(Store &store, std::string machine)
+        : m_store(store)
+        , m_machine(std::move(machine))
+    {
+    }
+
+    std::atomic<bool> isSilent = false;
+
+protected:
+    void serve(int fd) override
+    {
+        Reader reader(fd);
+        Message request;
+        bool isAnswerLost = false;
+        while (reader.read(request, 600000) == ReadResult::Message) {
+            if (isAnswerLost) {
+                continue;
+            }
+            sleepMs(4);
+            const std::string answer = m_store.answer(request);
+            if (isSilent) {
+                isAnswerLost = true;
+                record->line("the answer of the store to %s of %s is lost", request.word(1).c_str(), m_machine.c_str());
+            } else if (!sendAll(fd, answer)) {
+                return;
+            }
+        }
+    }
+
+private:
+    Store &m_store;
+    std::string m_machine;
+};
+
 // One run of a request at a backend.
 struct Run {
     std::string id;
