Check with answers of the store that can tell of a change

Cause: the answer to the watch was lost, and its connection returned nothing further. The regular check read another object on a connection of its own, passed, and confirmed the watch. Only the time-out of the long poll ended the wait.

Change: a check asks for the changes since the revision from which the watch waits (controllers/storecheck.h). If there are some, the objects are listed at once. Most checks are stale reads; a consistent one follows every 2.5 change bounds, every change bound while there is doubt, and at once after an answer that is older than what is known. The long poll takes 30 s instead of 20 s.

--- /dev/null
+++ b/src/controllers/storecheck.cpp
@@ -0,0 +1,67 @@
+#include "controllers/storecheck.h"
+
+#include <algorithm>
+
+namespace Plantainweir {
+namespace {
+
+/** Troubles of the store come in series. */
+constexpr std::chrono::seconds DoubtTime{20};
+
+WatchFinding findingOf(const ChangesAnswer &answer, std::uint64_t watchedRevision, ReadConsistency consistency)
+{
+    if (answer.outcome == StoreReadOutcome::RevisionGone) {
+        // A stale answer may come from before the revision, a consistent one has lost the changes after it.
+        return consistency == ReadConsistency::Consistent ? WatchFinding::Missed : WatchFinding::Unproven;
+    }
+    if (answer.hasChanges) {
+        return WatchFinding::Missed;
+    }
+    return answer.revision < watchedRevision ? WatchFinding::Unproven : WatchFinding::Complete;
+}
+
+}
+
+void adoptAnswer(StoreCheck &check, const ChangesAnswer &answer)
+{
+    const auto asked = std::find_if(check.watches.begin(), check.watches.end(), [&check](const CheckedWatch &checked) {
+        return checked.watch.kind == check.asked;
+    });
+    check.asked.reset();
+    if (asked == check.watches.end()) {
+        return;
+    }
+    asked->finding = findingOf(answer, std::max(asked->watch.revision, asked->watch.completeUntil), check.consistency);
+    asked->completeUntil = answer.revision;
+    for (auto next = asked + 1; next != check.watches.end(); ++next) {
+        if (answer.outcome == StoreReadOutcome::Page && answer.revision == std::max(next->watch.revision, next->watch.completeUntil)) {
+            next->finding = WatchFinding::Complete;
+            next->completeUntil = answer.revision;
+        } else {
+            check.asked = next->watch.kind;
+            return;
+        }
+    }
+}
+
+bool needsConsistentAnswer(const StoreCheck &check)
+{
+    return check.consistency == ReadConsistency::Stale && std::any_of(check.watches.begin(), check.watches.end(), [](const CheckedWatch &checked) {
+               return checked.finding == WatchFinding::Unproven;
+           });
+}
+
+void noteDoubt(StoreTrust &trust, TimePoint now)
+{
+    trust.doubtedUntil = now + DoubtTime;
+}
+
+ReadConsistency consistencyOfNextCheck(const StoreCheckPace &pace, const StoreTrust &trust, TimePoint now)
+{
+    const Duration period = now < trust.doubtedUntil ? pace.doubtedVerificationPeriod : pace.verificationPeriod;
+    // The check that is closest to the end of the period verifies.
+    const bool isDue = !trust.verifiedAt || now + pace.period / 2 > *trust.verifiedAt + period;
+    return isDue ? ReadConsistency::Consistent : ReadConsistency::Stale;
+}
+
+}
--- a/src/controllers/storeobject.h
+++ b/src/controllers/storeobject.h
@@ -9,7 +9,7 @@
 #include <variant>
 #include <vector>
 
-/** Decoded objects of the platform's store. */
+/** Decoded objects of the platform's store, and how they are read. */
 namespace Plantainweir {
 
 /** Kinds of objects in the platform's store that gatewayd reads. */
@@ -45,6 +45,38 @@
     bool operator==(const StoreObject &) const = default;
 };
 
+/** How a list or watch request ended. */
+enum class StoreReadOutcome {
+    Page,
+    RevisionGone, ///< The store has dropped the changes since the watched revision.
+    Failed,
+};
+
+constexpr std::array<EnumName<StoreReadOutcome>, 3> enumNames(StoreReadOutcome)
+{
+    return {{
+        {StoreReadOutcome::Page, "page"},
+        {StoreReadOutcome::RevisionGone, "revision_gone"},
+        {StoreReadOutcome::Failed, "failed"},
+    }};
+}
+static_assert(isEnumTableOrdered<StoreReadOutcome>());
+
+/** Whether a read of the store must show all changes that the store has acknowledged. */
+enum class ReadConsistency {
+    Consistent,
+    Stale, ///< The answer may be seconds old; the read costs a tenth.
+};
+
+constexpr std::array<EnumName<ReadConsistency>, 2> enumNames(ReadConsistency)
+{
+    return {{
+        {ReadConsistency::Consistent, "consistent"},
+        {ReadConsistency::Stale, "stale"},
+    }};
+}
+static_assert(isEnumTableOrdered<ReadConsistency>());
+
 /** One page of a list, or the changes that a watch returned. */
 struct StorePage {
     std::uint64_t revision = 0;
--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -32,6 +32,8 @@
 /** Pace of a reader that no other member follows. With followers, the age of their knowledge bounds both intervals. */
 constexpr std::chrono::milliseconds UnfollowedBatchInterval{1300};
 constexpr std::chrono::milliseconds UnfollowedCheckPeriod{1500};
+/** Number of checks in a verification period while there is doubt; all but one of them are stale and cheap. */
+constexpr int ChecksPerVerification = 2;
 
 struct StepContext {
     StoreSource &source;
@@ -352,14 +354,17 @@
 
 StoreReadingPace readingPace(const StoreSource &source)
 {
-    if (source.isSmallZone) {
-        return {.changeBatchInterval = UnfollowedBatchInterval, .checkPeriod = UnfollowedCheckPeriod};
+    const StoreSourceSettings &settings = source.settings;
+    StoreReadingPace pace;
+    pace.changeBatchInterval = UnfollowedBatchInterval;
+    pace.checks.verificationPeriod = settings.changeBound * 5 / 2;
+    pace.checks.doubtedVerificationPeriod = settings.changeBound;
+    pace.checks.period = std::min<Duration>(UnfollowedCheckPeriod, pace.checks.doubtedVerificationPeriod / ChecksPerVerification);
+    if (!source.isSmallZone) {
+        pace.changeBatchInterval = std::min<Duration>(pace.changeBatchInterval, settings.maximumAge / 2);
+        pace.checks.period = std::min<Duration>(pace.checks.period, settings.maximumAge / 4);
     }
-    const Duration maximumAge = source.settings.maximumAge;
-    return {
-        .changeBatchInterval = std::min<Duration>(UnfollowedBatchInterval, maximumAge / 2),
-        .checkPeriod = std::min<Duration>(UnfollowedCheckPeriod, maximumAge / 4),
-    };
+    return pace;
 }
 
 Duration feedRequestPeriod(const StoreSourceSettings &settings)
--- a/src/controllers/storesource.h
+++ b/src/controllers/storesource.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controllers/storecheck.h"
 #include "core/endpoint.h"
 #include "core/time.h"
 
@@ -26,6 +27,7 @@
 
 struct StoreSourceSettings {
     Duration maximumAge = std::chrono::seconds(2); ///< Age of the knowledge from which on a member reads the store itself.
+    Duration changeBound = std::chrono::seconds(2); ///< Time in which an acknowledged change must be in force.
     Duration startDelay = std::chrono::seconds(1); ///< Longest time after the start to wait for objects that are known to be current.
     Duration firstReadDelay = std::chrono::seconds(1); ///< Time after the start after which a member without objects reads the first ones.
     std::size_t readersPerZone = 2;
@@ -142,7 +144,7 @@
 /** How often a reader calls the store. */
 struct StoreReadingPace {
     Duration changeBatchInterval{}; ///< Pause after a change, see StoreWatchSettings.
-    Duration checkPeriod{}; ///< Interval between checks that the store can be reached.
+    StoreCheckPace checks;
     bool operator==(const StoreReadingPace &) const = default;
 };
 
--- a/src/controllers/storewatch.cpp
+++ b/src/controllers/storewatch.cpp
@@ -93,6 +93,10 @@
         recordAnswer(watch, actions, now);
         watch.revision = 0;
         sendNextRequest(watch, actions);
+    } else if (std::holds_alternative<StoreChangesMissed>(event)) {
+        // The store answers, so there is nothing to wait for.
+        watch.revision = 0;
+        sendNextRequest(watch, actions);
     } else {
         handleFailure(watch, now, random);
     }
--- a/src/controllers/storewatch.h
+++ b/src/controllers/storewatch.h
@@ -65,7 +65,10 @@
 };
 struct StoreCallFailed {
 };
-using StoreWatchEvent = std::variant<StoreTimerFired, StorePageReceived, StoreChangesReceived, StoreHistoryCompacted, StoreCallFailed>;
+/** The store has a change that the waiting watch has not reported, so its answer was lost. */
+struct StoreChangesMissed {
+};
+using StoreWatchEvent = std::variant<StoreTimerFired, StorePageReceived, StoreChangesReceived, StoreHistoryCompacted, StoreCallFailed, StoreChangesMissed>;
 
 /** Requests a page of the list. */
 struct SendStoreList {
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -166,6 +166,10 @@
         {LogEvent::FeedEnded, Warning, "feed_ended", "The feed of the store's objects from another entry VM ended or could not be opened."},
         {LogEvent::FeedMalformed, Error, "feed_malformed", "An entry VM sent a malformed update of the store's objects; its feed is closed."},
         {LogEvent::FirstReadFailed, Warning, "first_read_failed", "The first objects could not be read from the store; gatewayd waits for other entry VMs."},
+        {LogEvent::WatchMissedChanges,
+         Warning,
+         "watch_missed_changes",
+         "A check shows a change in the store that the waiting watch has not reported; gatewayd lists the objects again."},
     };
     return s_events;
 }
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -77,6 +77,7 @@
     FeedEnded = 1541,
     FeedMalformed = 1542,
     FirstReadFailed = 1543,
+    WatchMissedChanges = 1544,
 };
 
 /** A row of the event catalogue. */
--- a/src/tasks/gatewaycodec.h
+++ b/src/tasks/gatewaycodec.h
@@ -36,19 +36,6 @@
     UpstreamNotice notice;
 };
 
-/** How a list or watch request ended. */
-enum class StoreReadOutcome {
-    Page,
-    RevisionGone, ///< The store has dropped the changes since the watched revision.
-    Failed,
-};
-
-/** Whether a read of the store must show all changes that the store has acknowledged. */
-enum class ReadConsistency {
-    Consistent,
-    Stale, ///< The answer may be seconds old; the read costs a tenth.
-};
-
 struct GatewayCodec {
     std::string correlationField; ///< Request field that upstreams copy to their response; a response with another value is dropped.
 
@@ -66,13 +53,10 @@
     bool (*isReadinessQuery)(const HttpRequest &request);
 
     HttpRequest (*encodeList)(StoreObjectKind kind, const std::string &after, ReadConsistency consistency);
-    HttpRequest (*encodeWatch)(StoreObjectKind kind, std::uint64_t revision, Duration wait);
+    HttpRequest (*encodeWatch)(StoreObjectKind kind, std::uint64_t revision, Duration wait, ReadConsistency consistency);
     /** Decodes the answer to a list or watch request into @p page. */
     StoreReadOutcome (*decodePage)(StoreObjectKind kind, const HttpRequestResult &result, bool isWatch, StorePage &page);
     HttpRequest (*encodeRegistration)(const EntryVmRecord &record, bool isUpdate);
-    /** Encodes the read request of a health check. An object called @p name need not exist. */
-    HttpRequest (*encodeHealthCheck)(const std::string &name);
-    bool (*isHealthCheckPassed)(const HttpRequestResult &result);
     HttpRequest (*encodeDeregistration)(const std::string &name);
 };
 
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -3,9 +3,9 @@
 #include "core/suspendawareclock.h"
 #include "observability/logevents.h"
 #include "observability/metrics.h"
+#include "tasks/storechecktask.h"
 #include "tasks/storefeedclient.h"
 #include "tasks/storefeedserver.h"
-#include "tasks/storehealthchecktask.h"
 #include "tasks/storelisttask.h"
 #include "tasks/storewatchtask.h"
 
@@ -32,6 +32,7 @@
     StoreMirror mirror;
     std::optional<TimePoint> confirmedAt; ///< Time at which the mirror was known to be complete.
     std::optional<TimePoint> storeConfirmedAt; ///< The same, from the answers of the store to this entry VM only.
+    std::optional<TimePoint> verifiedAt; ///< The same, from its consistent answers only.
 };
 
 std::uint64_t revisionIn(const FeedRequest &request, StoreObjectKind kind)
@@ -67,7 +68,7 @@
         , m_upstreamWatch(StoreObjectKind::Upstreams, settings.store, codec, settings.seed + 2)
         , m_firstConfiguration(StoreObjectKind::Configuration, settings.store, codec)
         , m_firstUpstreams(StoreObjectKind::Upstreams, settings.store, codec)
-        , m_check(settings.store, codec, settings.name)
+        , m_check(settings.store, codec)
         , m_feedServer(metrics)
         , m_feedClient(metrics, feedRequestPeriod(settings.source))
     {
@@ -87,7 +88,7 @@
             const StoreObjectKind watched = watch == &m_configurationWatch ? StoreObjectKind::Configuration : StoreObjectKind::Upstreams;
             connect(watch, &StoreWatchTask::deltaReceived, this, [this](const StoreDelta &delta, TimePoint confirmedAt) {
                 adoptDelta(delta);
-                confirmByStore(delta.kind, confirmedAt);
+                confirmByStore(delta.kind, confirmedAt, ReadConsistency::Consistent);
                 publishConfirmation();
             });
             // Without this check, the objects would not count as confirmed until the next regular one.
@@ -97,7 +98,7 @@
                 this,
                 [this] {
                     if (!m_source.isSmallZone) {
-                        m_check.check();
+                        checkStore(ReadConsistency::Stale);
                     }
                 },
                 Qt::QueuedConnection);
@@ -111,12 +112,17 @@
                 recover(outage);
             });
             // A watch may wait on a connection that died without a reset, and does not notice.
-            connect(&m_check, &StoreHealthCheckTask::failed, watch, &StoreWatchTask::restart);
+            connect(&m_check, &StoreCheckTask::failed, watch, &StoreWatchTask::restart);
         }
-        connect(&m_check, &StoreHealthCheckTask::passed, this, &Private::handleCheckPassed);
-        connect(&m_check, &StoreHealthCheckTask::failed, this, [this] {
+        connect(&m_check, &StoreCheckTask::finished, this, &Private::handleCheck);
+        connect(&m_check, &StoreCheckTask::failed, this, [this] {
+            noteDoubt(m_trust, suspendAwareNow());
             endCheck(false);
         });
+        connect(&m_checkTimer, &QTimer::timeout, this, [this] {
+            m_trust.verifiedAt = verifiedAt();
+            checkStore(consistencyOfNextCheck(m_pace.checks, m_trust, suspendAwareNow()));
+        });
     }
 
     void connectFirstRead()
@@ -177,6 +183,15 @@
         return oldest;
     }
 
+    /** Returns the time as of which consistent answers have confirmed all kinds. */
+    std::optional<TimePoint> verifiedAt() const
+    {
+        const auto oldest = std::min_element(m_kinds.begin(), m_kinds.end(), [](const KindState &left, const KindState &right) {
+            return left.verifiedAt < right.verifiedAt;
+        });
+        return oldest->verifiedAt;
+    }
+
     void handleEvent(const StoreSourceEvent &event)
     {
         const TimePoint now = suspendAwareNow();
@@ -212,10 +227,15 @@
             watch->setChangeBatchInterval(pace.changeBatchInterval);
         }
         if (m_source.isReading) {
-            m_check.start(pace.checkPeriod);
+            startCheckTimer();
         }
     }
 
+    void startCheckTimer()
+    {
+        m_checkTimer.start(std::chrono::duration_cast<std::chrono::milliseconds>(m_pace.checks.period));
+    }
+
     void reportCurrency(TimePoint now)
     {
         const bool isReadingCurrent = m_source.isReading && !m_configurationWatch.isFailing();
@@ -231,7 +251,7 @@
     void execute(const StartReading &)
     {
         logReading();
-        m_check.start(m_pace.checkPeriod);
+        startCheckTimer();
         for (StoreWatchTask *watch : watches()) {
             watch->start();
         }
@@ -240,7 +260,7 @@
     void execute(const StopReading &)
     {
         logReading();
-        m_check.stop();
+        m_checkTimer.stop();
         for (StoreWatchTask *watch : watches()) {
             watch->stop();
         }
@@ -283,7 +303,18 @@
 
     void execute(const CheckStore &)
     {
-        m_check.check();
+        checkStore(ReadConsistency::Stale);
+    }
+
+    void checkStore(ReadConsistency consistency)
+    {
+        std::vector<WaitingWatch> waiting;
+        for (const StoreWatchTask *watch : watches()) {
+            if (const auto waitingWatch = watch->waitingWatch()) {
+                waiting.push_back(*waitingWatch);
+            }
+        }
+        m_check.check(waiting, consistency, kind(StoreObjectKind::Configuration).mirror.revision);
     }
 
     void execute(const ReportStoreReachability &action)
@@ -324,11 +355,14 @@
         }
     }
 
-    void confirmByStore(StoreObjectKind confirmed, TimePoint at)
+    void confirmByStore(StoreObjectKind confirmed, TimePoint at, ReadConsistency consistency)
     {
         m_cached = {};
-        std::optional<TimePoint> &known = kind(confirmed).storeConfirmedAt;
-        known = std::max(known, std::optional(at));
+        KindState &state = kind(confirmed);
+        state.storeConfirmedAt = std::max(state.storeConfirmedAt, std::optional(at));
+        if (consistency == ReadConsistency::Consistent) {
+            state.verifiedAt = std::max(state.verifiedAt, std::optional(at));
+        }
         confirm(confirmed, at);
     }
 
@@ -347,21 +381,44 @@
         m_feedServer.publish(outage);
     }
 
-    /** The objects are as current as the check if their watch was waiting for changes when it was sent. */
-    void handleCheckPassed(TimePoint sentAt)
+    /** The objects are as current as the check if their watch was waiting for changes when it started, and has missed none. */
+    void handleCheck(const StoreCheck &check)
     {
         bool hasConfirmed = false;
-        for (StoreWatchTask *watch : watches()) {
-            const auto since = watch->watchingSince();
-            if (since && *since <= sentAt) {
-                confirmByStore(watch == &m_configurationWatch ? StoreObjectKind::Configuration : StoreObjectKind::Upstreams, sentAt);
+        for (const CheckedWatch &checked : check.watches) {
+            StoreWatchTask &watch = checked.watch.kind == StoreObjectKind::Configuration ? m_configurationWatch : m_upstreamWatch;
+            const auto waiting = watch.waitingWatch();
+            if (!waiting || waiting->since != checked.watch.since) {
+                continue;
+            }
+            if (checked.finding == WatchFinding::Complete) {
+                watch.setCompleteUntil(checked.completeUntil);
+                confirmByStore(checked.watch.kind, check.startedAt, check.consistency);
                 hasConfirmed = true;
+            } else {
+                noteDoubt(m_trust, suspendAwareNow());
+            }
+            if (checked.finding == WatchFinding::Missed) {
+                logMissedChanges(check, checked.watch);
+                watch.listMissedChanges();
             }
         }
         endCheck(true);
         if (hasConfirmed) {
             publishConfirmation();
         }
+        if (m_source.isReading && needsConsistentAnswer(check)) {
+            checkStore(ReadConsistency::Consistent);
+        }
+    }
+
+    static void logMissedChanges(const StoreCheck &check, const WaitingWatch &watch)
+    {
+        logEvent(LogEvent::WatchMissedChanges,
+                 {{"kind", nameOf(watch.kind)},
+                  {"revision", watch.revision},
+                  {"waited_ms", std::chrono::duration_cast<std::chrono::milliseconds>(check.startedAt - watch.since).count()},
+                  {"check", nameOf(check.consistency)}});
     }
 
     void endCheck(bool isPassed)
@@ -445,13 +502,15 @@
     StoreWatchTask m_upstreamWatch;
     StoreListTask m_firstConfiguration;
     StoreListTask m_firstUpstreams;
-    StoreHealthCheckTask m_check;
+    StoreCheckTask m_check;
+    QTimer m_checkTimer;
     StoreFeedServer m_feedServer;
     StoreFeedClient m_feedClient;
     QTimer m_timer;
     bool m_isListed = false;
     bool m_isCurrent = false;
     StoreReadingPace m_pace;
+    StoreTrust m_trust;
     CachedUpdate m_cached;
 };
 
--- a/src/tasks/storewatchtask.cpp
+++ b/src/tasks/storewatchtask.cpp
@@ -10,8 +10,8 @@
 
 constexpr std::size_t MaximumPageBytes = 16 * 1024 * 1024;
 constexpr std::chrono::milliseconds ListTimeout{1000};
-/** The store answers a watch without changes after this time; the platform permits at most 30 s. */
-constexpr std::chrono::milliseconds LongPollTimeout{20'000};
+/** The store answers a watch without changes after this time, the longest that the platform permits. */
+constexpr std::chrono::milliseconds LongPollTimeout{30'000};
 /** Added to the long poll's timeout for the transit of the answer. */
 constexpr std::chrono::milliseconds AnswerTransitMargin{1500};
 /** An answer that arrived while the VM was suspended for longer than this may have waited to be read. */
@@ -100,7 +100,8 @@
 
     void execute(const SendStoreWatch &action)
     {
-        send(m_codec.encodeWatch(m_kind, action.revision, LongPollTimeout), LongPollTimeout + AnswerTransitMargin);
+        send(m_codec.encodeWatch(m_kind, action.revision, LongPollTimeout, ReadConsistency::Consistent), LongPollTimeout + AnswerTransitMargin);
+        m_completeUntil = action.revision;
         Q_EMIT q->watchStarted();
     }
 
@@ -163,6 +164,7 @@
     StoreWatch m_watch;
     std::vector<StoreObject> m_listedObjects;
     HttpRequestId m_currentRequest = 0;
+    std::uint64_t m_completeUntil = 0; ///< Revision of the store up to which the watch that waits has missed nothing.
     TimePoint m_sentAt; ///< When the call in flight was sent.
     TimePoint m_listStartedAt;
     Duration m_suspendedBefore{};
@@ -199,9 +201,25 @@
     }
 }
 
-std::optional<TimePoint> StoreWatchTask::watchingSince() const
+void StoreWatchTask::listMissedChanges()
 {
-    return d->m_watch.phase == StoreWatchPhase::Watching ? std::optional(d->m_sentAt) : std::nullopt;
+    if (d->m_watch.phase == StoreWatchPhase::Watching) {
+        d->m_client.cancel(d->m_currentRequest);
+        d->handleEvent(StoreChangesMissed{});
+    }
+}
+
+void StoreWatchTask::setCompleteUntil(std::uint64_t revision)
+{
+    d->m_completeUntil = std::max(d->m_completeUntil, revision);
+}
+
+std::optional<WaitingWatch> StoreWatchTask::waitingWatch() const
+{
+    if (d->m_watch.phase != StoreWatchPhase::Watching) {
+        return std::nullopt;
+    }
+    return WaitingWatch{.kind = d->m_kind, .revision = d->m_watch.revision, .completeUntil = d->m_completeUntil, .since = d->m_sentAt};
 }
 
 bool StoreWatchTask::isFailing() const
--- a/src/tasks/storewatchtask.h
+++ b/src/tasks/storewatchtask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controllers/storecheck.h"
 #include "controllers/storemirror.h"
 #include "controllers/storewatch.h"
 #include "tasks/gatewaycodec.h"
@@ -32,8 +33,12 @@
     void stop();
     /** Cancels the call in flight and lists the objects again after a backoff; does nothing if no call is in flight. */
     void restart();
-    /** Returns since when a watch has been waiting for changes, or nothing if none is. */
-    std::optional<TimePoint> watchingSince() const;
+    /** Cancels the watch that waits and lists the objects at once, because the watch has not reported a change. */
+    void listMissedChanges();
+    /** Notes that a check found nothing missing up to @p revision of the store. */
+    void setCompleteUntil(std::uint64_t revision);
+    /** Returns the watch that waits for changes, or nothing if none does. */
+    std::optional<WaitingWatch> waitingWatch() const;
     /** Returns whether the last call failed. */
     bool isFailing() const;
 
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -6,6 +6,7 @@
 #include <QUrl>
 #include <QUrlQuery>
 
+#include <algorithm>
 #include <deque>
 
 namespace Plantainweir {
@@ -22,6 +23,7 @@
     HttpExchangeId exchange = 0;
     std::string kind;
     std::uint64_t revision = 0;
+    bool isStale = false;
 };
 
 HttpResponse jsonResponse(int status, const QJsonObject &body)
@@ -50,6 +52,9 @@
         if (m_faults.isUnresponsive) {
             return;
         }
+        if (m_faults.isLosingAnswers && !query.hasQueryItem("watch")) {
+            return;
+        }
         if (m_faults.isBusy || parts.size() < 3) {
             m_server.respond(exchange, jsonResponse(503, {}));
             return;
@@ -57,7 +62,10 @@
         const std::string kind = parts.at(2).toStdString();
         const std::string name = parts.size() > 3 ? parts.at(3).toStdString() : std::string();
         if (request.method == "GET" && query.hasQueryItem("watch")) {
-            watch({.exchange = exchange, .kind = kind, .revision = query.queryItemValue("watch").toULongLong()});
+            watch({.exchange = exchange, .kind = kind, .revision = query.queryItemValue("watch").toULongLong(), .isStale = query.hasQueryItem("serializable")});
+            QTimer::singleShot(query.queryItemValue("waitMs").toInt(), this, [this, exchange] {
+                endWait(exchange);
+            });
         } else if (request.method == "GET" && name.empty()) {
             m_server.respond(exchange, listResponse(kind));
         } else if (request.method == "GET") {
@@ -122,18 +130,48 @@
             return;
         }
         std::erase_if(m_watches, [this](const PendingWatch &watch) {
-            QJsonArray events;
-            for (const Change &change : m_history) {
-                if (change.kind == watch.kind && change.revision > watch.revision) {
-                    events.append(QJsonObject{{"object", change.object}, {"deleted", change.isDeleted}});
-                }
+            const QJsonArray events = eventsFor(watch);
+            if (!events.isEmpty()) {
+                answerWatch(watch, events);
             }
-            if (events.isEmpty()) {
-                return false;
+            return !events.isEmpty();
+        });
+    }
+
+    std::uint64_t shownRevision(const PendingWatch &watch) const
+    {
+        return watch.isStale && m_faults.isStaleReadFrozen ? m_frozenRevision : m_revision;
+    }
+
+    QJsonArray eventsFor(const PendingWatch &watch) const
+    {
+        QJsonArray events;
+        for (const Change &change : m_history) {
+            if (change.kind == watch.kind && change.revision > watch.revision && change.revision <= shownRevision(watch)) {
+                events.append(QJsonObject{{"object", change.object}, {"deleted", change.isDeleted}});
             }
-            m_server.respond(watch.exchange, jsonResponse(200, {{"events", events}, {"storeRevision", static_cast<qint64>(m_revision)}}));
-            return true;
+        }
+        return events;
+    }
+
+    void answerWatch(const PendingWatch &watch, const QJsonArray &events)
+    {
+        if (!m_faults.isLosingAnswers) {
+            m_server.respond(watch.exchange, jsonResponse(200, {{"events", events}, {"storeRevision", static_cast<qint64>(shownRevision(watch))}}));
+        }
+    }
+
+    void endWait(HttpExchangeId exchange)
+    {
+        const auto found = std::find_if(m_watches.begin(), m_watches.end(), [exchange](const PendingWatch &watch) {
+            return watch.exchange == exchange;
         });
+        if (found == m_watches.end() || m_faults.isUnresponsive || m_faults.isWatchStalled) {
+            return;
+        }
+        const PendingWatch watch = *found;
+        m_watches.erase(found);
+        answerWatch(watch, eventsFor(watch));
     }
 
     void dropWatchesAndHistory()
@@ -154,6 +192,7 @@
     std::vector<PendingWatch> m_watches;
     std::uint64_t m_revision = 1;
     std::uint64_t m_oldestRevision = 0;
+    std::uint64_t m_frozenRevision = 0;
     int m_callCount = 0;
 };
 
@@ -172,6 +211,9 @@
 
 void FakeStore::setFaults(const FakeStoreFaults &faults)
 {
+    if (!d->m_faults.isStaleReadFrozen) {
+        d->m_frozenRevision = d->m_revision;
+    }
     d->m_faults = faults;
 }
 
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -15,6 +15,8 @@
     bool isUnresponsive = false; ///< Requests are accepted and never answered.
     bool isBusy = false; ///< Each request is answered with status 503.
     bool isWatchStalled = false; ///< Watches receive no events.
+    bool isLosingAnswers = false; ///< Answers are lost, and the connections on which they are due stay silent.
+    bool isStaleReadFrozen = false; ///< Stale watches show the objects as they were when the fault began.
 };
 
 /**
@@ -35,7 +37,7 @@
     void remove(const std::string &kind, const std::string &name);
     /** Closes all pending watches without an answer and discards the history, so that a watch from an older revision gets status 410. */
     void dropWatchesAndHistory();
-    /** Returns the number of requests since the start, except the liveness probes, which have the parameter `serializable`. */
+    /** Returns the number of requests since the start, without stale reads, which have the parameter `serializable`. */
     int callCount() const;
 
 private:
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -359,6 +359,12 @@
                 m_store.dropWatchesAndHistory();
             });
             return;
+        case SoakFault::StoreAnswersLost:
+            m_store.setFaults({.isLosingAnswers = true});
+            scheduleFaultEnd([this] {
+                m_store.setFaults({});
+            });
+            return;
         case SoakFault::WatchesDropped:
             m_store.dropWatchesAndHistory();
             scheduleFaultEnd([] {});
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -15,6 +15,7 @@
     UpstreamLink, ///< A LinkFault between all entry VMs and one upstream.
     StoreUnresponsive, ///< The store accepts requests and answers none.
     StoreBusy, ///< The store answers each request with status 503.
+    StoreAnswersLost, ///< Answers of the store are lost, and their connections stay silent; connections without a loss go on.
     WatchesDropped, ///< The store closes all watches and discards its history.
     EntryKilled,
     EntryPaused,
@@ -24,13 +25,14 @@
     RouteChanged, ///< Planned: idempotent calls are routed to another service.
 };
 
-constexpr std::array<EnumName<SoakFault>, 11> enumNames(SoakFault)
+constexpr std::array<EnumName<SoakFault>, 12> enumNames(SoakFault)
 {
     return {{
         {SoakFault::StoreLink, "store_link"},
         {SoakFault::UpstreamLink, "upstream_link"},
         {SoakFault::StoreUnresponsive, "store_silent"},
         {SoakFault::StoreBusy, "store_busy"},
+        {SoakFault::StoreAnswersLost, "answers_lost"},
         {SoakFault::WatchesDropped, "watches_cut"},
         {SoakFault::EntryKilled, "kill"},
         {SoakFault::EntryPaused, "pause"},
--- /dev/null
+++ b/tests/storechecktest.cpp
@@ -0,0 +1,104 @@
+#include "controllers/storecheck.h"
+
+#include <gtest/gtest.h>
+
+namespace Plantainweir {
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(1000)};
+
+StoreCheck makeCheck(ReadConsistency consistency)
+{
+    return {.consistency = consistency,
+            .startedAt = Start,
+            .deadline = {},
+            .watches = {{.watch = {.kind = StoreObjectKind::Configuration, .revision = 20, .since = Start}},
+                        {.watch = {.kind = StoreObjectKind::Upstreams, .revision = 30, .since = Start}}},
+            .asked = StoreObjectKind::Configuration};
+}
+
+ChangesAnswer page(std::uint64_t revision, bool hasChanges = false)
+{
+    return {.outcome = StoreReadOutcome::Page, .revision = revision, .hasChanges = hasChanges};
+}
+
+TEST(StoreCheck, OneAnswerIsEnoughIfNothingHasChanged)
+{
+    StoreCheck check = makeCheck(ReadConsistency::Consistent);
+    adoptAnswer(check, page(30));
+    EXPECT_FALSE(check.asked);
+    EXPECT_EQ(check.watches[0].finding, WatchFinding::Complete);
+    EXPECT_EQ(check.watches[1].finding, WatchFinding::Complete) << "the store has no later revision of any kind";
+}
+
+TEST(StoreCheck, AsksAboutEachWatchThatALaterRevisionMayConcern)
+{
+    StoreCheck check = makeCheck(ReadConsistency::Stale);
+    adoptAnswer(check, page(31));
+    ASSERT_EQ(check.asked, StoreObjectKind::Upstreams);
+    adoptAnswer(check, page(31, true));
+    EXPECT_FALSE(check.asked);
+    EXPECT_EQ(check.watches[0].finding, WatchFinding::Complete);
+    EXPECT_EQ(check.watches[1].finding, WatchFinding::Missed);
+    EXPECT_FALSE(needsConsistentAnswer(check));
+}
+
+// Guards against an old answer that counts as a confirmation.
+TEST(StoreCheck, AnAnswerOlderThanTheWatchProvesNothing)
+{
+    StoreCheck check = makeCheck(ReadConsistency::Stale);
+    adoptAnswer(check, page(25));
+    ASSERT_EQ(check.asked, StoreObjectKind::Upstreams);
+    adoptAnswer(check, page(25));
+    EXPECT_EQ(check.watches[1].finding, WatchFinding::Unproven);
+    EXPECT_TRUE(needsConsistentAnswer(check));
+}
+
+TEST(StoreCheck, HistoryThatIsGoneMayHaveHeldAChange)
+{
+    StoreCheck stale = makeCheck(ReadConsistency::Stale);
+    adoptAnswer(stale, {.outcome = StoreReadOutcome::RevisionGone});
+    EXPECT_EQ(stale.watches[0].finding, WatchFinding::Unproven);
+    StoreCheck consistent = makeCheck(ReadConsistency::Consistent);
+    adoptAnswer(consistent, {.outcome = StoreReadOutcome::RevisionGone});
+    EXPECT_EQ(consistent.watches[0].finding, WatchFinding::Missed);
+    EXPECT_EQ(consistent.asked, StoreObjectKind::Upstreams);
+}
+
+TEST(StoreCheck, AWatchThatIsKnownToBeCompleteNeedsNoQuestion)
+{
+    StoreCheck check = makeCheck(ReadConsistency::Stale);
+    check.watches[1].watch.completeUntil = 35;
+    adoptAnswer(check, page(35));
+    EXPECT_FALSE(check.asked);
+    EXPECT_EQ(check.watches[1].finding, WatchFinding::Complete);
+    EXPECT_EQ(check.watches[1].completeUntil, 35U);
+}
+
+// Guards against a dead watch that is found only by its own time-out, longer than the bounds permit.
+TEST(StoreCheck, ConsistentAnswersAreFrequentWhileThereIsDoubt)
+{
+    using namespace std::chrono_literals;
+    const StoreCheckPace pace{.period = 1s, .verificationPeriod = 5s, .doubtedVerificationPeriod = 2s};
+    StoreTrust trust;
+    EXPECT_EQ(consistencyOfNextCheck(pace, trust, Start), ReadConsistency::Consistent) << "nothing has been verified";
+    trust.verifiedAt = Start;
+    EXPECT_EQ(consistencyOfNextCheck(pace, trust, Start + 4500ms), ReadConsistency::Stale);
+    EXPECT_EQ(consistencyOfNextCheck(pace, trust, Start + 4501ms), ReadConsistency::Consistent);
+    noteDoubt(trust, Start);
+    EXPECT_EQ(consistencyOfNextCheck(pace, trust, Start + 1500ms), ReadConsistency::Stale);
+    EXPECT_EQ(consistencyOfNextCheck(pace, trust, Start + 1501ms), ReadConsistency::Consistent);
+    trust.verifiedAt = Start + 60s;
+    EXPECT_EQ(consistencyOfNextCheck(pace, trust, Start + 63s), ReadConsistency::Stale) << "the doubt is over";
+}
+
+TEST(StoreCheck, WithoutWatchesItOnlyShowsThatTheStoreAnswers)
+{
+    StoreCheck check{.consistency = ReadConsistency::Stale, .startedAt = Start, .deadline = {}, .watches = {}, .asked = StoreObjectKind::Configuration};
+    adoptAnswer(check, page(31, true));
+    EXPECT_FALSE(check.asked);
+    EXPECT_FALSE(needsConsistentAnswer(check));
+}
+
+}
+}
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -10,7 +10,9 @@
 
 #include <QJsonArray>
 
+#include <algorithm>
 #include <ctime>
+#include <functional>
 
 namespace Plantainweir {
 namespace {
@@ -195,6 +197,117 @@
     EXPECT_LE(one.recoveries - before, MaximumReports);
 }
 
+/** Answers of the store are lost while an object changes; then the store answers again, on new connections. */
+struct LostAnswers {
+    std::chrono::milliseconds silence{};
+    StoreObjectKind changed = StoreObjectKind::Configuration;
+    bool isStaleReadOld = false; ///< Whether stale reads do not show the change.
+};
+
+class LostAnswersTest : public testing::TestWithParam<LostAnswers>
+{
+protected:
+    /** Builds a zone of @p count members with two readers. */
+    void makeZone(std::size_t count)
+    {
+        store.put("config", "main", configuration(3));
+        store.put("servers", "i-1", registration());
+        std::vector<FeedMember> members;
+        for (std::size_t index = 0; index < count; ++index) {
+            entries.push_back(std::make_unique<Entry>("e" + std::to_string(index), store.endpoint(), 2));
+            members.push_back(entries.back()->member("e" + std::to_string(index), index < 2 ? 500 : 100));
+        }
+        for (const auto &entry : entries) {
+            entry->source().setMembers(members, true);
+        }
+        ASSERT_TRUE(waitUntil([this] {
+            return all([](const Entry &entry) {
+                return entry.isCurrent;
+            });
+        }));
+    }
+
+    bool all(const std::function<bool(const Entry &)> &condition) const
+    {
+        return std::all_of(entries.begin(), entries.end(), [&condition](const auto &entry) {
+            return condition(*entry);
+        });
+    }
+
+    static void wait(Duration duration)
+    {
+        const TimePoint end = Clock::now() + duration;
+        EXPECT_TRUE(waitUntil([end] {
+            return Clock::now() >= end;
+        }));
+    }
+
+    /** Loses the answers for the time of the parameter, and changes an object after a third of it. */
+    void loseAnswersDuringAChange()
+    {
+        const LostAnswers &lost = GetParam();
+        if (lost.isStaleReadOld) {
+            // An earlier change shows that stale reads are behind.
+            store.setFaults({.isStaleReadFrozen = true});
+            store.put("servers", "i-2", registration());
+            wait(2500ms);
+        }
+        store.setFaults({.isLosingAnswers = true, .isStaleReadFrozen = lost.isStaleReadOld});
+        wait(lost.silence / 3);
+        if (lost.changed == StoreObjectKind::Configuration) {
+            store.put("config", "main", configuration(5));
+        } else {
+            store.put("servers", "i-1", registration("draining"));
+        }
+        wait(lost.silence * 2 / 3);
+        store.setFaults({.isStaleReadFrozen = lost.isStaleReadOld});
+    }
+
+    bool isChangeKnown() const
+    {
+        return all([](const Entry &entry) {
+            return GetParam().changed == StoreObjectKind::Configuration ? entry.version == 5 : entry.upstreams.at("i-1") == "draining";
+        });
+    }
+
+    FakeStore store;
+    std::vector<std::unique_ptr<Entry>> entries;
+};
+
+// Guards against a watch whose answer was lost, and which a check on another connection took for current.
+TEST_P(LostAnswersTest, AllMembersLearnOfTheChangeWithinTheRecoveryBound)
+{
+    makeZone(12);
+    loseAnswersDuringAChange();
+    const TimePoint calmAt = Clock::now();
+    EXPECT_TRUE(waitUntil([this] {
+        return isChangeKnown();
+    }));
+    EXPECT_LT(Clock::now() - calmAt, 3s);
+}
+
+// The same in a zone in which each member reads the store.
+TEST_P(LostAnswersTest, AMemberWithoutReadersLearnsOfTheChangeWithinTheRecoveryBound)
+{
+    makeZone(1);
+    loseAnswersDuringAChange();
+    const TimePoint calmAt = Clock::now();
+    EXPECT_TRUE(waitUntil([this] {
+        return isChangeKnown();
+    }));
+    EXPECT_LT(Clock::now() - calmAt, 3s);
+}
+
+INSTANTIATE_TEST_SUITE_P(Silences,
+                         LostAnswersTest,
+                         testing::Values(LostAnswers{.silence = 150ms, .changed = StoreObjectKind::Configuration},
+                                         LostAnswers{.silence = 600ms, .changed = StoreObjectKind::Configuration},
+                                         LostAnswers{.silence = 2500ms, .changed = StoreObjectKind::Configuration},
+                                         LostAnswers{.silence = 150ms, .changed = StoreObjectKind::Upstreams},
+                                         LostAnswers{.silence = 600ms, .changed = StoreObjectKind::Upstreams},
+                                         LostAnswers{.silence = 150ms, .changed = StoreObjectKind::Configuration, .isStaleReadOld = true},
+                                         LostAnswers{.silence = 150ms, .changed = StoreObjectKind::Upstreams, .isStaleReadOld = true}));
+
 TEST_F(StoreSourceTaskTest, WaitsWithoutSpinning)
 {
     EXPECT_TRUE(waitUntil([this] {
--- a/tests/storesourcetest.cpp
+++ b/tests/storesourcetest.cpp
@@ -1,4 +1,5 @@
 #include "controllers/storesource.h"
+#include "controllers/storecheck.h"
 #include "exploration.h"
 
 #include <gtest/gtest.h>
@@ -272,7 +273,7 @@
         StoreSource source;
         source.settings.maximumAge = maximumKnowledgeAge(bound);
         const StoreReadingPace pace = readingPace(source);
-        EXPECT_LT(pace.changeBatchInterval + pace.checkPeriod + feedRequestPeriod(source.settings), source.settings.maximumAge)
+        EXPECT_LT(pace.changeBatchInterval + pace.checks.period + feedRequestPeriod(source.settings), source.settings.maximumAge)
             << "followers must not read the store in normal operation";
     }
 }
@@ -285,6 +286,9 @@
 constexpr Duration StabilityWindow = 4s;
 constexpr Duration StoreRoundTrip = 8ms;
 constexpr Duration ListTime = 60ms;
+/** A lost answer to a check or a list is noticed after these times. */
+constexpr Duration CheckTimeout = 800ms;
+constexpr Duration ListTimeout = 1000ms;
 constexpr Duration Tick = 10ms;
 constexpr Duration RunTime = 40s;
 /** Calls in any second for each member: what the store takes at the site with the most entry VMs. */
@@ -326,6 +330,11 @@
     unsigned failures = 0;
     TimePoint nextCheckAt;
     std::optional<TimePoint> checkSentAt;
+    StoreCheck check; ///< The one that was sent.
+    std::optional<bool> isCheckLost; ///< Decided when its answer is due.
+    TimePoint silentUntil; ///< Answers of the store to this member are lost before this time.
+    bool isWatchDead = false; ///< Whether the answer to the watch that waits was lost.
+    StoreTrust trust;
 };
 
 class Zone
@@ -335,6 +344,7 @@
         : m_random(seed)
     {
         m_members.resize(number(9, 16));
+        m_staleBehind = std::chrono::milliseconds(chance(0.5) ? 0 : number(0, 5000));
         m_capacities.resize(m_members.size());
         for (std::size_t index = 0; index < m_members.size(); ++index) {
             m_capacities[index] = number(0, 3) == 0 ? 500 : 100;
@@ -390,12 +400,15 @@
         const TimePoint cutUntil = member.cutUntil;
         const TimePoint isolatedUntil = member.isolatedUntil;
         const TimePoint disturbedUntil = member.disturbedUntil;
+        const TimePoint silentUntil = member.silentUntil;
         member = {};
+        member.silentUntil = silentUntil;
         member.pausedUntil = pausedUntil;
         member.cutUntil = cutUntil;
         member.isolatedUntil = isolatedUntil;
         member.disturbedUntil = std::max(disturbedUntil, m_now);
-        member.source = makeStoreSource("e" + std::to_string(index), {.maximumAge = maximumKnowledgeAge(ChangeBound), .startDelay = 1200ms}, m_now, m_random);
+        member.source = makeStoreSource(
+            "e" + std::to_string(index), {.maximumAge = maximumKnowledgeAge(ChangeBound), .changeBound = ChangeBound, .startDelay = 1200ms}, m_now, m_random);
         member.nextCheckAt = m_now;
         publishMembers();
     }
@@ -427,7 +440,19 @@
             return;
         }
         const TimePoint until = m_now + std::chrono::milliseconds(number(100, 6000));
-        switch (number(0, 5)) {
+        switch (number(0, 7)) {
+        case 6: // Answers of the store to some members are lost.
+            m_answersStableFrom = std::max(m_answersStableFrom, until + StabilityWindow);
+            forSome([&](SimulatedMember &member) {
+                member.silentUntil = until;
+            });
+            return;
+        case 7: // The same, for all that read the store.
+            m_answersStableFrom = std::max(m_answersStableFrom, until + StabilityWindow);
+            for (SimulatedMember &member : m_members) {
+                member.silentUntil = member.source.isReading ? until : member.silentUntil;
+            }
+            return;
         case 0: // The store is down.
             m_storeDownUntil = until;
             m_storeStableFrom = until + StabilityWindow;
@@ -515,7 +540,7 @@
         }
     }
 
-    /** Runs list, watch and checks as StoreWatchTask and StoreHealthCheckTask do. */
+    /** Runs list, watch and checks as StoreWatchTask and StoreCheckTask do. */
     void readStore(std::size_t index)
     {
         SimulatedMember &member = m_members[index];
@@ -525,9 +550,7 @@
         }
         const StoreReadingPace pace = readingPace(member.source);
         if (!isStoreReachable(member)) {
-            member.watchSince.reset();
-            member.listDoneAt.reset();
-            member.isBatching = false;
+            endWatch(member);
             if (m_now >= member.watchPausedUntil) {
                 countCalls(2); // One list of each kind.
                 member.watchPausedUntil = m_now + std::min<Duration>(1000ms, 80ms * (1U << std::min(member.failures++, 5U)));
@@ -540,40 +563,117 @@
             member.listSentAt = m_now;
             member.listDoneAt = m_now + (member.isBatching ? Tick : ListTime);
         }
-        if (member.listDoneAt && m_now >= *member.listDoneAt) {
+        if (member.listDoneAt && m_now >= *member.listDoneAt && m_now < member.silentUntil) {
+            const TimePoint sentAt = *member.listSentAt;
+            endWatch(member);
+            member.watchPausedUntil = sentAt + ListTimeout;
+        } else if (member.listDoneAt && m_now >= *member.listDoneAt) {
             const TimePoint sentAt = *member.listSentAt;
             member.listDoneAt.reset();
             member.watchSince = m_now;
             countCalls(member.isBatching ? 0 : 2);
             member.isBatching = false;
             member.nextCheckAt = m_now;
+            member.trust.verifiedAt = sentAt;
             adoptRevision(index, m_revision, sentAt);
         } else if (member.watchSince && m_revision > member.revision) {
-            member.watchSince.reset();
-            member.watchPausedUntil = m_now + pace.changeBatchInterval;
-            member.isBatching = true;
-            adoptRevision(index, m_revision, m_now);
+            member.isWatchDead = member.isWatchDead || m_now < member.silentUntil;
+            if (!member.isWatchDead) {
+                endWatch(member);
+                member.watchPausedUntil = m_now + pace.changeBatchInterval;
+                member.isBatching = true;
+                member.trust.verifiedAt = m_now;
+                adoptRevision(index, m_revision, m_now);
+            }
         }
         if (member.watchSince && !member.checkSentAt && m_now >= member.nextCheckAt) {
-            member.checkSentAt = m_now;
-            countCalls(1);
-            member.nextCheckAt = m_now + pace.checkPeriod;
+            sendCheck(member, consistencyOfNextCheck(pace.checks, member.trust, m_now));
+            member.nextCheckAt = m_now + pace.checks.period;
         }
     }
 
+    static void endWatch(SimulatedMember &member)
+    {
+        member.watchSince.reset();
+        member.listDoneAt.reset();
+        member.isWatchDead = false;
+        member.isBatching = false;
+    }
+
+    void sendCheck(SimulatedMember &member, ReadConsistency consistency)
+    {
+        countCalls(1);
+        member.checkSentAt = m_now;
+        member.isCheckLost.reset();
+        member.check = {.consistency = consistency, .startedAt = m_now, .deadline = {}, .watches = {}, .asked = StoreObjectKind::Configuration};
+        if (member.watchSince) {
+            const WaitingWatch watch{.kind = StoreObjectKind::Configuration, .revision = member.revision, .since = *member.watchSince};
+            member.check.watches.push_back({.watch = watch});
+        }
+    }
+
+    /** Returns the revision that an answer of the store shows now. */
+    std::uint64_t shownRevision(ReadConsistency consistency) const
+    {
+        std::uint64_t revision = m_revision;
+        while (consistency == ReadConsistency::Stale && revision > 1 && m_acknowledgedAt[revision - 1] > m_now - m_staleBehind) {
+            --revision;
+        }
+        return revision;
+    }
+
     void runCheck(std::size_t index)
     {
         SimulatedMember &member = m_members[index];
         if (!member.checkSentAt || m_now < *member.checkSentAt + StoreRoundTrip) {
             return;
         }
+        if (!member.isCheckLost) {
+            member.isCheckLost = m_now < member.silentUntil;
+        }
+        if (*member.isCheckLost && m_now < *member.checkSentAt + CheckTimeout) {
+            return;
+        }
         const TimePoint sentAt = *member.checkSentAt;
         member.checkSentAt.reset();
-        const bool isPassed = isStoreReachable(member);
+        const bool isPassed = isStoreReachable(member) && !*member.isCheckLost;
         if (member.source.isChecking) {
             handle(index, StoreChecked{isPassed});
         }
-        if (isPassed && member.watchSince && *member.watchSince <= sentAt) {
+        if (!isPassed) {
+            noteDoubt(member.trust, m_now);
+        }
+        if (!isPassed && member.watchSince) {
+            endWatch(member);
+            member.watchPausedUntil = m_now + 80ms;
+        }
+        if (isPassed) {
+            adoptCheck(index, sentAt);
+        }
+    }
+
+    void adoptCheck(std::size_t index, TimePoint sentAt)
+    {
+        SimulatedMember &member = m_members[index];
+        const std::uint64_t shown = shownRevision(member.check.consistency);
+        const std::uint64_t asked = member.check.watches.empty() ? 0 : member.check.watches[0].watch.revision;
+        adoptAnswer(member.check, {.outcome = StoreReadOutcome::Page, .revision = shown, .hasChanges = shown > asked});
+        const bool isSameWatch = !member.check.watches.empty() && member.watchSince == member.check.watches[0].watch.since;
+        if (!isSameWatch) {
+            return;
+        }
+        if (member.check.watches[0].finding != WatchFinding::Complete) {
+            noteDoubt(member.trust, m_now);
+        }
+        if (member.check.watches[0].finding == WatchFinding::Missed) {
+            endWatch(member);
+            member.watchPausedUntil = m_now;
+        } else if (needsConsistentAnswer(member.check)) {
+            sendCheck(member, ReadConsistency::Consistent);
+        } else {
+            if (member.check.consistency == ReadConsistency::Consistent) {
+                member.trust.verifiedAt = sentAt;
+            }
             adoptRevision(index, member.revision, sentAt);
         }
     }
@@ -669,16 +769,12 @@
                 member.feedGenerations.erase(std::stoul(close->member.substr(1)));
             } else if (std::holds_alternative<StartReading>(action)) {
                 member.watchPausedUntil = {};
-                member.isBatching = false;
+                endWatch(member);
                 member.failures = 0;
             } else if (std::holds_alternative<StopReading>(action)) {
-                member.watchSince.reset();
-                member.listDoneAt.reset();
+                endWatch(member);
             } else if (std::holds_alternative<CheckStore>(action)) {
-                if (!member.checkSentAt) {
-                    countCalls(1);
-                }
-                member.checkSentAt = m_now;
+                sendCheck(member, ReadConsistency::Stale);
             } else if (const auto *report = std::get_if<ReportStoreReachability>(&action)) {
                 if (report->isUnreachable) {
                     m_unreachable.insert(index);
@@ -702,7 +798,7 @@
         if (static_cast<double>(m_calls.size()) > CallsPerMemberAndSecond * static_cast<double>(m_members.size())) {
             return "calls to the store in one second: " + std::to_string(m_calls.size());
         }
-        if (m_now < m_storeStableFrom) {
+        if (m_now < m_storeStableFrom || m_now < m_answersStableFrom) {
             return std::nullopt;
         }
         // All changes that were acknowledged longer ago than the bound must be known.
@@ -743,6 +839,8 @@
     std::vector<TimePoint> m_acknowledgedAt{Start}; ///< By revision.
     TimePoint m_storeDownUntil;
     TimePoint m_storeStableFrom;
+    TimePoint m_answersStableFrom; ///< When the store has lost no answers for the stability window.
+    Duration m_staleBehind{}; ///< How old stale answers are.
     std::deque<TimePoint> m_calls; ///< Of the last second.
     bool m_isMembershipStale = false;
     bool m_isPublishing = false;
--- a/tests/storewatchtest.cpp
+++ b/tests/storewatchtest.cpp
@@ -61,6 +61,16 @@
     EXPECT_TRUE(std::holds_alternative<SendStoreList>(feed(StoreHistoryCompacted{}).at(0)));
 }
 
+// Guards against a backoff while the store answers, and against a watch from a revision after which changes were lost.
+TEST_F(StoreWatchTest, ListsAtOnceAfterMissedChanges)
+{
+    listUpTo(8);
+    const auto actions = feed(StoreChangesMissed{});
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<SendStoreList>(actions[0]));
+    EXPECT_EQ(watch.failures, 0U);
+}
+
 TEST_F(StoreWatchTest, BatchesChangesInQuickSuccession)
 {
     listUpTo(8);
