Do not take a reset for an orderly end after a failed send

Cause: the failed send took the error from the socket, and the next read returned zero, as at an orderly end.

Change: a stream remembers that sending has failed and then ends as broken.

--- a/src/http/tcpstream.cpp
+++ b/src/http/tcpstream.cpp
@@ -163,7 +163,9 @@
                     m_writeNotifier->setEnabled(true);
                     return;
                 }
-                // Bytes that the peer sent before it closed may still be unread; receive() reports the end of the stream.
+                // Bytes that the peer sent before it closed may still be unread; receive() reports the end of the stream. The
+                // socket no longer knows the error, and would end like one that was closed in an orderly way.
+                m_isBroken = true;
                 m_outgoing.clear();
                 m_sentOffset = 0;
                 m_writeNotifier->setEnabled(false);
@@ -198,7 +200,7 @@
             if (count < 0 && isRetryable(errno)) {
                 break;
             }
-            streamEnd = count == 0 ? StreamEnd::Finished : StreamEnd::Broken;
+            streamEnd = count == 0 && !m_isBroken ? StreamEnd::Finished : StreamEnd::Broken;
             break;
         }
         const QPointer<TcpStream> guard(q);
@@ -252,6 +254,7 @@
     bool m_isConnecting = false;
     bool m_isReadingPaused = false;
     bool m_isFinishing = false;
+    bool m_isBroken = false; ///< Whether sending has failed.
     bool m_hasSentBytes = false;
     bool m_isEnded = false;
 };
--- a/tests/tcpstreamtest.cpp
+++ b/tests/tcpstreamtest.cpp
@@ -63,6 +63,23 @@
     EXPECT_EQ(waitFor(send()).outcome, HttpRequestOutcome::ConnectionLost);
 }
 
+// Guards against half an answer that counts as complete: a failed send takes the reset from the socket, and the next read
+// returns zero, as at an orderly end.
+TEST_F(RawServerTest, ResetDuringTheRequestDoesNotCompleteAResponseWithoutLength)
+{
+    server.onRequest = [](RawConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\n\r\npart");
+        connection.reset();
+    };
+    // More than the sockets take, so that the rest is still to be sent when the reset arrives.
+    constexpr std::size_t BodyBytes = 32 * 1024 * 1024;
+    const HttpRequest request{.method = "POST", .target = "/", .fields = {}, .body = std::string(BodyBytes, 'x')};
+    for (int attempt = 0; attempt < 20; ++attempt) {
+        const HttpRequestId id = client.send(server.endpoint(), request, Clock::now() + std::chrono::seconds(10));
+        ASSERT_EQ(waitFor(id).outcome, HttpRequestOutcome::ConnectionLost);
+    }
+}
+
 TEST_F(RawServerTest, EndBeforeTheAnnouncedLengthIsConnectionLost)
 {
     server.onRequest = [](RawConnection &connection) {
