Return from a cut within the stability window

Cause: a check in flight took 0.8 s to fail, the next one followed 0.8 to 1.2 s later, and then the VM waited up to 1.5 s for readers that a small zone does not have.

Change: the interval between checks counts from their start; the first one follows at once when a VM stops reading; VMs of small zones do not wait; a check that fails after younger knowledge has arrived does not count.

--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -13,7 +13,7 @@
 /** Bounds on the time for the readers to recover after an outage of the store, before other members read it themselves. */
 constexpr std::chrono::milliseconds MinimumRecoveryTime{800};
 constexpr std::chrono::milliseconds MaximumRecoveryTime{1500};
-/** Minimum and maximum interval between checks while the knowledge is too old. */
+/** Minimum and maximum interval between the starts of checks while the knowledge is too old. */
 constexpr std::chrono::milliseconds MinimumCheckInterval{800};
 constexpr std::chrono::milliseconds MaximumCheckInterval{1200};
 /** Time for which feeds must keep the knowledge current before a member that is not a reader stops reading. */
@@ -76,7 +76,8 @@
 void delayCheckAfterFailure(StepContext &context)
 {
     ++context.source.failedChecks;
-    context.source.nextCheckAt = context.now + randomBetween(MinimumCheckInterval, MaximumCheckInterval, context.random);
+    // A check without an answer has used up most of the interval already.
+    context.source.nextCheckAt = context.source.checkStartedAt + randomBetween(MinimumCheckInterval, MaximumCheckInterval, context.random);
 }
 
 void openFeed(StepContext &context, const std::string &member, Feed &feed)
@@ -161,6 +162,7 @@
         return;
     }
     source.isChecking = true;
+    source.checkStartedAt = context.now;
     context.actions.emplace_back(CheckStore{});
 }
 
@@ -190,7 +192,8 @@
     } else if (context.now >= lastAnswerAt(source) + ReaderSilence) {
         // Checks are cheaper than reads while the store does not answer.
         stopReading(context);
-        delayCheckAfterFailure(context);
+        ++source.failedChecks;
+        startCheck(context);
     }
 }
 
@@ -256,10 +259,13 @@
     StoreSource &source = context.source;
     source.isChecking = false;
     if (!event.isPassed) {
-        delayCheckAfterFailure(context);
+        // Knowledge that is younger than the check shows that the store has returned since.
+        if (!source.confirmedAt || *source.confirmedAt < source.checkStartedAt) {
+            delayCheckAfterFailure(context);
+        }
         return;
     }
-    if (source.failedChecks > 0) {
+    if (source.failedChecks > 0 && !source.isSmallZone) {
         // The store was away. The readers return first, so that not all members read at once.
         source.failedChecks = 0;
         source.nextCheckAt = context.now + randomBetween(MinimumRecoveryTime, MaximumRecoveryTime, context.random);
--- a/src/controllers/storesource.h
+++ b/src/controllers/storesource.h
@@ -71,6 +71,7 @@
     bool hasReadFirst = false; ///< Whether ReadFirstObjects has been returned.
     TimePoint readingSince;
     bool isChecking = false;
+    TimePoint checkStartedAt; ///< Of the last check that CheckStore asked for.
     std::uint32_t failedChecks = 0; ///< Consecutive checks without an answer by the store.
     TimePoint nextCheckAt;
     bool isUnreachableReported = false;
--- a/tests/storesourcetest.cpp
+++ b/tests/storesourcetest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <map>
 #include <set>
@@ -264,6 +265,40 @@
     EXPECT_EQ(count<CloseFeed>(), 1U) << "a feed without messages counts as broken";
 }
 
+// Guards against a return from a cut that takes longer than the stability window: the check in flight has to fail first, and
+// in a small zone there are no readers to wait for.
+TEST_F(StoreSourceTest, AMemberOfASmallZoneReadsTheStoreSoonAfterACut)
+{
+    zone = makeZone(6);
+    make("e1");
+    feed(FeedMembersChanged{zone, true});
+    advance(1100ms);
+    feed(StoreConfirmed{now});
+    advance(3100ms);
+    zone[1].isStoreUnreachable = true;
+    feed(FeedMembersChanged{zone, true});
+    EXPECT_EQ(count<StopReading>(), 1U);
+    // The cut ends just after the fifth check was sent, which gets no answer either.
+    for (int checks = 0; checks < 5; ++checks) {
+        advance(800ms);
+        feed(StoreChecked{.isPassed = false});
+        for (int wait = 0; wait < 200 && !source.isChecking; ++wait) {
+            advance(10ms);
+        }
+        ASSERT_TRUE(source.isChecking);
+    }
+    const TimePoint returnedAt = now;
+    advance(800ms);
+    feed(StoreChecked{.isPassed = false});
+    while (!source.isReading && now < returnedAt + 5s) {
+        advance(10ms);
+        if (source.isChecking) {
+            feed(StoreChecked{.isPassed = true});
+        }
+    }
+    EXPECT_LT(now - returnedAt, 2s) << "a list and its changes must follow within the stability window of 3 s";
+}
+
 TEST(StoreSourceAge, LeavesTimeToReadTheStoreWithinTheBound)
 {
     EXPECT_EQ(maximumKnowledgeAge(3s), 2250ms);
@@ -281,9 +316,6 @@
 // Exploration: the members of one zone, the store and the feeds in virtual time.
 
 constexpr std::uint64_t Interleavings = 3000;
-constexpr Duration ChangeBound = 3s;
-/** A member is judged once it has run, reached the store and not been suspended for this time. */
-constexpr Duration StabilityWindow = 4s;
 constexpr Duration StoreRoundTrip = 8ms;
 constexpr Duration ListTime = 60ms;
 /** A lost answer to a check or a list is noticed after these times. */
@@ -337,13 +369,22 @@
     StoreTrust trust;
 };
 
+/** The bounds of a site. */
+struct Bounds {
+    Duration change{}; ///< Time in which an acknowledged change must be known.
+    Duration stability{}; ///< A member is judged once it has run, reached the store and not been suspended for this time.
+};
+
+constexpr std::array<Bounds, 3> SiteBounds{{{.change = 2s, .stability = 3s}, {.change = 2500ms, .stability = 3s}, {.change = 3s, .stability = 4s}}};
+
 class Zone
 {
 public:
     explicit Zone(std::uint64_t seed)
         : m_random(seed)
+        , m_bounds(SiteBounds.at(seed % SiteBounds.size()))
     {
-        m_members.resize(number(9, 16));
+        m_members.resize(number(3, 16));
         m_staleBehind = std::chrono::milliseconds(chance(0.5) ? 0 : number(0, 5000));
         m_capacities.resize(m_members.size());
         for (std::size_t index = 0; index < m_members.size(); ++index) {
@@ -407,8 +448,10 @@
         member.cutUntil = cutUntil;
         member.isolatedUntil = isolatedUntil;
         member.disturbedUntil = std::max(disturbedUntil, m_now);
-        member.source = makeStoreSource(
-            "e" + std::to_string(index), {.maximumAge = maximumKnowledgeAge(ChangeBound), .changeBound = ChangeBound, .startDelay = 1200ms}, m_now, m_random);
+        member.source = makeStoreSource("e" + std::to_string(index),
+                                        {.maximumAge = maximumKnowledgeAge(m_bounds.change), .changeBound = m_bounds.change, .startDelay = 1200ms},
+                                        m_now,
+                                        m_random);
         member.nextCheckAt = m_now;
         publishMembers();
     }
@@ -442,20 +485,20 @@
         const TimePoint until = m_now + std::chrono::milliseconds(number(100, 6000));
         switch (number(0, 7)) {
         case 6: // Answers of the store to some members are lost.
-            m_answersStableFrom = std::max(m_answersStableFrom, until + StabilityWindow);
+            m_answersStableFrom = std::max(m_answersStableFrom, until + m_bounds.stability);
             forSome([&](SimulatedMember &member) {
                 member.silentUntil = until;
             });
             return;
         case 7: // The same, for all that read the store.
-            m_answersStableFrom = std::max(m_answersStableFrom, until + StabilityWindow);
+            m_answersStableFrom = std::max(m_answersStableFrom, until + m_bounds.stability);
             for (SimulatedMember &member : m_members) {
                 member.silentUntil = member.source.isReading ? until : member.silentUntil;
             }
             return;
         case 0: // The store is down.
             m_storeDownUntil = until;
-            m_storeStableFrom = until + StabilityWindow;
+            m_storeStableFrom = until + m_bounds.stability;
             return;
         case 1: // Readers and others are cut from the store, but not from each other.
             forSome([&](SimulatedMember &member) {
@@ -553,7 +596,7 @@
             endWatch(member);
             if (m_now >= member.watchPausedUntil) {
                 countCalls(2); // One list of each kind.
-                member.watchPausedUntil = m_now + std::min<Duration>(1000ms, 80ms * (1U << std::min(member.failures++, 5U)));
+                member.watchPausedUntil = m_now + ListTimeout + std::min<Duration>(1000ms, 80ms * (1U << std::min(member.failures++, 5U)));
             }
             return;
         }
@@ -629,14 +672,14 @@
             return;
         }
         if (!member.isCheckLost) {
-            member.isCheckLost = m_now < member.silentUntil;
+            member.isCheckLost = m_now < member.silentUntil || !isStoreReachable(member);
         }
         if (*member.isCheckLost && m_now < *member.checkSentAt + CheckTimeout) {
             return;
         }
         const TimePoint sentAt = *member.checkSentAt;
         member.checkSentAt.reset();
-        const bool isPassed = isStoreReachable(member) && !*member.isCheckLost;
+        const bool isPassed = !*member.isCheckLost;
         if (member.source.isChecking) {
             handle(index, StoreChecked{isPassed});
         }
@@ -803,12 +846,13 @@
         }
         // All changes that were acknowledged longer ago than the bound must be known.
         std::uint64_t due = 0;
-        while (due < m_acknowledgedAt.size() && m_acknowledgedAt[due] < m_now - ChangeBound) {
+        while (due < m_acknowledgedAt.size() && m_acknowledgedAt[due] < m_now - m_bounds.change) {
             ++due;
         }
         for (std::size_t index = 0; index < m_members.size(); ++index) {
             const SimulatedMember &member = m_members[index];
-            const bool isJudged = m_now >= member.disturbedUntil + StabilityWindow && m_now >= member.pausedUntil && m_now >= Start + StabilityWindow + 2s;
+            const bool isJudged
+                = m_now >= member.disturbedUntil + m_bounds.stability && m_now >= member.pausedUntil && m_now >= Start + m_bounds.stability + 2s;
             if (isJudged && member.revision < due) {
                 return "e" + std::to_string(index) + " at " + std::to_string(toMilliseconds(m_now - Start)) + " ms knows revision "
                        + std::to_string(member.revision) + " of " + std::to_string(due) + describe(member);
@@ -829,6 +873,7 @@
     }
 
     std::mt19937_64 m_random;
+    Bounds m_bounds;
     TimePoint m_now = Start;
     std::vector<SimulatedMember> m_members;
     std::vector<std::uint32_t> m_capacities;
