--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -155,6 +155,16 @@
         "null",
         "7",
         "\"text\"",
+        // Bytes that JSON does not permit, which must not hide the page.
+        spec("version", "\"v\x01\x02\x1f\""),
+        spec("zone", "\"\\q\""),
+        spec("zone", "\"\\u12g4\""),
+        spec("slots", "NaN"),
+        spec("slots", "007"),
+        spec("slots", "0x3"),
+        spec("slots", "+3"),
+        spec("slots", "Infinity\x01"),
+        spec("slots", "NaN" + std::string(1'000'000, '0')),
     };
     for (const bool isWatch : {false, true}) {
         for (const std::string &oddSpec : oddSpecs) {
