Refuse calls that a planned stop would interrupt

Callers saw: in a planned stop in calm, calls that came 2.6 s after the signal were passed on and cut without an answer at 5.4 s of 6 s (timeout of the route 5 s, upstreams that work for up to 4 s; 2 of 32 calls after the signal).

Cause: calls were taken during the first half of the stop time whatever their deadline, and the coarse timers of the stop fired early.

Change: a filter of the route chain refuses calls with a deadline after the interruption; the timers are precise.

--- a/src/filters/routechain.cpp
+++ b/src/filters/routechain.cpp
@@ -39,6 +39,12 @@
     return context.deadline <= environment.now ? refuse(context, RefusalReason::DeadlinePassed) : RouteOutcome::Continue;
 }
 
+RouteOutcome filterInterruption(RouteContext &context, const RouteEnvironment &environment)
+{
+    const bool isInterrupted = environment.interruptedAt && context.deadline > *environment.interruptedAt;
+    return isInterrupted ? refuse(context, RefusalReason::Stopping) : RouteOutcome::Continue;
+}
+
 RouteOutcome runRouteChain(RouteContext &context, const RouteEnvironment &environment)
 {
     for (const RouteFilterEntry &entry : RouteChain) {
--- a/src/filters/routechain.h
+++ b/src/filters/routechain.h
@@ -26,6 +26,7 @@
     const RouteTable &table;
     bool isTableFresh = true; ///< Whether the platform confirmed the table recently. Otherwise, a missing route may exist.
     bool isStopping = false; ///< Whether this process is stopping and accepts no new calls.
+    std::optional<TimePoint> interruptedAt; ///< When calls in flight are interrupted, if this process is going to stop.
     TimePoint now;
 };
 
@@ -56,12 +57,16 @@
 /** Sets the deadline to that of the caller or the timeout of the route, whichever is earlier. */
 RouteOutcome filterRouteDeadline(RouteContext &context, const RouteEnvironment &environment);
 
+/** Refuses calls that may still be running when this process interrupts them to stop. */
+RouteOutcome filterInterruption(RouteContext &context, const RouteEnvironment &environment);
+
 /** The filters in the order in which they run. */
-inline constexpr std::array<RouteFilterEntry, 4> RouteChain{{
+inline constexpr std::array<RouteFilterEntry, 5> RouteChain{{
     {"table", filterTable},
     {"stopping", filterStopping},
     {"route", filterRoute},
     {"deadline", filterRouteDeadline},
+    {"interruption", filterInterruption},
 }};
 
 /** Runs the filters until one refuses the call. */
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -470,14 +470,17 @@
             m_storeClient.send(m_settings.store, m_codec.encodeDeregistration(m_settings.name), Clock::now() + StoreCallTimeout);
         }
         const auto stopTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.stopTime);
-        QTimer::singleShot(stopTime / 2, this, [this] {
+        const auto interruptedAfter = std::max(stopTime - ForcedStopMargin, stopTime / 2);
+        m_proxy.setInterruption(Clock::now() + interruptedAfter);
+        // Other timers may fire a twentieth early, and interrupt calls that have time left.
+        QTimer::singleShot(stopTime / 2, Qt::PreciseTimer, this, [this] {
             m_proxy.refuseNewCalls();
             m_isDraining = true;
             m_membership.leave();
             m_callerServer.drain();
             stopIfDone();
         });
-        QTimer::singleShot(std::max(stopTime - ForcedStopMargin, stopTime / 2), this, [this] {
+        QTimer::singleShot(interruptedAfter, Qt::PreciseTimer, this, [this] {
             Q_EMIT q->stopped();
         });
     }
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -43,7 +43,8 @@
     {
         const TimePoint now = Clock::now();
         RouteContext context{.call = call.call};
-        const RouteEnvironment environment{.table = m_table, .isTableFresh = m_isTableFresh, .isStopping = m_isStopping, .now = now};
+        const RouteEnvironment environment{
+            .table = m_table, .isTableFresh = m_isTableFresh, .isStopping = m_isStopping, .interruptedAt = m_interruptedAt, .now = now};
         if (runRouteChain(context, environment) == RouteOutcome::Refuse) {
             refuse(call, context.refusal, now);
             return;
@@ -244,6 +245,7 @@
     RouteTable m_table;
     bool m_isTableFresh = false;
     bool m_isStopping = false;
+    std::optional<TimePoint> m_interruptedAt;
     QTimer m_timer;
     TimePoint m_timerDue;
     std::map<std::string, WeightedRoundRobin> m_roundRobins;
@@ -289,6 +291,11 @@
     d->handleEvent(share);
 }
 
+void ProxyTask::setInterruption(TimePoint at)
+{
+    d->m_interruptedAt = at;
+}
+
 void ProxyTask::refuseNewCalls()
 {
     d->m_isStopping = true;
--- a/src/tasks/proxytask.h
+++ b/src/tasks/proxytask.h
@@ -37,6 +37,8 @@
     void setFleetShare(const FleetShareChanged &share);
     /** Refuses all calls that are admitted from now on. */
     void refuseNewCalls();
+    /** Sets when calls in flight will be interrupted; from then on, calls with a later deadline are refused. */
+    void setInterruption(TimePoint at);
 
     void admit(const IncomingProxyCall &call);
     /** Drops a call whose caller has disconnected. */
--- a/tests/routechaintest.cpp
+++ b/tests/routechaintest.cpp
@@ -68,6 +68,13 @@
 {
     const RouteTable table = makeTable();
     EXPECT_EQ(refusalOf(makeCall("/a/c"), {.table = table, .isStopping = true, .now = Now}), RefusalReason::Stopping);
+    // Guards against calls that are taken late in a planned stop and cut at its end.
+    const RoutedCall call = makeCall("/a/c");
+    const Duration timeout = std::min(findRoute(table, call.host, call.path)->timeout, call.timeLeft.value_or(std::chrono::hours(1)));
+    const TimePoint deadline = call.arrivedAt + timeout;
+    EXPECT_EQ(refusalOf(call, {.table = table, .interruptedAt = deadline - std::chrono::milliseconds(1), .now = Now}), RefusalReason::Stopping);
+    RouteContext context{.call = call};
+    EXPECT_EQ(runRouteChain(context, {.table = table, .interruptedAt = deadline, .now = Now}), RouteOutcome::Continue);
     EXPECT_EQ(refusalOf(makeCall("/a/c"), {.table = table, .now = Now + std::chrono::seconds(3)}), RefusalReason::DeadlinePassed);
 }
 
