Keep the calls in flight of an upstream that returns

Cause: an upstream that left the pool and returned began with no calls in flight; the end of an earlier call took the count below zero, and the upstream counted as full.

Change: upstreams with calls in flight that are no longer registered are kept aside until these end.

Evidence: AnUpstreamThatReturnsKeepsItsCallsInFlight fails before and passes now.

--- a/src/decision/upstreampool.cpp
+++ b/src/decision/upstreampool.cpp
@@ -59,20 +59,28 @@
 void replaceUpstreams(UpstreamPool &pool, const std::vector<RegisteredUpstream> &upstreams)
 {
     std::map<UpstreamKey, PooledUpstream> replaced;
+    pool.absent.merge(pool.upstreams);
     for (const RegisteredUpstream &registration : upstreams) {
-        const auto known = pool.upstreams.find(registration.key);
-        PooledUpstream upstream = known == pool.upstreams.end() ? PooledUpstream{} : known->second;
+        const auto known = pool.absent.extract(registration.key);
+        PooledUpstream upstream = known.empty() ? PooledUpstream{} : known.mapped();
         upstream.registration = registration;
         upstream.isLeaving = pool.leaving.contains(incarnationOf(registration));
         replaced.emplace(registration.key, std::move(upstream));
     }
     pool.upstreams = std::move(replaced);
+    std::erase_if(pool.absent, [](const auto &row) {
+        return row.second.inFlight == 0;
+    });
 }
 
 PooledUpstream *findUpstream(UpstreamPool &pool, UpstreamKey key)
 {
-    const auto found = pool.upstreams.find(key);
-    return found == pool.upstreams.end() ? nullptr : &found->second;
+    for (auto *upstreams : {&pool.upstreams, &pool.absent}) {
+        if (const auto found = upstreams->find(key); found != upstreams->end()) {
+            return &found->second;
+        }
+    }
+    return nullptr;
 }
 
 void recordLoadReport(PooledUpstream &upstream, const UpstreamLoad &load, TimePoint now)
--- a/src/decision/upstreampool.h
+++ b/src/decision/upstreampool.h
@@ -74,6 +74,7 @@
 
 struct UpstreamPool {
     std::map<UpstreamKey, PooledUpstream> upstreams;
+    std::map<UpstreamKey, PooledUpstream> absent; ///< No longer registered, with calls in flight; they may be registered again.
     /**
      * Incarnations that said that they leave, with the time until which this is remembered. A registration that says
      * otherwise is outdated.
@@ -84,6 +85,7 @@
 /** Replaces the registered upstreams. The state of upstreams that stay registered is kept. */
 void replaceUpstreams(UpstreamPool &pool, const std::vector<RegisteredUpstream> &upstreams);
 
+/** Returns the upstream, also one that is absent, or nullptr if it is not known. */
 PooledUpstream *findUpstream(UpstreamPool &pool, UpstreamKey key);
 
 void recordLoadReport(PooledUpstream &upstream, const UpstreamLoad &load, TimePoint now);
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -257,6 +257,29 @@
     }
 }
 
+// Guards against an upstream that returns from its grace period without its calls in flight, whose count then falls below zero,
+// so that it counts as full.
+TEST_F(ProxyingTest, AnUpstreamThatReturnsKeepsItsCallsInFlight)
+{
+    setUpstreams({makeUpstream(1)});
+    admit(1);
+    answerIdle();
+    ASSERT_EQ(attempts.size(), 1U);
+    setUpstreams({});
+    setUpstreams({makeUpstream(1)});
+    endLastAttempt(ProxyAttemptOutcome::Succeeded);
+    // Without probes, the choice goes by the calls in flight.
+    advanceTime(std::chrono::seconds(1));
+    admit(2);
+    answerIdle();
+    EXPECT_EQ(attempts.size(), 2U);
+    for (const auto &[name, service] : state.services) {
+        for (const auto &[key, upstream] : service.pool.upstreams) {
+            EXPECT_EQ(upstream.inFlight, 1U);
+        }
+    }
+}
+
 TEST_F(ProxyingTest, CancelsAbandonedCallsOnlyIfIdempotent)
 {
     setUpstreams({makeUpstream(1), makeUpstream(2)});
