Send no body in answers to HEAD

Cause: the server did not know the method when it encoded the answer.

Evidence: TheAnswerToHeadHasNoBody fails before and passes now.

--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -223,15 +223,17 @@
     return serialize(message);
 }
 
-std::string encodeResponse(const HttpResponse &response, bool keepAlive)
+std::string encodeResponse(const HttpResponse &response, bool keepAlive, bool isHead)
 {
     http::response<http::string_body> message;
     message.result(static_cast<unsigned>(response.status));
     message.version(11);
     insertFields(message, response.fields);
     message.keep_alive(keepAlive);
-    message.body() = response.body;
     message.content_length(response.body.size());
+    if (!isHead) {
+        message.body() = response.body;
+    }
     return serialize(message);
 }
 
--- a/src/http/httpcodec.h
+++ b/src/http/httpcodec.h
@@ -14,8 +14,8 @@
 /** Encodes @p request with Content-Length, except for a GET without a body, and with @p host as Host unless it has one. */
 std::string encodeRequest(const HttpRequest &request, const std::string &host);
 
-/** Encodes @p response with Content-Length. */
-std::string encodeResponse(const HttpResponse &response, bool keepAlive);
+/** Encodes @p response with Content-Length, and without its body if @p isHead, as the answer to a HEAD request. */
+std::string encodeResponse(const HttpResponse &response, bool keepAlive, bool isHead);
 
 /** State of a message that is being received. */
 enum class DecodeState {
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -43,6 +43,7 @@
 /** A request without a response, or whose response must be sent after those of earlier requests. */
 struct Exchange {
     HttpExchangeId id = 0;
+    bool isHead = false; ///< Whether its answer has no body.
     bool isSafe = true; ///< Whether its method is safe (RFC 9110, section 9.2.1), so that it may be processed concurrently.
     std::optional<HttpResponse> response;
 };
@@ -201,7 +202,7 @@
         connection.isKeepAlive = connection.decoder->isKeepAlive();
         HttpRequest request = connection.decoder->takeRequest();
         const HttpExchangeId id = ++m_lastExchangeId;
-        connection.exchanges.push_back({.id = id, .isSafe = isSafeMethod(request.method), .response = std::nullopt});
+        connection.exchanges.push_back({.id = id, .isHead = request.method == "HEAD", .isSafe = isSafeMethod(request.method), .response = std::nullopt});
         connection.decoder = std::make_unique<HttpRequestDecoder>(m_limits);
         connection.hasPartialRequest = false;
         connection.isContinueSent = false;
@@ -258,11 +259,12 @@
     {
         while (!connection.exchanges.empty() && connection.exchanges.front().response) {
             const HttpResponse response = std::move(*connection.exchanges.front().response);
+            const bool isHead = connection.exchanges.front().isHead;
             connection.exchanges.pop_front();
             const bool isLast = connection.exchanges.empty();
             // A client treats requests after a response with "Connection: close" as not processed, so only the last response may close.
             const bool isKeepAlive = !isLast || (connection.isKeepAlive && !m_isClosingAfterResponses);
-            connection.stream->write(encodeResponse(response, isKeepAlive));
+            connection.stream->write(encodeResponse(response, isKeepAlive, isHead));
             if (!isKeepAlive) {
                 closeGracefully(connection);
                 return;
--- a/tests/tcpstreamtest.cpp
+++ b/tests/tcpstreamtest.cpp
@@ -234,6 +234,18 @@
     }));
 }
 
+// Guards against the body of an answer to HEAD, which stands where the next answer is due.
+TEST_F(RawClientTest, TheAnswerToHeadHasNoBody)
+{
+    socket.write("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(waitForRequests(2));
+    respond(0, "unknown route");
+    respond(1, "second");
+    const QByteArray received = readUntil("second");
+    EXPECT_FALSE(received.contains("unknown route"));
+    EXPECT_TRUE(received.contains("Content-Length: 13\r\n"));
+}
+
 TEST_F(RawClientTest, ConnectionFieldsAreNotForwarded)
 {
     socket.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n\r\n");
