Go on when the reader of the log is gone

Change: SIGPIPE is ignored; the write fails and counts as a dropped line.

Evidence: TheLossOfTheReaderCostsOnlyLines ends its process with status 141 before and passes now.

--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <utility>
 
@@ -90,6 +91,8 @@
 void useStandardOutputForLogs()
 {
     LogOutput &output = logOutput();
+    // Without a reader, lines are lost, but the program goes on.
+    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
     output.descriptor = STDOUT_FILENO;
     output.isLimited = true;
     // A full pipe drops the line instead of blocking the program.
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -109,8 +109,8 @@
  * Sends all further log lines to standard output, at most 400 a second on average; without this call they go to standard
  * error.
  *
- * Sets standard output to non-blocking mode. A line above the limit, or that does not fit into a full pipe, is dropped; a
- * later line reports the number of dropped lines.
+ * Sets standard output to non-blocking mode, and ignores SIGPIPE, so that the loss of its reader costs only lines. A line above the limit, or that does not fit
+ * into a full pipe, is dropped; a later line reports the number of dropped lines.
  */
 void useStandardOutputForLogs();
 
--- a/tests/logeventstest.cpp
+++ b/tests/logeventstest.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <csignal>
 #include <fstream>
 #include <sstream>
 
@@ -71,6 +72,23 @@
     EXPECT_NE(text.find("store_lost"), std::string::npos) << "tokens are reserved for warnings";
 }
 
+// Guards against the end of the process by SIGPIPE once the reader of its log is gone.
+TEST(LogEvents, TheLossOfTheReaderCostsOnlyLines)
+{
+    std::array<int, 2> ends{};
+    ASSERT_EQ(::pipe(ends.data()), 0);
+    const int standardOutput = ::dup(STDOUT_FILENO);
+    ::dup2(ends[1], STDOUT_FILENO);
+    useStandardOutputForLogs();
+    ::close(ends[0]);
+    logEvent(LogEvent::StoreLost);
+    ::dup2(standardOutput, STDOUT_FILENO);
+    ::close(ends[1]);
+    ::close(standardOutput);
+    // Without the fix, the process has ended before this line.
+    EXPECT_EQ(std::signal(SIGPIPE, SIG_DFL), SIG_IGN);
+}
+
 TEST(LogEvents, NumbersAreAscending)
 {
     EXPECT_TRUE(std::is_sorted(logEvents().begin(), logEvents().end(), [](const auto &left, const auto &right) {
