--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -134,6 +134,7 @@
 struct SegmentedBody {
     using value_type = BodySegments;
 
+    // NOLINTNEXTLINE(readability-identifier-naming): Beast looks for this name.
     class reader
     {
     public:
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -400,6 +400,7 @@
     std::size_t peak = before;
     for (int round = 0; round < 3; ++round) {
         std::vector<HttpRequestId> calls;
+        calls.reserve(EndlessCalls);
         for (int call = 0; call < EndlessCalls; ++call) {
             calls.push_back(send("/a/x"));
         }
