Reserve the ports that tests choose

Ports come from 22,000 below the ephemeral range, and freeEndpoint() closed its socket before it returned: nothing kept it from choosing a port again, for the same member or in a test program that ran beside it, before the first server listened. Which of the two it was cannot be told from the log. Three ports for each of about 30 members make a collision within one program likely once in 250 runs.

A reservation stays bound without listening. A later choice, of any process, binds without SO_REUSEADDR and fails; servers set the option and may listen.

--- a/tests/fakes/freeendpoint.h
+++ b/tests/fakes/freeendpoint.h
@@ -5,10 +5,12 @@
 namespace Plantainweir {
 
 /**
- * Returns a loopback endpoint whose TCP and UDP ports were free when it was chosen.
+ * Returns a loopback endpoint whose TCP and UDP ports are free, and reserves its TCP port for a server of this process or of
+ * one that it starts.
  *
- * The port lies below the range from which the system takes the local ports of outgoing connections, so that a connection
- * of another test cannot take it before it is used.
+ * No later call in any process returns a reserved port; servers must set SO_REUSEADDR to listen on it. The port lies below the
+ * range from which the system takes the local ports of outgoing connections, so that a connection cannot take it. The 256
+ * latest reservations of a process are kept.
  */
 Endpoint freeEndpoint();
 
