Close connections whose clients leave too many responses unread

The platform ends such a process, and the calls of all other callers with it. Cause: responses were counted while they were received from the upstream, but not while they waited for their client, or for an earlier response on the connection.

The server counts them, and closes the connection with most of them once all together exceed the limit on incomplete messages, which is an eighth of the memory in gatewayd. Buffers of sent messages are moved and freed, so that idle connections do not keep them. The new log event memory_limit also reports what the two existing limits give up.

The new test in tcpstreamtest fails with the limit taken out.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace Plantainweir {
 namespace {
@@ -135,8 +136,7 @@
             return;
         }
         connection.isRequestSent = true;
-        connection.stream->write(connection.unsentBytes);
-        connection.unsentBytes.clear();
+        connection.stream->write(std::exchange(connection.unsentBytes, {}));
     }
 
     void receive(ClientConnection *connection, const std::string &bytes)
@@ -187,6 +187,7 @@
         const auto largest = std::max_element(m_pendingRequests.begin(), m_pendingRequests.end(), [](const auto &left, const auto &right) {
             return left.second->bufferedBytes < right.second->bufferedBytes;
         });
+        logEvent(LogEvent::MemoryLimitReached, {{"messages", "incomplete_responses"}, {"bytes", m_bufferedBytes}, {"largest", largest->second->bufferedBytes}});
         finish(largest->second, HttpRequestOutcome::ConnectionLost, false);
     }
 
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -4,6 +4,7 @@
 #include "http/httpcodec.h"
 #include "http/listener.h"
 #include "http/tcpstream.h"
+#include "observability/logevents.h"
 
 #include <QHostAddress>
 #include <QTcpServer>
@@ -193,6 +194,7 @@
         const auto largest = std::max_element(m_connections.begin(), m_connections.end(), [](const auto &left, const auto &right) {
             return left.second->bufferedBytes < right.second->bufferedBytes;
         });
+        logEvent(LogEvent::MemoryLimitReached, {{"messages", "incomplete_requests"}, {"bytes", m_bufferedBytes}, {"largest", largest->second->bufferedBytes}});
         countBufferedBytes(*largest->second, 0);
         rejectRequest(*largest->second, DecodeState::Incomplete);
     }
@@ -252,6 +254,39 @@
             }
         }
         sendReadyResponses(connection);
+        if (unreadBytes(connection) > 0) {
+            QMetaObject::invokeMethod(this, &Private::limitUnreadBytes, Qt::QueuedConnection);
+        }
+    }
+
+    /** Returns the bytes of responses that the client has not read, or that wait for the response to an earlier request. */
+    static std::size_t unreadBytes(const Connection &connection)
+    {
+        std::size_t bytes = connection.stream->unsentBytes();
+        for (const Exchange &exchange : connection.exchanges) {
+            bytes += exchange.response ? exchange.response->body.size() : 0;
+        }
+        return bytes;
+    }
+
+    /** Closes the connection with the most unread bytes if those of all connections together are too many. */
+    void limitUnreadBytes()
+    {
+        std::size_t total = 0;
+        std::size_t most = 0;
+        TcpStream *largest = nullptr;
+        for (const auto &[stream, connection] : m_connections) {
+            const std::size_t bytes = unreadBytes(*connection);
+            total += bytes;
+            if (bytes > most) {
+                most = bytes;
+                largest = stream;
+            }
+        }
+        if (total > m_limits.totalBytes) {
+            logEvent(LogEvent::MemoryLimitReached, {{"messages", "unread_responses"}, {"bytes", total}, {"largest", most}});
+            removeConnection(largest);
+        }
     }
 
     /** Sends the responses that are ready, in the order of their requests. */
--- a/src/http/tcpstream.cpp
+++ b/src/http/tcpstream.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 #include <optional>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -166,7 +167,7 @@
                 // Bytes that the peer sent before it closed may still be unread; receive() reports the end of the stream. The
                 // socket no longer knows the error, and would end like one that was closed in an orderly way.
                 m_isBroken = true;
-                m_outgoing.clear();
+                m_outgoing = {};
                 m_sentOffset = 0;
                 m_writeNotifier->setEnabled(false);
                 return;
@@ -174,7 +175,7 @@
             m_hasSentBytes = m_hasSentBytes || count > 0;
             m_sentOffset += static_cast<std::size_t>(count);
         }
-        m_outgoing.clear();
+        m_outgoing = {}; // Clearing it would keep the memory of the largest message on an idle connection.
         m_sentOffset = 0;
         m_writeNotifier->setEnabled(false);
         if (m_isFinishing) {
@@ -280,13 +281,15 @@
     d->m_readNotifier->setEnabled(true);
 }
 
-void TcpStream::write(std::string_view bytes)
+void TcpStream::write(std::string bytes)
 {
-    const bool isIdle = d->m_sentOffset == d->m_outgoing.size();
-    d->m_outgoing.append(bytes);
-    if (isIdle) {
-        d->flush();
+    if (unsentBytes() > 0) {
+        d->m_outgoing.append(bytes);
+        return;
     }
+    d->m_outgoing = std::move(bytes);
+    d->m_sentOffset = 0;
+    d->flush();
 }
 
 void TcpStream::finishWriting()
--- a/src/http/tcpstream.h
+++ b/src/http/tcpstream.h
@@ -48,7 +48,7 @@
     void adoptSocket(qintptr descriptor);
 
     /** Sends @p bytes, and buffers those that the socket does not accept yet. */
-    void write(std::string_view bytes);
+    void write(std::string bytes);
     /** Shuts down the sending side once all bytes have been sent. */
     void finishWriting();
     /** Pauses or resumes reading; while reading is paused, the end of the stream is not detected. */
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -156,6 +156,7 @@
          Warning,
          "foreign_response",
          "A response on an upstream's connection does not belong to the request that waits, and is discarded."},
+        {LogEvent::MemoryLimitReached, Warning, "memory_limit", "Messages of all connections together take too much memory; the largest one is given up."},
         {LogEvent::StoreLost, Warning, "store_lost", "A call to the store failed; the last state stays in force."},
         {LogEvent::StoreReturned, Info, "store_returned", "The store answers again."},
         {LogEvent::LogLinesDropped,
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -70,6 +70,7 @@
     UpstreamQuiet = 1516,
     ObjectsUnnamed = 1517,
     ForeignResponse = 1518,
+    MemoryLimitReached = 1519,
     StoreLost = 1520,
     StoreReturned = 1521,
     LogLinesDropped = 1522,
--- a/tests/tcpstreamtest.cpp
+++ b/tests/tcpstreamtest.cpp
@@ -7,6 +7,8 @@
 
 #include <QTcpSocket>
 
+#include <memory>
+
 namespace Plantainweir {
 namespace {
 
@@ -246,6 +248,41 @@
     EXPECT_TRUE(received.contains("Content-Length: 13\r\n"));
 }
 
+// Guards against responses that are held in full for clients that do not read them, and together take too much memory.
+TEST(HttpServerMemory, ClientsThatDoNotReadAreClosedOnceTheirResponsesTakeTooMuch)
+{
+    constexpr std::size_t ResponseBytes = 16 * 1024 * 1024;
+    constexpr std::size_t ClientCount = 12;
+    // The system's buffers of a connection take less than half of a response.
+    const HttpLimits limits{.totalBytes = 2 * ResponseBytes};
+    constexpr std::size_t MaximumOpen = 4;
+    HttpServer server(limits);
+    ASSERT_TRUE(server.listen({.address = "127.0.0.1", .port = 0}));
+    std::size_t responseCount = 0;
+    QObject::connect(&server, &HttpServer::requestReceived, &server, [&](HttpExchangeId exchange) {
+        server.respond(exchange, {.status = 200, .fields = {}, .body = std::string(ResponseBytes, 'x')});
+        ++responseCount;
+    });
+    std::vector<std::unique_ptr<QTcpSocket>> clients;
+    const auto addClients = [&](std::size_t count) {
+        while (clients.size() < count) {
+            clients.push_back(std::make_unique<QTcpSocket>());
+            clients.back()->setReadBufferSize(1);
+            clients.back()->connectToHost(QHostAddress::LocalHost, server.port());
+            clients.back()->write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        }
+        EXPECT_TRUE(waitUntil([&] {
+            return responseCount == count;
+        }));
+        // The connections are counted after the response, in the event loop.
+        QCoreApplication::processEvents();
+    };
+    addClients(2);
+    EXPECT_EQ(server.connectionCount(), 2U) << "the limit is not exceeded yet";
+    addClients(ClientCount);
+    EXPECT_LE(server.connectionCount(), MaximumOpen);
+}
+
 TEST_F(RawClientTest, ConnectionFieldsAreNotForwarded)
 {
     socket.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n\r\n");
