Free the buffers of sent messages

An empty initializer list only clears a string, and so does the move of an empty one: a connection kept memory of the size of its largest message, request or response, while it was idle, uncounted by the limits.

--- a/src/http/tcpstream.cpp
+++ b/src/http/tcpstream.cpp
@@ -167,22 +167,28 @@
                 // Bytes that the peer sent before it closed may still be unread; receive() reports the end of the stream. The
                 // socket no longer knows the error, and would end like one that was closed in an orderly way.
                 m_isBroken = true;
-                m_outgoing = {};
-                m_sentOffset = 0;
+                discardOutgoing();
                 m_writeNotifier->setEnabled(false);
                 return;
             }
             m_hasSentBytes = m_hasSentBytes || count > 0;
             m_sentOffset += static_cast<std::size_t>(count);
         }
-        m_outgoing = {}; // Clearing it would keep the memory of the largest message on an idle connection.
-        m_sentOffset = 0;
+        discardOutgoing();
         m_writeNotifier->setEnabled(false);
         if (m_isFinishing) {
             static_cast<void>(::shutdown(m_descriptor, SHUT_WR));
         }
     }
 
+    /** Frees the buffer, so that an idle connection does not keep memory of the size of its largest message. */
+    void discardOutgoing()
+    {
+        m_outgoing.clear();
+        m_outgoing.shrink_to_fit();
+        m_sentOffset = 0;
+    }
+
     void receive()
     {
         std::string bytes;
