Reserve the segments of a body, and free empty buffers

Cause: a segment of 64 KiB that is filled in two steps grows by doubling, to 120 KiB, and the buffers of connections keep the size of the largest read.

Segments after the first are reserved whole, and an empty buffer is freed with the end of its message. The new test in responsedecodertest failed before: a body of 6.0 MB took 7.8.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -247,6 +247,7 @@
             removeConnection(connection);
             return;
         }
+        connection->buffer.shrink_to_fit();
         connection->deadline = Clock::now() + idleTimeout;
         m_idleConnections[connection->endpoint].push_back(connection);
     }
--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -101,8 +101,11 @@
     void append(const char *bytes, std::size_t count)
     {
         while (count > 0) {
-            if (segments.empty() || segments.back().size() >= SegmentBytes) {
+            if (segments.empty()) {
                 segments.emplace_back();
+            } else if (segments.back().size() >= SegmentBytes) {
+                // A short body does not need a whole segment, but a segment that grows would take up to twice its size.
+                segments.emplace_back().reserve(SegmentBytes);
             }
             const std::size_t taken = std::min(count, SegmentBytes - segments.back().size());
             segments.back().append(bytes, taken);
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -206,6 +206,9 @@
         const HttpExchangeId id = ++m_lastExchangeId;
         connection.exchanges.push_back({.id = id, .isHead = request.method == "HEAD", .isSafe = isSafeMethod(request.method), .response = std::nullopt});
         connection.decoder = std::make_unique<HttpRequestDecoder>(m_limits);
+        if (connection.buffer.empty()) {
+            connection.buffer.shrink_to_fit();
+        }
         connection.hasPartialRequest = false;
         connection.isContinueSent = false;
         m_exchanges.emplace(id, &connection);
--- a/tests/responsedecodertest.cpp
+++ b/tests/responsedecodertest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <malloc.h>
+
 #include <utility>
 #include <vector>
 
@@ -80,5 +82,28 @@
     }
 }
 
+// Guards against buffers of up to twice the size of what they hold.
+TEST(HttpResponseDecoder, ABodyTakesLittleMoreMemoryThanItsBytes)
+{
+    const auto allocatedBytes = [] {
+        const struct mallinfo2 info = ::mallinfo2();
+        return info.uordblks + info.hblkhd;
+    };
+    // Just below a segment, so that its rest takes the beginning of the next chunk.
+    constexpr std::size_t ChunkBytes = 60'000;
+    constexpr std::size_t ChunkCount = 100;
+    const std::string chunk = "ea60\r\n" + std::string(ChunkBytes, 'x') + "\r\n";
+    HttpResponseDecoder decoder(HttpLimits{.bodyBytes = 2 * ChunkCount * ChunkBytes}, false);
+    std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    EXPECT_EQ(decoder.decode(bytes), DecodeState::Incomplete);
+    const std::size_t before = allocatedBytes();
+    for (std::size_t index = 0; index < ChunkCount; ++index) {
+        bytes += chunk;
+        EXPECT_EQ(decoder.decode(bytes), DecodeState::Incomplete);
+    }
+    EXPECT_EQ(decoder.bodyBytes(), ChunkCount * ChunkBytes);
+    EXPECT_LT(allocatedBytes() - before, ChunkCount * ChunkBytes * 5 / 4);
+}
+
 }
 }
