Decode client accounts, and pass them between entry VMs as digests

The operators' configuration may name client accounts with keys, a priority and a quota, public routes, and services whose cold upstreams bear few calls. Entry VMs read none of these. Nothing uses the accounts yet.

--- a/src/rpc/storemessages.cpp
+++ b/src/rpc/storemessages.cpp
@@ -1,7 +1,11 @@
 #include "rpc/storemessages.h"
 
+#include "configuration/clientaccounts.h"
 #include "rpc/controlmessages.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace Plantainweir {
 namespace {
 
@@ -47,6 +51,7 @@
         row->set_service(target.service);
         row->set_weight(target.weight);
     }
+    message.set_is_public(route.isPublic);
     return message;
 }
 
@@ -66,13 +71,45 @@
                 .target = *target,
                 .priority = message.priority(),
                 .maximumAttempts = std::max(1U, message.maximum_attempts()),
-                .targets = {}};
+                .targets = {},
+                .isPublic = message.is_public()};
     for (const StoreProtocol::RouteTarget &row : message.targets()) {
         route.targets.push_back({.service = row.service(), .weight = row.weight()});
     }
     return route;
 }
 
+StoreProtocol::ClientAccount toMessage(const ClientAccount &account)
+{
+    StoreProtocol::ClientAccount message;
+    message.set_name(account.name);
+    for (const KeyDigest &key : account.keys) {
+        message.add_key_digests(key.data(), key.size());
+    }
+    if (account.priority) {
+        message.set_priority(*account.priority);
+    }
+    message.set_calls_per_second(account.callsPerSecond);
+    message.set_burst(account.burst);
+    return message;
+}
+
+std::optional<ClientAccount> fromMessage(const StoreProtocol::ClientAccount &message)
+{
+    ClientAccount account{.name = message.name(), .callsPerSecond = message.calls_per_second(), .burst = message.burst()};
+    for (const std::string &bytes : message.key_digests()) {
+        KeyDigest &key = account.keys.emplace_back();
+        if (bytes.size() != key.size()) {
+            return std::nullopt;
+        }
+        std::copy(bytes.begin(), bytes.end(), key.begin());
+    }
+    if (message.has_priority()) {
+        account.priority = message.priority();
+    }
+    return account;
+}
+
 StoreProtocol::RouteTable toMessage(const RouteTable &table)
 {
     StoreProtocol::RouteTable message;
@@ -85,6 +122,10 @@
         row->set_name(service.name);
         row->set_health_path(service.healthPath);
         row->set_connection_limit(service.connectionLimit);
+        row->set_cold_calls_per_second(service.coldCallsPerSecond);
+    }
+    for (const auto &[name, account] : table.accounts) {
+        *message.add_accounts() = toMessage(account);
     }
     message.mutable_limits()->set_header_bytes(table.limits.headerBytes);
     message.mutable_limits()->set_body_bytes(table.limits.bodyBytes);
@@ -118,9 +159,19 @@
         table.routes.push_back(std::move(*route));
     }
     for (const StoreProtocol::RoutedService &row : message.services()) {
-        table.services[row.name()] = {.name = row.name(), .healthPath = row.health_path(), .connectionLimit = row.connection_limit()};
+        if (!std::isfinite(row.cold_calls_per_second()) || row.cold_calls_per_second() < 0.0) {
+            return std::nullopt;
+        }
+        table.services[row.name()] = {
+            .name = row.name(), .healthPath = row.health_path(), .connectionLimit = row.connection_limit(), .coldCallsPerSecond = row.cold_calls_per_second()};
+    }
+    for (const StoreProtocol::ClientAccount &row : message.accounts()) {
+        auto account = fromMessage(row);
+        if (!account || !table.accounts.emplace(row.name(), std::move(*account)).second) {
+            return std::nullopt;
+        }
     }
-    return table;
+    return hasValidAccounts(table) ? std::optional(std::move(table)) : std::nullopt;
 }
 
 StoreProtocol::Upstream toMessage(const UpstreamRecord &record)
--- a/tests/storemirrortest.cpp
+++ b/tests/storemirrortest.cpp
@@ -197,8 +197,11 @@
                             .target = std::chrono::milliseconds(400),
                             .priority = 2,
                             .maximumAttempts = 3,
-                            .targets = {{"s1", 90}, {"s2", 10}}});
-    table.services["s1"] = {.name = "s1", .healthPath = "/health", .connectionLimit = 220};
+                            .targets = {{"s1", 90}, {"s2", 10}},
+                            .isPublic = true});
+    table.services["s1"] = {.name = "s1", .healthPath = "/health", .connectionLimit = 220, .coldCallsPerSecond = 5.8};
+    table.accounts["a1"] = {.name = "a1", .keys = {KeyDigest{1}, KeyDigest{2}}, .priority = 0, .callsPerSecond = 27.5, .burst = 30.0};
+    table.accounts["a2"] = {.name = "a2"};
     table.limits.idleTimeout = std::chrono::seconds(9);
     StoreObject upstream = makeUpstreamObject("u1", 6, true);
     std::get<UpstreamRecord>(upstream.value).coldTime = std::chrono::milliseconds(1500);
@@ -218,6 +221,34 @@
     EXPECT_EQ(fromMessage(toMessage(request)), request);
 }
 
+TEST(StoreMessages, DropRouteTablesWithInvalidAccounts)
+{
+    const auto isAccepted = [](const StoreProtocol::Object &message) {
+        const auto object = fromMessage(message);
+        return object && std::holds_alternative<RouteTable>(object->value);
+    };
+    RouteTable table{.version = 7, .routes = {}, .services = {}, .limits = {}};
+    table.accounts["a1"] = {.name = "a1", .keys = {KeyDigest{1}}};
+    table.accounts["a2"] = {.name = "a2", .keys = {KeyDigest{2}}};
+    const StoreProtocol::Object good = toMessage(StoreObject{.name = "main", .revision = 8, .isDeleted = false, .value = table});
+    ASSERT_TRUE(isAccepted(good));
+    StoreProtocol::Object message = good;
+    message.mutable_route_table()->mutable_accounts(0)->set_key_digests(0, "short");
+    EXPECT_FALSE(isAccepted(message));
+    message = good;
+    message.mutable_route_table()->mutable_accounts(0)->set_key_digests(0, message.route_table().accounts(1).key_digests(0));
+    EXPECT_FALSE(isAccepted(message)) << "two accounts with one key";
+    message = good;
+    message.mutable_route_table()->mutable_accounts(0)->set_name("a2");
+    EXPECT_FALSE(isAccepted(message)) << "two accounts with one name";
+    message = good;
+    message.mutable_route_table()->mutable_accounts(0)->set_name("a\r\nX-Own: 1");
+    EXPECT_FALSE(isAccepted(message));
+    message = good;
+    message.mutable_route_table()->mutable_accounts(0)->set_calls_per_second(-1.0);
+    EXPECT_FALSE(isAccepted(message));
+}
+
 TEST(StoreMessages, RejectUpdatesThatWouldHideChanges)
 {
     StoreProtocol::FeedUpdate message = toMessage(FeedUpdate{.deltas = {changes(9, {makeUpstreamObject("u1", 9)})}});
