Serve calls for the client account of their key

Callers' keys and account names were passed on to upstreams unchecked. If the configuration has client accounts, a filter now finds the account by the digest of the call's key: an unknown, missing or malformed key is refused with 401, or with 503 while the route table may be old, unless the route is public. Upstreams receive the account's name as the entry VM sets it, and no key. The account's priority goes before that of the route. The end of a call is logged with its account and counted by it, for at most 100 accounts. Refusals for used-up quotas and unavailable credit have their encoding, and nothing produces them yet. Without accounts, calls are served as before.

The encoding of attempts takes the whole attempt now, so its test calls it with the same values in that form.

--- a/src/filters/routechain.cpp
+++ b/src/filters/routechain.cpp
@@ -32,6 +32,21 @@
     return refuse(context, environment.isTableFresh ? RefusalReason::UnknownRoute : RefusalReason::NotReady);
 }
 
+RouteOutcome filterAccount(RouteContext &context, const RouteEnvironment &environment)
+{
+    if (environment.table.accounts.empty()) {
+        return RouteOutcome::Continue;
+    }
+    const Credential &credential = context.call.credential;
+    if (credential.kind == CredentialKind::Key && environment.accounts != nullptr) {
+        context.account = findAccount(*environment.accounts, credential.digest);
+    }
+    if (context.account != nullptr || context.route->isPublic) {
+        return RouteOutcome::Continue;
+    }
+    return refuse(context, environment.isTableFresh ? RefusalReason::UnknownKey : RefusalReason::NotReady);
+}
+
 RouteOutcome filterRouteDeadline(RouteContext &context, const RouteEnvironment &environment)
 {
     const Duration timeLeft = context.call.timeLeft.value_or(context.route->timeout);
@@ -50,6 +65,12 @@
     return context.call.bodyBytes > environment.freeBodyBytes / 2 ? refuse(context, RefusalReason::MemoryFull) : RouteOutcome::Continue;
 }
 
+std::uint32_t priorityOf(const RouteContext &context)
+{
+    const auto ofAccount = context.account != nullptr ? context.account->priority : std::nullopt;
+    return ofAccount.value_or(context.route->priority);
+}
+
 RouteOutcome runRouteChain(RouteContext &context, const RouteEnvironment &environment)
 {
     for (const RouteFilterEntry &entry : RouteChain) {
--- a/src/filters/routechain.h
+++ b/src/filters/routechain.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configuration/clientaccounts.h"
 #include "configuration/routetable.h"
 #include "core/outcome.h"
 #include "core/time.h"
@@ -39,7 +40,8 @@
 /** The input that is common to all calls. */
 struct RouteEnvironment {
     const RouteTable &table;
-    bool isTableFresh = true; ///< Whether the platform confirmed the table recently. Otherwise, a missing route may exist.
+    const AccountIndex *accounts = nullptr; ///< Of @ref table; needed if it has accounts.
+    bool isTableFresh = true; ///< Whether the platform confirmed the table recently. Otherwise, a missing route or key may exist.
     bool isStopping = false; ///< Whether this process is stopping and accepts no new calls.
     std::optional<TimePoint> interruptedAt; ///< When calls in flight are interrupted, if this process is going to stop.
     std::size_t freeBodyBytes = std::numeric_limits<std::size_t>::max(); ///< What the bodies of the calls in flight may still take.
@@ -71,6 +73,8 @@
 RouteOutcome filterStopping(RouteContext &context, const RouteEnvironment &environment);
 /** Finds the route. */
 RouteOutcome filterRoute(RouteContext &context, const RouteEnvironment &environment);
+/** Finds the client account of the call's key. Without one, only public routes are open, if the table has accounts. */
+RouteOutcome filterAccount(RouteContext &context, const RouteEnvironment &environment);
 /** Sets the deadline to that of the caller or the timeout of the route, whichever is earlier. */
 RouteOutcome filterRouteDeadline(RouteContext &context, const RouteEnvironment &environment);
 
@@ -81,15 +85,19 @@
 RouteOutcome filterMemory(RouteContext &context, const RouteEnvironment &environment);
 
 /** The filters in the order in which they run. */
-inline constexpr std::array<RouteFilterEntry, 6> RouteChain{{
+inline constexpr std::array<RouteFilterEntry, 7> RouteChain{{
     {"table", filterTable},
     {"stopping", filterStopping},
     {"route", filterRoute},
+    {"account", filterAccount},
     {"deadline", filterRouteDeadline},
     {"interruption", filterInterruption},
     {"memory", filterMemory},
 }};
 
+/** Returns the priority of an admitted call: that of its account, if it has one, otherwise that of its route. */
+std::uint32_t priorityOf(const RouteContext &context);
+
 /** Runs the filters until one refuses the call. */
 RouteOutcome runRouteChain(RouteContext &context, const RouteEnvironment &environment);
 
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -6,11 +6,15 @@
 #include <prometheus/text_serializer.h>
 
 #include <map>
+#include <string_view>
 #include <utility>
 
 namespace Plantainweir {
 namespace {
 
+/** Label of the accounts that have none of their own. No account has this name, since it contains a space. */
+constexpr std::string_view OtherAccounts = "all others";
+
 template<typename Enum>
 using CounterTable = std::array<prometheus::Counter *, enumCount<Enum>()>;
 
@@ -35,6 +39,8 @@
         , m_unknowns(makeCounters<UnknownReason>(m_registry, "plantainweir_unknown_total", "Calls that may have run, by reason."))
         , m_retries(makeCounters<RetryReason>(m_registry, "plantainweir_retries_total", "Attempts after the first one, by reason."))
     {
+        m_accountCalls
+            = &prometheus::BuildCounter().Name("plantainweir_account_calls_total").Help("Finished calls by client account and outcome.").Register(m_registry);
         auto &family = prometheus::BuildCounter().Name("plantainweir_calls_total").Help("Finished calls by rank and outcome.").Register(m_registry);
         for (const auto &rank : enumNames(Rank{})) {
             for (const auto &outcome : enumNames(CallOutcome{})) {
@@ -44,11 +50,28 @@
         }
     }
 
+    using OutcomeCounters = CounterTable<CallOutcome>;
+
+    OutcomeCounters &accountCounters(const std::string &account)
+    {
+        const bool hasLabel = m_accounts.contains(account) || m_accounts.size() < MaximumAccountLabels;
+        const std::string label = hasLabel ? account : std::string(OtherAccounts);
+        const auto [found, isNew] = m_accounts.try_emplace(label);
+        if (isNew) {
+            for (const auto &row : enumNames(CallOutcome{})) {
+                found->second[static_cast<std::size_t>(row.value)] = &m_accountCalls->Add({{"account", label}, {"outcome", std::string(row.name)}});
+            }
+        }
+        return found->second;
+    }
+
     prometheus::Registry m_registry;
     CounterTable<RefusalReason> m_refusals;
     CounterTable<UnknownReason> m_unknowns;
     CounterTable<RetryReason> m_retries;
-    std::array<CounterTable<CallOutcome>, enumCount<Rank>()> m_outcomes{};
+    std::array<OutcomeCounters, enumCount<Rank>()> m_outcomes{};
+    prometheus::Family<prometheus::Counter> *m_accountCalls = nullptr;
+    std::map<std::string, OutcomeCounters> m_accounts; ///< By label.
     std::map<std::string, prometheus::Gauge *> m_gauges;
     std::map<std::pair<std::string, std::string>, prometheus::Counter *> m_counters;
 };
@@ -80,6 +103,11 @@
     d->m_retries[static_cast<std::size_t>(reason)]->Increment();
 }
 
+void Metrics::countAccountCall(const std::string &account, CallOutcome outcome)
+{
+    d->accountCounters(account)[static_cast<std::size_t>(outcome)]->Increment();
+}
+
 void Metrics::setGauge(const std::string &name, const std::string &help, double value)
 {
     auto &gauge = d->m_gauges[name];
--- a/src/observability/metrics.h
+++ b/src/observability/metrics.h
@@ -21,6 +21,8 @@
 class Metrics
 {
 public:
+    static constexpr std::size_t MaximumAccountLabels = 100;
+
     Metrics();
     ~Metrics();
     Metrics(const Metrics &) = delete;
@@ -34,6 +36,8 @@
     void countUnknown(UnknownReason reason);
     /** Counts a retry by its reason. */
     void countRetry(RetryReason reason);
+    /** Counts a finished call of a client account. Accounts after the first MaximumAccountLabels share one counter. */
+    void countAccountCall(const std::string &account, CallOutcome outcome);
     /** Sets the gauge @p name, which is registered with its @p help text at its first use. */
     void setGauge(const std::string &name, const std::string &help, double value);
     /** Adds @p amount to the counter @p name, which is registered at its first use; @p reason is its label if not empty. */
--- a/src/tasks/gatewaycodec.h
+++ b/src/tasks/gatewaycodec.h
@@ -42,7 +42,7 @@
     RoutedCall (*decodeCall)(const HttpRequest &request, TimePoint now);
     HttpResponse (*encodeReply)(const CallReply &reply, const std::string &requestId, TimePoint now);
 
-    HttpRequest (*encodeAttempt)(const HttpRequest &request, const RegisteredUpstream &upstream, Duration timeLeft);
+    HttpRequest (*encodeAttempt)(const OutgoingProxyAttempt &attempt, TimePoint now);
     DecodedAttemptResponse (*decodeAttemptResponse)(const HttpResponse &response);
     HttpRequest (*encodeProbe)(const std::string &healthPath);
     DecodedProbeResponse (*decodeProbeResponse)(const HttpResponse &response, const RegisteredUpstream &upstream);
--- a/src/tasks/gatewaymessages.h
+++ b/src/tasks/gatewaymessages.h
@@ -11,6 +11,8 @@
 #include <QMetaType>
 
 #include <memory>
+#include <optional>
+#include <string>
 
 /** Messages between the tasks of gatewayd. */
 namespace Plantainweir {
@@ -34,6 +36,11 @@
     RegisteredUpstream upstream;
     std::shared_ptr<const RequestMessage> message;
     TimePoint deadline;
+    /**
+     * Name of the client account, empty for a call that belongs to none. Not set if the configuration has no accounts: then
+     * the upstream receives what the caller sent.
+     */
+    std::optional<std::string> account;
 };
 
 /** How an attempt ended, and the response if a complete one was received. */
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -18,11 +18,25 @@
 struct OpenCall {
     IncomingProxyCall incoming;
     std::string route;
+    std::optional<std::string> account; ///< See OutgoingProxyAttempt::account.
     std::string lastUpstream;
     std::uint32_t attempts = 0;
     std::map<ProxyAttemptId, std::shared_ptr<const ResponseMessage>> responses; ///< By attempt; the proxy step decides which one answers the call.
 };
 
+/** Returns the name of the call's client account; empty if it belongs to none. */
+std::string accountName(const RouteContext &context)
+{
+    return context.account != nullptr ? context.account->name : std::string();
+}
+
+void addAccount(std::vector<LogField> &fields, const std::string &account)
+{
+    if (!account.empty()) {
+        fields.emplace_back("account", account);
+    }
+}
+
 }
 
 class ProxyTask::Private : public QObject
@@ -47,6 +61,7 @@
         RouteContext context{.call = call.call};
         const RouteEnvironment environment{
             .table = m_table,
+            .accounts = &m_accounts,
             .isTableFresh = m_isTableFresh,
             .isStopping = m_isStopping,
             .interruptedAt = m_interruptedAt,
@@ -54,29 +69,43 @@
             .now = now,
         };
         if (runRouteChain(context, environment) == RouteOutcome::Refuse) {
-            refuse(call, context.refusal, now);
+            refuse(call, context, now);
             return;
         }
         const Route &route = *context.route;
+        const std::string account = accountName(context);
         m_openBodyBytes += call.call.bodyBytes;
-        m_calls.emplace(call.exchange, OpenCall{.incoming = call, .route = route.name});
+        m_calls.emplace(call.exchange,
+                        OpenCall{.incoming = call, .route = route.name, .account = m_table.accounts.empty() ? std::nullopt : std::optional(account)});
         handleEvent(ProxyCallAdmitted{
             .id = call.exchange,
             .service = nextService(roundRobinOf(route)),
             .repeatability = route.repeatability,
-            .priority = route.priority,
+            .priority = priorityOf(context),
+            .account = account,
             .maximumAttempts = route.maximumAttempts,
             .target = route.target,
             .deadline = context.deadline,
         });
     }
 
-    void refuse(const IncomingProxyCall &call, RefusalReason reason, TimePoint now)
+    void refuse(const IncomingProxyCall &call, const RouteContext &context, TimePoint now)
+    {
+        const std::string account = accountName(context);
+        m_metrics.countRefusal(context.refusal);
+        countAccountCall(account, CallOutcome::NotRun);
+        std::vector<LogField> fields{
+            {"id", call.call.requestId}, {"outcome", nameOf(CallOutcome::NotRun)}, {"reason", nameOf(context.refusal)}, {"routes", m_table.version}};
+        addAccount(fields, account);
+        logEvent(LogEvent::CallEnded, fields);
+        Q_EMIT q->replyReady(call.exchange, call.call.requestId, refusedReply(context.refusal, now + RetryAfterRefusal));
+    }
+
+    void countAccountCall(const std::string &account, CallOutcome outcome)
     {
-        m_metrics.countRefusal(reason);
-        logEvent(LogEvent::CallEnded,
-                 {{"id", call.call.requestId}, {"outcome", nameOf(CallOutcome::NotRun)}, {"reason", nameOf(reason)}, {"routes", m_table.version}});
-        Q_EMIT q->replyReady(call.exchange, call.call.requestId, refusedReply(reason, now + RetryAfterRefusal));
+        if (!account.empty()) {
+            m_metrics.countAccountCall(account, outcome);
+        }
     }
 
     WeightedRoundRobin &roundRobinOf(const Route &route)
@@ -145,7 +174,8 @@
                   {"pace", action.load.workTimeFactor},
                   {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(action.loadAge).count()},
                   {"retry", action.retry ? nameOf(*action.retry) : "none"}});
-        Q_EMIT q->attemptStarted({.id = action.id, .upstream = action.upstream, .message = call.incoming.message, .deadline = action.deadline});
+        Q_EMIT q->attemptStarted(
+            {.id = action.id, .upstream = action.upstream, .message = call.incoming.message, .deadline = action.deadline, .account = call.account});
     }
 
     void execute(const CancelProxyAttempt &action)
@@ -194,16 +224,18 @@
             reason = nameOf(reply.unknown);
         }
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - call.incoming.call.arrivedAt);
-        logEvent(LogEvent::CallEnded,
-                 {{"id", call.incoming.call.requestId},
-                  {"outcome", nameOf(reply.outcome)},
-                  {"reason", reason},
-                  {"status", reply.answer ? reply.answer->status : 0},
-                  {"route", call.route},
-                  {"upstream", call.lastUpstream},
-                  {"attempts", call.attempts},
-                  {"ms", age.count()},
-                  {"routes", m_table.version}});
+        std::vector<LogField> fields{{"id", call.incoming.call.requestId},
+                                     {"outcome", nameOf(reply.outcome)},
+                                     {"reason", reason},
+                                     {"status", reply.answer ? reply.answer->status : 0},
+                                     {"route", call.route},
+                                     {"upstream", call.lastUpstream},
+                                     {"attempts", call.attempts},
+                                     {"ms", age.count()},
+                                     {"routes", m_table.version}};
+        addAccount(fields, call.account.value_or(""));
+        logEvent(LogEvent::CallEnded, fields);
+        countAccountCall(call.account.value_or(""), reply.outcome);
     }
 
     void finishAttempt(const ProxyAttemptResult &result)
@@ -258,6 +290,7 @@
     std::mt19937_64 m_random;
     ProxyState m_state;
     RouteTable m_table;
+    AccountIndex m_accounts; ///< Of m_table.
     bool m_isTableFresh = false;
     bool m_isStopping = false;
     std::optional<TimePoint> m_interruptedAt;
@@ -284,7 +317,9 @@
         return false;
     }
     d->m_table = table;
-    logEvent(LogEvent::RoutesInForce, {{"version", table.version}, {"routes", table.routes.size()}, {"services", table.services.size()}});
+    d->m_accounts = makeAccountIndex(d->m_table);
+    logEvent(LogEvent::RoutesInForce,
+             {{"version", table.version}, {"routes", table.routes.size()}, {"services", table.services.size()}, {"accounts", table.accounts.size()}});
     return true;
 }
 
--- a/src/tasks/proxyupstreamport.cpp
+++ b/src/tasks/proxyupstreamport.cpp
@@ -107,7 +107,7 @@
 
 void ProxyUpstreamPort::send(const OutgoingProxyAttempt &attempt)
 {
-    const HttpRequest request = d->m_codec.encodeAttempt(*attempt.message, attempt.upstream, attempt.deadline - Clock::now());
+    const HttpRequest request = d->m_codec.encodeAttempt(attempt, Clock::now());
     const HttpRequestId id = d->m_client.send(attempt.upstream.endpoint, request, attempt.deadline);
     d->m_attempts.emplace(id, attempt.id);
     d->m_requestByAttempt.emplace(attempt.id, id);
--- a/tests/decoderfuzztest.cpp
+++ b/tests/decoderfuzztest.cpp
@@ -1,5 +1,7 @@
+#include "configuration/clientaccounts.h"
 #include "http/httpcodec.h"
 #include "platform/callcodec.h"
+#include "platform/keydigest.h"
 #include "platform/storecodec.h"
 #include "rpc/membershipmessages.h"
 #include "rpc/storemessages.h"
@@ -8,6 +10,7 @@
 
 #include <cstdlib>
 #include <random>
+#include <regex>
 
 /**
  * Feeds damaged messages to the decoders of everything that other programs send. The environment variable
@@ -99,23 +102,10 @@
                                            "\"\xff\xfe\"",
                                            "\"\\ud800\"",
                                            "\"i-2\""};
-    const std::vector<std::string> keys{"\"service\"",
-                                        "\"address\"",
-                                        "\"zone\"",
-                                        "\"version\"",
-                                        "\"slots\"",
-                                        "\"state\"",
-                                        "\"cold\"",
-                                        "\"sequence\"",
-                                        "\"born\"",
-                                        "\"metadata\"",
-                                        "\"name\"",
-                                        "\"spec\"",
-                                        "\"object\"",
-                                        "\"items\"",
-                                        "\"storeRevision\"",
-                                        "\"hasMore\"",
-                                        "\"deleted\""};
+    const std::vector<std::string> keys{"\"service\"",  "\"address\"",  "\"zone\"",          "\"version\"",  "\"slots\"",   "\"state\"",
+                                        "\"cold\"",     "\"sequence\"", "\"born\"",          "\"metadata\"", "\"name\"",    "\"spec\"",
+                                        "\"object\"",   "\"items\"",    "\"storeRevision\"", "\"hasMore\"",  "\"deleted\"", "\"apiKeys\"",
+                                        "\"priority\"", "\"ratePerS\"", "\"burst\"",         "\"public\"",   "\"coldPerS\""};
 };
 
 constexpr auto ValidSpec = R"({"service":"desk","address":"10.1.0.9:80","zone":"a","version":"v1","slots":4,"state":"ready","cold":"1500ms","sequence":4})";
@@ -166,6 +156,31 @@
     EXPECT_GT(decoded, 0U);
 }
 
+TEST_F(DecoderFuzz, AnyJsonValueAsAnAccountLeavesKeysRequired)
+{
+    for (std::size_t count = messageCount() / 4; count > 0; --count) {
+        const std::string name = below(2) == 0 ? "\"odd\"" : anyJson();
+        const std::string spec = below(4) == 0 ? anyJson() : R"({"apiKeys":)" + anyJson() + R"(,"ratePerS":)" + anyJson() + R"(,"priority":)" + anyJson() + "}";
+        const std::string body = R"({"items":[{"metadata":{"name":"main","revision":5},"spec":{"version":7,"resources":[)"
+                                 R"({"resourceKind":"tenants","metadata":{"name":"shop"},"spec":{"apiKeys":["k1"]}},)"
+                                 R"({"resourceKind":"tenants","metadata":{"name":)"
+                                 + name + R"(},"spec":)" + spec + R"(}]}}],"storeRevision":9})";
+        StorePage page;
+        ASSERT_EQ(Platform::decodePage(StoreObjectKind::Configuration, answerOf(body), false, page), StoreReadOutcome::Page) << body;
+        ASSERT_EQ(page.objects.size(), 1U) << body;
+        const auto *table = std::get_if<RouteTable>(&page.objects.front().value);
+        if (table == nullptr) {
+            continue; // Bytes that JSON does not permit.
+        }
+        ASSERT_EQ(table->accounts.size(), 2U) << body;
+        ASSERT_EQ(table->accounts.at("shop").keys, std::vector<KeyDigest>{Platform::digestOf("k1")}) << body;
+        for (const auto &[accountName, account] : table->accounts) {
+            ASSERT_TRUE(account.keys.empty() || isValidAccountName(accountName)) << body;
+            ASSERT_TRUE(hasValidLimits(account)) << body;
+        }
+    }
+}
+
 TEST_F(DecoderFuzz, DamagedRequestsStayWithinTheLimits)
 {
     const std::vector<std::string> requests{
@@ -197,6 +212,44 @@
     EXPECT_GT(decoded, 0U);
 }
 
+/** The key in @p text by the grammar of the header, written independently of the parser under test. */
+std::optional<std::string> keyIn(const std::string &text)
+{
+    static const std::regex s_grammar("[Tt][Oo][Kk][Ee][Nn] +([\\x21-\\x7e]{1,256})");
+    std::smatch match;
+    return std::regex_match(text, match, s_grammar) ? std::optional(match[1].str()) : std::nullopt;
+}
+
+TEST_F(DecoderFuzz, DamagedCredentialsNeverNameAnotherKeyAndNeverReachAnUpstream)
+{
+    const std::vector<std::string> texts{"Token k1", "token  cpih-hacr", "TOKEN " + std::string(255, 'x'), "Basic azE6", ""};
+    const std::vector<std::string> names{"Authorization", "authorization", "X-Plantainweir-Tenant", "Host"};
+    std::size_t decoded = 0;
+    for (std::size_t count = messageCount() / 4; count > 0; --count) {
+        HttpRequest request{.method = "GET", .target = "/", .fields = {}, .body = {}};
+        std::vector<std::string> credentials;
+        for (std::size_t field = 1 + below(3); field > 0; --field) {
+            request.fields.push_back({.name = anyOf(names), .value = below(3) == 0 ? anyOf(texts) : damaged(anyOf(texts))});
+            if (isSameFieldName(request.fields.back().name, "Authorization")) {
+                credentials.push_back(request.fields.back().value);
+            }
+        }
+        const auto key = credentials.size() == 1 ? keyIn(credentials.front()) : std::nullopt;
+        const Credential credential = Platform::decodeCall(request, Now).credential;
+        ASSERT_EQ(credential.kind == CredentialKind::None, credentials.empty());
+        ASSERT_EQ(credential.kind == CredentialKind::Key, key.has_value());
+        if (key) {
+            ++decoded;
+            ASSERT_EQ(credential.digest, Platform::digestOf(*key));
+        }
+        const HttpRequest attempt = Platform::encodeAttempt(
+            {.id = 1, .upstream = {.key = 1, .id = "i-1"}, .message = std::make_shared<const HttpRequest>(request), .deadline = Now, .account = "shop"}, Now);
+        ASSERT_TRUE(fieldValue(attempt.fields, "Authorization").empty());
+        ASSERT_EQ(fieldValue(attempt.fields, "X-Plantainweir-Tenant"), "shop");
+    }
+    EXPECT_GT(decoded, 0U);
+}
+
 TEST_F(DecoderFuzz, DamagedResponsesStayWithinTheLimitsAndPromiseNothingUnsaid)
 {
     const std::vector<std::string> responses{
@@ -254,7 +307,12 @@
     StorePage page;
     ASSERT_EQ(Platform::decodePage(StoreObjectKind::Upstreams, answerOf(R"({"items":[)" + item("i-1", ValidSpec) + R"(],"storeRevision":9})"), false, page),
               StoreReadOutcome::Page);
-    const FeedUpdate update{.deltas = {{.kind = StoreObjectKind::Upstreams, .isComplete = true, .revision = 9, .objects = page.objects}},
+    RouteTable table{.version = 7, .routes = {}, .services = {}, .limits = {}};
+    table.services["desk"] = {.name = "desk", .coldCallsPerSecond = 5.8};
+    table.accounts["shop"] = {.name = "shop", .keys = {KeyDigest{1}, KeyDigest{2}}, .priority = 1, .callsPerSecond = 27.5, .burst = 30.0};
+    const StoreObject configuration{.name = "main", .revision = 8, .isDeleted = false, .value = table};
+    const FeedUpdate update{.deltas = {{.kind = StoreObjectKind::Upstreams, .isComplete = true, .revision = 9, .objects = page.objects},
+                                       {.kind = StoreObjectKind::Configuration, .isComplete = true, .revision = 8, .objects = {configuration}}},
                             .confirmations = {{.kind = StoreObjectKind::Upstreams, .age = std::chrono::milliseconds(5)}},
                             .isSenderReading = true,
                             .echoedAt = Now};
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -170,6 +170,18 @@
                                     {"spec", QJsonObject{{"healthPath", "/health"}, {"maxConnections", connectionLimit}}}}}}};
 }
 
+/** Returns configuration() with a second, public route and one client account. */
+QJsonObject configurationWithAccount(int version, const QJsonArray &keys)
+{
+    QJsonObject object = configuration(version);
+    QJsonArray resources = object["resources"].toArray();
+    const QJsonObject open{{"host", Host}, {"pathPrefix", "/open/"}, {"kind", "unsafe"}, {"timeout", "2s"}, {"service", "desk"}, {"public", true}};
+    resources.append(QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", "r2"}}}, {"spec", open}});
+    resources.append(QJsonObject{{"resourceKind", "tenants"}, {"metadata", QJsonObject{{"name", "shop"}}}, {"spec", QJsonObject{{"apiKeys", keys}}}});
+    object["resources"] = resources;
+    return object;
+}
+
 /** The tasks of one gatewayd, a fake store and upstreams in one process, connected over loopback. */
 class GatewayTest : public testing::Test
 {
@@ -221,6 +233,18 @@
         return client.send(settings.callerPort, request, Clock::now() + std::chrono::seconds(10));
     }
 
+    HttpRequestResult callWithKey(const std::string &target, const std::string &key)
+    {
+        const HttpRequest request{.method = "POST",
+                                  .target = target,
+                                  .fields = {{"Host", Host},
+                                             {"X-Plantainweir-Request-Id", "id-" + std::to_string(++sentCount)},
+                                             {"X-Plantainweir-Tenant", "forged"},
+                                             {"Authorization", "Token " + key}},
+                                  .body = "ticket"};
+        return waitFor(client.send(settings.callerPort, request, Clock::now() + std::chrono::seconds(10)));
+    }
+
     HttpRequestResult waitFor(HttpRequestId id)
     {
         EXPECT_TRUE(waitUntil([this, id] {
@@ -354,6 +378,80 @@
     EXPECT_TRUE(repeatUntilStatus("/b/x", 200));
 }
 
+TEST_F(GatewayTest, ServesCallsForTheAccountOfTheirKey)
+{
+    testing::internal::CaptureStderr();
+    store.put("config", "main", configurationWithAccount(4, {"secret-1", "secret-2"}));
+    start();
+    EXPECT_EQ(callWithKey("/a/x", "secret-1").response.status, 200);
+    EXPECT_EQ(callWithKey("/a/x", "secret-2").response.status, 200);
+    EXPECT_EQ(callWithKey("/open/x", "secret-2").response.status, 200);
+    ASSERT_EQ(upstream.calls.size(), 3U);
+    for (const HttpRequest &call : upstream.calls) {
+        EXPECT_EQ(fieldValue(call.fields, "X-Plantainweir-Tenant"), "shop");
+        for (const HttpField &field : call.fields) {
+            EXPECT_EQ(field.value.find("secret"), std::string::npos) << field.name;
+            EXPECT_NE(field.value, "forged") << field.name;
+        }
+    }
+    upstream.calls.clear();
+    const HttpResponse refused = callWithKey("/a/x", "secret-3").response;
+    EXPECT_EQ(refused.status, 401);
+    EXPECT_EQ(refused.body.find("secret"), std::string::npos);
+    EXPECT_EQ(statusOf("/a/x"), 401) << "a call without a key";
+    EXPECT_TRUE(upstream.calls.empty());
+    EXPECT_EQ(statusOf("/open/x"), 200);
+    EXPECT_EQ(callWithKey("/open/x", "secret-3").response.status, 200);
+    ASSERT_EQ(upstream.calls.size(), 2U);
+    for (const HttpRequest &call : upstream.calls) {
+        EXPECT_EQ(fieldValue(call.fields, "X-Plantainweir-Tenant"), "");
+        EXPECT_EQ(fieldValue(call.fields, "Authorization"), "");
+    }
+    const std::string metrics = get(settings.operatorsPort, "/metrics").response.body;
+    EXPECT_NE(metrics.find(R"(plantainweir_account_calls_total{account="shop",outcome="answered"} 3)"), std::string::npos);
+    EXPECT_EQ(metrics.find("secret"), std::string::npos);
+    const std::string log = testing::internal::GetCapturedStderr();
+    EXPECT_NE(log.find("account=shop"), std::string::npos);
+    EXPECT_NE(log.find("reason=unknown_key"), std::string::npos);
+    EXPECT_EQ(log.find("secret"), std::string::npos);
+}
+
+TEST_F(GatewayTest, KeysComeAndGoWithVersions)
+{
+    store.put("config", "main", configurationWithAccount(4, {"secret-1"}));
+    start();
+    EXPECT_EQ(callWithKey("/a/x", "secret-1").response.status, 200);
+    EXPECT_EQ(callWithKey("/a/x", "secret-2").response.status, 401);
+    store.put("config", "main", configurationWithAccount(5, {"secret-2"}));
+    EXPECT_TRUE(waitUntil([this] {
+        return callWithKey("/a/x", "secret-2").response.status == 200;
+    }));
+    EXPECT_EQ(callWithKey("/a/x", "secret-1").response.status, 401);
+    store.put("config", "main", configuration(6));
+    EXPECT_TRUE(waitUntil([this] {
+        return statusOf("/a/x") == 200;
+    })) << "without accounts, calls need no key";
+    upstream.calls.clear();
+    EXPECT_EQ(callWithKey("/a/x", "secret-1").response.status, 200);
+    EXPECT_EQ(fieldValue(upstream.calls.at(0).fields, "Authorization"), "Token secret-1") << "the upstream may check keys of its own";
+}
+
+TEST_F(GatewayTest, AnUnknownKeyIsNotReportedWhileTheStoreDoesNotAnswer)
+{
+    store.put("config", "main", configurationWithAccount(4, {"secret-1"}));
+    start();
+    store.setFaults({.isUnresponsive = true});
+    store.put("config", "main", configurationWithAccount(5, {"secret-1", "secret-2"}));
+    EXPECT_TRUE(waitUntil([this] {
+        return callWithKey("/a/x", "secret-2").response.status == 503;
+    })) << "the key may have been added";
+    EXPECT_EQ(callWithKey("/a/x", "secret-1").response.status, 200);
+    store.setFaults({});
+    EXPECT_TRUE(waitUntil([this] {
+        return callWithKey("/a/x", "secret-2").response.status == 200;
+    }));
+}
+
 TEST_F(GatewayTest, DrainingUpstreamGetsNoNewCall)
 {
     RoutedUpstream other("i-2");
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -1,5 +1,7 @@
+#include "configuration/clientaccounts.h"
 #include "core/parseduration.h"
 #include "platform/callcodec.h"
+#include "platform/keydigest.h"
 #include "platform/storecodec.h"
 
 #include <fmt/format.h>
@@ -8,6 +10,8 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 
+#include <algorithm>
+
 namespace Plantainweir::Platform {
 namespace {
 
@@ -84,6 +88,67 @@
     EXPECT_FALSE(decodeRouteTable(parseObject(R"({"version":7})")));
 }
 
+std::optional<RouteTable> decodeResources(const std::string &resources)
+{
+    return decodeRouteTable(parseObject((R"({"version":7,"resources":[)" + resources + "]}").c_str()));
+}
+
+std::string accountResource(const std::string &name, const std::string &spec)
+{
+    return R"({"resourceKind":"tenants","metadata":{"name":")" + name + R"("},"spec":)" + spec + "}";
+}
+
+TEST(PlatformStore, DecodesAccountsAndKeepsNoKey)
+{
+    const auto table = decodeResources(
+        accountResource("shop", R"({"apiKeys":["k2","k1","k2"],"priority":1,"ratePerS":27.5,"burst":30})") + ","
+        + accountResource("till", R"({"apiKeys":["k3"]})") + ","
+        + R"({"resourceKind":"routes","metadata":{"name":"r"},"spec":{"host":"h","pathPrefix":"/","timeout":"1s","service":"s","public":true}})" + ","
+        + R"({"resourceKind":"services","metadata":{"name":"s"},"spec":{"coldPerS":5.8}})");
+    ASSERT_TRUE(table);
+    ASSERT_EQ(table->accounts.size(), 2U);
+    const ClientAccount &shop = table->accounts.at("shop");
+    std::vector<KeyDigest> keys{digestOf("k1"), digestOf("k2")};
+    std::sort(keys.begin(), keys.end());
+    EXPECT_EQ(shop, (ClientAccount{.name = "shop", .keys = keys, .priority = 1, .callsPerSecond = 27.5, .burst = 30}));
+    EXPECT_EQ(table->accounts.at("till"), (ClientAccount{.name = "till", .keys = {digestOf("k3")}}));
+    EXPECT_TRUE(table->routes.at(0).isPublic);
+    EXPECT_DOUBLE_EQ(table->services.at("s").coldCallsPerSecond, 5.8);
+}
+
+TEST(PlatformStore, RefusesAccountsThatCannotBeToldApart)
+{
+    EXPECT_FALSE(decodeResources(accountResource("shop", R"({"apiKeys":["k1"]})") + "," + accountResource("till", R"({"apiKeys":["k2","k1"]})")));
+    EXPECT_FALSE(decodeResources(accountResource("shop", R"({"apiKeys":["k1"]})") + "," + accountResource("shop", R"({"apiKeys":["k2"]})")));
+}
+
+TEST(PlatformStore, AnOddAccountHasNoKeysAndHidesNoOther)
+{
+    const std::string good = accountResource("till", R"({"apiKeys":["k3"]})");
+    for (const std::string &odd : {accountResource("shop", "null"),
+                                   accountResource("shop", "{}"),
+                                   accountResource("shop", R"({"apiKeys":"k1"})"),
+                                   accountResource("shop", R"({"apiKeys":[1,null,"",[],"a b"]})"),
+                                   accountResource("shop", R"({"apiKeys":["k1"],"priority":-1})"),
+                                   accountResource("shop", R"({"apiKeys":["k1"],"ratePerS":-1})"),
+                                   accountResource("shop", R"({"apiKeys":["k1"],"ratePerS":"5"})"),
+                                   accountResource("shop", R"({"apiKeys":["k1"],"burst":[]})"),
+                                   accountResource("", R"({"apiKeys":["k1"]})"),
+                                   accountResource("a\\r\\nX-Own: 1", R"({"apiKeys":["k1"]})"),
+                                   accountResource(std::string(300, 'x'), R"({"apiKeys":["k1"]})"),
+                                   std::string(R"({"resourceKind":"tenants"})")}) {
+        SCOPED_TRACE(odd);
+        const auto table = decodeResources(odd + "," + good);
+        ASSERT_TRUE(table);
+        ASSERT_EQ(table->accounts.size(), 2U) << "calls still need a key";
+        EXPECT_EQ(makeAccountIndex(*table).size(), 1U);
+        EXPECT_EQ(table->accounts.at("till").keys, std::vector<KeyDigest>{digestOf("k3")});
+        const auto alone = decodeResources(odd);
+        ASSERT_TRUE(alone);
+        EXPECT_FALSE(alone->accounts.empty());
+    }
+}
+
 TEST(PlatformStore, DistinguishesAPageFromCompactedHistoryAndFailure)
 {
     StorePage page;
@@ -209,7 +274,11 @@
     const RoutedCall call = decodeCall(request, Now);
     EXPECT_EQ(call.path, "/a/x");
     EXPECT_EQ(call.timeLeft, std::chrono::milliseconds(3000));
-    const HttpRequest attempt = encodeAttempt(request, {.key = 1, .id = "i-9"}, std::chrono::milliseconds(750));
+    const HttpRequest attempt = encodeAttempt({.id = 1,
+                                               .upstream = {.key = 1, .id = "i-9"},
+                                               .message = std::make_shared<const HttpRequest>(request),
+                                               .deadline = Now + std::chrono::milliseconds(750)},
+                                              Now);
     EXPECT_EQ(attempt.target, request.target);
     EXPECT_EQ(fieldValue(attempt.fields, "X-Plantainweir-Deadline-Ms"), "750");
     EXPECT_EQ(fieldValue(attempt.fields, "X-Plantainweir-Expect-Instance"), "i-9");
@@ -229,6 +298,103 @@
     EXPECT_EQ(fieldValue(refusal.fields, "Retry-After"), "0.250");
 }
 
+TEST(PlatformCalls, RefusalsForAccountsSayWhatTheCallerMayDo)
+{
+    const TimePoint retryAt = Now + std::chrono::milliseconds(250);
+    const HttpResponse unknownKey = encodeReply(refusedReply(RefusalReason::UnknownKey, retryAt), "id1", Now);
+    EXPECT_EQ(unknownKey.status, 401);
+    EXPECT_EQ(fieldValue(unknownKey.fields, "WWW-Authenticate"), "Token");
+    EXPECT_EQ(fieldValue(unknownKey.fields, "Retry-After"), "") << "the same key will not be accepted later";
+    EXPECT_EQ(fieldValue(unknownKey.fields, RequestIdField), "id1");
+    const HttpResponse quota = encodeReply(refusedReply(RefusalReason::QuotaExceeded, retryAt), "id1", Now);
+    EXPECT_EQ(quota.status, 429);
+    EXPECT_EQ(fieldValue(quota.fields, "Retry-After"), "0.250");
+    const HttpResponse credit = encodeReply(refusedReply(RefusalReason::CreditUnavailable, retryAt), "id1", Now);
+    EXPECT_EQ(credit.status, 503);
+    EXPECT_EQ(fieldValue(credit.fields, "Retry-After"), "0.250");
+}
+
+Credential credentialOf(HttpFields fields)
+{
+    return decodeCall({.method = "GET", .target = "/", .fields = std::move(fields), .body = {}}, Now).credential;
+}
+
+TEST(PlatformCalls, ParseOnlyASingleWellFormedKey)
+{
+    EXPECT_EQ(credentialOf({{"Host", "h"}}).kind, CredentialKind::None);
+    for (const char *text : {"Token k1", "token k1", "TOKEN k1", "Token   k1"}) {
+        const Credential credential = credentialOf({{"authorization", text}});
+        EXPECT_EQ(credential.kind, CredentialKind::Key) << text;
+        EXPECT_EQ(credential.digest, digestOf("k1")) << text;
+    }
+    EXPECT_NE(credentialOf({{"Authorization", "Token K1"}}).digest, digestOf("k1")) << "keys differ by case";
+    const std::string longest(256, 'x');
+    EXPECT_EQ(credentialOf({{"Authorization", "Token " + longest}}).kind, CredentialKind::Key);
+    for (const std::string &text : {std::string(),
+                                    std::string("Token"),
+                                    std::string("Token "),
+                                    std::string("k1"),
+                                    std::string("Tokenk1"),
+                                    std::string("Token\tk1"),
+                                    std::string("Token k1 k2"),
+                                    std::string("Token k1 "),
+                                    std::string(" Token k1"),
+                                    std::string("Token k\t1"),
+                                    std::string("Token k\x80"),
+                                    std::string("Token k\x7f"),
+                                    std::string("Token k1\0", 9),
+                                    std::string("Bearer k1"),
+                                    std::string("Basic azE6"),
+                                    std::string("Token token=k1 "),
+                                    "Token " + longest + "x",
+                                    "Token " + std::string(1'000'000, 'x')}) {
+        EXPECT_EQ(credentialOf({{"Authorization", text}}).kind, CredentialKind::Malformed) << text.substr(0, 80);
+    }
+    EXPECT_EQ(credentialOf({{"Authorization", "Token k1"}, {"authorization", "Token k1"}}).kind, CredentialKind::Malformed) << "which one holds is unclear";
+    EXPECT_EQ(credentialOf({{"Authorization", ""}, {"Authorization", "Token k1"}}).kind, CredentialKind::Malformed);
+}
+
+/** Returns the fields that an upstream receives of a call whose caller sent a key and names of accounts. */
+HttpFields fieldsOfAttempt(const std::optional<std::string> &account)
+{
+    const HttpRequest request{.method = "GET",
+                              .target = "/a/",
+                              .fields = {{"Host", "h"},
+                                         {"Authorization", "Token k1"},
+                                         {"X-Plantainweir-Tenant", "forged"},
+                                         {"AUTHORIZATION", "Token k2"},
+                                         {"x-plantainweir-tenant", "forged"}},
+                              .body = {}};
+    return encodeAttempt({.id = 1,
+                          .upstream = {.key = 1, .id = "i-9"},
+                          .message = std::make_shared<const HttpRequest>(request),
+                          .deadline = Now + std::chrono::seconds(1),
+                          .account = account},
+                         Now)
+        .fields;
+}
+
+std::size_t countFields(const HttpFields &fields, std::string_view name)
+{
+    return static_cast<std::size_t>(std::count_if(fields.begin(), fields.end(), [name](const HttpField &field) {
+        return isSameFieldName(field.name, name);
+    }));
+}
+
+TEST(PlatformCalls, AnUpstreamSeesTheAccountAndNoKey)
+{
+    const HttpFields named = fieldsOfAttempt("shop");
+    EXPECT_EQ(countFields(named, "Authorization"), 0U);
+    EXPECT_EQ(countFields(named, "X-Plantainweir-Tenant"), 1U);
+    EXPECT_EQ(fieldValue(named, "X-Plantainweir-Tenant"), "shop");
+    const HttpFields unnamed = fieldsOfAttempt("");
+    EXPECT_EQ(countFields(unnamed, "Authorization"), 0U);
+    EXPECT_EQ(countFields(unnamed, "X-Plantainweir-Tenant"), 0U);
+    const HttpFields unchanged = fieldsOfAttempt(std::nullopt);
+    EXPECT_EQ(countFields(unchanged, "Authorization"), 2U) << "without accounts, upstreams may check keys of their own";
+    EXPECT_EQ(countFields(unchanged, "X-Plantainweir-Tenant"), 2U);
+}
+
 TEST(PlatformCalls, DecodeResponsesToAttempts)
 {
     const auto outcomeOf = [](int status, HttpFields fields) {
--- a/tests/routechaintest.cpp
+++ b/tests/routechaintest.cpp
@@ -65,6 +65,101 @@
     EXPECT_EQ(runRouteChain(empty, {.table = table, .freeBodyBytes = 0, .now = Now}), RouteOutcome::Continue);
 }
 
+constexpr KeyDigest ShopKey{1};
+constexpr KeyDigest TillKey{2};
+
+RouteTable makeTableWithAccounts()
+{
+    RouteTable table = makeTable();
+    Route open = table.routes.back();
+    open.name = "open";
+    open.pathPrefix = "/open/";
+    open.isPublic = true;
+    table.routes.push_back(open);
+    table.accounts["shop"] = {.name = "shop", .keys = {ShopKey}};
+    table.accounts["till"] = {.name = "till", .keys = {TillKey}};
+    return table;
+}
+
+RoutedCall makeCallWithKey(const std::string &path, const KeyDigest &key)
+{
+    RoutedCall call = makeCall(path);
+    call.credential = {.kind = CredentialKind::Key, .digest = key};
+    return call;
+}
+
+/** Returns the account of an admitted call; "none" if it belongs to none, and "refused" if it is not admitted. */
+std::string accountOf(const RoutedCall &call, const RouteTable &table)
+{
+    const AccountIndex accounts = makeAccountIndex(table);
+    RouteContext context{.call = call};
+    if (runRouteChain(context, {.table = table, .accounts = &accounts, .now = Now}) == RouteOutcome::Refuse) {
+        return "refused";
+    }
+    return context.account != nullptr ? context.account->name : "none";
+}
+
+TEST(RouteChain, AKeyDecidesTheAccount)
+{
+    const RouteTable table = makeTableWithAccounts();
+    EXPECT_EQ(accountOf(makeCallWithKey("/a/c", ShopKey), table), "shop");
+    EXPECT_EQ(accountOf(makeCallWithKey("/a/c", TillKey), table), "till");
+    EXPECT_EQ(accountOf(makeCallWithKey("/a/c", KeyDigest{3}), table), "refused");
+    RoutedCall malformed = makeCallWithKey("/a/c", ShopKey);
+    malformed.credential.kind = CredentialKind::Malformed;
+    EXPECT_EQ(accountOf(malformed, table), "refused");
+    EXPECT_EQ(accountOf(makeCall("/a/c"), table), "refused");
+}
+
+TEST(RouteChain, PublicRoutesNeedNoKeyButKnowTheAccount)
+{
+    const RouteTable table = makeTableWithAccounts();
+    EXPECT_EQ(accountOf(makeCall("/open/c"), table), "none");
+    EXPECT_EQ(accountOf(makeCallWithKey("/open/c", KeyDigest{3}), table), "none");
+    EXPECT_EQ(accountOf(makeCallWithKey("/open/c", ShopKey), table), "shop");
+}
+
+TEST(RouteChain, ThePriorityOfAnAccountGoesBeforeThatOfTheRoute)
+{
+    const Route route{.name = "r", .priority = 2};
+    const RoutedCall call = makeCall("/a/c");
+    RouteContext context{.call = call, .route = &route};
+    EXPECT_EQ(priorityOf(context), 2U);
+    ClientAccount account{.name = "shop"};
+    context.account = &account;
+    EXPECT_EQ(priorityOf(context), 2U);
+    account.priority = 0;
+    EXPECT_EQ(priorityOf(context), 0U);
+}
+
+TEST(RouteChain, WithoutAccountsKeysMeanNothing)
+{
+    const RouteTable table = makeTable();
+    EXPECT_EQ(accountOf(makeCall("/a/c"), table), "none");
+    EXPECT_EQ(accountOf(makeCallWithKey("/a/c", ShopKey), table), "none");
+}
+
+TEST(RouteChain, AKeyThatANewerTableLacksIsRefused)
+{
+    RouteTable table = makeTableWithAccounts();
+    EXPECT_EQ(accountOf(makeCallWithKey("/a/c", ShopKey), table), "shop");
+    table.accounts["shop"].keys = {KeyDigest{4}};
+    EXPECT_EQ(accountOf(makeCallWithKey("/a/c", ShopKey), table), "refused");
+    EXPECT_EQ(accountOf(makeCallWithKey("/a/c", KeyDigest{4}), table), "shop");
+}
+
+TEST(RouteChain, ReportsUnknownKeysOnlyWithAFreshTable)
+{
+    const RouteTable table = makeTableWithAccounts();
+    const AccountIndex accounts = makeAccountIndex(table);
+    const RoutedCall call = makeCallWithKey("/a/c", KeyDigest{3});
+    EXPECT_EQ(refusalOf(call, {.table = table, .accounts = &accounts, .now = Now}), RefusalReason::UnknownKey);
+    EXPECT_EQ(refusalOf(call, {.table = table, .accounts = &accounts, .isTableFresh = false, .now = Now}), RefusalReason::NotReady)
+        << "the key may have been added meanwhile";
+    EXPECT_EQ(refusalOf(call, {.table = RouteTable{}, .now = Now}), RefusalReason::NotReady);
+    EXPECT_EQ(refusalOf(makeCallWithKey("/a/c", ShopKey), {.table = table, .now = Now}), RefusalReason::UnknownKey) << "without an index, no key is known";
+}
+
 TEST(RouteChain, DeadlineIsTheEarlierOfCallerAndRoute)
 {
     const RouteTable table = makeTable();
