--- a/src/core/commandline.cpp
+++ b/src/core/commandline.cpp
@@ -26,6 +26,7 @@
     std::string allowed; ///< Allowed values, printed after "allowed:".
     Validator isValid;
     bool isSwitch = false;
+    bool isOptional = false; ///< An empty value counts as not given.
     std::optional<std::string> defaultValue;
     std::string help;
 };
@@ -107,8 +108,8 @@
                 return fail(fmt::format("--{} is missing; allowed: {}", flag, setting.allowed));
             }
             const std::string value = given.count(flag) != 0 ? given[flag].as<std::string>() : *setting.defaultValue;
-            const bool isUnsetDefault = given.count(flag) == 0 && value.empty();
-            if (!isUnsetDefault && !setting.isValid(value)) {
+            const bool isUnset = value.empty() && (given.count(flag) == 0 || setting.isOptional);
+            if (!isUnset && !setting.isValid(value)) {
                 return fail(fmt::format("--{} is \"{}\"; allowed: {}", flag, value, setting.allowed));
             }
             m_values[flag] = value;
@@ -116,6 +117,15 @@
         return std::nullopt;
     }
 
+    /** Returns whether @p argument is an optional setting without a value, which Boost.Program_options rejects. */
+    bool isEmptyOptional(const std::string &argument) const
+    {
+        const auto setting = std::find_if(m_settings.begin(), m_settings.end(), [&argument](const auto &row) {
+            return argument == "--" + row.first + "=";
+        });
+        return setting != m_settings.end() && setting->second.isOptional;
+    }
+
     std::string m_program;
     std::string m_summary;
     std::string m_positionalName;
@@ -188,6 +198,15 @@
     d->add(flag, {.allowed = "a time with its unit, such as 1500ms or 2s", .isValid = isDuration, .defaultValue = std::move(defaultValue), .help = help});
 }
 
+void CommandLine::addOptionalDuration(const std::string &flag, const std::string &help)
+{
+    const auto isDuration = [](const std::string &value) {
+        return parseDuration(value).has_value();
+    };
+    d->add(flag,
+           {.allowed = "a time with its unit, such as 1500ms or 2s, or nothing", .isValid = isDuration, .isOptional = true, .defaultValue = "", .help = help});
+}
+
 void CommandLine::addEndpoint(const std::string &flag, const std::string &help, std::optional<std::string> defaultValue)
 {
     const auto isEndpoint = [](const std::string &value) {
@@ -228,8 +247,12 @@
     po::positional_options_description positional;
     positional.add("positional-words", d->m_maximumPositional);
     po::variables_map given;
+    std::vector<std::string> arguments(argv + std::min(argc, 1), argv + argc);
+    std::erase_if(arguments, [this](const std::string &argument) {
+        return d->isEmptyOptional(argument);
+    });
     try { // Boost.Program_options reports errors only through exceptions.
-        po::store(po::command_line_parser(argc, argv).options(options).positional(positional).run(), given);
+        po::store(po::command_line_parser(arguments).options(options).positional(positional).run(), given);
         const auto flagOf = [this](const std::string &variable) -> std::string {
             const auto match = std::find_if(d->m_order.begin(), d->m_order.end(), [&variable](const std::string &flag) {
                 return environmentName(flag) == variable;
@@ -274,6 +297,11 @@
     return parseDuration(text(flag)).value_or(Duration{});
 }
 
+std::optional<Duration> CommandLine::optionalDuration(const std::string &flag) const
+{
+    return parseDuration(text(flag));
+}
+
 Endpoint CommandLine::endpoint(const std::string &flag) const
 {
     return parseEndpoint(text(flag)).value_or(Endpoint{});
--- a/tests/commandlinetest.cpp
+++ b/tests/commandlinetest.cpp
@@ -11,6 +11,7 @@
 {
     commandLine.addEndpoint("caller-port", "where callers connect", "127.0.0.1:8080");
     commandLine.addInteger("members", "number of members", 1, 18, 3);
+    commandLine.addOptionalDuration("patience", "how long to wait");
     commandLine.addSwitch("verbose", "more output");
     commandLine.addEndpointList("seeds", "first members");
     commandLine.addPositional("COMMAND", "what to do", 2);
@@ -56,6 +57,31 @@
     EXPECT_EQ(testing::internal::GetCapturedStderr(), "example: --members is \"99\"; allowed: a whole number from 1 to 18\n");
 }
 
+// A deployment without the value renders its template to an empty one.
+TEST(CommandLine, AnEmptyOptionalDurationCountsAsNotGiven)
+{
+    for (const std::vector<const char *> &arguments : {std::vector<const char *>{}, {"--patience="}, {"--patience", ""}}) {
+        CommandLine commandLine("example", "An example.");
+        addSettings(commandLine);
+        EXPECT_EQ(parse(commandLine, arguments), std::nullopt);
+        EXPECT_EQ(commandLine.optionalDuration("patience"), std::nullopt);
+    }
+    CommandLine given("example", "An example.");
+    addSettings(given);
+    EXPECT_EQ(parse(given, {"--patience=5000ms", "--members=4"}), std::nullopt);
+    EXPECT_EQ(given.optionalDuration("patience"), Duration(std::chrono::seconds(5)));
+    CommandLine wrong("example", "An example.");
+    addSettings(wrong);
+    testing::internal::CaptureStderr();
+    EXPECT_EQ(parse(wrong, {"--patience=soon"}), ExitStatus::Usage);
+    EXPECT_NE(testing::internal::GetCapturedStderr().find("--patience is \"soon\""), std::string::npos);
+    CommandLine required("example", "An example.");
+    addSettings(required);
+    testing::internal::CaptureStderr();
+    EXPECT_EQ(parse(required, {"--members="}), ExitStatus::Usage) << "only optional settings may be empty";
+    testing::internal::GetCapturedStderr();
+}
+
 TEST(CommandLine, RejectsHostNames)
 {
     CommandLine commandLine("example", "An example.");
