Let kinds of objects be checked less often

A kind with a wider bound need not be asked about in each check of the store. A watch that is not due is confirmed only if the answers about others do so, and each watch has its own pause after a first failure. The kinds so far are always due and keep their pause.

--- a/src/controllers/storecheck.cpp
+++ b/src/controllers/storecheck.cpp
@@ -34,7 +34,7 @@
         if (answer.outcome == StoreReadOutcome::Page && answer.revision == std::max(next->watch.revision, next->watch.completeUntil)) {
             next->finding = WatchFinding::Complete;
             next->completeUntil = answer.revision;
-        } else {
+        } else if (next->watch.isDue) {
             check.asked = next->watch.kind;
             return;
         }
@@ -44,7 +44,7 @@
 bool needsConsistentAnswer(const StoreCheck &check)
 {
     return check.consistency == ReadConsistency::Stale && std::any_of(check.watches.begin(), check.watches.end(), [](const CheckedWatch &checked) {
-               return checked.finding == WatchFinding::Unproven;
+               return checked.watch.isDue && checked.finding == WatchFinding::Unproven;
            });
 }
 
--- a/src/controllers/storecheck.h
+++ b/src/controllers/storecheck.h
@@ -24,6 +24,7 @@
     std::uint64_t revision = 0;
     std::uint64_t completeUntil = 0; ///< Newest revision of the store up to which a check found nothing missing.
     TimePoint since; ///< When it was sent.
+    bool isDue = true; ///< Whether the check asks about it. Otherwise it is only confirmed if the answers about others do so.
     bool operator==(const WaitingWatch &) const = default;
 };
 
@@ -69,11 +70,11 @@
 /**
  * Adopts @p answer, which must not have failed, and sets StoreCheck::asked to the kind to ask for next, or to nothing if the
  * check has ended. A watch that is known to be complete up to the store's own revision is not asked about, because there is
- * nothing to report.
+ * nothing to report; nor is one that is not due.
  */
 void adoptAnswer(StoreCheck &check, const ChangesAnswer &answer);
 
-/** Returns whether a stale answer left a watch unproven, so that a consistent one is needed. */
+/** Returns whether a stale answer left a watch that is due unproven, so that a consistent one is needed. */
 bool needsConsistentAnswer(const StoreCheck &check);
 
 /** How often a member that reads the store checks it. */
--- a/src/controllers/storewatch.cpp
+++ b/src/controllers/storewatch.cpp
@@ -5,7 +5,6 @@
 namespace Plantainweir {
 namespace {
 
-constexpr std::chrono::milliseconds MinimumBackoff{80};
 /** Backoff limit before the first complete list. */
 constexpr std::chrono::milliseconds MaximumInitialBackoff{600};
 /** Backoff limit afterwards. It is longer, because the last state remains usable and each call to the store costs money. */
@@ -23,8 +22,8 @@
     if (watch.failures == 0) {
         watch.failingSince = now;
     }
-    const auto maximum = watch.isListed ? MaximumBackoff : MaximumInitialBackoff;
-    const auto backoff = std::min(MinimumBackoff * (1U << std::min(watch.failures, MaximumDoublings)), maximum);
+    const auto maximum = std::max<Duration>(watch.minimumBackoff, watch.isListed ? MaximumBackoff : MaximumInitialBackoff);
+    const auto backoff = std::min<Duration>(watch.minimumBackoff * (1U << std::min(watch.failures, MaximumDoublings)), maximum);
     ++watch.failures;
     std::uniform_real_distribution<double> jitter(0.5, 1.0);
     watch.afterName.clear();
--- a/src/controllers/storewatch.h
+++ b/src/controllers/storewatch.h
@@ -37,6 +37,7 @@
 /** State of listing and watching one kind of object. */
 struct StoreWatch {
     Duration changeBatchInterval = std::chrono::milliseconds(1300); ///< Pause after a change, so that further changes come with one call.
+    Duration minimumBackoff = std::chrono::milliseconds(80); ///< Pause after the first failed call, before jitter.
     StoreWatchPhase phase = StoreWatchPhase::Pausing;
     std::uint64_t revision = 0; ///< Revision from which a watch misses no change; zero if the objects must be listed first.
     std::uint64_t listRevision = 0; ///< Revision of the first page of the list in progress.
--- a/src/tasks/storewatchtask.cpp
+++ b/src/tasks/storewatchtask.cpp
@@ -50,7 +50,7 @@
 
     void start()
     {
-        m_watch = {.changeBatchInterval = m_watch.changeBatchInterval};
+        m_watch = {.changeBatchInterval = m_watch.changeBatchInterval, .minimumBackoff = m_watch.minimumBackoff};
         handleEvent(StoreTimerFired{});
     }
 
@@ -183,6 +183,11 @@
     d->m_watch.changeBatchInterval = interval;
 }
 
+void StoreWatchTask::setMinimumBackoff(Duration backoff)
+{
+    d->m_watch.minimumBackoff = backoff;
+}
+
 void StoreWatchTask::start()
 {
     d->start();
--- a/src/tasks/storewatchtask.h
+++ b/src/tasks/storewatchtask.h
@@ -27,6 +27,8 @@
 
     /** Sets the pause after a change, so that changes in quick succession are received with one call. */
     void setChangeBatchInterval(Duration interval);
+    /** Sets the pause after the first failed call. */
+    void setMinimumBackoff(Duration backoff);
     /** Lists all objects and watches them from then on. */
     void start();
     /** Cancels the call in flight; start() lists the objects again. */
--- a/tests/storechecktest.cpp
+++ b/tests/storechecktest.cpp
@@ -43,6 +43,22 @@
     EXPECT_FALSE(needsConsistentAnswer(check));
 }
 
+TEST(StoreCheck, AWatchThatIsNotDueIsConfirmedOnlyIfThatCostsNoCall)
+{
+    StoreCheck check = makeCheck(ReadConsistency::Stale);
+    check.watches.push_back({.watch = {.kind = StoreObjectKind::Evacuations, .revision = 30, .since = Start, .isDue = false}});
+    StoreCheck unchanged = check;
+    adoptAnswer(unchanged, page(30));
+    EXPECT_FALSE(unchanged.asked);
+    EXPECT_EQ(unchanged.watches[2].finding, WatchFinding::Complete);
+    adoptAnswer(check, page(31));
+    ASSERT_EQ(check.asked, StoreObjectKind::Upstreams);
+    adoptAnswer(check, page(31));
+    EXPECT_FALSE(check.asked) << "the later revision may concern it, but it need not be known yet";
+    EXPECT_EQ(check.watches[2].finding, WatchFinding::Unproven);
+    EXPECT_FALSE(needsConsistentAnswer(check));
+}
+
 // Guards against an old answer that counts as a confirmation.
 TEST(StoreCheck, AnAnswerOlderThanTheWatchProvesNothing)
 {
--- a/tests/storewatchtest.cpp
+++ b/tests/storewatchtest.cpp
@@ -99,6 +99,18 @@
     return {.id = id, .service = "desk", .endpoint = {.address = "10.0.0.1", .port = 80}, .availabilityZone = "a", .slots = 3};
 }
 
+TEST_F(StoreWatchTest, BacksOffFromItsOwnMinimum)
+{
+    watch.minimumBackoff = std::chrono::seconds(2);
+    fireTimer();
+    for (int failure = 0; failure < 4; ++failure) {
+        feed(StoreCallFailed{});
+        EXPECT_GE(watch.resumeAt - now, std::chrono::seconds(1));
+        EXPECT_LE(watch.resumeAt - now, std::chrono::seconds(2));
+        fireTimer();
+    }
+}
+
 TEST_F(StoreWatchTest, BacksOffLongerAfterTheFirstList)
 {
     const auto callsIn = [this](Duration time) {
