Leave out the upstreams of given availability zones

The pool marks the upstreams of these zones, and no choice considers them. Calls that run there end; waiting ones choose among the other zones, or are refused at once if there are none. Nothing sets such zones yet.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -569,6 +569,16 @@
     }
     for (const auto &[name, upstreams] : byService) {
         replaceUpstreams(serviceOf(context, name).pool, upstreams);
+        setEvacuatedZones(serviceOf(context, name).pool, context.state.evacuatedZones);
+        advanceWaiting(context, name);
+    }
+}
+
+void handle(ProxyStepContext &context, const EvacuationsReplaced &event)
+{
+    context.state.evacuatedZones = event.availabilityZones;
+    for (auto &[name, service] : context.state.services) {
+        setEvacuatedZones(service.pool, event.availabilityZones);
         advanceWaiting(context, name);
     }
 }
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -98,12 +98,17 @@
 struct UpstreamsReplaced {
     std::vector<RegisteredUpstream> upstreams;
 };
+/** The availability zones that get no calls have changed. */
+struct EvacuationsReplaced {
+    std::set<std::string> availabilityZones;
+};
 /** The share of the fleet-wide retry and probe limits that this entry VM may use has changed. */
 struct FleetShareChanged {
     double retrySlack = 0.0;
     double probesPerSecond = 0.0;
 };
-using ProxyEvent = std::variant<ProxyCallAdmitted, ProxyCallAbandoned, ProbeEnded, ProxyAttemptEnded, ProxyTimerFired, UpstreamsReplaced, FleetShareChanged>;
+using ProxyEvent = std::
+    variant<ProxyCallAdmitted, ProxyCallAbandoned, ProbeEnded, ProxyAttemptEnded, ProxyTimerFired, UpstreamsReplaced, EvacuationsReplaced, FleetShareChanged>;
 
 struct StartProbe {
     ProbeId id = 0;
@@ -182,6 +187,7 @@
     std::map<ProxyAttemptId, ProxyAttempt> attempts;
     std::map<ProbeId, ProxyProbe> probes;
     std::set<std::pair<TimePoint, ProxyCallId>> timers;
+    std::set<std::string> evacuatedZones; ///< Availability zones that get no calls.
     std::uint64_t lastId = 0;
     double probeTokens = 0.0; ///< Token bucket of the probe rate limit.
     TimePoint probeTokensRefilledAt;
--- a/src/decision/upstreampool.cpp
+++ b/src/decision/upstreampool.cpp
@@ -51,7 +51,7 @@
 
 bool acceptsCalls(const PooledUpstream &upstream)
 {
-    return !upstream.registration.isDraining && !upstream.isLeaving;
+    return !upstream.registration.isDraining && !upstream.isLeaving && !upstream.isEvacuated;
 }
 
 }
@@ -73,6 +73,15 @@
     });
 }
 
+void setEvacuatedZones(UpstreamPool &pool, const std::set<std::string> &availabilityZones)
+{
+    for (auto *upstreams : {&pool.upstreams, &pool.absent}) {
+        for (auto &[key, upstream] : *upstreams) {
+            upstream.isEvacuated = availabilityZones.contains(upstream.registration.availabilityZone);
+        }
+    }
+}
+
 PooledUpstream *findUpstream(UpstreamPool &pool, UpstreamKey key)
 {
     for (auto *upstreams : {&pool.upstreams, &pool.absent}) {
--- a/src/decision/upstreampool.h
+++ b/src/decision/upstreampool.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,7 @@
     TimePoint ejectedUntil;
     TimePoint quietUntil; ///< It asked for no calls before this time.
     bool isLeaving = false; ///< Whether its incarnation is among UpstreamPool::leaving.
+    bool isEvacuated = false; ///< Whether its availability zone gets no calls.
 };
 
 /** Identifies an incarnation of an upstream across registrations, which each get a new key. */
@@ -85,6 +87,9 @@
 /** Replaces the registered upstreams. The state of upstreams that stay registered is kept. */
 void replaceUpstreams(UpstreamPool &pool, const std::vector<RegisteredUpstream> &upstreams);
 
+/** Sends no calls to the upstreams of @p availabilityZones, and calls to those of all other zones again. */
+void setEvacuatedZones(UpstreamPool &pool, const std::set<std::string> &availabilityZones);
+
 /** Returns the upstream, also one that is absent, or nullptr if it is not known. */
 PooledUpstream *findUpstream(UpstreamPool &pool, UpstreamKey key);
 
@@ -110,7 +115,7 @@
 LoadState loadStateOf(const PooledUpstream &upstream, Duration maximumAge, TimePoint now);
 
 /**
- * Returns the upstreams that may receive calls: none that are leaving or asked for quiet. If more than half of the others
+ * Returns the upstreams that may receive calls: none that are leaving, evacuated or asked for quiet. If more than half of the others
  * are ejected, the ejected ones are included.
  */
 std::vector<PooledUpstream *> usableUpstreams(UpstreamPool &pool, TimePoint now);
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -303,6 +303,11 @@
     d->handleEvent(UpstreamsReplaced{upstreams});
 }
 
+void ProxyTask::setEvacuatedZones(const std::set<std::string> &availabilityZones)
+{
+    d->handleEvent(EvacuationsReplaced{availabilityZones});
+}
+
 void ProxyTask::setFleetShare(const FleetShareChanged &share)
 {
     d->handleEvent(share);
--- a/src/tasks/proxytask.h
+++ b/src/tasks/proxytask.h
@@ -5,6 +5,8 @@
 #include <QObject>
 
 #include <memory>
+#include <set>
+#include <string>
 
 namespace Plantainweir {
 
@@ -34,6 +36,8 @@
      */
     void setRouteTableFresh(bool isFresh);
     void setUpstreams(const std::vector<RegisteredUpstream> &upstreams);
+    /** Sends no calls to the upstreams of @p availabilityZones from now on; calls that run there may end. */
+    void setEvacuatedZones(const std::set<std::string> &availabilityZones);
     void setFleetShare(const FleetShareChanged &share);
     /** Refuses all calls that are admitted from now on. */
     void refuseNewCalls();
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -640,6 +640,89 @@
     EXPECT_EQ(attempts.back().upstream.key, 4U) << "a new incarnation is another upstream";
 }
 
+TEST_F(ProxyingTest, UpstreamsOfAnEvacuatedZoneGetNoCallsUntilItIsTakenBack)
+{
+    setUpstreams({makeUpstream(1), makeUpstream(2), makeUpstream(3, "b")});
+    feed(EvacuationsReplaced{{"a"}});
+    for (ProxyCallId id = 1; id <= 3; ++id) {
+        admit(id);
+        answerIdle();
+        EXPECT_EQ(attempts.back().upstream.key, 3U);
+    }
+    // An upstream that joins the zone gets none either.
+    setUpstreams({makeUpstream(1), makeUpstream(2), makeUpstream(3, "b"), makeUpstream(4)});
+    admit(4);
+    advanceTime(std::chrono::milliseconds(200));
+    for (const StartProxyAttempt &attempt : attempts) {
+        EXPECT_EQ(attempt.upstream.availabilityZone, "b");
+    }
+    feed(EvacuationsReplaced{});
+    advanceTime(std::chrono::milliseconds(100));
+    admit(5);
+    answerIdle();
+    EXPECT_EQ(attempts.back().upstream.availabilityZone, "a");
+}
+
+TEST_F(ProxyingTest, TwoZonesCanBeEvacuatedAndAnUnknownOneChangesNothing)
+{
+    setUpstreams({makeUpstream(1), makeUpstream(2, "b"), makeUpstream(3, "c")});
+    feed(EvacuationsReplaced{{"a", "b", "no-such-zone"}});
+    admit(1);
+    answerIdle();
+    EXPECT_EQ(attempts.back().upstream.availabilityZone, "c");
+    endLastAttempt(ProxyAttemptOutcome::Succeeded);
+    feed(EvacuationsReplaced{{"b", "no-such-zone"}});
+    advanceTime(std::chrono::milliseconds(100));
+    admit(2);
+    answerIdle();
+    EXPECT_EQ(attempts.back().upstream.availabilityZone, "a");
+}
+
+TEST_F(ProxyingTest, CallsOfAServiceWithoutAnyOtherZoneAreRefusedAtOnce)
+{
+    setUpstreams({makeUpstream(1)});
+    admit(1); // Its probe is on the way.
+    feed(EvacuationsReplaced{{"a"}});
+    admit(2);
+    answerIdle();
+    ASSERT_EQ(ends.size(), 2U) << "they do not wait for the end of the evacuation";
+    for (const EndProxyCall &end : ends) {
+        EXPECT_EQ(end.outcome, CallOutcome::NotRun);
+        EXPECT_EQ(end.refusal, RefusalReason::NoUpstream);
+    }
+    EXPECT_TRUE(attempts.empty());
+}
+
+TEST_F(ProxyingTest, CallsThatRunInAnEvacuatedZoneEndAndAreRepeatedElsewhere)
+{
+    setUpstreams({makeUpstream(1)});
+    admit(1);
+    admit(2, Repeatability::Idempotent);
+    answerIdle();
+    ASSERT_EQ(attempts.size(), 2U);
+    setUpstreams({makeUpstream(1), makeUpstream(2, "b")});
+    feed(EvacuationsReplaced{{"a"}});
+    EXPECT_TRUE(cancelled.empty());
+    feed(ProxyAttemptEnded{.id = attempts[0].id, .outcome = ProxyAttemptOutcome::Succeeded, .load = std::nullopt});
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, CallOutcome::Answered);
+    state.services.at("desk").retryBudget.tokens = 1.0;
+    feed(ProxyAttemptEnded{.id = attempts[1].id, .outcome = ProxyAttemptOutcome::ConnectionLost, .load = std::nullopt});
+    answerIdle();
+    ASSERT_EQ(attempts.size(), 3U);
+    EXPECT_EQ(attempts.back().upstream.availabilityZone, "b");
+}
+
+TEST_F(ProxyingTest, WithoutProbesAnEvacuatedZoneGetsNoCallEither)
+{
+    state.settings.probesPerSecond = 0.1;
+    setUpstreams({makeUpstream(1), makeUpstream(2, "b")});
+    feed(EvacuationsReplaced{{"a"}});
+    admit(1);
+    ASSERT_EQ(attempts.size(), 1U);
+    EXPECT_EQ(attempts.back().upstream.availabilityZone, "b");
+}
+
 TEST_F(ProxyingTest, AnUpstreamThatAskedForQuietGetsNoCallUntilItsEnd)
 {
     setUpstreams({makeUpstream(1)});
