Read evacuations as a third kind of the store's objects

An object of kind evacuations asks by its existence that its availability zone gets no calls. It is read, fed to followers and checked for lost answers like the configuration and the registrations, but may be older by the difference of the bounds, so that most checks do not ask about it. The first read of a restarted entry VM includes it.

--- a/src/controllers/storeobject.h
+++ b/src/controllers/storeobject.h
@@ -16,14 +16,16 @@
 enum class StoreObjectKind {
     Configuration,
     Upstreams,
+    Evacuations, ///< Availability zones that operators want to be empty; read only if there is a bound for it.
     EntryVms,
 };
 
-constexpr std::array<EnumName<StoreObjectKind>, 3> enumNames(StoreObjectKind)
+constexpr std::array<EnumName<StoreObjectKind>, 4> enumNames(StoreObjectKind)
 {
     return {{
         {StoreObjectKind::Configuration, "configuration"},
         {StoreObjectKind::Upstreams, "upstreams"},
+        {StoreObjectKind::Evacuations, "evacuations"},
         {StoreObjectKind::EntryVms, "entry_vms"},
     }};
 }
@@ -36,12 +38,18 @@
     bool operator==(const EntryVmRecord &) const = default;
 };
 
+/** The operators' wish that no calls are sent to an availability zone. It holds as long as the object exists. */
+struct EvacuationRecord {
+    std::string availabilityZone;
+    bool operator==(const EvacuationRecord &) const = default;
+};
+
 /** A decoded object of the store. The value is std::monostate if the object is malformed or deleted. */
 struct StoreObject {
     std::string name;
     std::uint64_t revision = 0;
     bool isDeleted = false;
-    std::variant<std::monostate, RouteTable, UpstreamRecord, EntryVmRecord> value;
+    std::variant<std::monostate, RouteTable, UpstreamRecord, EntryVmRecord, EvacuationRecord> value;
     bool operator==(const StoreObject &) const = default;
 };
 
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -163,6 +163,7 @@
          Warning,
          "log_lines_dropped",
          "Log lines were dropped, because they exceeded the rate limit or the reader was too slow; the field gives their number."},
+        {LogEvent::EvacuationsChanged, Info, "evacuations_changed", "The availability zones that operators want to be empty changed; the field names them."},
         {LogEvent::ReloadRequested,
          Info,
          "reload_requested",
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -74,6 +74,7 @@
     StoreLost = 1520,
     StoreReturned = 1521,
     LogLinesDropped = 1522,
+    EvacuationsChanged = 1523,
     ReloadRequested = 1530,
     StoreReadingChanged = 1540,
     FeedEnded = 1541,
--- a/src/rpc/storemessages.cpp
+++ b/src/rpc/storemessages.cpp
@@ -28,7 +28,8 @@
 std::optional<StoreObjectKind> feedKind(std::uint32_t number)
 {
     const auto kind = static_cast<StoreObjectKind>(number);
-    return kind == StoreObjectKind::Configuration || kind == StoreObjectKind::Upstreams ? std::optional(kind) : std::nullopt;
+    const bool isFed = kind == StoreObjectKind::Configuration || kind == StoreObjectKind::Upstreams || kind == StoreObjectKind::Evacuations;
+    return isFed ? std::optional(kind) : std::nullopt;
 }
 
 StoreProtocol::Route toMessage(const Route &route)
@@ -182,6 +183,8 @@
         *message.mutable_route_table() = toMessage(*table);
     } else if (const auto *upstream = std::get_if<UpstreamRecord>(&object.value)) {
         *message.mutable_upstream() = toMessage(*upstream);
+    } else if (std::holds_alternative<EvacuationRecord>(object.value)) {
+        message.mutable_evacuation();
     }
     return message;
 }
@@ -200,6 +203,8 @@
         if (auto upstream = fromMessage(message.name(), message.upstream())) {
             object.value = std::move(*upstream);
         }
+    } else if (message.has_evacuation()) {
+        object.value = EvacuationRecord{message.name()};
     }
     return object;
 }
@@ -266,6 +271,7 @@
     message.set_sender(request.sender);
     message.set_configuration_revision(request.configurationRevision);
     message.set_upstreams_revision(request.upstreamsRevision);
+    message.set_evacuations_revision(request.evacuationsRevision);
     message.set_sent_at_microseconds(microseconds(request.sentAt.time_since_epoch()));
     return message;
 }
@@ -279,6 +285,7 @@
     return FeedRequest{.sender = message.sender(),
                        .configurationRevision = message.configuration_revision(),
                        .upstreamsRevision = message.upstreams_revision(),
+                       .evacuationsRevision = message.evacuations_revision(),
                        .sentAt = TimePoint(*sentAt)};
 }
 
--- a/src/rpc/storemessages.h
+++ b/src/rpc/storemessages.h
@@ -39,6 +39,7 @@
     std::string sender;
     std::uint64_t configurationRevision = 0; ///< What the follower has when it opens the feed; zero if nothing.
     std::uint64_t upstreamsRevision = 0; ///< The same.
+    std::uint64_t evacuationsRevision = 0; ///< The same.
     TimePoint sentAt; ///< By the follower's clock.
     bool operator==(const FeedRequest &) const = default;
 };
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -15,7 +15,10 @@
 
 #include <QTimer>
 
+#include <fmt/ranges.h>
+
 #include <algorithm>
+#include <set>
 
 namespace Plantainweir {
 namespace {
@@ -92,6 +95,7 @@
                    .changeBound = settings.changeBound,
                    .startDelay = settings.isFleetStarting ? FleetStartDelay : maximumAge,
                    .firstReadDelay = settings.isFleetStarting ? Duration(FleetStartDelay) : Duration(0)},
+        .evacuationBound = settings.evacuationBound,
         .seed = settings.seed + 1,
     };
 }
@@ -177,10 +181,18 @@
     void connectStore()
     {
         connect(&m_storeSource, &StoreSourceTask::objectsChanged, this, [this](StoreObjectKind kind, const std::vector<StoreObject> &objects) {
-            if (kind == StoreObjectKind::Configuration) {
+            switch (kind) {
+            case StoreObjectKind::Configuration:
                 applyRouteTables(objects);
-            } else {
+                return;
+            case StoreObjectKind::Upstreams:
                 applyUpstreamRecords(objects);
+                return;
+            case StoreObjectKind::Evacuations:
+                applyEvacuations(objects);
+                return;
+            case StoreObjectKind::EntryVms:
+                return;
             }
         });
         connect(&m_storeSource, &StoreSourceTask::listed, this, &Private::updateReadiness);
@@ -313,6 +325,20 @@
         publishUpstreams();
     }
 
+    void applyEvacuations(const std::vector<StoreObject> &objects)
+    {
+        for (const StoreObject &object : objects) {
+            if (object.isDeleted) {
+                m_evacuatedZones.erase(object.name);
+            } else {
+                m_evacuatedZones.insert(object.name);
+            }
+        }
+        logEvent(LogEvent::EvacuationsChanged, {{"zones", fmt::format("{}", fmt::join(m_evacuatedZones, ","))}});
+        m_metrics.setGauge("plantainweir_evacuated_zones", "Availability zones that operators want to be empty.", static_cast<double>(m_evacuatedZones.size()));
+        m_proxy.setEvacuatedZones(m_evacuatedZones);
+    }
+
     void publishUpstreams()
     {
         const std::vector<RegisteredUpstream> upstreams = registeredUpstreams(m_upstreamRegistry);
@@ -511,6 +537,7 @@
     ExchangeClient m_exchangeClient;
     HttpClient m_storeClient;
     UpstreamRegistry m_upstreamRegistry;
+    std::set<std::string> m_evacuatedZones;
     QTimer m_expiryTimer;
     QTimer m_seedResponseTimer;
     QTimer m_convergenceTimer;
--- a/src/tasks/gateway.h
+++ b/src/tasks/gateway.h
@@ -30,6 +30,7 @@
     Duration retryWindow{};
     double probesPerSecondPerUpstream = 0.0; ///< Probes per second that the fleet may send to one upstream.
     Duration changeBound = std::chrono::seconds(2); ///< Time in which an acknowledged change must be in force.
+    std::optional<Duration> evacuationBound; ///< The same for the evacuation of an availability zone; without it, evacuations are not read.
     double processorShare = 0.0; ///< Of this VM, in cores; zero if not known.
     std::size_t memoryBytes = 512 * 1024 * 1024; ///< Memory that this process may use.
     bool isFleetStarting = false; ///< Whether the whole fleet starts for the first time, before there are calls.
--- a/src/tasks/storefeedserver.cpp
+++ b/src/tasks/storefeedserver.cpp
@@ -244,14 +244,15 @@
     }
 }
 
-void StoreFeedServer::send(FeedId feed, const StoreProtocol::FeedUpdate &update, std::uint64_t configurationRevision, std::uint64_t upstreamsRevision)
+void StoreFeedServer::send(FeedId feed, const StoreProtocol::FeedUpdate &update, const FeedRequest &known)
 {
     FeedStream *stream = d->find(feed);
     if (stream == nullptr || !stream->canWrite()) {
         return;
     }
-    stream->m_known->configurationRevision = configurationRevision;
-    stream->m_known->upstreamsRevision = upstreamsRevision;
+    stream->m_known->configurationRevision = known.configurationRevision;
+    stream->m_known->upstreamsRevision = known.upstreamsRevision;
+    stream->m_known->evacuationsRevision = known.evacuationsRevision;
     d->m_metrics.addToCounter("plantainweir_store_feed_sent_bytes_total", "Bytes of feed updates sent.", {}, static_cast<double>(update.ByteSizeLong()));
     stream->write(update);
 }
--- a/src/tasks/storefeedserver.h
+++ b/src/tasks/storefeedserver.h
@@ -38,9 +38,9 @@
     void publish(Duration outage = {});
     /**
      * Sends @p update on @p feed, in answer to updateRequested(). The server adds the echo.
-     * @param configurationRevision @param upstreamsRevision what the follower has once it has received the update.
+     * @param known has the revisions that the follower has once it has received the update.
      */
-    void send(FeedId feed, const StoreProtocol::FeedUpdate &update, std::uint64_t configurationRevision, std::uint64_t upstreamsRevision);
+    void send(FeedId feed, const StoreProtocol::FeedUpdate &update, const FeedRequest &known);
     /** Ends all feeds. */
     void close();
 
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -11,12 +11,14 @@
 
 #include <QTimer>
 
-#include <array>
+#include <algorithm>
+#include <vector>
 
 namespace Plantainweir {
 namespace {
 
-constexpr std::size_t KindCount = 2;
+/** Evacuations have a wider bound than the other kinds, and need not be asked for as often while the store does not answer. */
+constexpr std::chrono::milliseconds EvacuationBackoff{2000};
 /** How long an encoded update is reused. The ages in it are understated by at most this time. */
 constexpr std::chrono::milliseconds UpdateReuseTime{20};
 
@@ -33,11 +35,40 @@
     std::optional<TimePoint> confirmedAt; ///< Time at which the mirror was known to be complete.
     std::optional<TimePoint> storeConfirmedAt; ///< The same, from the answers of the store to this entry VM only.
     std::optional<TimePoint> verifiedAt; ///< The same, from its consistent answers only.
+    Duration extraAge{}; ///< How much older than StoreSourceSettings::maximumAge the knowledge may become.
 };
 
 std::uint64_t revisionIn(const FeedRequest &request, StoreObjectKind kind)
 {
-    return kind == StoreObjectKind::Configuration ? request.configurationRevision : request.upstreamsRevision;
+    switch (kind) {
+    case StoreObjectKind::Configuration:
+        return request.configurationRevision;
+    case StoreObjectKind::Upstreams:
+        return request.upstreamsRevision;
+    case StoreObjectKind::Evacuations:
+        return request.evacuationsRevision;
+    case StoreObjectKind::EntryVms:
+        break;
+    }
+    return 0;
+}
+
+std::vector<KindState> makeKinds(const StoreSourceTaskSettings &settings)
+{
+    std::vector<KindState> kinds(settings.evacuationBound ? 3 : 2);
+    for (std::size_t index = 0; index < kinds.size(); ++index) {
+        kinds[index].mirror.kind = static_cast<StoreObjectKind>(index);
+    }
+    if (settings.evacuationBound) {
+        kinds.back().extraAge = std::max(Duration(0), maximumKnowledgeAge(*settings.evacuationBound) - settings.source.maximumAge);
+    }
+    return kinds;
+}
+
+/** Returns as of when the knowledge counts as complete, compared with the other kinds. */
+std::optional<TimePoint> withExtraAge(const std::optional<TimePoint> &time, const KindState &state)
+{
+    return time ? std::optional(*time + state.extraAge) : std::nullopt;
 }
 
 /** Replaces malformed objects, which feeds do not carry: a follower must not use an earlier version of them either. */
@@ -64,15 +95,18 @@
         , m_metrics(metrics)
         , m_random(settings.seed)
         , m_source(makeStoreSource(settings.name, settings.source, suspendAwareNow(), m_random))
+        , m_kinds(makeKinds(settings))
         , m_configurationWatch(StoreObjectKind::Configuration, settings.store, codec, settings.seed + 1)
         , m_upstreamWatch(StoreObjectKind::Upstreams, settings.store, codec, settings.seed + 2)
+        , m_evacuationWatch(StoreObjectKind::Evacuations, settings.store, codec, settings.seed + 3)
         , m_firstConfiguration(StoreObjectKind::Configuration, settings.store, codec)
         , m_firstUpstreams(StoreObjectKind::Upstreams, settings.store, codec)
+        , m_firstEvacuations(StoreObjectKind::Evacuations, settings.store, codec)
         , m_check(settings.store, codec)
         , m_feedServer(metrics)
         , m_feedClient(metrics, feedRequestPeriod(settings.source))
     {
-        kind(StoreObjectKind::Upstreams).mirror.kind = StoreObjectKind::Upstreams;
+        m_evacuationWatch.setMinimumBackoff(EvacuationBackoff);
         m_timer.setSingleShot(true);
         connect(&m_timer, &QTimer::timeout, this, [this] {
             handleEvent(SourceTimerFired{});
@@ -84,8 +118,9 @@
 
     void connectReading()
     {
-        for (StoreWatchTask *watch : watches()) {
-            const StoreObjectKind watched = watch == &m_configurationWatch ? StoreObjectKind::Configuration : StoreObjectKind::Upstreams;
+        for (const KindState &state : m_kinds) {
+            const StoreObjectKind watched = state.mirror.kind;
+            StoreWatchTask *watch = &watchOf(watched);
             connect(watch, &StoreWatchTask::deltaReceived, this, [this](const StoreDelta &delta, TimePoint confirmedAt) {
                 adoptDelta(delta);
                 confirmByStore(delta.kind, confirmedAt, ReadConsistency::Consistent);
@@ -96,8 +131,8 @@
                 watch,
                 &StoreWatchTask::watchStarted,
                 this,
-                [this] {
-                    if (!m_source.isSmallZone) {
+                [this, watched] {
+                    if (!m_source.isSmallZone && watched != StoreObjectKind::Evacuations) {
                         checkStore(ReadConsistency::Stale);
                     }
                 },
@@ -109,7 +144,10 @@
             connect(watch, &StoreWatchTask::storeRecovered, this, [this, watched](Duration outage) {
                 logEvent(LogEvent::StoreReturned,
                          {{"kind", nameOf(watched)}, {"away_ms", std::chrono::duration_cast<std::chrono::milliseconds>(outage).count()}});
-                recover(outage);
+                // Registrations are listed again when the watches of the other kinds recover.
+                if (watched != StoreObjectKind::Evacuations) {
+                    recover(outage);
+                }
             });
             // A watch may wait on a connection that died without a reset, and does not notice.
             connect(&m_check, &StoreCheckTask::failed, watch, &StoreWatchTask::restart);
@@ -134,7 +172,11 @@
             adoptDelta(delta);
             endFirstRead();
         });
-        for (StoreListTask *list : {&m_firstConfiguration, &m_firstUpstreams}) {
+        connect(&m_firstEvacuations, &StoreListTask::listed, this, [this](const StoreDelta &delta, TimePoint) {
+            adoptDelta(delta);
+            endFirstRead();
+        });
+        for (StoreListTask *list : {&m_firstConfiguration, &m_firstUpstreams, &m_firstEvacuations}) {
             connect(list, &StoreListTask::failed, this, [] {
                 logEvent(LogEvent::FirstReadFailed);
             });
@@ -151,9 +193,33 @@
         connect(&m_feedServer, &StoreFeedServer::updateRequested, this, &Private::sendUpdate);
     }
 
-    std::array<StoreWatchTask *, 2> watches()
+    StoreWatchTask &watchOf(StoreObjectKind kind)
     {
-        return {&m_configurationWatch, &m_upstreamWatch};
+        switch (kind) {
+        case StoreObjectKind::Upstreams:
+            return m_upstreamWatch;
+        case StoreObjectKind::Evacuations:
+            return m_evacuationWatch;
+        case StoreObjectKind::Configuration:
+        case StoreObjectKind::EntryVms:
+            break;
+        }
+        return m_configurationWatch;
+    }
+
+    /** Returns the watches of the kinds that are read. */
+    std::vector<StoreWatchTask *> watches()
+    {
+        std::vector<StoreWatchTask *> watches;
+        for (const KindState &state : m_kinds) {
+            watches.push_back(&watchOf(state.mirror.kind));
+        }
+        return watches;
+    }
+
+    bool isRead(StoreObjectKind kind) const
+    {
+        return static_cast<std::size_t>(kind) < m_kinds.size();
     }
 
     KindState &kind(StoreObjectKind kind)
@@ -168,7 +234,7 @@
         });
     }
 
-    /** Returns the time as of which all kinds are known to be complete. */
+    /** Returns the time as of which all kinds are known to be complete, later for those that may be older. */
     std::optional<TimePoint> confirmedAt() const
     {
         std::optional<TimePoint> oldest;
@@ -176,7 +242,8 @@
             if (!state.confirmedAt || state.mirror.revision == 0) {
                 return std::nullopt;
             }
-            oldest = oldest ? std::min(oldest, state.confirmedAt) : state.confirmedAt;
+            const auto confirmed = withExtraAge(state.confirmedAt, state);
+            oldest = oldest ? std::min(oldest, confirmed) : confirmed;
         }
         return oldest;
     }
@@ -185,9 +252,9 @@
     std::optional<TimePoint> verifiedAt() const
     {
         const auto oldest = std::min_element(m_kinds.begin(), m_kinds.end(), [](const KindState &left, const KindState &right) {
-            return left.verifiedAt < right.verifiedAt;
+            return withExtraAge(left.verifiedAt, left) < withExtraAge(right.verifiedAt, right);
         });
-        return oldest->verifiedAt;
+        return withExtraAge(oldest->verifiedAt, *oldest);
     }
 
     void handleEvent(const StoreSourceEvent &event)
@@ -278,9 +345,12 @@
         // The configuration must not be older than one that was in force before a restart.
         m_firstConfiguration.start(ReadConsistency::Consistent);
         m_firstUpstreams.start(ReadConsistency::Stale);
+        if (isRead(StoreObjectKind::Evacuations)) {
+            m_firstEvacuations.start(ReadConsistency::Stale);
+        }
     }
 
-    /** The objects can be used once the configuration was read consistently and upstreams are known. */
+    /** The objects can be used once the configuration was read consistently and the other kinds are known. */
     void endFirstRead()
     {
         if (hasAllKinds() && kind(StoreObjectKind::Configuration).confirmedAt) {
@@ -307,14 +377,22 @@
     void checkStore(ReadConsistency consistency)
     {
         std::vector<WaitingWatch> waiting;
-        for (const StoreWatchTask *watch : watches()) {
-            if (const auto waitingWatch = watch->waitingWatch()) {
+        for (const KindState &state : m_kinds) {
+            if (auto waitingWatch = watchOf(state.mirror.kind).waitingWatch()) {
+                waitingWatch->isDue = isDue(state, consistency, suspendAwareNow());
                 waiting.push_back(*waitingWatch);
             }
         }
         m_check.check(waiting, consistency, kind(StoreObjectKind::Configuration).mirror.revision);
     }
 
+    /** Kinds whose knowledge may become older are asked for less often. */
+    static bool isDue(const KindState &state, ReadConsistency consistency, TimePoint now)
+    {
+        const auto known = withExtraAge(consistency == ReadConsistency::Consistent ? state.verifiedAt : state.storeConfirmedAt, state);
+        return !known || *known <= now;
+    }
+
     void execute(const ReportStoreReachability &action)
     {
         Q_EMIT q->reachabilityChanged(action.isUnreachable);
@@ -324,7 +402,8 @@
     {
         return {.sender = m_source.self,
                 .configurationRevision = kind(StoreObjectKind::Configuration).mirror.revision,
-                .upstreamsRevision = kind(StoreObjectKind::Upstreams).mirror.revision};
+                .upstreamsRevision = kind(StoreObjectKind::Upstreams).mirror.revision,
+                .evacuationsRevision = isRead(StoreObjectKind::Evacuations) ? kind(StoreObjectKind::Evacuations).mirror.revision : 0};
     }
 
     void adoptDelta(const StoreDelta &delta)
@@ -384,7 +463,7 @@
     {
         bool hasConfirmed = false;
         for (const CheckedWatch &checked : check.watches) {
-            StoreWatchTask &watch = checked.watch.kind == StoreObjectKind::Configuration ? m_configurationWatch : m_upstreamWatch;
+            StoreWatchTask &watch = watchOf(checked.watch.kind);
             const auto waiting = watch.waitingWatch();
             if (!waiting || waiting->since != checked.watch.since) {
                 continue;
@@ -432,10 +511,14 @@
         }
         const FeedRequest before = revisions();
         for (const StoreDelta &delta : update.deltas) {
-            adoptDelta(delta);
+            if (isRead(delta.kind)) {
+                adoptDelta(delta);
+            }
         }
         for (const StoreConfirmation &confirmation : update.confirmations) {
-            confirm(confirmation.kind, update.echoedAt - confirmation.age);
+            if (isRead(confirmation.kind)) {
+                confirm(confirmation.kind, update.echoedAt - confirmation.age);
+            }
         }
         handleEvent(FeedReceived{.member = member, .hasObjects = hasAllKinds(), .confirmedAt = confirmedAt(), .senderConfirmedAt = senderConfirmation(update)});
         // Only changes are passed on. Confirmations would seem to become younger with each entry VM that passes them on.
@@ -445,15 +528,19 @@
     }
 
     /** Returns as of when the objects of a sender that reads the store were complete, or nothing for other senders. */
-    static std::optional<TimePoint> senderConfirmation(const FeedUpdate &update)
+    std::optional<TimePoint> senderConfirmation(const FeedUpdate &update) const
     {
-        if (!update.isSenderReading || update.confirmations.size() < KindCount) {
+        if (!update.isSenderReading || update.confirmations.size() < m_kinds.size()) {
             return std::nullopt;
         }
-        const auto oldest = std::max_element(update.confirmations.begin(), update.confirmations.end(), [](const auto &left, const auto &right) {
-            return left.age < right.age;
-        });
-        return update.echoedAt - oldest->age;
+        std::optional<TimePoint> oldest;
+        for (const StoreConfirmation &confirmation : update.confirmations) {
+            if (isRead(confirmation.kind)) {
+                const TimePoint confirmed = update.echoedAt - confirmation.age + m_kinds.at(static_cast<std::size_t>(confirmation.kind)).extraAge;
+                oldest = oldest ? std::min(*oldest, confirmed) : confirmed;
+            }
+        }
+        return oldest;
     }
 
     void sendUpdate(FeedId feed, const FeedRequest &known, Duration outage)
@@ -465,13 +552,13 @@
                         .known = known,
                         .reusableUntil = outage == Duration::zero() ? now + UpdateReuseTime : TimePoint{}};
         }
-        const FeedRequest current = revisions();
-        m_feedServer.send(feed, m_cached.update, current.configurationRevision, current.upstreamsRevision);
+        m_feedServer.send(feed, m_cached.update, revisions());
     }
 
     static bool haveSameRevisions(const FeedRequest &left, const FeedRequest &right)
     {
-        return left.configurationRevision == right.configurationRevision && left.upstreamsRevision == right.upstreamsRevision;
+        return left.configurationRevision == right.configurationRevision && left.upstreamsRevision == right.upstreamsRevision
+               && left.evacuationsRevision == right.evacuationsRevision;
     }
 
     FeedUpdate makeUpdate(const FeedRequest &known, Duration outage, TimePoint now)
@@ -493,11 +580,13 @@
     Metrics &m_metrics;
     std::mt19937_64 m_random;
     StoreSource m_source;
-    std::array<KindState, KindCount> m_kinds; ///< By StoreObjectKind.
+    std::vector<KindState> m_kinds; ///< Those that are read, by StoreObjectKind.
     StoreWatchTask m_configurationWatch;
     StoreWatchTask m_upstreamWatch;
+    StoreWatchTask m_evacuationWatch;
     StoreListTask m_firstConfiguration;
     StoreListTask m_firstUpstreams;
+    StoreListTask m_firstEvacuations;
     StoreCheckTask m_check;
     QTimer m_checkTimer;
     StoreFeedServer m_feedServer;
--- a/src/tasks/storesourcetask.h
+++ b/src/tasks/storesourcetask.h
@@ -6,6 +6,7 @@
 #include <QObject>
 
 #include <memory>
+#include <optional>
 
 namespace grpc {
 class Service;
@@ -19,6 +20,7 @@
     std::string name; ///< Of this entry VM.
     Endpoint store;
     StoreSourceSettings source;
+    std::optional<Duration> evacuationBound; ///< Time in which an evacuation must be in force; if there is none, evacuations are not read.
     std::uint64_t seed = 0;
 };
 
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -49,6 +49,7 @@
         const QUrlQuery query(url);
         const QStringList parts = url.path().split(QLatin1Char('/'), Qt::SkipEmptyParts);
         m_callCount += query.hasQueryItem("serializable") ? 0 : 1;
+        ++m_callCounts[parts.value(2).toStdString()];
         if (m_faults.isUnresponsive) {
             return;
         }
@@ -194,6 +195,7 @@
     std::uint64_t m_oldestRevision = 0;
     std::uint64_t m_frozenRevision = 0;
     int m_callCount = 0;
+    std::map<std::string, int> m_callCounts; ///< By kind.
 };
 
 FakeStore::FakeStore(QObject *parent)
@@ -237,4 +239,10 @@
     return d->m_callCount;
 }
 
+int FakeStore::callCountOf(const std::string &kind) const
+{
+    const auto found = d->m_callCounts.find(kind);
+    return found == d->m_callCounts.end() ? 0 : found->second;
+}
+
 }
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -39,6 +39,8 @@
     void dropWatchesAndHistory();
     /** Returns the number of requests since the start, without stale reads, which have the parameter `serializable`. */
     int callCount() const;
+    /** Returns the number of all requests for objects of @p kind since the start. */
+    int callCountOf(const std::string &kind) const;
 
 private:
     class Private;
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -100,6 +100,26 @@
     EXPECT_EQ(decodePage(StoreObjectKind::Upstreams, {.outcome = HttpRequestOutcome::ConnectionLost, .response = {}}, true, page), StoreReadOutcome::Failed);
 }
 
+TEST(PlatformStore, TheNameOfAnEvacuationIsTheWish)
+{
+    EXPECT_EQ(encodeList(StoreObjectKind::Evacuations, {}, ReadConsistency::Stale).target, "/v1/objects/evacuations?serializable=1");
+    const std::string list = R"({"items":[{"metadata":{"name":"regina","revision":5},"spec":{}},{"metadata":{"name":"brandon","revision":6},"spec":17},)"
+                             R"({"metadata":{"name":"saskatoon","revision":7,"deleting":true},"spec":{}}],"storeRevision":9})";
+    StorePage page;
+    const HttpRequestResult listed{.outcome = HttpRequestOutcome::Answered, .response = {.status = 200, .fields = {}, .body = list}};
+    ASSERT_EQ(decodePage(StoreObjectKind::Evacuations, listed, false, page), StoreReadOutcome::Page);
+    ASSERT_EQ(page.objects.size(), 3U);
+    EXPECT_EQ(page.objects[0], (StoreObject{.name = "regina", .revision = 5, .isDeleted = false, .value = EvacuationRecord{"regina"}}));
+    EXPECT_EQ(page.objects[1], (StoreObject{.name = "brandon", .revision = 6, .isDeleted = false, .value = EvacuationRecord{"brandon"}}));
+    EXPECT_TRUE(page.objects[2].isDeleted);
+    StorePage changes;
+    const std::string events = R"({"events":[{"deleted":true,"object":{"metadata":{"name":"regina","revision":10}}}],"storeRevision":10})";
+    const HttpRequestResult watched{.outcome = HttpRequestOutcome::Answered, .response = {.status = 200, .fields = {}, .body = events}};
+    ASSERT_EQ(decodePage(StoreObjectKind::Evacuations, watched, true, changes), StoreReadOutcome::Page);
+    ASSERT_EQ(changes.objects.size(), 1U);
+    EXPECT_TRUE(changes.objects[0].isDeleted);
+}
+
 /** Decodes a list with @p odd between two valid registrations; returns the names of the valid ones, and in @p all all names. */
 std::vector<std::string> validNamesAround(const std::string &odd, bool isWatch, std::vector<std::string> &all)
 {
