--- a/src/programs/plantainweirgatewayd.cpp
+++ b/src/programs/plantainweirgatewayd.cpp
@@ -31,6 +31,8 @@
     commandLine.addNumber("probe-limit", "probes per second that the whole fleet may send to one upstream", 0.0, 1e6);
     commandLine.addDuration("change-bound", "time in which an acknowledged change of the configuration must be in force", "2s");
     commandLine.addDuration("drain-bound", "time in which an upstream that reports to be draining must get no more calls", "2s");
+    commandLine.addOptionalDuration("evacuation-bound",
+                                    "time in which an evacuated availability zone must get no more calls; if empty, evacuations are not read");
     commandLine.addNumber("processor-share", "share of a processor core that this VM has; VMs with a larger share read the store for others", 0.0, 1e6, 0.0);
     commandLine.addInteger("memory-mb", "memory that this process may use, in MiB; incomplete messages take at most a quarter of it", 32, 1 << 20, 512);
     commandLine.addChoice("fleet-starting", "whether the whole fleet starts for the first time", {"true", "false"}, "false");
@@ -64,6 +66,7 @@
         .retryWindow = commandLine.duration("retry-window"),
         .probesPerSecondPerUpstream = commandLine.number("probe-limit"),
         .changeBound = std::min(commandLine.duration("change-bound"), commandLine.duration("drain-bound")),
+        .evacuationBound = commandLine.optionalDuration("evacuation-bound"),
         .processorShare = commandLine.number("processor-share"),
         .memoryBytes = static_cast<std::size_t>(commandLine.integer("memory-mb")) * 1024 * 1024,
         .isFleetStarting = commandLine.text("fleet-starting") == "true",
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -371,6 +371,53 @@
     EXPECT_TRUE(upstream.calls.empty());
 }
 
+TEST_F(GatewayTest, AnEvacuatedZoneGetsNoCallsUntilItIsTakenBack)
+{
+    settings.evacuationBound = std::chrono::seconds(5);
+    RoutedUpstream other("i-2");
+    QJsonObject elsewhere = other.registration();
+    elsewhere["zone"] = "b";
+    store.put("servers", "i-2", elsewhere);
+    store.put("config", "main", configuration(4, "/a/", "10s"));
+    start();
+    EXPECT_EQ(waitFor(send("/a/x")).response.body, "i-1");
+    upstream.isDelayingAnswers = true;
+    const HttpRequestId running = send("/a/x", "ticket", std::chrono::seconds(10));
+    EXPECT_TRUE(waitUntil([this] {
+        return upstream.calls.size() == 2;
+    }));
+    upstream.isDelayingAnswers = false;
+    store.put("evacuations", "a", {});
+    const TimePoint bound = Clock::now() + *settings.evacuationBound;
+    for (int callsElsewhere = 0; callsElsewhere < 20;) {
+        callsElsewhere = waitFor(send("/a/x")).response.body == "i-2" ? callsElsewhere + 1 : 0;
+        ASSERT_LT(Clock::now(), bound);
+    }
+    upstream.answerDelayed();
+    EXPECT_EQ(waitFor(running).response.body, "i-1") << "a call that runs there ends";
+    upstream.calls.clear();
+    for (int call = 0; call < 20; ++call) {
+        EXPECT_EQ(waitFor(send("/a/x")).response.body, "i-2");
+    }
+    EXPECT_TRUE(upstream.calls.empty());
+    store.put("evacuations", "b", {});
+    EXPECT_TRUE(repeatUntilStatus("/a/x", 503)) << "no zone of the service is left";
+    store.remove("evacuations", "a");
+    EXPECT_TRUE(repeatUntilStatus("/a/x", 200));
+    EXPECT_EQ(waitFor(send("/a/x")).response.body, "i-1");
+}
+
+TEST_F(GatewayTest, WithoutABoundEvacuationsHaveNoEffect)
+{
+    start();
+    store.put("evacuations", "a", {});
+    const TimePoint end = Clock::now() + std::chrono::seconds(2);
+    while (Clock::now() < end) {
+        EXPECT_EQ(statusOf("/a/x"), 200);
+    }
+    EXPECT_EQ(store.callCountOf("evacuations"), 0);
+}
+
 TEST_F(GatewayTest, PlannedStopAnswersCallsInFlight)
 {
     start();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -25,6 +25,8 @@
 
 constexpr auto CallerHost = "soak.example";
 constexpr std::array Services{"desk", "till"};
+/** Availability zones of the upstreams; the entry VMs are in the first one. */
+constexpr std::array Zones{"a", "b"};
 constexpr std::uint16_t CallerPort = 8080;
 constexpr std::uint16_t FirstVmNumber = 10;
 
@@ -75,7 +77,7 @@
         connect(&m_client, &HttpClient::finished, this, &Private::finishCall);
         for (std::size_t index = 0; index < settings.upstreams; ++index) {
             for (const char *service : Services) {
-                addUpstream(service);
+                addUpstream(service, Zones[index % Zones.size()]);
             }
         }
         changeConfiguration(Services.front());
@@ -188,6 +190,8 @@
                               "10s",
                               "--probe-limit",
                               "100",
+                              "--evacuation-bound",
+                              "5s",
                               "--stop-time",
                               "6s"});
     }
@@ -208,13 +212,14 @@
         });
     }
 
-    SoakUpstream &addUpstream(const std::string &service)
+    SoakUpstream &addUpstream(const std::string &service, const std::string &availabilityZone)
     {
-        auto upstream = std::make_unique<SoakUpstream>(fmt::format("i-{}", ++m_lastUpstream), service, m_random());
+        auto upstream = std::make_unique<SoakUpstream>(fmt::format("i-{}", ++m_lastUpstream), service, availabilityZone, m_random());
         SoakUpstream &added = *upstream;
         connect(&added, &SoakUpstream::started, this, [this, &added](const std::string &requestId) {
             if (requestId.starts_with("c-")) {
-                recordExecution(m_history, requestId, added.id(), added.service(), Clock::now());
+                recordExecution(
+                    m_history, requestId, {.upstream = added.id(), .service = added.service(), .availabilityZone = added.availabilityZone()}, Clock::now());
             }
         });
         m_store.put("servers", added.id(), added.registration("ready"));
@@ -373,7 +378,7 @@
             m_store.remove("servers", upstream.id());
             recordLeaving(m_history, upstream.id(), Clock::now());
             upstream.proxy().setFault(LinkFault::Reset);
-            addUpstream(upstream.service());
+            addUpstream(upstream.service(), upstream.availabilityZone());
             scheduleFaultEnd([] {});
             return;
         case SoakFault::EntryKilled:
@@ -399,9 +404,26 @@
         case SoakFault::RouteChanged:
             changeConfiguration(Services[randomIndex(Services.size())]);
             return;
+        case SoakFault::ZoneEvacuated:
+            evacuateZone(Zones[randomIndex(Zones.size())]);
+            return;
         }
     }
 
+    /** The other availability zones keep their upstreams, so that calls are served meanwhile. */
+    void evacuateZone(const std::string &availabilityZone)
+    {
+        if (!m_history.evacuatedSince.empty()) {
+            return;
+        }
+        m_store.put("evacuations", availabilityZone, {});
+        recordEvacuation(m_history, availabilityZone, true, Clock::now());
+        runAfter(randomTime(1000, 9000), [this, availabilityZone] {
+            m_store.remove("evacuations", availabilityZone);
+            recordEvacuation(m_history, availabilityZone, false, Clock::now());
+        });
+    }
+
     void pauseEntry(SoakEntry &entry)
     {
         const auto pid = static_cast<pid_t>(entry.process->processId());
@@ -428,7 +450,7 @@
         if (m_history.leavingSince.contains(upstream.id())) {
             return;
         }
-        addUpstream(upstream.service());
+        addUpstream(upstream.service(), upstream.availabilityZone());
         m_store.put("servers", upstream.id(), upstream.registration("draining"));
         recordLeaving(m_history, upstream.id(), Clock::now());
         runAfter(randomTime(2500, 4000), [this, id = upstream.id()] {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,9 +23,10 @@
     EntryRestarted, ///< Planned: an entry VM stops gracefully and starts again.
     UpstreamReplaced, ///< Planned: an upstream drains, and a new one is registered.
     RouteChanged, ///< Planned: idempotent calls are routed to another service.
+    ZoneEvacuated, ///< Planned: an availability zone of upstreams is emptied and taken back.
 };
 
-constexpr std::array<EnumName<SoakFault>, 12> enumNames(SoakFault)
+constexpr std::array<EnumName<SoakFault>, 13> enumNames(SoakFault)
 {
     return {{
         {SoakFault::StoreLink, "store_link"},
@@ -40,6 +41,7 @@
         {SoakFault::EntryRestarted, "terminate"},
         {SoakFault::UpstreamReplaced, "release"},
         {SoakFault::RouteChanged, "move"},
+        {SoakFault::ZoneEvacuated, "evacuate"},
     }};
 }
 static_assert(isEnumTableOrdered<SoakFault>());
--- a/tests/soak/soakhistory.cpp
+++ b/tests/soak/soakhistory.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::milliseconds DrainLimit{2000};
 /** Calls may follow an older configuration for this long after a change is in the store ("config" in the users' requirements). */
 constexpr std::chrono::milliseconds ConfigurationLimit{2000};
+/** Calls may reach an empty availability zone for this long after the store has the wish ("evac" in the users' requirements). */
+constexpr std::chrono::milliseconds EvacuationLimit{5000};
 constexpr int StatusTooManyRequests = 429;
 constexpr int StatusUnavailable = 503;
 
@@ -49,8 +51,9 @@
     history.calls.emplace(id, call);
 }
 
-void recordExecution(SoakHistory &history, const std::string &id, const std::string &upstream, const std::string &service, TimePoint now)
+void recordExecution(SoakHistory &history, const std::string &id, const SoakExecutor &executor, TimePoint now)
 {
+    const auto &[upstream, service, availabilityZone] = executor;
     const auto call = history.calls.find(id);
     if (call == history.calls.end()) {
         history.violations.push_back(fmt::format("upstream {} executed call {}, which was never sent", upstream, id));
@@ -66,6 +69,12 @@
         history.violations.push_back(
             fmt::format("call {} reached upstream {} {:.0f} ms after the store had marked it as leaving", id, upstream, toMilliseconds(now - leaving->second)));
     }
+    const auto evacuated = history.evacuatedSince.find(availabilityZone);
+    const bool isEvacuated = evacuated != history.evacuatedSince.end() && now > evacuated->second + EvacuationLimit;
+    if (isEvacuated && isStableSince(history, evacuated->second)) {
+        history.violations.push_back(fmt::format(
+            "call {} reached upstream {} of an availability zone that is empty since {:.0f} ms", id, upstream, toMilliseconds(now - evacuated->second)));
+    }
     const bool isAtFormerService
         = call->second.repeatability == Repeatability::Idempotent && !history.idempotentService.empty() && service != history.idempotentService;
     if (isAtFormerService && call->second.sentAt > history.idempotentServiceSince + ConfigurationLimit
@@ -103,6 +112,14 @@
     history.leavingSince.emplace(upstream, now);
 }
 
+void recordEvacuation(SoakHistory &history, const std::string &availabilityZone, bool isEvacuated, TimePoint now)
+{
+    history.evacuatedSince.erase(availabilityZone);
+    if (isEvacuated) {
+        history.evacuatedSince.emplace(availabilityZone, now);
+    }
+}
+
 void recordRouteChange(SoakHistory &history, const std::string &service, TimePoint now)
 {
     history.idempotentService = service;
--- a/tests/soak/soakhistory.h
+++ b/tests/soak/soakhistory.h
@@ -26,6 +26,7 @@
 struct SoakHistory {
     std::map<std::string, SoakCall> calls; ///< By request id.
     std::map<std::string, TimePoint> leavingSince; ///< When the store marked each upstream as leaving, or removed it.
+    std::map<std::string, TimePoint> evacuatedSince; ///< When the store acknowledged the evacuation of each empty availability zone.
     std::set<std::string> stoppingEntries; ///< Entry VMs that were asked to stop.
     std::string idempotentService; ///< Service that the configuration routes idempotent calls to.
     TimePoint idempotentServiceSince;
@@ -40,13 +41,22 @@
 /** Records that a fault has begun, or with @p hasEnded that the last active one has ended. */
 void recordFault(SoakHistory &history, bool hasEnded, TimePoint now);
 void recordSent(SoakHistory &history, const std::string &id, const SoakCall &call);
-/** Records and checks the start of an execution at an upstream of @p service. */
-void recordExecution(SoakHistory &history, const std::string &id, const std::string &upstream, const std::string &service, TimePoint now);
+/** The upstream that starts to execute a call. */
+struct SoakExecutor {
+    std::string upstream;
+    std::string service;
+    std::string availabilityZone;
+};
+
+/** Records and checks the start of an execution. */
+void recordExecution(SoakHistory &history, const std::string &id, const SoakExecutor &executor, TimePoint now);
 /** Records and checks an answer with @p status; the body of a success, @p answeredId, is the id of the call that was executed. */
 void recordAnswer(SoakHistory &history, const std::string &id, int status, const std::string &answeredId);
 /** Records and checks a call whose connection was lost, or whose deadline passed, without an answer. */
 void recordNoAnswer(SoakHistory &history, const std::string &id, TimePoint now);
 void recordLeaving(SoakHistory &history, const std::string &upstream, TimePoint now);
+/** Records that @p availabilityZone is to be empty from now on, or is taken back. */
+void recordEvacuation(SoakHistory &history, const std::string &availabilityZone, bool isEvacuated, TimePoint now);
 /** Records that the configuration routes idempotent calls to @p service from now on. */
 void recordRouteChange(SoakHistory &history, const std::string &service, TimePoint now);
 /** Checks that each at-most-once call ran at most once, and not at all if it was reported as not run. To be called after the soak has ended. */
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -22,10 +22,11 @@
 class SoakUpstream::Private
 {
 public:
-    Private(SoakUpstream *upstream, std::string id, std::string service, std::uint64_t seed)
+    Private(SoakUpstream *upstream, std::string id, std::string service, std::string availabilityZone, std::uint64_t seed)
         : q(upstream)
         , m_id(std::move(id))
         , m_service(std::move(service))
+        , m_availabilityZone(std::move(availabilityZone))
         , m_random(seed)
         , m_server(HttpLimits{})
     {
@@ -76,14 +77,15 @@
     SoakUpstream *q;
     std::string m_id;
     std::string m_service;
+    std::string m_availabilityZone;
     std::mt19937_64 m_random;
     HttpServer m_server;
     std::unique_ptr<LoopbackProxy> m_proxy;
     std::uint32_t m_running = 0;
 };
 
-SoakUpstream::SoakUpstream(const std::string &id, const std::string &service, std::uint64_t seed)
-    : d(std::make_unique<Private>(this, id, service, seed))
+SoakUpstream::SoakUpstream(const std::string &id, const std::string &service, const std::string &availabilityZone, std::uint64_t seed)
+    : d(std::make_unique<Private>(this, id, service, availabilityZone, seed))
 {
 }
 
@@ -99,6 +101,11 @@
     return d->m_service;
 }
 
+const std::string &SoakUpstream::availabilityZone() const
+{
+    return d->m_availabilityZone;
+}
+
 LoopbackProxy &SoakUpstream::proxy()
 {
     return *d->m_proxy;
@@ -108,7 +115,7 @@
 {
     return {{"service", QString::fromStdString(d->m_service)},
             {"address", QString::fromStdString(toString(d->m_proxy->endpoint()))},
-            {"zone", "a"},
+            {"zone", QString::fromStdString(d->m_availabilityZone)},
             {"version", "v1"},
             {"slots", static_cast<int>(Slots)},
             {"state", state},
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -17,11 +17,12 @@
     Q_OBJECT
 
 public:
-    SoakUpstream(const std::string &id, const std::string &service, std::uint64_t seed);
+    SoakUpstream(const std::string &id, const std::string &service, const std::string &availabilityZone, std::uint64_t seed);
     ~SoakUpstream() override;
 
     const std::string &id() const;
     const std::string &service() const;
+    const std::string &availabilityZone() const;
     LoopbackProxy &proxy();
     /** Returns the object that registers the upstream in the store; @p state is "ready", or "draining" if it leaves. */
     QJsonObject registration(const QString &state) const;
