Hedge slow calls that may be repeated on gatewayd

An idempotent call whose upstream answered slowly or not at all waited until the route's timeout. The first answer ends the call and cancels the other attempt in the same step. Hedges take from a budget of their own and from the retry budget, count as attempts of the route, and stop while upstreams are scarce.

The log and the notices of an attempt name its own upstream now, since a call may have two. The exploration of random events has hedges for half of its seeds and checks in addition that two attempts of a call never run at the same upstream.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -1,6 +1,7 @@
 #include "decision/proxying.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Plantainweir {
 namespace {
@@ -12,6 +13,8 @@
 /** An upstream that reported that it is full is assumed to be full for this time if it cannot be probed. */
 constexpr std::chrono::seconds FullLoadAge{4};
 constexpr std::uint32_t MaximumConcurrentProbes = 2;
+/** A hedge is given up after so many probes, since the first attempt is running meanwhile. */
+constexpr std::uint32_t MaximumHedgeProbes = 2;
 /** Limits on the probes of one round, in the availability zone of the entry VM and in others. */
 constexpr std::uint32_t MaximumSameZoneProbes = 6;
 constexpr std::uint32_t MaximumOtherZoneProbes = 4;
@@ -89,16 +92,22 @@
 
 void cancelRunning(ProxyStepContext &context, ProxyCall &call)
 {
-    if (!call.running) {
-        return;
-    }
-    const auto attempt = context.state.attempts.find(*call.running);
-    if (PooledUpstream *upstream = findUpstream(serviceOf(context, attempt->second.service).pool, attempt->second.upstream)) {
-        --upstream->inFlight;
+    for (std::optional<ProxyAttemptId> *running : {&call.running, &call.hedge}) {
+        if (!*running) {
+            continue;
+        }
+        const auto attempt = context.state.attempts.find(**running);
+        ProxyService &service = serviceOf(context, attempt->second.service);
+        if (PooledUpstream *upstream = findUpstream(service.pool, attempt->second.upstream)) {
+            --upstream->inFlight;
+        }
+        if (call.admitted.repeatability == Repeatability::Idempotent) {
+            recordCancelled(service.hedging, context.now - attempt->second.startedAt);
+        }
+        context.actions.emplace_back(CancelProxyAttempt{**running});
+        context.state.attempts.erase(attempt);
+        running->reset();
     }
-    context.actions.emplace_back(CancelProxyAttempt{*call.running});
-    context.state.attempts.erase(attempt);
-    call.running.reset();
 }
 
 Duration drawRetryAfter(ProxyStepContext &context, bool hasFreeSlot)
@@ -133,26 +142,56 @@
     endCall(context, end);
 }
 
+HedgedCall hedgedCall(const ProxyStepContext &context, const ProxyService &service, const ProxyCall &call)
+{
+    const bool hasQueuedCalls = std::any_of(service.waiting.begin(), service.waiting.end(), [&context](ProxyCallId id) {
+        return context.state.calls.at(id).nextRoundAt != TimePoint{};
+    });
+    return {
+        .repeatability = call.admitted.repeatability,
+        .attempts = call.attempts,
+        .maximumAttempts = call.admitted.maximumAttempts,
+        .deadline = call.admitted.deadline,
+        .hasQueuedCalls = hasQueuedCalls,
+    };
+}
+
+void scheduleHedge(ProxyStepContext &context, ProxyCallId id)
+{
+    ProxyCall &call = context.state.calls.at(id);
+    const ProxyService &service = serviceOf(context, call.admitted.service);
+    call.hedgeAt = hedgeTime(service.hedging, hedgedCall(context, service, call), context.now).value_or(TimePoint{});
+    call.isHedgeProbing = false;
+    if (call.hedgeAt != TimePoint{}) {
+        setTimer(context, id, call.hedgeAt);
+    }
+}
+
+/** Sends the call to @p upstream: as a hedge if another attempt is running. */
 void startAttempt(ProxyStepContext &context, ProxyCallId id, PooledUpstream &upstream)
 {
     ProxyCall &call = context.state.calls.at(id);
+    const bool isHedge = call.running.has_value();
     const ProxyAttemptId attempt = ++context.state.lastId;
-    context.state.attempts.emplace(attempt, ProxyAttempt{id, call.admitted.service, upstream.registration.key});
+    context.state.attempts.emplace(attempt, ProxyAttempt{id, call.admitted.service, upstream.registration.key, context.now});
     context.actions.emplace_back(StartProxyAttempt{
         .id = attempt,
         .call = id,
         .upstream = upstream.registration,
         .deadline = call.admitted.deadline,
-        .retry = call.retry,
+        .retry = isHedge ? RetryReason::Hedge : call.retry,
         .load = upstream.load,
         .loadAge = context.now - upstream.loadReceivedAt,
     });
     ++upstream.inFlight;
     ++upstream.sentSinceLoadReport;
     call.tried.insert(upstream.registration.key);
-    call.running = attempt;
+    (isHedge ? call.hedge : call.running) = attempt;
     ++call.attempts;
     serviceOf(context, call.admitted.service).waiting.erase(id);
+    if (!isHedge) {
+        scheduleHedge(context, id);
+    }
 }
 
 bool isSameZone(const ProxyStepContext &context, const PooledUpstream &upstream)
@@ -364,10 +403,55 @@
     return true;
 }
 
+void startHedgeProbes(ProxyStepContext &context, ProxyCallId id, const std::vector<PooledUpstream *> &candidates)
+{
+    std::uint32_t probes = 0;
+    for (const PooledUpstream *upstream : candidates) {
+        const bool isKnown = loadStateOf(*upstream, FreshLoadAge, context.now) != LoadState::Unknown;
+        if (isKnown) {
+            continue;
+        }
+        if (probes >= MaximumHedgeProbes || !withdrawProbe(context)) {
+            return;
+        }
+        startProbe(context, id, *upstream);
+        ++probes;
+    }
+}
+
+/** Hedges the running attempt if that is allowed and an upstream is known to be available; otherwise probes a few, once. */
+void hedge(ProxyStepContext &context, ProxyCallId id)
+{
+    ProxyCall &call = context.state.calls.at(id);
+    ProxyService &service = serviceOf(context, call.admitted.service);
+    const bool hasProbed = std::exchange(call.isHedgeProbing, false);
+    if (!canHedge(service.hedging, service.retryBudget, hedgedCall(context, service, call), context.now)) {
+        return;
+    }
+    std::vector<PooledUpstream *> candidates = candidatesOf(context, service, call);
+    std::erase_if(candidates, [&context](const PooledUpstream *upstream) {
+        return upstream->registration.coldUntil > context.now;
+    });
+    if (PooledUpstream *available = bestCandidate(context, candidates, LoadState::Available, FreshLoadAge)) {
+        if (withdrawHedge(service.hedging, service.retryBudget)) {
+            startAttempt(context, id, *available);
+        }
+        return;
+    }
+    if (!hasProbed) {
+        startHedgeProbes(context, id, candidates);
+    }
+    call.isHedgeProbing = call.openProbes > 0;
+}
+
 void handle(ProxyStepContext &context, const ProxyCallAdmitted &event)
 {
     ProxyService &service = serviceOf(context, event.service);
     deposit(service.retryBudget);
+    if (event.repeatability == Repeatability::Idempotent) {
+        service.hedging.budget.tokensPerCall = context.state.settings.hedgeShare;
+        deposit(service.hedging.budget);
+    }
     ProxyCall call{.admitted = event};
     call.queueingDeadline = context.now + event.target / QueueingTimeDivisor;
     startRound(context, service, call);
@@ -422,6 +506,7 @@
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, probe.service).pool, probe.upstream)) {
         recordProbeResult(*upstream, event, context.now);
         recordNotice(serviceOf(context, probe.service).pool, *upstream, event.notice, context.now);
+        recordAvailability(serviceOf(context, probe.service).hedging, loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Available);
         if (!isSameZone(context, *upstream)) {
             recordOtherZoneAvailability(serviceOf(context, probe.service), *upstream, context.now);
         }
@@ -433,6 +518,8 @@
     --call->second.openProbes;
     if (!call->second.running) {
         advance(context, probe.call);
+    } else if (call->second.isHedgeProbing) {
+        hedge(context, probe.call);
     }
 }
 
@@ -505,6 +592,43 @@
     }
 }
 
+/**
+ * Handles the end of one of two running attempts: a success ends the call and cancels the other attempt, which otherwise decides.
+ */
+void endOneOfTwo(ProxyStepContext &context, ProxyCallId id, ProxyAttemptId attempt, ProxyAttemptOutcome outcome)
+{
+    ProxyCall &call = context.state.calls.at(id);
+    const bool isHedge = call.hedge == attempt;
+    if (!isHedge) {
+        call.running = call.hedge;
+    }
+    call.hedge.reset();
+    switch (outcome) {
+    case ProxyAttemptOutcome::Succeeded:
+        cancelRunning(context, call);
+        endCall(context, {.call = id, .outcome = CallOutcome::Answered, .answer = attempt});
+        return;
+    case ProxyAttemptOutcome::NotSent:
+        --call.attempts;
+        if (isHedge) {
+            ProxyService &service = serviceOf(context, call.admitted.service);
+            returnHedge(service.hedging, service.retryBudget);
+        }
+        return;
+    case ProxyAttemptOutcome::ServerError:
+        call.fallbackAnswer = attempt;
+        call.mayHaveRun = true;
+        return;
+    case ProxyAttemptOutcome::ConnectionLost:
+    case ProxyAttemptOutcome::DeadlinePassed:
+        call.mayHaveRun = true;
+        return;
+    case ProxyAttemptOutcome::Shed:
+    case ProxyAttemptOutcome::Replaced:
+        return;
+    }
+}
+
 void handle(ProxyStepContext &context, const ProxyAttemptEnded &event)
 {
     const auto found = context.state.attempts.find(event.id);
@@ -519,11 +643,22 @@
         recordNotice(serviceOf(context, attempt.service).pool, *upstream, event.notice, context.now);
         hasFreeSlot = event.load && loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Available;
     }
+    ProxyHedging &hedging = serviceOf(context, attempt.service).hedging;
+    if (event.load) {
+        recordAvailability(hedging, hasFreeSlot);
+    }
     const auto call = context.state.calls.find(attempt.call);
     if (call != context.state.calls.end()) {
+        if (event.outcome == ProxyAttemptOutcome::Succeeded && call->second.admitted.repeatability == Repeatability::Idempotent) {
+            recordLatency(hedging, context.now - attempt.startedAt);
+        }
         call->second.wasShedWithFreeSlot = event.outcome == ProxyAttemptOutcome::Shed && hasFreeSlot;
-        call->second.running.reset();
-        continueAfterAttempt(context, attempt.call, event.id, event.outcome);
+        if (call->second.hedge) {
+            endOneOfTwo(context, attempt.call, event.id, event.outcome);
+        } else {
+            call->second.running.reset();
+            continueAfterAttempt(context, attempt.call, event.id, event.outcome);
+        }
     }
     advanceWaiting(context, attempt.service);
 }
@@ -541,6 +676,11 @@
         endWithoutAnswer(context, id, RefusalReason::DeadlinePassed, UnknownReason::DeadlinePassed);
         return;
     }
+    if (call.running && call.hedgeAt != TimePoint{} && context.now >= call.hedgeAt) {
+        call.hedgeAt = {};
+        hedge(context, id);
+        return;
+    }
     const bool isRoundDue = !call.running && call.nextRoundAt != TimePoint{} && context.now >= call.nextRoundAt;
     if (isRoundDue) {
         call.nextRoundAt = {};
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -3,6 +3,7 @@
 #include "core/outcome.h"
 #include "core/time.h"
 #include "core/work.h"
+#include "decision/proxyhedging.h"
 #include "decision/retrybudget.h"
 #include "decision/upstreampool.h"
 
@@ -31,6 +32,7 @@
     double retryShare = 0.1; ///< Retries allowed per call, on average.
     double retrySlack = 10.0; ///< Further retries that this entry VM may make in each window.
     Duration retryWindow = std::chrono::seconds(10);
+    double hedgeShare = 0.0; ///< Share of the idempotent calls that may get a second attempt while the first one is slow.
     double probesPerSecond = 100.0; ///< Limit on the probes of this entry VM to all upstreams.
 };
 
@@ -146,6 +148,9 @@
     std::uint32_t attempts = 0; ///< Attempts so far, without those whose request was not sent.
     std::uint32_t failedConnects = 0;
     std::optional<ProxyAttemptId> running;
+    std::optional<ProxyAttemptId> hedge; ///< A second running attempt; only set together with @ref running.
+    TimePoint hedgeAt; ///< When to hedge the running attempt. The epoch if it is not to be hedged, or the hedge has begun.
+    bool isHedgeProbing = false; ///< Whether open probes look for an upstream for a hedge.
     std::optional<ProxyAttemptId> fallbackAnswer; ///< Attempt whose server error is the answer if no retry succeeds.
     std::optional<RetryReason> retry; ///< Reason for the next attempt if it is a retry.
     bool isProbeLimited = false; ///< Whether the current round lacks a probe because of the rate limit.
@@ -159,6 +164,7 @@
     ProxyCallId call = 0;
     std::string service;
     UpstreamKey upstream = 0;
+    TimePoint startedAt;
 };
 
 struct ProxyProbe {
@@ -171,6 +177,7 @@
     UpstreamPool pool;
     RetryBudget retryBudget;
     TimePoint budgetRefilledAt;
+    ProxyHedging hedging;
     std::set<ProxyCallId> waiting; ///< Calls without a running attempt.
     double otherZoneAvailableRate = 1.0; ///< Share of available upstreams among those probed in other availability zones.
 };
--- a/src/programs/plantainweirgatewayd.cpp
+++ b/src/programs/plantainweirgatewayd.cpp
@@ -28,6 +28,8 @@
     commandLine.addNumber("retry-share", "number of retries that the whole fleet may send for each call", 0.0, 10.0);
     commandLine.addNumber("retry-slack", "number of retries that the whole fleet may send in each window in addition to --retry-share", 0.0, 1e6);
     commandLine.addDuration("retry-window", "length of the window of --retry-slack");
+    commandLine.addNumber(
+        "hedge-share", "share of the calls that may be repeated which may get a second attempt while the first one is slow; 0 for none", 0.0, 1.0, 0.0);
     commandLine.addNumber("probe-limit", "probes per second that the whole fleet may send to one upstream", 0.0, 1e6);
     commandLine.addDuration("change-bound", "time in which an acknowledged change of the configuration must be in force", "2s");
     commandLine.addDuration("drain-bound", "time in which an upstream that reports to be draining must get no more calls", "2s");
@@ -62,6 +64,7 @@
         .retryShare = commandLine.number("retry-share"),
         .retrySlack = commandLine.number("retry-slack"),
         .retryWindow = commandLine.duration("retry-window"),
+        .hedgeShare = commandLine.number("hedge-share"),
         .probesPerSecondPerUpstream = commandLine.number("probe-limit"),
         .changeBound = std::min(commandLine.duration("change-bound"), commandLine.duration("drain-bound")),
         .processorShare = commandLine.number("processor-share"),
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -122,7 +122,8 @@
         , m_proxy({.availabilityZone = settings.availabilityZone,
                    .retryShare = settings.retryShare,
                    .retrySlack = fleetShare({.retrySlack = settings.retrySlack, .probesPerSecondPerUpstream = 0.0}, {}, 0).retrySlack,
-                   .retryWindow = settings.retryWindow},
+                   .retryWindow = settings.retryWindow,
+                   .hedgeShare = settings.hedgeShare},
                   m_metrics,
                   settings.seed)
         , m_upstreamPort(codec, upstreamLimits(settings))
--- a/src/tasks/gateway.h
+++ b/src/tasks/gateway.h
@@ -28,6 +28,7 @@
     double retryShare = 0.0; ///< Retries allowed per call, summed over the fleet.
     double retrySlack = 0.0; ///< Retries allowed in each window beyond that share, summed over the fleet.
     Duration retryWindow{};
+    double hedgeShare = 0.0; ///< Share of the calls that may be repeated of which slow ones get a second attempt.
     double probesPerSecondPerUpstream = 0.0; ///< Probes per second that the fleet may send to one upstream.
     Duration changeBound = std::chrono::seconds(2); ///< Time in which an acknowledged change must be in force.
     double processorShare = 0.0; ///< Of this VM, in cores; zero if not known.
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -19,11 +19,18 @@
     IncomingProxyCall incoming;
     std::string route;
     std::optional<std::string> account; ///< See OutgoingProxyAttempt::account.
-    std::string lastUpstream;
+    std::string lastUpstream; ///< Of the attempt that started or ended last.
     std::uint32_t attempts = 0;
     std::map<ProxyAttemptId, std::shared_ptr<const ResponseMessage>> responses; ///< By attempt; the proxy step decides which one answers the call.
 };
 
+/** An attempt whose result is expected. */
+struct OpenAttempt {
+    HttpExchangeId call = 0;
+    std::string upstream;
+    bool isHedge = false;
+};
+
 /** Returns the name of the call's client account; empty if it belongs to none. */
 std::string accountName(const RouteContext &context)
 {
@@ -161,7 +168,7 @@
         OpenCall &call = m_calls.at(action.call);
         call.lastUpstream = action.upstream.id;
         ++call.attempts;
-        m_attempts.emplace(action.id, action.call);
+        m_attempts.emplace(action.id, OpenAttempt{.call = action.call, .upstream = action.upstream.id, .isHedge = action.retry == RetryReason::Hedge});
         if (action.retry) {
             m_metrics.countRetry(*action.retry);
         }
@@ -180,10 +187,22 @@
 
     void execute(const CancelProxyAttempt &action)
     {
-        m_attempts.erase(action.id);
+        const auto attempt = m_attempts.find(action.id);
+        if (attempt != m_attempts.end()) {
+            countHedge(attempt->second, HedgeOutcome::Cancelled);
+            m_attempts.erase(attempt);
+        }
         Q_EMIT q->attemptCancelled(action.id);
     }
 
+    void countHedge(const OpenAttempt &attempt, HedgeOutcome outcome)
+    {
+        if (attempt.isHedge) {
+            m_metrics.addToCounter(
+                "plantainweir_hedges_total", "Second attempts while the first one was slow, by how they ended.", std::string(nameOf(outcome)));
+        }
+    }
+
     void execute(const EndProxyCall &action)
     {
         const OpenCall call = takeCall(m_calls.find(action.call));
@@ -242,11 +261,13 @@
     {
         const auto attempt = m_attempts.find(result.ended.id);
         if (attempt != m_attempts.end()) {
-            const auto call = m_calls.find(attempt->second);
+            const auto call = m_calls.find(attempt->second.call);
             if (call != m_calls.end()) {
+                call->second.lastUpstream = attempt->second.upstream;
                 call->second.responses.emplace(result.ended.id, result.response);
                 logFailure(call->second, result.ended);
                 logNotice(call->second.lastUpstream, result.ended.notice);
+                countHedge(attempt->second, result.ended.outcome == ProxyAttemptOutcome::Succeeded ? HedgeOutcome::Won : HedgeOutcome::Failed);
             }
             m_attempts.erase(attempt);
         }
@@ -300,7 +321,7 @@
     std::map<HttpExchangeId, OpenCall> m_calls;
     std::size_t m_bodyLimit = std::numeric_limits<std::size_t>::max(); ///< Of the request bodies of all open calls together.
     std::size_t m_openBodyBytes = 0;
-    std::map<ProxyAttemptId, HttpExchangeId> m_attempts;
+    std::map<ProxyAttemptId, OpenAttempt> m_attempts;
 };
 
 ProxyTask::ProxyTask(const ProxySettings &settings, Metrics &metrics, std::uint64_t seed, QObject *parent)
--- a/tests/decoderfuzztest.cpp
+++ b/tests/decoderfuzztest.cpp
@@ -6,6 +6,7 @@
 #include "rpc/membershipmessages.h"
 #include "rpc/storemessages.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <cstdlib>
@@ -161,10 +162,11 @@
     for (std::size_t count = messageCount() / 4; count > 0; --count) {
         const std::string name = below(2) == 0 ? "\"odd\"" : anyJson();
         const std::string spec = below(4) == 0 ? anyJson() : R"({"apiKeys":)" + anyJson() + R"(,"ratePerS":)" + anyJson() + R"(,"priority":)" + anyJson() + "}";
-        const std::string body = R"({"items":[{"metadata":{"name":"main","revision":5},"spec":{"version":7,"resources":[)"
-                                 R"({"resourceKind":"tenants","metadata":{"name":"shop"},"spec":{"apiKeys":["k1"]}},)"
-                                 R"({"resourceKind":"tenants","metadata":{"name":)"
-                                 + name + R"(},"spec":)" + spec + R"(}]}}],"storeRevision":9})";
+        const std::string body = fmt::format(R"({{"items":[{{"metadata":{{"name":"main","revision":5}},"spec":{{"version":7,"resources":[)"
+                                             R"({{"resourceKind":"tenants","metadata":{{"name":"shop"}},"spec":{{"apiKeys":["k1"]}}}},)"
+                                             R"({{"resourceKind":"tenants","metadata":{{"name":{}}},"spec":{}}}]}}}}],"storeRevision":9}})",
+                                             name,
+                                             spec);
         StorePage page;
         ASSERT_EQ(Platform::decodePage(StoreObjectKind::Configuration, answerOf(body), false, page), StoreReadOutcome::Page) << body;
         ASSERT_EQ(page.objects.size(), 1U) << body;
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -170,6 +170,20 @@
                                     {"spec", QJsonObject{{"healthPath", "/health"}, {"maxConnections", connectionLimit}}}}}}};
 }
 
+/** Returns configuration() with a route whose calls may be repeated. */
+QJsonObject configurationForReads(int version)
+{
+    QJsonObject object = configuration(version);
+    QJsonArray resources = object["resources"].toArray();
+    QJsonObject route = resources[0].toObject();
+    QJsonObject spec = route["spec"].toObject();
+    spec["kind"] = "safe";
+    route["spec"] = spec;
+    resources[0] = route;
+    object["resources"] = resources;
+    return object;
+}
+
 /** Returns configuration() with a second, public route and one client account. */
 QJsonObject configurationWithAccount(int version, const QJsonArray &keys)
 {
@@ -452,6 +466,31 @@
     }));
 }
 
+TEST_F(GatewayTest, SlowCallsThatMayBeRepeatedAreHedged)
+{
+    constexpr int Rounds = 8;
+    constexpr int UsualCalls = 32; // Before each slow one, so that both budgets have a token for it.
+    RoutedUpstream other("i-2");
+    store.put("config", "main", configurationForReads(4));
+    store.put("servers", "i-2", other.registration());
+    settings.hedgeShare = 1.0;
+    start();
+    std::size_t delayedCalls = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        upstream.isDelayingAnswers = false;
+        for (int call = 0; call < UsualCalls; ++call) {
+            EXPECT_EQ(statusOf("/a/x"), 200);
+        }
+        upstream.isDelayingAnswers = true;
+        upstream.calls.clear();
+        EXPECT_EQ(waitFor(send("/a/x")).response.body, "i-2") << "the other upstream never answers";
+        delayedCalls += upstream.calls.size();
+    }
+    EXPECT_GT(delayedCalls, 0U);
+    const std::string metrics = get(settings.operatorsPort, "/metrics").response.body;
+    EXPECT_NE(metrics.find(R"(plantainweir_hedges_total{reason="won"})"), std::string::npos);
+}
+
 TEST_F(GatewayTest, DrainingUpstreamGetsNoNewCall)
 {
     RoutedUpstream other("i-2");
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -138,7 +138,7 @@
                                    accountResource(std::string(300, 'x'), R"({"apiKeys":["k1"]})"),
                                    std::string(R"({"resourceKind":"tenants"})")}) {
         SCOPED_TRACE(odd);
-        const auto table = decodeResources(odd + "," + good);
+        const auto table = decodeResources(fmt::format("{},{}", odd, good));
         ASSERT_TRUE(table);
         ASSERT_EQ(table->accounts.size(), 2U) << "calls still need a key";
         EXPECT_EQ(makeAccountIndex(*table).size(), 1U);
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -366,17 +366,24 @@
  * Feeds random calls, answers, faults and changes of the upstreams with many seeds and checks invariants.
  *
  * Each call ends exactly once, and an abandoned one not at all. An at-most-once call is retried only if the previous
- * upstream did not run it. The outcome is "not run" only if no attempt may have run. The retries stay within the budget.
+ * upstream did not run it. The outcome is "not run" only if no attempt may have run. The retries and hedges stay within the
+ * budget. Idempotent calls have at most two attempts at a time, at different upstreams.
  */
 TEST(ProxyingExploration, KeepsInvariantsUnderRandomEvents)
 {
     constexpr int Seeds = 400;
     constexpr int Events = 400;
+    int hedgeCount = 0;
     for (int seed = 0; seed < Seeds; ++seed) {
         std::mt19937_64 random(seed);
         ProxyState state;
-        state.settings = {.availabilityZone = "a", .retryShare = 0.2, .retrySlack = 5.0, .probesPerSecond = 500.0};
+        state.settings = {.availabilityZone = "a", .retryShare = 0.2, .retrySlack = 5.0, .hedgeShare = seed % 2 == 0 ? 0.0 : 0.5, .probesPerSecond = 500.0};
+        for (int sample = 0; sample < 64; ++sample) {
+            recordLatency(state.services["desk"].hedging, std::chrono::milliseconds(20));
+        }
         TimePoint now = Start;
+        std::set<ProxyAttemptId> hedges;
+        std::map<ProxyAttemptId, UpstreamKey> upstreamOf;
         std::map<ProxyCallId, Repeatability> calls;
         std::map<ProxyCallId, bool> mayHaveRun;
         std::map<ProxyCallId, int> endCounts;
@@ -393,7 +400,16 @@
                     const bool isAtMostOnce = calls.at(attempt->call) == Repeatability::AtMostOnce;
                     ASSERT_FALSE(isAtMostOnce && mayHaveRun[attempt->call]) << "seed " << seed;
                     ASSERT_FALSE(abandoned.contains(attempt->call)) << "seed " << seed;
+                    for (const auto &[other, otherCall] : attempts) {
+                        ASSERT_FALSE(otherCall == attempt->call && (isAtMostOnce || upstreamOf.at(other) == attempt->upstream.key)) << "seed " << seed;
+                    }
                     attempts.emplace(attempt->id, attempt->call);
+                    upstreamOf.emplace(attempt->id, attempt->upstream.key);
+                    if (attempt->retry == RetryReason::Hedge) {
+                        ASSERT_FALSE(isAtMostOnce) << "seed " << seed;
+                        hedges.insert(attempt->id);
+                        ++hedgeCount;
+                    }
                     retries += attempt->retry && *attempt->retry != RetryReason::ConnectFailed ? 1 : 0;
                 } else if (const auto *end = std::get_if<EndProxyCall>(&action)) {
                     ASSERT_EQ(++endCounts[end->call], 1) << "seed " << seed;
@@ -440,6 +456,7 @@
                     const bool isNotRun
                         = outcome == ProxyAttemptOutcome::Shed || outcome == ProxyAttemptOutcome::Replaced || outcome == ProxyAttemptOutcome::NotSent;
                     mayHaveRun[call] = mayHaveRun[call] || !isNotRun;
+                    retries -= outcome == ProxyAttemptOutcome::NotSent && hedges.contains(id) ? 1 : 0;
                     feed(ProxyAttemptEnded{.id = id, .outcome = outcome, .load = std::nullopt});
                 }
                 break;
@@ -475,6 +492,7 @@
         const double seconds = toMilliseconds(now - Start) / 1000.0;
         ASSERT_LE(retries, 0.2 * static_cast<double>(lastCall) + 5.0 * (1.0 + seconds / 10.0)) << "seed " << seed;
     }
+    EXPECT_GT(hedgeCount, 0);
 }
 
 TEST_F(ProxyingTest, AnUpstreamWhoseCallsFailIsEjectedAlthoughItsProbesAreGood)
