Prefer a subset of upstreams at each entry VM

Change: rendezvous hashing gives each entry VM a subset of the upstreams of its availability zone, and another one of the other zones, each as large as its calls keep connections open and at least four. The next ones in its order follow when no member is available. Where a zone has no more upstreams than that, calls are spread as before.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -160,7 +160,7 @@
     return upstream.registration.availabilityZone == context.state.settings.availabilityZone;
 }
 
-/** Returns the usable upstreams that the call has not tried: the same availability zone first, otherwise in random order. */
+/** Returns the usable upstreams that the call has not tried: the same availability zone first, within each group the subset first. */
 std::vector<PooledUpstream *> candidatesOf(ProxyStepContext &context, ProxyService &service, const ProxyCall &call)
 {
     std::vector<PooledUpstream *> candidates = usableUpstreams(service.pool, context.now);
@@ -168,9 +168,12 @@
         return call.tried.contains(upstream->registration.key);
     });
     std::shuffle(candidates.begin(), candidates.end(), context.random);
-    std::partition(candidates.begin(), candidates.end(), [&context](const PooledUpstream *upstream) {
+    const auto otherZones = std::partition(candidates.begin(), candidates.end(), [&context](const PooledUpstream *upstream) {
         return isSameZone(context, *upstream);
     });
+    const std::size_t size = subsetSize(callsPerSecond(service.callRate, context.now));
+    moveSubsetToFront({candidates.begin(), otherZones}, size, context.now);
+    moveSubsetToFront({otherZones, candidates.end()}, size, context.now);
     return candidates;
 }
 
@@ -368,6 +371,7 @@
 {
     ProxyService &service = serviceOf(context, event.service);
     deposit(service.retryBudget);
+    recordCall(service.callRate, context.now);
     ProxyCall call{.admitted = event};
     call.queueingDeadline = context.now + event.target / QueueingTimeDivisor;
     startRound(context, service, call);
@@ -568,7 +572,9 @@
         byService.try_emplace(name);
     }
     for (const auto &[name, upstreams] : byService) {
-        replaceUpstreams(serviceOf(context, name).pool, upstreams);
+        UpstreamPool &pool = serviceOf(context, name).pool;
+        replaceUpstreams(pool, upstreams);
+        assignPreferences(pool, context.state.settings.name);
         advanceWaiting(context, name);
     }
 }
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -4,6 +4,7 @@
 #include "core/time.h"
 #include "core/work.h"
 #include "decision/retrybudget.h"
+#include "decision/subset.h"
 #include "decision/upstreampool.h"
 
 #include <map>
@@ -27,6 +28,7 @@
 using ProxyAttemptId = std::uint64_t;
 
 struct ProxySettings {
+    std::string name; ///< Of this entry VM. Without it, no subset of upstreams is preferred.
     std::string availabilityZone; ///< Of this entry VM.
     double retryShare = 0.1; ///< Retries allowed per call, on average.
     double retrySlack = 10.0; ///< Further retries that this entry VM may make in each window.
@@ -172,6 +174,7 @@
     RetryBudget retryBudget;
     TimePoint budgetRefilledAt;
     std::set<ProxyCallId> waiting; ///< Calls without a running attempt.
+    CallRate callRate;
     double otherZoneAvailableRate = 1.0; ///< Share of available upstreams among those probed in other availability zones.
 };
 
--- a/src/decision/upstreampool.h
+++ b/src/decision/upstreampool.h
@@ -63,6 +63,7 @@
     TimePoint ejectedUntil;
     TimePoint quietUntil; ///< It asked for no calls before this time.
     bool isLeaving = false; ///< Whether its incarnation is among UpstreamPool::leaving.
+    std::uint64_t preference = 0; ///< Upstreams with the highest values form the subset of this entry VM (subset.h).
 };
 
 /** Identifies an incarnation of an upstream across registrations, which each get a new key. */
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -119,7 +119,8 @@
         : q(gateway)
         , m_settings(settings)
         , m_codec(codec)
-        , m_proxy({.availabilityZone = settings.availabilityZone,
+        , m_proxy({.name = settings.name,
+                   .availabilityZone = settings.availabilityZone,
                    .retryShare = settings.retryShare,
                    .retrySlack = fleetShare({.retrySlack = settings.retrySlack, .probesPerSecondPerUpstream = 0.0}, {}, 0).retrySlack,
                    .retryWindow = settings.retryWindow},
