--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -178,6 +178,14 @@
          Warning,
          "watch_missed_changes",
          "A check shows a change in the store that the waiting watch has not reported; gatewayd lists the objects again."},
+        {LogEvent::CreditKeepersChanged,
+         Info,
+         "credit_keepers_changed",
+         "The entry VMs changed from which gatewayd asks for credit of limits of the whole fleet; the fields name them."},
+        {LogEvent::CreditKeepingChanged,
+         Info,
+         "credit_keeping_changed",
+         "gatewayd started or stopped to keep shares of the limits of the whole fleet for other entry VMs."},
     };
     return s_events;
 }
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -80,6 +80,8 @@
     FeedMalformed = 1542,
     FirstReadFailed = 1543,
     WatchMissedChanges = 1544,
+    CreditKeepersChanged = 1550,
+    CreditKeepingChanged = 1551,
 };
 
 /** A row of the event catalogue. */
--- a/src/tasks/credittask.h
+++ b/src/tasks/credittask.h
@@ -3,6 +3,8 @@
 #include "configuration/routetable.h"
 #include "controllers/creditdecision.h"
 #include "controllers/creditline.h"
+#include "controllers/creditmember.h"
+#include "controllers/creditterms.h"
 #include "core/endpoint.h"
 
 #include <QObject>
@@ -16,26 +18,9 @@
 
 class Metrics;
 
-/** A live member of the fleet, as far as credit depends on it. */
-struct CreditMember {
-    std::string name;
-    std::string availabilityZone;
-    Endpoint creditEndpoint; ///< UDP; the address and port number of the exchange endpoint.
-    std::uint32_t capacity = 0; ///< Processor share of its VM, in thousandths of a core.
-    bool operator==(const CreditMember &) const = default;
-};
-
-/** The settings of the limits of the whole fleet. */
-struct CreditToleranceSettings {
-    Duration quotaWindow = std::chrono::seconds(5); ///< Window in which the calls of a client account are counted.
-    double quotaOver = 0.1; ///< Tolerated excess, as a part of what the quota allows in the window.
-    double quotaSlack = 20.0; ///< Tolerated excess beyond that, in calls.
-    double coldOver = 1.5; ///< Tolerated factor on the calls that a cold upstream bears in a second.
-    double coldSlack = 8.0; ///< Tolerated excess beyond that, in calls.
-};
-
 struct CreditTaskSettings {
     std::string name; ///< Of this entry VM.
+    std::string availabilityZone; ///< Of this entry VM.
     Endpoint endpoint; ///< Where the task listens; the address and port number of the exchange endpoint.
     CreditToleranceSettings tolerance;
     std::uint64_t seed = 0; ///< Seed of the random generator.
@@ -67,13 +52,13 @@
     bool isLimited(const CreditLine &line) const;
     /**
      * Requests one credit of @p line. Exactly one decided() with @p id follows from the event loop, at the latest at
-     * @p deadline (of suspendAwareNow()) or a quarter of a second later, unless the request is cancelled.
+     * @p deadline (of suspendAwareNow()) and after a quarter of a second, unless the request is cancelled.
      */
     void request(CreditRequestId id, const CreditLine &line, TimePoint deadline = TimePoint::max());
     /** Drops a request without a decision. Does nothing if it has been decided. */
     void cancel(CreditRequestId id);
     /** Gives back a credit that was granted and whose call did not run. Without effect once the credit has expired. */
-    void giveBack(const CreditLine &line, const CreditDecision &decision);
+    void giveBack(const CreditDecision &decision);
     /** Ends what this VM keeps for others, so that they need not wait for its end. It can still request credit. */
     void leave();
 
--- a/tests/decoderfuzztest.cpp
+++ b/tests/decoderfuzztest.cpp
@@ -1,6 +1,7 @@
 #include "http/httpcodec.h"
 #include "platform/callcodec.h"
 #include "platform/storecodec.h"
+#include "rpc/creditmessages.h"
 #include "rpc/membershipmessages.h"
 #include "rpc/storemessages.h"
 
@@ -249,6 +250,40 @@
     EXPECT_GT(decoded, 0U);
 }
 
+TEST_F(DecoderFuzz, DamagedCreditMessagesAreRejectedOrMeanTheSameWhenEncodedAgain)
+{
+    const CreditLine line{.kind = CreditKind::ColdUpstream, .scope = "desk", .upstream = "i-1"};
+    const std::vector<CreditMessageBody> bodies{
+        ShareDelegation{.keeper = 5, .sequence = 6, .echoedAt = Now, .share = 0.01},
+        ShareReceipt{.delegator = 5, .sentAt = Now, .releasedUpTo = 9},
+        CreditQuestion{.sequence = 7, .line = line, .count = 2},
+        CreditAnswer{.borrower = 5, .sequence = 7, .granted = 1, .retryAfter = std::chrono::milliseconds(20), .isShort = true},
+        CreditReturn{.sequence = 7, .total = 1},
+    };
+    std::size_t decoded = 0;
+    for (std::size_t count = messageCount(); count > 0; --count) {
+        const CreditMessage message{.sender = "a", .instance = 3, .fleetSize = 9, .fleetSizeValidity = std::chrono::seconds(60), .body = anyOf(bodies)};
+        const auto first = decodeCreditMessage(damaged(encodeCreditMessage(message)));
+        if (!first) {
+            continue;
+        }
+        ++decoded;
+        const auto second = decodeCreditMessage(encodeCreditMessage(*first));
+        ASSERT_TRUE(second);
+        ASSERT_EQ(encodeCreditMessage(*second), encodeCreditMessage(*first));
+        if (const auto *question = std::get_if<CreditQuestion>(&first->body)) {
+            ASSERT_GE(question->count, 1U);
+            ASSERT_LE(question->count, MaximumAskedCredits);
+            ASSERT_FALSE(question->line.scope.empty());
+        }
+        if (const auto *delegation = std::get_if<ShareDelegation>(&first->body)) {
+            ASSERT_TRUE(delegation->share >= 0.0 && delegation->share <= 1.0);
+        }
+    }
+    EXPECT_GT(decoded, 0U);
+    EXPECT_FALSE(decodeCreditMessage(std::string(MaximumCreditDatagramBytes + 1, 'x')));
+}
+
 TEST_F(DecoderFuzz, DamagedFeedUpdatesAreRejectedOrMeanTheSameWhenEncodedAgain)
 {
     StorePage page;
