--- a/src/core/commandline.cpp
+++ b/src/core/commandline.cpp
@@ -26,6 +26,7 @@
     std::string allowed; ///< Allowed values, printed after "allowed:".
     Validator isValid;
     bool isSwitch = false;
+    bool isOptional = false; ///< An empty value means that the setting is left out.
     std::optional<std::string> defaultValue;
     std::string help;
 };
@@ -59,6 +60,13 @@
         m_settings.emplace(flag, std::move(setting));
     }
 
+    void makeOptional(const std::string &flag)
+    {
+        Setting &setting = m_settings.at(flag);
+        setting.isOptional = true;
+        setting.defaultValue = "";
+    }
+
     po::options_description description() const
     {
         po::options_description options("Settings (flag, environment variable in brackets)", 110, 60);
@@ -99,6 +107,18 @@
         return ExitStatus::Usage;
     }
 
+    /** Returns the arguments without optional settings that are empty, which Boost.Program_options rejects. */
+    std::vector<std::string> givenArguments(int argc, const char *const *argv) const
+    {
+        std::vector<std::string> arguments(argv + 1, argv + std::max(argc, 1));
+        std::erase_if(arguments, [this](const std::string &argument) {
+            return std::any_of(m_settings.begin(), m_settings.end(), [&argument](const auto &entry) {
+                return entry.second.isOptional && argument == "--" + entry.first + "=";
+            });
+        });
+        return arguments;
+    }
+
     std::optional<ExitStatus> check(const po::variables_map &given)
     {
         for (const std::string &flag : m_order) {
@@ -107,8 +127,8 @@
                 return fail(fmt::format("--{} is missing; allowed: {}", flag, setting.allowed));
             }
             const std::string value = given.count(flag) != 0 ? given[flag].as<std::string>() : *setting.defaultValue;
-            const bool isUnsetDefault = given.count(flag) == 0 && value.empty();
-            if (!isUnsetDefault && !setting.isValid(value)) {
+            const bool isUnset = value.empty() && (given.count(flag) == 0 || setting.isOptional);
+            if (!isUnset && !setting.isValid(value)) {
                 return fail(fmt::format("--{} is \"{}\"; allowed: {}", flag, value, setting.allowed));
             }
             m_values[flag] = value;
@@ -188,6 +208,18 @@
     d->add(flag, {.allowed = "a time with its unit, such as 1500ms or 2s", .isValid = isDuration, .defaultValue = std::move(defaultValue), .help = help});
 }
 
+void CommandLine::addOptionalNumber(const std::string &flag, const std::string &help, double minimum, double maximum)
+{
+    addNumber(flag, help, minimum, maximum);
+    d->makeOptional(flag);
+}
+
+void CommandLine::addOptionalDuration(const std::string &flag, const std::string &help)
+{
+    addDuration(flag, help);
+    d->makeOptional(flag);
+}
+
 void CommandLine::addEndpoint(const std::string &flag, const std::string &help, std::optional<std::string> defaultValue)
 {
     const auto isEndpoint = [](const std::string &value) {
@@ -229,7 +261,7 @@
     positional.add("positional-words", d->m_maximumPositional);
     po::variables_map given;
     try { // Boost.Program_options reports errors only through exceptions.
-        po::store(po::command_line_parser(argc, argv).options(options).positional(positional).run(), given);
+        po::store(po::command_line_parser(d->givenArguments(argc, argv)).options(options).positional(positional).run(), given);
         const auto flagOf = [this](const std::string &variable) -> std::string {
             const auto match = std::find_if(d->m_order.begin(), d->m_order.end(), [&variable](const std::string &flag) {
                 return environmentName(flag) == variable;
@@ -274,6 +306,16 @@
     return parseDuration(text(flag)).value_or(Duration{});
 }
 
+std::optional<double> CommandLine::optionalNumber(const std::string &flag) const
+{
+    return parseNumber<double>(text(flag));
+}
+
+std::optional<Duration> CommandLine::optionalDuration(const std::string &flag) const
+{
+    return parseDuration(text(flag));
+}
+
 Endpoint CommandLine::endpoint(const std::string &flag) const
 {
     return parseEndpoint(text(flag)).value_or(Endpoint{});
--- a/src/core/commandline.h
+++ b/src/core/commandline.h
@@ -48,6 +48,10 @@
     void addNumber(const std::string &flag, const std::string &help, double minimum, double maximum, std::optional<double> defaultValue = std::nullopt);
     /** Adds a duration with a unit, such as `1500ms` or `2s`; without a default it is required. */
     void addDuration(const std::string &flag, const std::string &help, std::optional<std::string> defaultValue = std::nullopt);
+    /** Adds a number setting that may be left out or empty, see optionalNumber(). */
+    void addOptionalNumber(const std::string &flag, const std::string &help, double minimum, double maximum);
+    /** Adds a duration that may be left out or empty, see optionalDuration(). */
+    void addOptionalDuration(const std::string &flag, const std::string &help);
     /** Adds an endpoint in the form `IP:port` or `[IPv6]:port`; without a default it is required. */
     void addEndpoint(const std::string &flag, const std::string &help, std::optional<std::string> defaultValue = std::nullopt);
     /** Adds a comma-separated list of endpoints, empty by default. */
@@ -67,6 +71,10 @@
     std::int64_t integer(const std::string &flag) const;
     double number(const std::string &flag) const;
     Duration duration(const std::string &flag) const;
+    /** Returns the number, or nothing if the setting is left out or empty. */
+    std::optional<double> optionalNumber(const std::string &flag) const;
+    /** Returns the duration, or nothing if the setting is left out or empty. */
+    std::optional<Duration> optionalDuration(const std::string &flag) const;
     Endpoint endpoint(const std::string &flag) const;
     std::vector<Endpoint> endpointList(const std::string &flag) const;
     bool isOn(const std::string &flag) const;
--- a/tests/commandlinetest.cpp
+++ b/tests/commandlinetest.cpp
@@ -65,6 +65,37 @@
     EXPECT_NE(testing::internal::GetCapturedStderr().find("localhost:80"), std::string::npos);
 }
 
+TEST(CommandLine, AnEmptyOptionalSettingIsLeftOut)
+{
+    const auto parsed = [](const std::vector<const char *> &arguments) {
+        auto commandLine = std::make_unique<CommandLine>("example", "An example.");
+        commandLine->addOptionalNumber("slack", "a number", 0.0, 10.0);
+        commandLine->addOptionalDuration("window", "a time");
+        EXPECT_EQ(parse(*commandLine, arguments), std::nullopt);
+        return commandLine;
+    };
+    EXPECT_EQ(parsed({"--slack=2.5", "--window=5s"})->optionalNumber("slack"), 2.5);
+    EXPECT_EQ(parsed({"--slack=2.5", "--window=5s"})->optionalDuration("window"), std::chrono::seconds(5));
+    EXPECT_EQ(parsed({"--slack=", "--window="})->optionalNumber("slack"), std::nullopt);
+    EXPECT_EQ(parsed({"--slack=", "--window="})->optionalDuration("window"), std::nullopt);
+    EXPECT_EQ(parsed({})->optionalNumber("slack"), std::nullopt);
+    ::setenv("PLANTAINWEIR_SLACK", "", 1);
+    EXPECT_EQ(parsed({})->optionalNumber("slack"), std::nullopt);
+    ::unsetenv("PLANTAINWEIR_SLACK");
+}
+
+TEST(CommandLine, AnEmptyOrInvalidSettingIsReported)
+{
+    for (const char *argument : {"--slack=11", "--slack=x", "--members="}) {
+        CommandLine commandLine("example", "An example.");
+        addSettings(commandLine);
+        commandLine.addOptionalNumber("slack", "a number", 0.0, 10.0);
+        testing::internal::CaptureStderr();
+        EXPECT_EQ(parse(commandLine, {argument}), ExitStatus::Usage) << argument;
+        testing::internal::GetCapturedStderr();
+    }
+}
+
 TEST(CommandLine, ParsesPositionalArgumentsAndSwitches)
 {
     CommandLine commandLine("example", "An example.");
