--- a/src/programs/plantainweirgatewayd.cpp
+++ b/src/programs/plantainweirgatewayd.cpp
@@ -29,6 +29,11 @@
     commandLine.addNumber("retry-slack", "number of retries that the whole fleet may send in each window in addition to --retry-share", 0.0, 1e6);
     commandLine.addDuration("retry-window", "length of the window of --retry-slack");
     commandLine.addNumber("probe-limit", "probes per second that the whole fleet may send to one upstream", 0.0, 1e6);
+    commandLine.addOptionalDuration("quota-window", "window in which the calls of a client account are counted; 5s if empty");
+    commandLine.addOptionalNumber("quota-over", "part by which a client account may exceed its quota in --quota-window; 0.1 if empty", 0.0, 10.0);
+    commandLine.addOptionalNumber("quota-slack", "calls by which a client account may exceed its quota beyond that; 20 if empty", 0.0, 1e6);
+    commandLine.addOptionalNumber("cold-over", "factor by which the limit of a cold upstream may be exceeded in a second; 1.5 if empty", 0.0, 100.0);
+    commandLine.addOptionalNumber("cold-slack", "calls by which the limit of a cold upstream may be exceeded beyond that; 8 if empty", 0.0, 1e6);
     commandLine.addDuration("change-bound", "time in which an acknowledged change of the configuration must be in force", "2s");
     commandLine.addDuration("drain-bound", "time in which an upstream that reports to be draining must get no more calls", "2s");
     commandLine.addNumber("processor-share", "share of a processor core that this VM has; VMs with a larger share read the store for others", 0.0, 1e6, 0.0);
@@ -46,6 +51,18 @@
     return seeds;
 }
 
+CreditToleranceSettings creditTolerance(const CommandLine &commandLine)
+{
+    const CreditToleranceSettings defaults;
+    return {
+        .quotaWindow = commandLine.optionalDuration("quota-window").value_or(defaults.quotaWindow),
+        .quotaOver = commandLine.optionalNumber("quota-over").value_or(defaults.quotaOver),
+        .quotaSlack = commandLine.optionalNumber("quota-slack").value_or(defaults.quotaSlack),
+        .coldOver = commandLine.optionalNumber("cold-over").value_or(defaults.coldOver),
+        .coldSlack = commandLine.optionalNumber("cold-slack").value_or(defaults.coldSlack),
+    };
+}
+
 GatewaySettings readSettings(const CommandLine &commandLine)
 {
     return {
@@ -63,6 +80,7 @@
         .retrySlack = commandLine.number("retry-slack"),
         .retryWindow = commandLine.duration("retry-window"),
         .probesPerSecondPerUpstream = commandLine.number("probe-limit"),
+        .creditTolerance = creditTolerance(commandLine),
         .changeBound = std::min(commandLine.duration("change-bound"), commandLine.duration("drain-bound")),
         .processorShare = commandLine.number("processor-share"),
         .memoryBytes = static_cast<std::size_t>(commandLine.integer("memory-mb")) * 1024 * 1024,
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -6,6 +6,7 @@
 #include "http/operatorsport.h"
 #include "observability/logevents.h"
 #include "observability/metrics.h"
+#include "tasks/credittask.h"
 #include "tasks/exchangeclient.h"
 #include "tasks/exchangeserver.h"
 #include "tasks/membershiptask.h"
@@ -110,6 +111,23 @@
     return members;
 }
 
+/** Returns the live members as far as limits of the whole fleet depend on them. */
+std::vector<CreditMember> creditMembers(const Membership &membership)
+{
+    std::vector<CreditMember> members;
+    for (const auto &[name, member] : membership.members) {
+        const MemberRecord &record = member.record;
+        if (isLive(record.state)) {
+            members.push_back({.name = name,
+                               .availabilityZone = record.availabilityZone,
+                               .creditEndpoint = record.exchangeEndpoint,
+                               .capacity = record.capacity,
+                               .isLeaving = record.entry && record.entry->isLeaving});
+        }
+    }
+    return members;
+}
+
 }
 
 class Gateway::Private : public QObject
@@ -137,12 +155,19 @@
         , m_storeSource(storeSourceSettings(settings), codec, m_metrics)
         , m_exchangeServer(m_metrics)
         , m_exchangeClient(m_metrics)
+        , m_credit({.name = settings.name,
+                    .availabilityZone = settings.availabilityZone,
+                    .endpoint = settings.exchangePort,
+                    .tolerance = settings.creditTolerance,
+                    .seed = settings.seed + 2},
+                   m_metrics)
         , m_storeClient(HttpLimits{})
     {
         m_proxy.setBodyLimit(settings.memoryBytes / CallMemoryDivisor);
         connectCalls();
         connectStore();
         connectFleet();
+        connectCredit();
     }
 
     ~Private() override
@@ -231,6 +256,20 @@
         });
     }
 
+    void connectCredit()
+    {
+        connect(&m_proxy, &ProxyTask::creditRequested, &m_credit, &CreditTask::request);
+        connect(&m_proxy, &ProxyTask::creditCancelled, &m_credit, &CreditTask::cancel);
+        connect(&m_proxy, &ProxyTask::creditReturned, &m_credit, &CreditTask::giveBack);
+        connect(&m_credit, &CreditTask::decided, &m_proxy, &ProxyTask::finishCredit);
+        connect(&m_membership, &MembershipTask::candidatesChanged, this, &Private::updateCreditMembers);
+    }
+
+    void updateCreditMembers()
+    {
+        m_credit.setMembers(creditMembers(m_membership.membership()), m_fleetSize.isConverged);
+    }
+
     bool start()
     {
         const std::vector<std::pair<HttpServer *, Endpoint>> servers{
@@ -252,6 +291,9 @@
         if (!m_exchangeServer.listen(m_settings.exchangePort)) {
             return reportListenFailure(m_settings.exchangePort);
         }
+        if (!m_credit.listen()) {
+            return reportListenFailure(m_settings.exchangePort);
+        }
         if (!m_membership.listen()) {
             return reportListenFailure(m_settings.membershipPort);
         }
@@ -280,6 +322,7 @@
             }
             if (m_proxy.setRouteTable(*table)) {
                 applyCallerLimits(table->limits);
+                m_credit.setTable(*table);
                 publishUpstreams();
             }
         }
@@ -345,7 +388,11 @@
     void updateFleetShare()
     {
         const TimePoint now = Clock::now();
+        const bool wasConverged = m_fleetSize.isConverged;
         observeFleetSize(m_fleetSize, liveMembers(m_membership.membership()).size(), now);
+        if (m_fleetSize.isConverged != wasConverged) {
+            updateCreditMembers();
+        }
         if (const auto next = nextFleetSizeChange(m_fleetSize, now)) {
             m_convergenceTimer.start(std::chrono::ceil<std::chrono::milliseconds>(*next - now));
         }
@@ -468,6 +515,7 @@
         m_isLeaving = true;
         m_isReady = false;
         m_membership.setEntry(selfEntry());
+        m_credit.leave();
         m_callerServer.closeAfterResponses();
         if (m_registrationRequest != 0) {
             m_storeClient.send(m_settings.store, m_codec.encodeDeregistration(m_settings.name), Clock::now() + StoreCallTimeout);
@@ -509,6 +557,7 @@
     StoreSourceTask m_storeSource;
     ExchangeServer m_exchangeServer;
     ExchangeClient m_exchangeClient;
+    CreditTask m_credit;
     HttpClient m_storeClient;
     UpstreamRegistry m_upstreamRegistry;
     QTimer m_expiryTimer;
--- a/src/tasks/gateway.h
+++ b/src/tasks/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controllers/creditterms.h"
 #include "core/endpoint.h"
 #include "core/time.h"
 #include "tasks/gatewaycodec.h"
@@ -29,6 +30,7 @@
     double retrySlack = 0.0; ///< Retries allowed in each window beyond that share, summed over the fleet.
     Duration retryWindow{};
     double probesPerSecondPerUpstream = 0.0; ///< Probes per second that the fleet may send to one upstream.
+    CreditToleranceSettings creditTolerance; ///< By how much the fleet may exceed its limits on accounts and cold upstreams.
     Duration changeBound = std::chrono::seconds(2); ///< Time in which an acknowledged change must be in force.
     double processorShare = 0.0; ///< Of this VM, in cores; zero if not known.
     std::size_t memoryBytes = 512 * 1024 * 1024; ///< Memory that this process may use.
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -1,5 +1,6 @@
 #include "tasks/proxytask.h"
 
+#include "core/suspendawareclock.h"
 #include "decision/weightedroundrobin.h"
 #include "observability/logevents.h"
 #include "observability/metrics.h"
@@ -13,10 +14,20 @@
 
 /** Retry-After of refusals that do not depend on a queue. */
 constexpr std::chrono::milliseconds RetryAfterRefusal{300};
+/** Minimum Retry-After of refusals for lack of credit. */
+constexpr std::chrono::milliseconds MinimumRetryAfterCredit{10};
+
+/** A call that is admitted once it has credit of its client account. */
+struct PendingAdmission {
+    CreditRequestId credit = 0;
+    ProxyCallAdmitted admitted;
+};
 
 /** A call that has no reply yet. */
 struct OpenCall {
     IncomingProxyCall incoming;
+    std::optional<PendingAdmission> pending;
+    std::optional<CreditDecision> credit; ///< Credit of the client account that the call uses.
     std::string route;
     std::string lastUpstream;
     std::uint32_t attempts = 0;
@@ -60,7 +71,7 @@
         const Route &route = *context.route;
         m_openBodyBytes += call.call.bodyBytes;
         m_calls.emplace(call.exchange, OpenCall{.incoming = call, .route = route.name});
-        handleEvent(ProxyCallAdmitted{
+        const ProxyCallAdmitted admitted{
             .id = call.exchange,
             .service = nextService(roundRobinOf(route)),
             .repeatability = route.repeatability,
@@ -68,7 +79,64 @@
             .maximumAttempts = route.maximumAttempts,
             .target = route.target,
             .deadline = context.deadline,
-        });
+        };
+        if (context.account != nullptr && context.account->callsPerSecond > 0.0) {
+            requestCredit(admitted, context.account->name, now);
+        } else {
+            handleEvent(admitted);
+        }
+    }
+
+    void requestCredit(const ProxyCallAdmitted &admitted, const std::string &account, TimePoint now)
+    {
+        const CreditRequestId id = ++m_lastCreditRequest;
+        m_calls.at(admitted.id).pending = PendingAdmission{.credit = id, .admitted = admitted};
+        m_creditRequests.emplace(id, admitted.id);
+        const TimePoint deadline = suspendAwareNow() + (admitted.deadline - now);
+        Q_EMIT q->creditRequested(id, {.kind = CreditKind::Account, .scope = account, .upstream = {}}, deadline);
+    }
+
+    void finishCredit(CreditRequestId id, const CreditDecision &decision)
+    {
+        const auto found = m_creditRequests.find(id);
+        if (found == m_creditRequests.end()) {
+            return;
+        }
+        const auto call = m_calls.find(found->second);
+        m_creditRequests.erase(found);
+        const ProxyCallAdmitted admitted = call->second.pending->admitted;
+        call->second.pending.reset();
+        const bool isGranted = decision.outcome == CreditOutcome::Granted && decision.usableUntil > suspendAwareNow();
+        const bool isInTime = admitted.deadline > Clock::now();
+        if (isGranted && isInTime) {
+            call->second.credit = decision;
+            handleEvent(admitted);
+            return;
+        }
+        if (isGranted) {
+            Q_EMIT q->creditReturned(decision);
+        }
+        const bool isOverQuota = decision.outcome == CreditOutcome::Denied;
+        const RefusalReason reason = isOverQuota ? RefusalReason::QuotaExceeded : RefusalReason::CreditUnavailable;
+        refuseWaiting(call, isInTime ? reason : RefusalReason::DeadlinePassed, decision);
+    }
+
+    void refuseWaiting(std::map<HttpExchangeId, OpenCall>::iterator found, RefusalReason reason, const CreditDecision &decision)
+    {
+        const OpenCall call = takeCall(found);
+        const Duration retryAfter = std::max(Duration(MinimumRetryAfterCredit), Duration(decision.retryAt - suspendAwareNow()));
+        const CallReply reply = refusedReply(reason, Clock::now() + retryAfter);
+        m_metrics.countRefusal(reason);
+        logEnd(call, reply);
+        Q_EMIT q->replyReady(call.incoming.exchange, call.incoming.call.requestId, reply);
+    }
+
+    /** Gives back the credit of a call that did not run. */
+    void returnCredit(const OpenCall &call)
+    {
+        if (call.credit) {
+            Q_EMIT q->creditReturned(*call.credit);
+        }
     }
 
     void refuse(const IncomingProxyCall &call, RefusalReason reason, TimePoint now)
@@ -158,6 +226,9 @@
     {
         const OpenCall call = takeCall(m_calls.find(action.call));
         const CallReply reply = replyFor(action, call);
+        if (reply.outcome == CallOutcome::NotRun) {
+            returnCredit(call);
+        }
         logEnd(call, reply);
         Q_EMIT q->replyReady(action.call, call.incoming.call.requestId, reply);
     }
@@ -250,6 +321,14 @@
         }
         const OpenCall call = takeCall(found);
         logEvent(LogEvent::CallAbandoned, {{"id", call.incoming.call.requestId}, {"upstream", call.lastUpstream}});
+        if (call.pending) {
+            m_creditRequests.erase(call.pending->credit);
+            Q_EMIT q->creditCancelled(call.pending->credit);
+            return;
+        }
+        if (call.attempts == 0) {
+            returnCredit(call);
+        }
         handleEvent(ProxyCallAbandoned{exchange});
     }
 
@@ -265,6 +344,8 @@
     TimePoint m_timerDue;
     std::map<std::string, WeightedRoundRobin> m_roundRobins;
     std::map<HttpExchangeId, OpenCall> m_calls;
+    std::map<CreditRequestId, HttpExchangeId> m_creditRequests; ///< Calls that wait for credit.
+    CreditRequestId m_lastCreditRequest = 0;
     std::size_t m_bodyLimit = std::numeric_limits<std::size_t>::max(); ///< Of the request bodies of all open calls together.
     std::size_t m_openBodyBytes = 0;
     std::map<ProxyAttemptId, HttpExchangeId> m_attempts;
@@ -343,6 +424,11 @@
     d->finishAttempt(result);
 }
 
+void ProxyTask::finishCredit(CreditRequestId id, const CreditDecision &decision)
+{
+    d->finishCredit(id, decision);
+}
+
 std::size_t ProxyTask::openCallCount() const
 {
     return d->m_calls.size();
--- a/src/tasks/proxytask.h
+++ b/src/tasks/proxytask.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "controllers/creditdecision.h"
+#include "controllers/creditline.h"
 #include "tasks/gatewaymessages.h"
 
 #include <QObject>
@@ -47,6 +49,8 @@
     void abandon(HttpExchangeId exchange);
     void finishProbe(const ProbeEnded &ended);
     void finishAttempt(const ProxyAttemptResult &result);
+    /** Admits or refuses the call for which creditRequested() was emitted. */
+    void finishCredit(CreditRequestId id, const CreditDecision &decision);
 
     /** Returns the number of calls that have no reply yet. */
     std::size_t openCallCount() const;
@@ -56,6 +60,12 @@
     void probeStarted(const OutgoingProbe &probe);
     void attemptStarted(const OutgoingProxyAttempt &attempt);
     void attemptCancelled(ProxyAttemptId id);
+    /** A call needs credit of its client account until @p deadline (of suspendAwareNow()); finishCredit() must follow. */
+    void creditRequested(CreditRequestId id, const CreditLine &line, TimePoint deadline);
+    /** The call for which creditRequested() was emitted is gone. */
+    void creditCancelled(CreditRequestId id);
+    /** The call for which this credit was granted did not run. */
+    void creditReturned(const CreditDecision &decision);
 
 private:
     class Private;
