--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -13,6 +13,7 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 
+#include <map>
 #include <set>
 
 namespace Plantainweir {
@@ -171,13 +172,15 @@
 }
 
 /** Returns configuration() with a second, public route and one client account. */
-QJsonObject configurationWithAccount(int version, const QJsonArray &keys)
+QJsonObject configurationWithAccount(int version, const QJsonArray &keys, const QJsonObject &quota = {})
 {
     QJsonObject object = configuration(version);
     QJsonArray resources = object["resources"].toArray();
     const QJsonObject open{{"host", Host}, {"pathPrefix", "/open/"}, {"kind", "unsafe"}, {"timeout", "2s"}, {"service", "desk"}, {"public", true}};
     resources.append(QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", "r2"}}}, {"spec", open}});
-    resources.append(QJsonObject{{"resourceKind", "tenants"}, {"metadata", QJsonObject{{"name", "shop"}}}, {"spec", QJsonObject{{"apiKeys", keys}}}});
+    QJsonObject account = quota;
+    account["apiKeys"] = keys;
+    resources.append(QJsonObject{{"resourceKind", "tenants"}, {"metadata", QJsonObject{{"name", "shop"}}}, {"spec", account}});
     object["resources"] = resources;
     return object;
 }
@@ -416,6 +419,45 @@
     EXPECT_EQ(log.find("secret"), std::string::npos);
 }
 
+TEST_F(GatewayTest, AQuotaHoldsOverTwoEntryVms)
+{
+    store.put("config", "main", configurationWithAccount(4, {"secret-1"}, {{"ratePerS", 2}, {"burst", 2}}));
+    start();
+    const HttpResponse unknown = callWithKey("/a/x", "secret-1").response;
+    EXPECT_EQ(unknown.status, 503) << "a VM that is alone does not know what others let pass";
+    EXPECT_FALSE(fieldValue(unknown.fields, "Retry-After").empty());
+    EXPECT_TRUE(upstream.calls.empty());
+    EXPECT_EQ(statusOf("/open/x"), 200) << "a call without an account needs no credit";
+
+    GatewaySettings otherSettings = settings;
+    otherSettings.name = "e2";
+    for (Endpoint *port : {&otherSettings.callerPort,
+                           &otherSettings.readinessPort,
+                           &otherSettings.directoryPort,
+                           &otherSettings.membershipPort,
+                           &otherSettings.exchangePort,
+                           &otherSettings.operatorsPort}) {
+        *port = freeEndpoint();
+    }
+    otherSettings.seeds = {settings.membershipPort};
+    Gateway other(otherSettings, Platform::platformCodec());
+    ASSERT_TRUE(other.start());
+    EXPECT_TRUE(waitUntil([this] {
+        return callWithKey("/a/x", "secret-1").response.status == 200;
+    }));
+    std::map<int, int> statuses;
+    HttpResponse refused;
+    for (int call = 0; call < 40; ++call) {
+        const HttpResponse response = callWithKey("/a/x", "secret-1").response;
+        ++statuses[response.status];
+        refused = response.status == 429 ? response : refused;
+    }
+    EXPECT_GT(statuses[429], 0);
+    EXPECT_FALSE(fieldValue(refused.fields, "Retry-After").empty());
+    EXPECT_LE(statuses[200], 35);
+    EXPECT_EQ(statuses[200] + statuses[429], 40);
+}
+
 TEST_F(GatewayTest, KeysComeAndGoWithVersions)
 {
     store.put("config", "main", configurationWithAccount(4, {"secret-1"}));
