--- a/src/core/commandline.h
+++ b/src/core/commandline.h
@@ -48,7 +48,9 @@
     void addNumber(const std::string &flag, const std::string &help, double minimum, double maximum, std::optional<double> defaultValue = std::nullopt);
     /** Adds a duration with a unit, such as `1500ms` or `2s`; without a default it is required. */
     void addDuration(const std::string &flag, const std::string &help, std::optional<std::string> defaultValue = std::nullopt);
-    /** Adds a duration that may be left out or empty, such as a bound that not all deployments have. */
+    /** Adds a number setting that may be left out or empty, see optionalNumber(). */
+    void addOptionalNumber(const std::string &flag, const std::string &help, double minimum, double maximum);
+    /** Adds a duration that may be left out or empty, see optionalDuration(). */
     void addOptionalDuration(const std::string &flag, const std::string &help);
     /** Adds an endpoint in the form `IP:port` or `[IPv6]:port`; without a default it is required. */
     void addEndpoint(const std::string &flag, const std::string &help, std::optional<std::string> defaultValue = std::nullopt);
@@ -69,6 +71,9 @@
     std::int64_t integer(const std::string &flag) const;
     double number(const std::string &flag) const;
     Duration duration(const std::string &flag) const;
+    /** Returns the number, or nothing if the setting is left out or empty. */
+    std::optional<double> optionalNumber(const std::string &flag) const;
+    /** Returns the duration, or nothing if the setting is left out or empty. */
     std::optional<Duration> optionalDuration(const std::string &flag) const;
     Endpoint endpoint(const std::string &flag) const;
     std::vector<Endpoint> endpointList(const std::string &flag) const;
--- a/src/tasks/gateway.h
+++ b/src/tasks/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controllers/creditterms.h"
 #include "core/endpoint.h"
 #include "core/time.h"
 #include "tasks/gatewaycodec.h"
@@ -30,6 +31,7 @@
     Duration retryWindow{};
     double hedgeShare = 0.0; ///< Share of the calls that may be repeated of which slow ones get a second attempt.
     double probesPerSecondPerUpstream = 0.0; ///< Probes per second that the fleet may send to one upstream.
+    CreditToleranceSettings creditTolerance; ///< By how much the fleet may exceed its limits on accounts and cold upstreams.
     Duration changeBound = std::chrono::seconds(2); ///< Time in which an acknowledged change must be in force.
     std::optional<Duration> evacuationBound; ///< The same for the evacuation of an availability zone; without it, evacuations are not read.
     double processorShare = 0.0; ///< Of this VM, in cores; zero if not known.
