Share scarce room among client accounts

Cause: when the upstreams were nearly full, the calls of all accounts were refused alike, so an account that sent six times its usual took the room of all others.

Change: each entry VM counts what accounts send and what is answered. While calls find no available upstream, an account above its weighted max-min share is refused in proportion to its excess, with the reason share_exceeded, and its other calls do not wait. Waiting calls take room by priority, then by the use of their account. Without accounts nothing changes.

--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -47,9 +47,10 @@
     UnknownKey, ///< The route needs the key of a client account, and the call has none that is in force.
     QuotaExceeded, ///< The client account has used up its quota.
     CreditUnavailable, ///< No other entry VM could grant credit of a limit that the whole fleet shares.
+    ShareExceeded, ///< The upstreams are nearly full, and the client account sends more than its fair share.
 };
 
-constexpr std::array<EnumName<RefusalReason>, 23> enumNames(RefusalReason)
+constexpr std::array<EnumName<RefusalReason>, 24> enumNames(RefusalReason)
 {
     return {{
         {RefusalReason::MalformedRequest, "malformed_request"},
@@ -75,6 +76,7 @@
         {RefusalReason::UnknownKey, "unknown_key"},
         {RefusalReason::QuotaExceeded, "quota_exceeded"},
         {RefusalReason::CreditUnavailable, "credit_unavailable"},
+        {RefusalReason::ShareExceeded, "share_exceeded"},
     }};
 }
 static_assert(isEnumTableOrdered<RefusalReason>());
--- /dev/null
+++ b/src/decision/fairshare.cpp
@@ -0,0 +1,128 @@
+#include "decision/fairshare.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace Plantainweir {
+namespace {
+
+/** Time constant of all recent counts. */
+constexpr std::chrono::seconds CountTimeConstant{10};
+/** Weight of the newest call in the scarcity. */
+constexpr double ScarcityWeight = 0.1;
+/** Below this scarcity, waiting is enough; from the second value on, no account gets more than its share. */
+constexpr double MinimumScarcity = 0.02;
+constexpr double FullScarcity = 0.1;
+/** Calls beyond its share that an account may send: small accounts have few calls at one entry VM, at irregular times. */
+constexpr double ToleratedExcess = 2.0;
+/** An account with less than this count is forgotten. */
+constexpr double ForgottenCount = 0.01;
+constexpr std::size_t MaximumAccounts = 1024;
+
+double countAt(const RecentCount &recent, TimePoint now)
+{
+    return recent.count * std::exp(-toMilliseconds(now - recent.updatedAt) / toMilliseconds(CountTimeConstant));
+}
+
+void add(RecentCount &recent, TimePoint now)
+{
+    recent.count = countAt(recent, now) + 1.0;
+    recent.updatedAt = now;
+}
+
+void forgetIdleAccounts(RankUse &rank, TimePoint now)
+{
+    std::erase_if(rank.accounts, [now](const auto &row) {
+        return countAt(row.second.sent, now) < ForgottenCount;
+    });
+}
+
+struct Demand {
+    double calls = 0.0;
+    double weight = 1.0;
+};
+
+/** Returns the number of calls per weight at which max-min fair shares of @p demands add up to @p room. */
+double fairLevel(std::vector<Demand> demands, double room)
+{
+    std::sort(demands.begin(), demands.end(), [](const Demand &left, const Demand &right) {
+        return left.calls / left.weight < right.calls / right.weight;
+    });
+    double weight = 0.0;
+    for (const Demand &demand : demands) {
+        weight += demand.weight;
+    }
+    for (const Demand &demand : demands) {
+        if (demand.calls / demand.weight * weight >= room) {
+            break;
+        }
+        room -= demand.calls;
+        weight -= demand.weight;
+    }
+    return weight > 0.0 ? std::max(0.0, room) / weight : std::max(0.0, room);
+}
+
+}
+
+void recordSent(FairShares &shares, const AccountCall &call, TimePoint now)
+{
+    if (call.account.empty()) {
+        return;
+    }
+    RankUse &rank = shares.ranks[call.priority];
+    if (rank.accounts.size() >= MaximumAccounts && !rank.accounts.contains(call.account)) {
+        forgetIdleAccounts(rank, now);
+    }
+    AccountUse &use = rank.accounts[call.account];
+    use.weight = call.weight > 0.0 ? call.weight : 1.0;
+    add(use.sent, now);
+}
+
+void recordRoom(FairShares &shares, std::uint32_t priority, Room room)
+{
+    RankUse &rank = shares.ranks[priority];
+    rank.scarcity += ScarcityWeight * ((room == Room::Available ? 0.0 : 1.0) - rank.scarcity);
+}
+
+void recordServed(FairShares &shares, std::uint32_t priority, TimePoint now)
+{
+    add(shares.ranks[priority].served, now);
+}
+
+double refusedShare(const FairShares &shares, const AccountCall &call, TimePoint now)
+{
+    const auto rank = shares.ranks.find(call.priority);
+    if (rank == shares.ranks.end() || rank->second.scarcity <= MinimumScarcity) {
+        return 0.0;
+    }
+    const auto use = rank->second.accounts.find(call.account);
+    if (use == rank->second.accounts.end()) {
+        return 0.0;
+    }
+    std::vector<Demand> demands;
+    demands.reserve(rank->second.accounts.size());
+    for (const auto &[name, account] : rank->second.accounts) {
+        demands.push_back({.calls = countAt(account.sent, now), .weight = account.weight});
+    }
+    const double fairCalls = fairLevel(std::move(demands), countAt(rank->second.served, now)) * use->second.weight;
+    const double sent = countAt(use->second.sent, now);
+    if (sent <= fairCalls + ToleratedExcess) {
+        return 0.0;
+    }
+    const double urgency = std::min(1.0, (rank->second.scarcity - MinimumScarcity) / (FullScarcity - MinimumScarcity));
+    return urgency * (1.0 - fairCalls / sent);
+}
+
+double relativeUse(const FairShares &shares, const AccountCall &call, TimePoint now)
+{
+    const auto rank = shares.ranks.find(call.priority);
+    if (rank == shares.ranks.end()) {
+        return 0.0;
+    }
+    const auto use = rank->second.accounts.find(call.account);
+    return use == rank->second.accounts.end() ? 0.0 : countAt(use->second.sent, now) / use->second.weight;
+}
+
+}
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -296,6 +296,18 @@
     }
 }
 
+AccountCall accountCallOf(const ProxyCallAdmitted &call)
+{
+    return {.priority = call.priority, .account = call.account, .weight = call.accountWeight};
+}
+
+void recordRoom(ProxyService &service, const ProxyCall &call, Room room)
+{
+    if (!call.admitted.account.empty()) {
+        recordRoom(service.shares, call.admitted.priority, room);
+    }
+}
+
 /** Continues a call without a running attempt: starts an attempt or probes, waits for the next round, or ends the call. */
 void advance(ProxyStepContext &context, ProxyCallId id)
 {
@@ -303,6 +315,7 @@
     ProxyService &service = serviceOf(context, call.admitted.service);
     const std::vector<PooledUpstream *> candidates = candidatesOf(context, service, call);
     if (PooledUpstream *available = bestCandidate(context, candidates, LoadState::Available, FreshLoadAge)) {
+        recordRoom(service, call, Room::Available);
         startAttempt(context, id, *available);
         return;
     }
@@ -313,10 +326,15 @@
     if (call.openProbes > 0) {
         return;
     }
+    if (call.isAboveShare) {
+        endWithoutAnswer(context, id, RefusalReason::ShareExceeded, UnknownReason::ConnectionLost);
+        return;
+    }
     if (call.isProbeLimited) {
         // Without probes, the choice is based on the calls that this entry VM has in flight.
         call.isProbeLimited = false;
         if (PooledUpstream *upstream = leastLoadedCandidate(context, candidates)) {
+            recordRoom(service, call, Room::Scarce);
             startAttempt(context, id, *upstream);
             return;
         }
@@ -329,16 +347,36 @@
     }
     for (const LoadState loadState : {LoadState::Available, LoadState::Slow}) {
         if (PooledUpstream *upstream = bestCandidate(context, candidates, loadState, RoundLoadAge)) {
+            recordRoom(service, call, Room::Scarce);
             startAttempt(context, id, *upstream);
             return;
         }
     }
+    recordRoom(service, call, Room::None);
     endWithoutAnswer(context, id, candidates.empty() ? RefusalReason::NoUpstream : RefusalReason::QueueFull, UnknownReason::ConnectionLost);
 }
 
+/** Returns the waiting calls in the order in which they may take room: as they came, or by rank and use if there are accounts. */
+std::vector<ProxyCallId> waitingCalls(ProxyStepContext &context, const ProxyService &service)
+{
+    std::vector<ProxyCallId> waiting(service.waiting.begin(), service.waiting.end());
+    if (service.shares.ranks.empty()) {
+        return waiting;
+    }
+    std::map<ProxyCallId, std::pair<std::uint32_t, double>> keys;
+    for (const ProxyCallId id : waiting) {
+        const ProxyCallAdmitted &call = context.state.calls.at(id).admitted;
+        keys.emplace(id, std::pair(call.priority, relativeUse(service.shares, accountCallOf(call), context.now)));
+    }
+    std::ranges::stable_sort(waiting, {}, [&keys](ProxyCallId id) {
+        return keys.at(id);
+    });
+    return waiting;
+}
+
 void advanceWaiting(ProxyStepContext &context, const std::string &name)
 {
-    const std::set<ProxyCallId> waiting = serviceOf(context, name).waiting;
+    const std::vector<ProxyCallId> waiting = waitingCalls(context, serviceOf(context, name));
     for (const ProxyCallId id : waiting) {
         if (context.state.calls.contains(id)) {
             advance(context, id);
@@ -376,6 +414,13 @@
     call.queueingDeadline = context.now + event.target / QueueingTimeDivisor;
     startRound(context, service, call);
     context.state.calls.emplace(event.id, std::move(call));
+    recordSent(service.shares, accountCallOf(event), context.now);
+    const double refused = refusedShare(service.shares, accountCallOf(event), context.now);
+    context.state.calls.at(event.id).isAboveShare = refused > 0.0;
+    if (refused > 0.0 && std::bernoulli_distribution(refused)(context.random)) {
+        endWithoutAnswer(context, event.id, RefusalReason::ShareExceeded, UnknownReason::ConnectionLost);
+        return;
+    }
     service.waiting.insert(event.id);
     setTimer(context, event.id, event.deadline);
     advance(context, event.id);
@@ -474,6 +519,9 @@
     const bool isIdempotent = call.admitted.repeatability == Repeatability::Idempotent;
     switch (outcome) {
     case ProxyAttemptOutcome::Succeeded:
+        if (!call.admitted.account.empty()) {
+            recordServed(serviceOf(context, call.admitted.service).shares, call.admitted.priority, context.now);
+        }
         endCall(context, {.call = id, .outcome = CallOutcome::Answered, .answer = attempt});
         return;
     case ProxyAttemptOutcome::NotSent:
@@ -485,6 +533,7 @@
         return;
     case ProxyAttemptOutcome::Shed:
     case ProxyAttemptOutcome::Replaced:
+        recordRoom(serviceOf(context, call.admitted.service), call, Room::None);
         if (!retry(context, id, RetryReason::UpstreamShed, true)) {
             endWithoutAnswer(context, id, RefusalReason::UpstreamShed, UnknownReason::ConnectionLost);
         }
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -3,6 +3,7 @@
 #include "core/outcome.h"
 #include "core/time.h"
 #include "core/work.h"
+#include "decision/fairshare.h"
 #include "decision/retrybudget.h"
 #include "decision/subset.h"
 #include "decision/upstreampool.h"
@@ -43,6 +44,7 @@
     Repeatability repeatability = Repeatability::AtMostOnce;
     std::uint32_t priority = 0; ///< Zero is the highest.
     std::string account; ///< Name of the client account; empty if the call belongs to none.
+    double accountWeight = 1.0; ///< What the account may have relative to the others of its priority.
     std::uint32_t maximumAttempts = 1;
     Duration target{}; ///< Time after its admission in which the call should be answered.
     TimePoint deadline; ///< Time at which the call is ended in any case.
@@ -152,6 +154,7 @@
     std::optional<RetryReason> retry; ///< Reason for the next attempt if it is a retry.
     bool isProbeLimited = false; ///< Whether the current round lacks a probe because of the rate limit.
     bool wasShedWithFreeSlot = false; ///< Whether the last upstream shed the call although it reported a free slot.
+    bool isAboveShare = false; ///< Whether room is scarce and its account sends more than its share: the call does not wait for room.
     bool mayHaveRun = false;
     bool isAbandoned = false;
     TimePoint nextRoundAt; ///< Start of the next probe round. The epoch during a round.
@@ -175,6 +178,7 @@
     TimePoint budgetRefilledAt;
     std::set<ProxyCallId> waiting; ///< Calls without a running attempt.
     CallRate callRate;
+    FairShares shares; ///< Empty if no call belongs to a client account.
     double otherZoneAvailableRate = 1.0; ///< Share of available upstreams among those probed in other availability zones.
 };
 
--- /dev/null
+++ b/tests/fairsharetest.cpp
@@ -0,0 +1,120 @@
+#include "decision/fairshare.h"
+
+#include "fakes/proxyload.h"
+
+#include <gtest/gtest.h>
+
+namespace Plantainweir {
+namespace {
+
+constexpr TimePoint Start{std::chrono::seconds(1000)};
+
+/** Counts the calls of 10 s: @p calls of each account at equal distances, of which @p served were answered. */
+FairShares makeShares(const std::map<std::string, int> &calls, int served, Room otherwise)
+{
+    FairShares shares;
+    for (const auto &[account, count] : calls) {
+        for (int call = 0; call < count; ++call) {
+            recordSent(shares, {.account = account}, Start);
+        }
+    }
+    for (int call = 0; call < 100; ++call) {
+        recordRoom(shares, 0, otherwise);
+    }
+    shares.ranks.at(0).served = {.count = static_cast<double>(served), .updatedAt = Start};
+    return shares;
+}
+
+TEST(FairShare, RefusesNobodyWhileThereIsRoom)
+{
+    const FairShares shares = makeShares({{"heavy", 100}, {"small", 5}}, 50, Room::Available);
+    EXPECT_EQ(refusedShare(shares, {.account = "heavy"}, Start), 0.0);
+}
+
+TEST(FairShare, RefusesTheExcessOfTheHeavyAccountOnly)
+{
+    const FairShares shares = makeShares({{"heavy", 100}, {"large", 20}, {"small", 5}}, 75, Room::None);
+    EXPECT_NEAR(refusedShare(shares, {.account = "heavy"}, Start), 0.5, 0.01);
+    EXPECT_EQ(refusedShare(shares, {.account = "large"}, Start), 0.0);
+    EXPECT_EQ(refusedShare(shares, {.account = "small"}, Start), 0.0);
+    EXPECT_EQ(refusedShare(shares, {.account = "new"}, Start), 0.0);
+}
+
+TEST(FairShare, AnAccountThatMayHaveMoreHasAPlaceInProportion)
+{
+    FairShares shares = makeShares({{"heavy", 100}, {"other", 100}}, 100, Room::None);
+    shares.ranks.at(0).accounts.at("heavy").weight = 3.0;
+    EXPECT_NEAR(refusedShare(shares, {.account = "heavy"}, Start), 0.25, 0.01);
+    EXPECT_NEAR(refusedShare(shares, {.account = "other"}, Start), 0.75, 0.01);
+    EXPECT_LT(relativeUse(shares, {.account = "heavy"}, Start), relativeUse(shares, {.account = "other"}, Start));
+}
+
+TEST(FairShare, OtherRanksDoNotCount)
+{
+    const FairShares shares = makeShares({{"heavy", 100}}, 50, Room::None);
+    EXPECT_EQ(refusedShare(shares, {.priority = 1, .account = "heavy"}, Start), 0.0);
+}
+
+TEST(FairShare, ForgetsIdleAccounts)
+{
+    FairShares shares;
+    for (int account = 0; account < 5000; ++account) {
+        recordSent(shares, {.account = "account-" + std::to_string(account)}, Start + std::chrono::seconds(account));
+    }
+    EXPECT_LE(shares.ranks.at(0).accounts.size(), 1024U);
+}
+
+/** Forty accounts with six calls a second each at 48 entry VMs; the upstreams can run little more. */
+PlayedLoad manyAccounts()
+{
+    PlayedLoad load;
+    load.zones = 3;
+    load.entriesPerZone = 16;
+    load.upstreamsPerZone = 10;
+    load.isSilentWhenFull = false;
+    load.duration = std::chrono::seconds(40);
+    for (int account = 0; account < 40; ++account) {
+        load.calls.push_back({.account = "account-" + std::to_string(account), .perSecond = 6.0});
+    }
+    return load;
+}
+
+/** Returns the served share of all accounts but the first one. */
+double servedShareOfOthers(const PlayedResult &result)
+{
+    int calls = 0;
+    int answered = 0;
+    for (std::size_t account = 1; account < result.outcomes.size(); ++account) {
+        calls += result.outcomes[account].calls;
+        answered += result.outcomes[account].answered;
+    }
+    return static_cast<double>(answered) / calls;
+}
+
+class FairShareLoad : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+TEST_P(FairShareLoad, AnAccountThatSendsSixTimesItsUsualHarmsItself)
+{
+    PlayedLoad load = manyAccounts();
+    load.seed = GetParam();
+    load.calls[0].perSecond = 30.0;
+    const PlayedResult usual = ProxyLoadPlayer(load).play();
+    load.calls[0].perSecond *= 6.0;
+    const PlayedResult heavy = ProxyLoadPlayer(load).play();
+    PlayedLoad without = load;
+    for (PlayedCalls &calls : without.calls) {
+        calls.account.clear();
+    }
+    const PlayedResult unshared = ProxyLoadPlayer(without).play();
+    EXPECT_GT(servedShareOfOthers(heavy), servedShareOfOthers(usual) - 0.02);
+    EXPECT_GT(heavy.outcomes[0].answered, usual.outcomes[0].answered);
+    EXPECT_LT(servedShareOfOthers(unshared), servedShareOfOthers(usual) - 0.1);
+    EXPECT_GT(heavy.outcomes[1].inTimeShare(), unshared.outcomes[1].inTimeShare());
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FairShareLoad, testing::Values(1, 2));
+
+}
+}
--- a/tests/fakes/proxyload.cpp
+++ b/tests/fakes/proxyload.cpp
@@ -99,6 +99,7 @@
                                .repeatability = calls.repeatability,
                                .priority = calls.priority,
                                .account = calls.account,
+                               .accountWeight = calls.weight,
                                .maximumAttempts = 2,
                                .target = m_load.target,
                                .deadline = m_now + m_load.timeout});
--- a/tests/fakes/proxyload.h
+++ b/tests/fakes/proxyload.h
@@ -17,6 +17,7 @@
 struct PlayedCalls {
     std::string account;
     std::uint32_t priority = 0;
+    double weight = 1.0; ///< Of the account.
     double perSecond = 100.0;
     Repeatability repeatability = Repeatability::Idempotent;
 };
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -609,6 +609,39 @@
     EXPECT_TRUE(attempts.empty());
 }
 
+TEST_F(ProxyingTest, WaitingCallsTakeRoomByPriorityThenByTheUseOfTheirAccount)
+{
+    setUpstreams({makeUpstream(1)});
+    const auto admitFor = [this](ProxyCallId id, const std::string &account, std::uint32_t priority) {
+        feed(ProxyCallAdmitted{.id = id,
+                               .service = "desk",
+                               .priority = priority,
+                               .account = account,
+                               .maximumAttempts = 1,
+                               .target = std::chrono::seconds(4),
+                               .deadline = now + std::chrono::seconds(8)});
+    };
+    admitFor(1, "heavy", 1);
+    answerIdle();
+    ASSERT_EQ(attempts.size(), 1U);
+    advanceTime(std::chrono::milliseconds(30));
+    admitFor(2, "heavy", 1);
+    admitFor(3, "small", 1);
+    admitFor(4, "heavy", 0);
+    answerProbes([](const RegisteredUpstream &) {
+        return UpstreamLoad{.running = 3, .waiting = 0, .slots = 3, .workTimeFactor = 1.0};
+    });
+    ASSERT_EQ(attempts.size(), 1U);
+    // Each report shows room for one call.
+    for (std::size_t ended = 0; ended < 3; ++ended) {
+        feed(ProxyAttemptEnded{.id = attempts[ended].id, .outcome = ProxyAttemptOutcome::Succeeded, .load = UpstreamLoad{.running = 2, .slots = 3}});
+    }
+    ASSERT_EQ(attempts.size(), 4U);
+    EXPECT_EQ(attempts[1].call, 4U);
+    EXPECT_EQ(attempts[2].call, 3U);
+    EXPECT_EQ(attempts[3].call, 2U);
+}
+
 TEST_F(ProxyingTest, AnUpstreamThatSaidItLeavesGetsNoCallWhateverItsRegistrationSays)
 {
     RegisteredUpstream leaving = makeUpstream(1);
