--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -48,6 +48,13 @@
     return context.account != nullptr ? context.account->name : std::string();
 }
 
+/** Returns what the call's client account may have relative to others: its quota, if it has one. */
+double accountWeight(const RouteContext &context)
+{
+    const bool isLimited = context.account != nullptr && context.account->callsPerSecond > 0.0;
+    return isLimited ? context.account->callsPerSecond : 1.0;
+}
+
 void addAccount(std::vector<LogField> &fields, const std::string &account)
 {
     if (!account.empty()) {
@@ -101,6 +108,7 @@
             .repeatability = route.repeatability,
             .priority = priorityOf(context),
             .account = account,
+            .accountWeight = accountWeight(context),
             .maximumAttempts = route.maximumAttempts,
             .target = route.target,
             .deadline = context.deadline,
