--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -302,7 +302,9 @@
             return;
         }
         const OpenCall call = takeCall(found);
-        logEvent(LogEvent::CallAbandoned, {{"id", call.incoming.call.requestId}, {"upstream", call.lastUpstream}});
+        std::vector<LogField> fields{{"id", call.incoming.call.requestId}, {"upstream", call.lastUpstream}};
+        addAccount(fields, call.account.value_or(""));
+        logEvent(LogEvent::CallAbandoned, fields);
         handleEvent(ProxyCallAbandoned{exchange});
     }
 
