--- a/src/decision/proxyhedging.cpp
+++ b/src/decision/proxyhedging.cpp
@@ -54,10 +54,10 @@
     return isWorthwhile(hedging, call, due) ? std::optional(due) : std::nullopt;
 }
 
-bool canHedge(const ProxyHedging &hedging, const RetryBudget &retries, const HedgedCall &call, TimePoint now)
+bool canHedge(const ProxyHedging &hedging, const HedgedCall &call, const HedgeLimits &limits, TimePoint now)
 {
-    const bool isScarce = hedging.availableShare < MinimumAvailableShare || call.hasQueuedCalls;
-    return isHedgeable(hedging, call) && isWorthwhile(hedging, call, now) && !isScarce && hasToken(hedging.budget) && hasToken(retries);
+    const bool isScarce = hedging.availableShare < MinimumAvailableShare || limits.hasQueuedCalls;
+    return isHedgeable(hedging, call) && isWorthwhile(hedging, call, now) && !isScarce && hasToken(hedging.budget) && hasToken(limits.retries);
 }
 
 bool withdrawHedge(ProxyHedging &hedging, RetryBudget &retries)
--- a/src/decision/proxyhedging.h
+++ b/src/decision/proxyhedging.h
@@ -48,7 +48,12 @@
     std::uint32_t attempts = 0; ///< So far, including the running one.
     std::uint32_t maximumAttempts = 1;
     TimePoint deadline;
-    bool hasQueuedCalls = false; ///< Whether other calls of the service wait because all upstreams were full.
+};
+
+/** What limits the hedges of a service besides its own budget. */
+struct HedgeLimits {
+    const RetryBudget &retries;
+    bool hasQueuedCalls = false; ///< Whether calls of the service wait because all upstreams were full.
 };
 
 /** Records how long an attempt took that was answered. */
@@ -64,7 +69,7 @@
 std::optional<TimePoint> hedgeTime(const ProxyHedging &hedging, const HedgedCall &call, TimePoint startedAt);
 
 /** Returns whether the call may be hedged now, provided that an upstream is available. */
-bool canHedge(const ProxyHedging &hedging, const RetryBudget &retries, const HedgedCall &call, TimePoint now);
+bool canHedge(const ProxyHedging &hedging, const HedgedCall &call, const HedgeLimits &limits, TimePoint now);
 
 /** Takes one hedge from both budgets. Returns false, and takes nothing, if either is used up. */
 bool withdrawHedge(ProxyHedging &hedging, RetryBudget &retries);
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -142,25 +142,29 @@
     endCall(context, end);
 }
 
-HedgedCall hedgedCall(const ProxyStepContext &context, const ProxyService &service, const ProxyCall &call)
+HedgedCall hedgedCall(const ProxyCall &call)
 {
-    const bool hasQueuedCalls = std::any_of(service.waiting.begin(), service.waiting.end(), [&context](ProxyCallId id) {
-        return context.state.calls.at(id).nextRoundAt != TimePoint{};
-    });
     return {
         .repeatability = call.admitted.repeatability,
         .attempts = call.attempts,
         .maximumAttempts = call.admitted.maximumAttempts,
         .deadline = call.admitted.deadline,
-        .hasQueuedCalls = hasQueuedCalls,
     };
 }
 
+HedgeLimits hedgeLimits(const ProxyStepContext &context, const ProxyService &service)
+{
+    const bool hasQueuedCalls = std::any_of(service.waiting.begin(), service.waiting.end(), [&context](ProxyCallId id) {
+        return context.state.calls.at(id).nextRoundAt != TimePoint{};
+    });
+    return {.retries = service.retryBudget, .hasQueuedCalls = hasQueuedCalls};
+}
+
 void scheduleHedge(ProxyStepContext &context, ProxyCallId id)
 {
     ProxyCall &call = context.state.calls.at(id);
     const ProxyService &service = serviceOf(context, call.admitted.service);
-    call.hedgeAt = hedgeTime(service.hedging, hedgedCall(context, service, call), context.now).value_or(TimePoint{});
+    call.hedgeAt = hedgeTime(service.hedging, hedgedCall(call), context.now).value_or(TimePoint{});
     call.isHedgeProbing = false;
     if (call.hedgeAt != TimePoint{}) {
         setTimer(context, id, call.hedgeAt);
@@ -425,7 +429,7 @@
     ProxyCall &call = context.state.calls.at(id);
     ProxyService &service = serviceOf(context, call.admitted.service);
     const bool hasProbed = std::exchange(call.isHedgeProbing, false);
-    if (!canHedge(service.hedging, service.retryBudget, hedgedCall(context, service, call), context.now)) {
+    if (!canHedge(service.hedging, hedgedCall(call), hedgeLimits(context, service), context.now)) {
         return;
     }
     std::vector<PooledUpstream *> candidates = candidatesOf(context, service, call);
