Test that calls that wait come before hedges, and that the latency estimate keeps slow attempts

The first test replaces one that passed although queued calls were not looked at: without that check, or without the record of attempts that hedges overtook, one of the two fails.

--- a/tests/proxyhedgingtest.cpp
+++ b/tests/proxyhedgingtest.cpp
@@ -234,21 +234,40 @@
     EXPECT_EQ(attempts.size(), 1U);
 }
 
-TEST_F(ProxyHedgingTest, NoHedgeWhileOtherCallsWait)
+TEST_F(ProxyHedgingTest, ASlotThatBecomesFreeGoesToACallThatWaitsBeforeAHedge)
 {
     prepare();
     admit(1);
-    advanceTime(2 * UsualTime - std::chrono::milliseconds(60));
+    advanceTime(2 * UsualTime);
+    ASSERT_FALSE(probes.empty());
+    const StartProbe hedgeProbe = probes.back();
+    probes.clear();
     feed(ProxyCallAdmitted{
         .id = 2, .service = "desk", .repeatability = Repeatability::AtMostOnce, .target = std::chrono::seconds(1), .deadline = now + std::chrono::seconds(2)});
-    for (int round = 0; round < 5; ++round) {
-        answerProbes({.running = Slots, .waiting = 1, .slots = Slots});
-        advanceTime(std::chrono::milliseconds(8));
-    }
-    hedging().availableShare = 1.0;
-    advanceTime(std::chrono::milliseconds(30));
+    answerProbes({.running = Slots, .waiting = 1, .slots = Slots});
+    ASSERT_EQ(attempts.size(), 1U);
+    feed(ProbeEnded{.id = hedgeProbe.id, .outcome = ProbeOutcome::Answered, .load = {.slots = Slots}});
     EXPECT_EQ(attempts.size(), 1U);
-    EXPECT_EQ(state.calls.at(1).hedge, std::nullopt);
+    advanceTime(std::chrono::milliseconds(20));
+    ASSERT_EQ(attempts.size(), 2U);
+    EXPECT_EQ(attempts[1].call, 2U);
+}
+
+// Guards against an estimate that forgets the slow attempts, because hedges overtake them, and makes hedges start ever earlier.
+TEST_F(ProxyHedgingTest, OvertakenAttemptsKeepTheEstimateOfSlowOnes)
+{
+    ProxyHedging overtaken;
+    std::uniform_real_distribution<double> milliseconds(35.0, 65.0);
+    for (int attempt = 0; attempt < 20'000; ++attempt) {
+        const Duration latency = fromMilliseconds(milliseconds(random));
+        const Duration p95 = overtaken.latency.quantiles.p95;
+        if (hasQuantiles(overtaken.latency) && latency > p95) {
+            recordCancelled(overtaken, p95 + fromMilliseconds(35.0));
+        } else {
+            recordLatency(overtaken, latency);
+        }
+    }
+    EXPECT_GT(overtaken.latency.quantiles.p95, fromMilliseconds(60.0));
 }
 
 TEST_F(ProxyHedgingTest, AnAbandonedCallCancelsBothAttempts)
