--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -381,7 +381,9 @@
             return;
         }
         const OpenCall call = takeCall(found);
-        logEvent(LogEvent::CallAbandoned, {{"id", call.incoming.call.requestId}, {"upstream", call.lastUpstream}});
+        std::vector<LogField> fields{{"id", call.incoming.call.requestId}, {"upstream", call.lastUpstream}};
+        addAccount(fields, call.account.value_or(""));
+        logEvent(LogEvent::CallAbandoned, fields);
         if (call.pending) {
             m_creditRequests.erase(call.pending->credit);
             Q_EMIT q->creditCancelled(call.pending->credit);
