Refuse unprobed calls while most upstreams are full

Cause: in a burst the entry VMs use up their probes and then send calls to upstreams of unknown load, where they wait beyond their target or, at upstreams that never answer what they cannot queue, get no answer at all.

Change: each entry VM keeps the share of full upstreams among those it probed. While it is half or more, calls that may not probe are refused at once.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -1,6 +1,7 @@
 #include "decision/proxying.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Plantainweir {
 namespace {
@@ -20,6 +21,10 @@
 /** Below this share, most probes in other availability zones are wasted, and only some rounds send one there. */
 constexpr double MinimumOtherZoneAvailableRate = 0.15;
 constexpr double OtherZoneTrialProbability = 0.1;
+/** Weight of the newest probe in the share of full upstreams. */
+constexpr double FullRateWeight = 0.05;
+/** Above this share of full upstreams, calls that may not probe are refused. */
+constexpr double MaximumFullRateWithoutProbes = 0.5;
 constexpr std::chrono::milliseconds ProbeTimeout{150};
 /** Capacity of the token bucket for probes, in seconds. The platform counts probes over much longer windows. */
 constexpr double ProbeBurstSeconds = 8.0;
@@ -227,6 +232,13 @@
     service.otherZoneAvailableRate += OtherZoneAvailableWeight * ((isAvailable ? 1.0 : 0.0) - service.otherZoneAvailableRate);
 }
 
+/** Updates the share of full upstreams. */
+void recordFullness(ProxyService &service, const PooledUpstream &upstream, TimePoint now)
+{
+    const bool isFull = loadStateOf(upstream, FreshLoadAge, now) == LoadState::Full;
+    service.fullRate += FullRateWeight * ((isFull ? 1.0 : 0.0) - service.fullRate);
+}
+
 /**
  * Returns the candidate with the fewest calls of this entry VM that was not full recently, or null.
  *
@@ -330,9 +342,9 @@
         endWithoutAnswer(context, id, RefusalReason::ShareExceeded, UnknownReason::ConnectionLost);
         return;
     }
-    if (call.isProbeLimited) {
-        // Without probes, the choice is based on the calls that this entry VM has in flight.
-        call.isProbeLimited = false;
+    if (std::exchange(call.isProbeLimited, false) && service.fullRate < MaximumFullRateWithoutProbes) {
+        // Without probes, the choice is based on the calls that this entry VM has in flight. If most upstreams are full, the
+        // upstream would probably queue the call beyond its target, or have no place for it in its queue.
         if (PooledUpstream *upstream = leastLoadedCandidate(context, candidates)) {
             recordRoom(service, call, Room::Scarce);
             startAttempt(context, id, *upstream);
@@ -471,6 +483,9 @@
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, probe.service).pool, probe.upstream)) {
         recordProbeResult(*upstream, event, context.now);
         recordNotice(serviceOf(context, probe.service).pool, *upstream, event.notice, context.now);
+        if (event.outcome == ProbeOutcome::Answered) {
+            recordFullness(serviceOf(context, probe.service), *upstream, context.now);
+        }
         if (!isSameZone(context, *upstream)) {
             recordOtherZoneAvailability(serviceOf(context, probe.service), *upstream, context.now);
         }
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -177,6 +177,7 @@
     RetryBudget retryBudget;
     TimePoint budgetRefilledAt;
     std::set<ProxyCallId> waiting; ///< Calls without a running attempt.
+    double fullRate = 0.0; ///< Share of full upstreams among those probed.
     CallRate callRate;
     FairShares shares; ///< Empty if no call belongs to a client account.
     double otherZoneAvailableRate = 1.0; ///< Share of available upstreams among those probed in other availability zones.
