--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -189,6 +189,7 @@
     TimePoint budgetRefilledAt;
     ProxyHedging hedging;
     std::set<ProxyCallId> waiting; ///< Calls without a running attempt.
+    double fullRate = 0.0; ///< Share of full upstreams among those probed.
     CallRate callRate;
     FairShares shares; ///< Empty if no call belongs to a client account.
     double otherZoneAvailableRate = 1.0; ///< Share of available upstreams among those probed in other availability zones.
