Send calls to cold upstreams only with credit

A cold upstream bears a few calls a second from the whole fleet. Answers to probes tell how long it stays cold; a call that finds no better warm upstream asks for a credit of the upstream's line and is sent once it is granted. The route table carries the limit. Nothing sets RegisteredUpstream::isColdLimited yet, so that no deployment is changed.

--- /dev/null
+++ b/src/decision/coldstart.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/enumnames.h"
+#include "core/time.h"
+
+/**
+ * What is known about the cold start of an upstream whose calls are limited meanwhile.
+ *
+ * A cold upstream bears a few calls a second from the whole fleet, and fails beyond that. Its registration and its answers to
+ * probes tell how long it stays cold. It may become cold again at any moment, so that an answer counts only for a short time.
+ * Free functions over a plain struct; the time is a parameter.
+ */
+namespace Plantainweir {
+
+enum class Coldness {
+    Warm,
+    Cold, ///< Each call needs a credit of the limit that the fleet shares.
+    Unknown, ///< There is no recent answer to a probe, so no call may be sent.
+};
+
+constexpr std::array<EnumName<Coldness>, 3> enumNames(Coldness)
+{
+    return {{
+        {Coldness::Warm, "warm"},
+        {Coldness::Cold, "cold"},
+        {Coldness::Unknown, "unknown"},
+    }};
+}
+static_assert(isEnumTableOrdered<Coldness>());
+
+struct ColdStart {
+    TimePoint coldUntil; ///< End of the cold start, as told last.
+    TimePoint toldAt; ///< When a probe was answered last; the epoch if none was.
+    TimePoint creditRetryAt; ///< No credit for calls to the upstream is requested before this time.
+};
+
+/** Records a registration that says that the upstream is cold until @p coldUntil. It may be older than the last answer. */
+void recordRegistration(ColdStart &start, TimePoint coldUntil);
+
+/** Records the answer to a probe, that the upstream stays cold for @p coldTime. */
+void recordAnswer(ColdStart &start, Duration coldTime, TimePoint now);
+
+Coldness coldnessOf(const ColdStart &start, TimePoint now);
+
+}
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -27,6 +27,9 @@
 /** A call waits for an available upstream for at most its target divided by this. */
 constexpr int QueueingTimeDivisor = 8;
 constexpr std::uint32_t MaximumFailedConnects = 4;
+/** A call asks for credit of at most this many cold upstreams, and waits for each answer for at most this time. */
+constexpr std::uint32_t MaximumCreditRequests = 3;
+constexpr std::chrono::milliseconds CreditTimeout{100};
 
 /** Bounds on the time after which a refused caller is asked to retry. It is randomised to spread the callers. */
 constexpr std::chrono::milliseconds MinimumRetryAfter{200};
@@ -69,11 +72,22 @@
     context.state.timers.insert({at, id});
 }
 
+/** Gives up the request for credit that the call waits for, if there is one. */
+void cancelCreditRequest(ProxyStepContext &context, ProxyCall &call)
+{
+    if (call.openCredit) {
+        context.state.credits.erase(*call.openCredit);
+        context.actions.emplace_back(CancelColdCredit{*call.openCredit});
+        call.openCredit.reset();
+    }
+}
+
 /** Removes the call. The results of its running probes and attempts still update the upstreams. */
 void removeCall(ProxyStepContext &context, ProxyCallId id)
 {
     const auto found = context.state.calls.find(id);
-    const ProxyCall &call = found->second;
+    ProxyCall &call = found->second;
+    cancelCreditRequest(context, call);
     serviceOf(context, call.admitted.service).waiting.erase(id);
     context.state.calls.erase(found);
 }
@@ -136,6 +150,7 @@
 void startAttempt(ProxyStepContext &context, ProxyCallId id, PooledUpstream &upstream)
 {
     ProxyCall &call = context.state.calls.at(id);
+    cancelCreditRequest(context, call);
     const ProxyAttemptId attempt = ++context.state.lastId;
     context.state.attempts.emplace(attempt, ProxyAttempt{id, call.admitted.service, upstream.registration.key});
     context.actions.emplace_back(StartProxyAttempt{
@@ -225,7 +240,8 @@
 }
 
 /**
- * Returns the candidate with the fewest calls of this entry VM that was not full recently, or null.
+ * Returns the candidate with the fewest calls of this entry VM that was not full recently, or null. It is known to be warm, if
+ * cold ones are limited.
  *
  * The same availability zone is preferred.
  */
@@ -234,7 +250,8 @@
     PooledUpstream *best = nullptr;
     for (PooledUpstream *upstream : candidates) {
         const bool wasFull = loadStateOf(*upstream, FullLoadAge, context.now) == LoadState::Full;
-        if (wasFull || upstream->inFlight >= upstream->registration.slots) {
+        const bool isWarm = coldnessOf(*upstream, context.now) == Coldness::Warm;
+        if (wasFull || !isWarm || upstream->inFlight >= upstream->registration.slots) {
             continue;
         }
         if (best != nullptr && isSameZone(context, *best) && !isSameZone(context, *upstream)) {
@@ -293,6 +310,35 @@
     }
 }
 
+/**
+ * Requests credit for a call to the best cold candidate, unless @p warm is at least as good. Returns whether it does.
+ *
+ * @param warm may be null.
+ */
+bool requestColdCredit(ProxyStepContext &context, ProxyCallId id, std::vector<PooledUpstream *> candidates, const PooledUpstream *warm)
+{
+    ProxyCall &call = context.state.calls.at(id);
+    std::erase_if(candidates, [&context](const PooledUpstream *upstream) {
+        return upstream->coldStart.creditRetryAt > context.now;
+    });
+    const PooledUpstream *cold = bestCandidate(context, candidates, LoadState::Cold, RoundLoadAge);
+    const bool isWarmBetter = cold == nullptr || (warm != nullptr && expectedSlowdown(*warm, context.now) <= expectedSlowdown(*cold, context.now));
+    if (isWarmBetter || call.creditRequests >= MaximumCreditRequests) {
+        return false;
+    }
+    const ColdCreditId credit = ++context.state.lastId;
+    context.state.credits.emplace(credit, ColdCredit{.call = id, .service = call.admitted.service, .upstream = cold->registration.key});
+    call.openCredit = credit;
+    ++call.creditRequests;
+    context.actions.emplace_back(RequestColdCredit{
+        .id = credit,
+        .service = call.admitted.service,
+        .upstream = cold->registration.id,
+        .deadline = std::min(context.now + CreditTimeout, call.admitted.deadline),
+    });
+    return true;
+}
+
 /** Continues a call without a running attempt: starts an attempt or probes, waits for the next round, or ends the call. */
 void advance(ProxyStepContext &context, ProxyCallId id)
 {
@@ -303,7 +349,7 @@
         startAttempt(context, id, *available);
         return;
     }
-    if (call.nextRoundAt > context.now) {
+    if (call.nextRoundAt > context.now || call.openCredit) {
         return;
     }
     startProbes(context, id, candidates);
@@ -324,11 +370,16 @@
         setTimer(context, id, call.nextRoundAt);
         return;
     }
-    for (const LoadState loadState : {LoadState::Available, LoadState::Slow}) {
-        if (PooledUpstream *upstream = bestCandidate(context, candidates, loadState, RoundLoadAge)) {
-            startAttempt(context, id, *upstream);
-            return;
-        }
+    PooledUpstream *upstream = bestCandidate(context, candidates, LoadState::Available, RoundLoadAge);
+    if (upstream == nullptr) {
+        upstream = bestCandidate(context, candidates, LoadState::Slow, RoundLoadAge);
+    }
+    if (requestColdCredit(context, id, candidates, upstream)) {
+        return;
+    }
+    if (upstream != nullptr) {
+        startAttempt(context, id, *upstream);
+        return;
     }
     endWithoutAnswer(context, id, candidates.empty() ? RefusalReason::NoUpstream : RefusalReason::QueueFull, UnknownReason::ConnectionLost);
 }
@@ -398,6 +449,7 @@
     switch (event.outcome) {
     case ProbeOutcome::Answered:
         recordLoadReport(upstream, event.load, now);
+        recordAnswer(upstream.coldStart, event.coldTime, now);
         return;
     case ProbeOutcome::Unhealthy:
         upstream.loadReceivedAt = {};
@@ -583,6 +635,35 @@
     }
 }
 
+void handle(ProxyStepContext &context, const ColdCreditDecided &event)
+{
+    const auto found = context.state.credits.find(event.id);
+    if (found == context.state.credits.end()) {
+        return;
+    }
+    const ColdCredit credit = found->second;
+    context.state.credits.erase(found);
+    ProxyCall &call = context.state.calls.at(credit.call);
+    call.openCredit.reset();
+    ProxyService &service = serviceOf(context, credit.service);
+    if (!event.isGranted) {
+        if (PooledUpstream *upstream = findUpstream(service.pool, credit.upstream)) {
+            upstream->coldStart.creditRetryAt = event.retryAt;
+        }
+        advance(context, credit.call);
+        return;
+    }
+    for (PooledUpstream *upstream : candidatesOf(context, service, call)) {
+        const bool isCredited = upstream->registration.key == credit.upstream;
+        if (isCredited && loadStateOf(*upstream, FullLoadAge, context.now) != LoadState::Full) {
+            startAttempt(context, credit.call, *upstream);
+            return;
+        }
+    }
+    context.actions.emplace_back(ReturnColdCredit{event.id});
+    advance(context, credit.call);
+}
+
 void handle(ProxyStepContext &context, const FleetShareChanged &event)
 {
     context.state.settings.retrySlack = event.retrySlack;
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -25,6 +25,7 @@
 using ProxyCallId = std::uint64_t;
 using ProbeId = std::uint64_t;
 using ProxyAttemptId = std::uint64_t;
+using ColdCreditId = std::uint64_t;
 
 struct ProxySettings {
     std::string availabilityZone; ///< Of this entry VM.
@@ -61,6 +62,7 @@
     ProbeOutcome outcome = ProbeOutcome::Unreachable;
     UpstreamLoad load;
     UpstreamNotice notice;
+    Duration coldTime{}; ///< How long the upstream stays cold; zero if it is warm.
 };
 /** The outcome of an attempt at an upstream. */
 enum class ProxyAttemptOutcome {
@@ -102,13 +104,26 @@
 struct EvacuationsReplaced {
     std::set<std::string> availabilityZones;
 };
+/** The request for credit of a cold upstream has been decided. */
+struct ColdCreditDecided {
+    ColdCreditId id = 0;
+    bool isGranted = false;
+    TimePoint retryAt; ///< When to ask for credit of this upstream again. Valid if not granted.
+};
 /** The share of the fleet-wide retry and probe limits that this entry VM may use has changed. */
 struct FleetShareChanged {
     double retrySlack = 0.0;
     double probesPerSecond = 0.0;
 };
-using ProxyEvent = std::
-    variant<ProxyCallAdmitted, ProxyCallAbandoned, ProbeEnded, ProxyAttemptEnded, ProxyTimerFired, UpstreamsReplaced, EvacuationsReplaced, FleetShareChanged>;
+using ProxyEvent = std::variant<ProxyCallAdmitted,
+                                ProxyCallAbandoned,
+                                ProbeEnded,
+                                ProxyAttemptEnded,
+                                ProxyTimerFired,
+                                UpstreamsReplaced,
+                                EvacuationsReplaced,
+                                ColdCreditDecided,
+                                FleetShareChanged>;
 
 struct StartProbe {
     ProbeId id = 0;
@@ -127,6 +142,20 @@
 struct CancelProxyAttempt {
     ProxyAttemptId id = 0;
 };
+/** Requests credit for one call to a cold upstream. Exactly one ColdCreditDecided follows, unless the request is cancelled. */
+struct RequestColdCredit {
+    ColdCreditId id = 0;
+    std::string service;
+    std::string upstream; ///< Its id.
+    TimePoint deadline;
+};
+struct CancelColdCredit {
+    ColdCreditId id = 0;
+};
+/** Gives back a credit that was granted and is not used. Follows ColdCreditDecided at once. */
+struct ReturnColdCredit {
+    ColdCreditId id = 0;
+};
 /** Ends a call. Exactly one is returned for each call that was not abandoned. */
 struct EndProxyCall {
     ProxyCallId call = 0;
@@ -136,7 +165,7 @@
     UnknownReason unknown = UnknownReason::ConnectionLost;
     Duration retryAfter{}; ///< Time after which the caller should retry. Valid if not run.
 };
-using ProxyAction = std::variant<StartProbe, StartProxyAttempt, CancelProxyAttempt, EndProxyCall>;
+using ProxyAction = std::variant<StartProbe, StartProxyAttempt, CancelProxyAttempt, RequestColdCredit, CancelColdCredit, ReturnColdCredit, EndProxyCall>;
 
 /** The state of one call. */
 struct ProxyCall {
@@ -150,6 +179,8 @@
     std::uint32_t openProbes = 0;
     std::uint32_t attempts = 0; ///< Attempts so far, without those whose request was not sent.
     std::uint32_t failedConnects = 0;
+    std::optional<ColdCreditId> openCredit; ///< The request for credit that the call waits for.
+    std::uint32_t creditRequests = 0;
     std::optional<ProxyAttemptId> running;
     std::optional<ProxyAttemptId> fallbackAnswer; ///< Attempt whose server error is the answer if no retry succeeds.
     std::optional<RetryReason> retry; ///< Reason for the next attempt if it is a retry.
@@ -172,6 +203,13 @@
     UpstreamKey upstream = 0;
 };
 
+/** A request for credit of a cold upstream. */
+struct ColdCredit {
+    ProxyCallId call = 0;
+    std::string service;
+    UpstreamKey upstream = 0;
+};
+
 struct ProxyService {
     UpstreamPool pool;
     RetryBudget retryBudget;
@@ -186,6 +224,7 @@
     std::map<ProxyCallId, ProxyCall> calls;
     std::map<ProxyAttemptId, ProxyAttempt> attempts;
     std::map<ProbeId, ProxyProbe> probes;
+    std::map<ColdCreditId, ColdCredit> credits;
     std::set<std::pair<TimePoint, ProxyCallId>> timers;
     std::set<std::string> evacuatedZones; ///< Availability zones that get no calls.
     std::uint64_t lastId = 0;
--- a/src/decision/upstreampool.cpp
+++ b/src/decision/upstreampool.cpp
@@ -63,6 +63,9 @@
     for (const RegisteredUpstream &registration : upstreams) {
         const auto known = pool.absent.extract(registration.key);
         PooledUpstream upstream = known.empty() ? PooledUpstream{} : known.mapped();
+        if (upstream.registration.coldUntil != registration.coldUntil) {
+            recordRegistration(upstream.coldStart, registration.coldUntil);
+        }
         upstream.registration = registration;
         upstream.isLeaving = pool.leaving.contains(incarnationOf(registration));
         replaced.emplace(registration.key, std::move(upstream));
@@ -151,23 +154,33 @@
     upstream.isLeaving = true;
 }
 
+Coldness coldnessOf(const PooledUpstream &upstream, TimePoint now)
+{
+    return upstream.registration.isColdLimited ? coldnessOf(upstream.coldStart, now) : Coldness::Warm;
+}
+
 double expectedSlowdown(const PooledUpstream &upstream, TimePoint now)
 {
     const bool isAboveKnee = runningCalls(upstream) + 1 > KneeShare * slotsOf(upstream);
     const double kneeSlowdown = isAboveKnee ? KneeSlowdown : 1.0;
-    const double coldSlowdown = upstream.registration.coldUntil > now ? ColdSlowdown : 1.0;
+    const TimePoint coldUntil = upstream.registration.isColdLimited ? upstream.coldStart.coldUntil : upstream.registration.coldUntil;
+    const double coldSlowdown = coldUntil > now ? ColdSlowdown : 1.0;
     return std::max(upstream.load.workTimeFactor, 0.1) * kneeSlowdown * coldSlowdown;
 }
 
 LoadState loadStateOf(const PooledUpstream &upstream, Duration maximumAge, TimePoint now)
 {
     const bool isFresh = upstream.loadReceivedAt != TimePoint{} && now - upstream.loadReceivedAt <= maximumAge;
-    if (!isFresh) {
+    const Coldness coldness = coldnessOf(upstream, now);
+    if (!isFresh || coldness == Coldness::Unknown) {
         return LoadState::Unknown;
     }
     if (upstream.load.waiting > 0 || runningCalls(upstream) >= slotsOf(upstream)) {
         return LoadState::Full;
     }
+    if (coldness == Coldness::Cold) {
+        return LoadState::Cold;
+    }
     return expectedSlowdown(upstream, now) <= MaximumAvailableSlowdown ? LoadState::Available : LoadState::Slow;
 }
 
--- a/src/decision/upstreampool.h
+++ b/src/decision/upstreampool.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 #include "core/time.h"
+#include "decision/coldstart.h"
 
 #include <cstdint>
 #include <map>
@@ -26,6 +27,7 @@
     std::uint32_t slots = 1;
     bool isDraining = false;
     TimePoint coldUntil; ///< End of the cold start, during which work takes longer.
+    bool isColdLimited = false; ///< Whether the calls to it are limited over the fleet while it is cold.
     std::int64_t startedAtMs = 0; ///< Unix time of its start in milliseconds, zero if not given.
     bool operator==(const RegisteredUpstream &) const = default;
 };
@@ -50,7 +52,8 @@
     Available, ///< A slot is free, and work takes about its usual time.
     Slow, ///< A slot is free, and work takes longer than usual.
     Full, ///< No slot is free, or calls are queued at the upstream.
-    Unknown, ///< There is no recent load report.
+    Cold, ///< A slot is free, but each call needs credit.
+    Unknown, ///< There is no recent load report, or it is not known whether the upstream is cold.
 };
 
 struct PooledUpstream {
@@ -64,6 +67,7 @@
     TimePoint ejectedUntil;
     TimePoint quietUntil; ///< It asked for no calls before this time.
     bool isLeaving = false; ///< Whether its incarnation is among UpstreamPool::leaving.
+    ColdStart coldStart; ///< Kept if RegisteredUpstream::isColdLimited.
     bool isEvacuated = false; ///< Whether its availability zone gets no calls.
 };
 
@@ -108,6 +112,9 @@
 /** Records what @p upstream said about further calls. */
 void recordNotice(UpstreamPool &pool, PooledUpstream &upstream, const UpstreamNotice &notice, TimePoint now);
 
+/** Returns whether @p upstream is cold; one whose calls are not limited meanwhile counts as warm. */
+Coldness coldnessOf(const PooledUpstream &upstream, TimePoint now);
+
 /** Returns the factor by which a call sent now is expected to take longer than at an idle upstream. */
 double expectedSlowdown(const PooledUpstream &upstream, TimePoint now);
 
--- a/src/rpc/storemessages.cpp
+++ b/src/rpc/storemessages.cpp
@@ -2,6 +2,8 @@
 
 #include "rpc/controlmessages.h"
 
+#include <cmath>
+
 namespace Plantainweir {
 namespace {
 
@@ -86,6 +88,7 @@
         row->set_name(service.name);
         row->set_health_path(service.healthPath);
         row->set_connection_limit(service.connectionLimit);
+        row->set_cold_calls_per_second(service.coldCallsPerSecond);
     }
     message.mutable_limits()->set_header_bytes(table.limits.headerBytes);
     message.mutable_limits()->set_body_bytes(table.limits.bodyBytes);
@@ -119,7 +122,11 @@
         table.routes.push_back(std::move(*route));
     }
     for (const StoreProtocol::RoutedService &row : message.services()) {
-        table.services[row.name()] = {.name = row.name(), .healthPath = row.health_path(), .connectionLimit = row.connection_limit()};
+        if (!std::isfinite(row.cold_calls_per_second()) || row.cold_calls_per_second() < 0.0) {
+            return std::nullopt;
+        }
+        table.services[row.name()] = {
+            .name = row.name(), .healthPath = row.health_path(), .connectionLimit = row.connection_limit(), .coldCallsPerSecond = row.cold_calls_per_second()};
     }
     return table;
 }
--- a/src/tasks/gatewaycodec.h
+++ b/src/tasks/gatewaycodec.h
@@ -34,6 +34,7 @@
     ProbeOutcome outcome = ProbeOutcome::Unreachable;
     UpstreamLoad load;
     UpstreamNotice notice;
+    Duration coldTime{}; ///< How long the upstream stays cold.
 };
 
 struct GatewayCodec {
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -1,5 +1,6 @@
 #include "tasks/proxytask.h"
 
+#include "core/suspendawareclock.h"
 #include "decision/weightedroundrobin.h"
 #include "observability/logevents.h"
 #include "observability/metrics.h"
@@ -14,6 +15,11 @@
 /** Retry-After of refusals that do not depend on a queue. */
 constexpr std::chrono::milliseconds RetryAfterRefusal{300};
 
+/** Set in the ids of requests for credit of cold upstreams, which other requests of the same process must not share. */
+constexpr CreditRequestId ColdCreditMark = CreditRequestId{1} << 63;
+/** Interval at which cold upstreams are counted. */
+constexpr std::chrono::milliseconds ColdCountInterval{1000};
+
 /** A call that has no reply yet. */
 struct OpenCall {
     IncomingProxyCall incoming;
@@ -154,6 +160,61 @@
         Q_EMIT q->attemptCancelled(action.id);
     }
 
+    void execute(const RequestColdCredit &action)
+    {
+        const CreditLine line{.kind = CreditKind::ColdUpstream, .scope = action.service, .upstream = action.upstream};
+        m_credits.emplace(action.id, CreditDecision{});
+        Q_EMIT q->creditRequested(action.id | ColdCreditMark, line, suspendAwareNow() + (action.deadline - Clock::now()));
+    }
+
+    void execute(const CancelColdCredit &action)
+    {
+        m_credits.erase(action.id);
+        Q_EMIT q->creditCancelled(action.id | ColdCreditMark);
+    }
+
+    void execute(const ReturnColdCredit &action)
+    {
+        Q_EMIT q->creditReturned(m_credits.at(action.id));
+    }
+
+    void finishCredit(CreditRequestId id, const CreditDecision &decision)
+    {
+        const ColdCreditId credit = id & ~ColdCreditMark;
+        const auto found = m_credits.find(credit);
+        if ((id & ColdCreditMark) == 0 || found == m_credits.end()) {
+            return;
+        }
+        found->second = decision;
+        const TimePoint now = suspendAwareNow();
+        // The credit is used at once or not at all, since Clock does not count the time while this VM is suspended.
+        const bool isGranted = decision.outcome == CreditOutcome::Granted && now < decision.usableUntil;
+        m_metrics.addToCounter("plantainweir_cold_credits_total", "Requests for credit of cold upstreams, by outcome.", std::string(nameOf(decision.outcome)));
+        handleEvent(ColdCreditDecided{.id = credit, .isGranted = isGranted, .retryAt = Clock::now() + (decision.retryAt - now)});
+        m_credits.erase(credit);
+    }
+
+    /** Reports the number of upstreams that said that they are cold. */
+    void countColdUpstreams()
+    {
+        const TimePoint now = Clock::now();
+        if (now < m_coldCountDue) {
+            return;
+        }
+        m_coldCountDue = now + ColdCountInterval;
+        std::size_t limited = 0;
+        std::size_t cold = 0;
+        for (const auto &[name, service] : m_state.services) {
+            for (const auto &[key, upstream] : service.pool.upstreams) {
+                limited += upstream.registration.isColdLimited ? 1 : 0;
+                cold += upstream.registration.isColdLimited && upstream.coldStart.coldUntil > now ? 1 : 0;
+            }
+        }
+        if (limited > 0) {
+            m_metrics.setGauge("plantainweir_cold_upstreams", "Upstreams whose calls are limited because they are cold.", static_cast<double>(cold));
+        }
+    }
+
     void execute(const EndProxyCall &action)
     {
         const OpenCall call = takeCall(m_calls.find(action.call));
@@ -268,6 +329,8 @@
     std::size_t m_bodyLimit = std::numeric_limits<std::size_t>::max(); ///< Of the request bodies of all open calls together.
     std::size_t m_openBodyBytes = 0;
     std::map<ProxyAttemptId, HttpExchangeId> m_attempts;
+    std::map<ColdCreditId, CreditDecision> m_credits; ///< Of the requests for credit of cold upstreams; empty until they are decided.
+    TimePoint m_coldCountDue;
 };
 
 ProxyTask::ProxyTask(const ProxySettings &settings, Metrics &metrics, std::uint64_t seed, QObject *parent)
@@ -341,6 +404,12 @@
 void ProxyTask::finishProbe(const ProbeEnded &ended)
 {
     d->handleEvent(ended);
+    d->countColdUpstreams();
+}
+
+void ProxyTask::finishCredit(CreditRequestId id, const CreditDecision &decision)
+{
+    d->finishCredit(id, decision);
 }
 
 void ProxyTask::finishAttempt(const ProxyAttemptResult &result)
--- a/src/tasks/proxytask.h
+++ b/src/tasks/proxytask.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "controllers/creditdecision.h"
+#include "controllers/creditline.h"
 #include "tasks/gatewaymessages.h"
 
 #include <QObject>
@@ -51,6 +53,8 @@
     void abandon(HttpExchangeId exchange);
     void finishProbe(const ProbeEnded &ended);
     void finishAttempt(const ProxyAttemptResult &result);
+    /** Continues the call that requested credit; other requests are ignored. */
+    void finishCredit(CreditRequestId id, const CreditDecision &decision);
 
     /** Returns the number of calls that have no reply yet. */
     std::size_t openCallCount() const;
@@ -60,6 +64,11 @@
     void probeStarted(const OutgoingProbe &probe);
     void attemptStarted(const OutgoingProxyAttempt &attempt);
     void attemptCancelled(ProxyAttemptId id);
+    /** A call needs credit of @p line; finishCredit() is due, unless creditCancelled() is emitted before. The times are those of suspendAwareNow(). */
+    void creditRequested(CreditRequestId id, const CreditLine &line, TimePoint deadline);
+    void creditCancelled(CreditRequestId id);
+    /** A credit that was granted is not used. */
+    void creditReturned(const CreditDecision &decision);
 
 private:
     class Private;
--- a/src/tasks/proxyupstreamport.cpp
+++ b/src/tasks/proxyupstreamport.cpp
@@ -58,6 +58,7 @@
             ended.outcome = decoded.outcome;
             ended.load = decoded.load;
             ended.notice = decoded.notice;
+            ended.coldTime = decoded.coldTime;
         }
         Q_EMIT q->probeEnded(ended);
     }
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -304,6 +304,34 @@
     EXPECT_EQ(decodeProbeResponse(unhealthy, upstream).outcome, ProbeOutcome::Unhealthy);
 }
 
+TEST(PlatformCalls, DecodeHowLongAnUpstreamStaysCold)
+{
+    const RegisteredUpstream upstream{.key = 1, .id = "i-1"};
+    const auto coldTimeOf = [&upstream](const std::string &text) {
+        const HttpResponse response{.status = 200, .fields = {{"X-Plantainweir-Instance-Id", "i-1"}, {"X-Plantainweir-Cold-Ms", text}}, .body = {}};
+        return decodeProbeResponse(response, upstream).coldTime;
+    };
+    EXPECT_EQ(coldTimeOf("2500"), Duration(std::chrono::milliseconds(2500)));
+    EXPECT_EQ(coldTimeOf("0.5"), Duration(std::chrono::microseconds(500)));
+    for (const char *warm : {"0", "", "-3", "soon", "nan"}) {
+        EXPECT_EQ(coldTimeOf(warm), Duration(0)) << warm;
+    }
+    EXPECT_EQ(coldTimeOf("1e300"), Duration(std::chrono::minutes(10)));
+}
+
+TEST(PlatformStore, DecodesTheCallsThatAColdUpstreamBears)
+{
+    const auto rateOf = [](const char *spec) {
+        QJsonObject service{{"resourceKind", "services"}, {"metadata", QJsonObject{{"name", "s1"}}}, {"spec", parseObject(spec)}};
+        const auto table = decodeRouteTable({{"version", 7}, {"resources", QJsonArray{service}}});
+        return table->services.at("s1").coldCallsPerSecond;
+    };
+    EXPECT_DOUBLE_EQ(rateOf(R"({"coldPerS":4.5})"), 4.5);
+    for (const char *unlimited : {"{}", R"({"coldPerS":0})", R"({"coldPerS":-1})", R"({"coldPerS":"4"})"}) {
+        EXPECT_DOUBLE_EQ(rateOf(unlimited), 0.0) << unlimited;
+    }
+}
+
 TEST(PlatformDirectory, AnswersOnlyDirectoryQueries)
 {
     const auto query = decodeDirectoryQuery({.method = "GET", .target = "/v1/resolve?name=h.example&region=r&zone=z-1", .fields = {}, .body = {}});
--- a/tests/storemirrortest.cpp
+++ b/tests/storemirrortest.cpp
@@ -198,7 +198,7 @@
                             .priority = 2,
                             .maximumAttempts = 3,
                             .targets = {{"s1", 90}, {"s2", 10}}});
-    table.services["s1"] = {.name = "s1", .healthPath = "/health", .connectionLimit = 220};
+    table.services["s1"] = {.name = "s1", .healthPath = "/health", .connectionLimit = 220, .coldCallsPerSecond = 4.5};
     table.limits.idleTimeout = std::chrono::seconds(9);
     StoreObject upstream = makeUpstreamObject("u1", 6, true);
     std::get<UpstreamRecord>(upstream.value).coldTime = std::chrono::milliseconds(1500);
