--- a/src/rpc/storemessages.cpp
+++ b/src/rpc/storemessages.cpp
@@ -1,7 +1,9 @@
 #include "rpc/storemessages.h"
 
+#include "configuration/clientaccounts.h"
 #include "rpc/controlmessages.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace Plantainweir {
@@ -50,6 +52,7 @@
         row->set_service(target.service);
         row->set_weight(target.weight);
     }
+    message.set_is_public(route.isPublic);
     return message;
 }
 
@@ -69,13 +72,45 @@
                 .target = *target,
                 .priority = message.priority(),
                 .maximumAttempts = std::max(1U, message.maximum_attempts()),
-                .targets = {}};
+                .targets = {},
+                .isPublic = message.is_public()};
     for (const StoreProtocol::RouteTarget &row : message.targets()) {
         route.targets.push_back({.service = row.service(), .weight = row.weight()});
     }
     return route;
 }
 
+StoreProtocol::ClientAccount toMessage(const ClientAccount &account)
+{
+    StoreProtocol::ClientAccount message;
+    message.set_name(account.name);
+    for (const KeyDigest &key : account.keys) {
+        message.add_key_digests(key.data(), key.size());
+    }
+    if (account.priority) {
+        message.set_priority(*account.priority);
+    }
+    message.set_calls_per_second(account.callsPerSecond);
+    message.set_burst(account.burst);
+    return message;
+}
+
+std::optional<ClientAccount> fromMessage(const StoreProtocol::ClientAccount &message)
+{
+    ClientAccount account{.name = message.name(), .callsPerSecond = message.calls_per_second(), .burst = message.burst()};
+    for (const std::string &bytes : message.key_digests()) {
+        KeyDigest &key = account.keys.emplace_back();
+        if (bytes.size() != key.size()) {
+            return std::nullopt;
+        }
+        std::copy(bytes.begin(), bytes.end(), key.begin());
+    }
+    if (message.has_priority()) {
+        account.priority = message.priority();
+    }
+    return account;
+}
+
 StoreProtocol::RouteTable toMessage(const RouteTable &table)
 {
     StoreProtocol::RouteTable message;
@@ -90,6 +125,9 @@
         row->set_connection_limit(service.connectionLimit);
         row->set_cold_calls_per_second(service.coldCallsPerSecond);
     }
+    for (const auto &[name, account] : table.accounts) {
+        *message.add_accounts() = toMessage(account);
+    }
     message.mutable_limits()->set_header_bytes(table.limits.headerBytes);
     message.mutable_limits()->set_body_bytes(table.limits.bodyBytes);
     message.mutable_limits()->set_header_timeout_microseconds(microseconds(table.limits.headerTimeout));
@@ -128,7 +166,13 @@
         table.services[row.name()] = {
             .name = row.name(), .healthPath = row.health_path(), .connectionLimit = row.connection_limit(), .coldCallsPerSecond = row.cold_calls_per_second()};
     }
-    return table;
+    for (const StoreProtocol::ClientAccount &row : message.accounts()) {
+        auto account = fromMessage(row);
+        if (!account || !table.accounts.emplace(row.name(), std::move(*account)).second) {
+            return std::nullopt;
+        }
+    }
+    return hasValidAccounts(table) ? std::optional(std::move(table)) : std::nullopt;
 }
 
 StoreProtocol::Upstream toMessage(const UpstreamRecord &record)
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -14,6 +14,14 @@
 
 /** Retry-After of refusals that do not depend on a queue. */
 constexpr std::chrono::milliseconds RetryAfterRefusal{300};
+/** Minimum Retry-After of refusals for lack of credit. */
+constexpr std::chrono::milliseconds MinimumRetryAfterCredit{10};
+
+/** A call that is admitted once it has credit of its client account. */
+struct PendingAdmission {
+    CreditRequestId credit = 0;
+    ProxyCallAdmitted admitted;
+};
 
 /** Set in the ids of requests for credit of cold upstreams, which other requests of the same process must not share. */
 constexpr CreditRequestId ColdCreditMark = CreditRequestId{1} << 63;
@@ -23,12 +31,28 @@
 /** A call that has no reply yet. */
 struct OpenCall {
     IncomingProxyCall incoming;
+    std::optional<PendingAdmission> pending;
+    std::optional<CreditDecision> credit; ///< Credit of the client account that the call uses.
     std::string route;
+    std::optional<std::string> account; ///< See OutgoingProxyAttempt::account.
     std::string lastUpstream;
     std::uint32_t attempts = 0;
     std::map<ProxyAttemptId, std::shared_ptr<const ResponseMessage>> responses; ///< By attempt; the proxy step decides which one answers the call.
 };
 
+/** Returns the name of the call's client account; empty if it belongs to none. */
+std::string accountName(const RouteContext &context)
+{
+    return context.account != nullptr ? context.account->name : std::string();
+}
+
+void addAccount(std::vector<LogField> &fields, const std::string &account)
+{
+    if (!account.empty()) {
+        fields.emplace_back("account", account);
+    }
+}
+
 }
 
 class ProxyTask::Private : public QObject
@@ -53,6 +77,7 @@
         RouteContext context{.call = call.call};
         const RouteEnvironment environment{
             .table = m_table,
+            .accounts = &m_accounts,
             .isTableFresh = m_isTableFresh,
             .isStopping = m_isStopping,
             .interruptedAt = m_interruptedAt,
@@ -60,29 +85,100 @@
             .now = now,
         };
         if (runRouteChain(context, environment) == RouteOutcome::Refuse) {
-            refuse(call, context.refusal, now);
+            refuse(call, context, now);
             return;
         }
         const Route &route = *context.route;
+        const std::string account = accountName(context);
         m_openBodyBytes += call.call.bodyBytes;
-        m_calls.emplace(call.exchange, OpenCall{.incoming = call, .route = route.name});
-        handleEvent(ProxyCallAdmitted{
+        m_calls.emplace(call.exchange,
+                        OpenCall{.incoming = call, .route = route.name, .account = m_table.accounts.empty() ? std::nullopt : std::optional(account)});
+        const ProxyCallAdmitted admitted{
             .id = call.exchange,
             .service = nextService(roundRobinOf(route)),
             .repeatability = route.repeatability,
-            .priority = route.priority,
+            .priority = priorityOf(context),
+            .account = account,
             .maximumAttempts = route.maximumAttempts,
             .target = route.target,
             .deadline = context.deadline,
-        });
+        };
+        if (context.account != nullptr && context.account->callsPerSecond > 0.0) {
+            requestCredit(admitted, context.account->name, now);
+        } else {
+            handleEvent(admitted);
+        }
+    }
+
+    void requestCredit(const ProxyCallAdmitted &admitted, const std::string &account, TimePoint now)
+    {
+        const CreditRequestId id = ++m_lastCreditRequest;
+        m_calls.at(admitted.id).pending = PendingAdmission{.credit = id, .admitted = admitted};
+        m_creditRequests.emplace(id, admitted.id);
+        const TimePoint deadline = suspendAwareNow() + (admitted.deadline - now);
+        Q_EMIT q->creditRequested(id, {.kind = CreditKind::Account, .scope = account, .upstream = {}}, deadline);
     }
 
-    void refuse(const IncomingProxyCall &call, RefusalReason reason, TimePoint now)
+    void finishCredit(CreditRequestId id, const CreditDecision &decision)
     {
+        const auto found = m_creditRequests.find(id);
+        if (found == m_creditRequests.end()) {
+            return;
+        }
+        const auto call = m_calls.find(found->second);
+        m_creditRequests.erase(found);
+        const ProxyCallAdmitted admitted = call->second.pending->admitted;
+        call->second.pending.reset();
+        const bool isGranted = decision.outcome == CreditOutcome::Granted && decision.usableUntil > suspendAwareNow();
+        const bool isInTime = admitted.deadline > Clock::now();
+        if (isGranted && isInTime) {
+            call->second.credit = decision;
+            handleEvent(admitted);
+            return;
+        }
+        if (isGranted) {
+            Q_EMIT q->creditReturned(decision);
+        }
+        const bool isOverQuota = decision.outcome == CreditOutcome::Denied;
+        const RefusalReason reason = isOverQuota ? RefusalReason::QuotaExceeded : RefusalReason::CreditUnavailable;
+        refuseWaiting(call, isInTime ? reason : RefusalReason::DeadlinePassed, decision);
+    }
+
+    void refuseWaiting(std::map<HttpExchangeId, OpenCall>::iterator found, RefusalReason reason, const CreditDecision &decision)
+    {
+        const OpenCall call = takeCall(found);
+        const Duration retryAfter = std::max(Duration(MinimumRetryAfterCredit), Duration(decision.retryAt - suspendAwareNow()));
+        const CallReply reply = refusedReply(reason, Clock::now() + retryAfter);
         m_metrics.countRefusal(reason);
-        logEvent(LogEvent::CallEnded,
-                 {{"id", call.call.requestId}, {"outcome", nameOf(CallOutcome::NotRun)}, {"reason", nameOf(reason)}, {"routes", m_table.version}});
-        Q_EMIT q->replyReady(call.exchange, call.call.requestId, refusedReply(reason, now + RetryAfterRefusal));
+        logEnd(call, reply);
+        Q_EMIT q->replyReady(call.incoming.exchange, call.incoming.call.requestId, reply);
+    }
+
+    /** Gives back the credit of a call that did not run. */
+    void returnCredit(const OpenCall &call)
+    {
+        if (call.credit) {
+            Q_EMIT q->creditReturned(*call.credit);
+        }
+    }
+
+    void refuse(const IncomingProxyCall &call, const RouteContext &context, TimePoint now)
+    {
+        const std::string account = accountName(context);
+        m_metrics.countRefusal(context.refusal);
+        countAccountCall(account, CallOutcome::NotRun);
+        std::vector<LogField> fields{
+            {"id", call.call.requestId}, {"outcome", nameOf(CallOutcome::NotRun)}, {"reason", nameOf(context.refusal)}, {"routes", m_table.version}};
+        addAccount(fields, account);
+        logEvent(LogEvent::CallEnded, fields);
+        Q_EMIT q->replyReady(call.exchange, call.call.requestId, refusedReply(context.refusal, now + RetryAfterRefusal));
+    }
+
+    void countAccountCall(const std::string &account, CallOutcome outcome)
+    {
+        if (!account.empty()) {
+            m_metrics.countAccountCall(account, outcome);
+        }
     }
 
     WeightedRoundRobin &roundRobinOf(const Route &route)
@@ -151,7 +247,8 @@
                   {"pace", action.load.workTimeFactor},
                   {"age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(action.loadAge).count()},
                   {"retry", action.retry ? nameOf(*action.retry) : "none"}});
-        Q_EMIT q->attemptStarted({.id = action.id, .upstream = action.upstream, .message = call.incoming.message, .deadline = action.deadline});
+        Q_EMIT q->attemptStarted(
+            {.id = action.id, .upstream = action.upstream, .message = call.incoming.message, .deadline = action.deadline, .account = call.account});
     }
 
     void execute(const CancelProxyAttempt &action)
@@ -178,11 +275,11 @@
         Q_EMIT q->creditReturned(m_credits.at(action.id));
     }
 
-    void finishCredit(CreditRequestId id, const CreditDecision &decision)
+    void finishColdCredit(CreditRequestId id, const CreditDecision &decision)
     {
         const ColdCreditId credit = id & ~ColdCreditMark;
         const auto found = m_credits.find(credit);
-        if ((id & ColdCreditMark) == 0 || found == m_credits.end()) {
+        if (found == m_credits.end()) {
             return;
         }
         found->second = decision;
@@ -219,6 +316,9 @@
     {
         const OpenCall call = takeCall(m_calls.find(action.call));
         const CallReply reply = replyFor(action, call);
+        if (reply.outcome == CallOutcome::NotRun) {
+            returnCredit(call);
+        }
         logEnd(call, reply);
         Q_EMIT q->replyReady(action.call, call.incoming.call.requestId, reply);
     }
@@ -255,16 +355,18 @@
             reason = nameOf(reply.unknown);
         }
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - call.incoming.call.arrivedAt);
-        logEvent(LogEvent::CallEnded,
-                 {{"id", call.incoming.call.requestId},
-                  {"outcome", nameOf(reply.outcome)},
-                  {"reason", reason},
-                  {"status", reply.answer ? reply.answer->status : 0},
-                  {"route", call.route},
-                  {"upstream", call.lastUpstream},
-                  {"attempts", call.attempts},
-                  {"ms", age.count()},
-                  {"routes", m_table.version}});
+        std::vector<LogField> fields{{"id", call.incoming.call.requestId},
+                                     {"outcome", nameOf(reply.outcome)},
+                                     {"reason", reason},
+                                     {"status", reply.answer ? reply.answer->status : 0},
+                                     {"route", call.route},
+                                     {"upstream", call.lastUpstream},
+                                     {"attempts", call.attempts},
+                                     {"ms", age.count()},
+                                     {"routes", m_table.version}};
+        addAccount(fields, call.account.value_or(""));
+        logEvent(LogEvent::CallEnded, fields);
+        countAccountCall(call.account.value_or(""), reply.outcome);
     }
 
     void finishAttempt(const ProxyAttemptResult &result)
@@ -311,6 +413,14 @@
         }
         const OpenCall call = takeCall(found);
         logEvent(LogEvent::CallAbandoned, {{"id", call.incoming.call.requestId}, {"upstream", call.lastUpstream}});
+        if (call.pending) {
+            m_creditRequests.erase(call.pending->credit);
+            Q_EMIT q->creditCancelled(call.pending->credit);
+            return;
+        }
+        if (call.attempts == 0) {
+            returnCredit(call);
+        }
         handleEvent(ProxyCallAbandoned{exchange});
     }
 
@@ -319,6 +429,7 @@
     std::mt19937_64 m_random;
     ProxyState m_state;
     RouteTable m_table;
+    AccountIndex m_accounts; ///< Of m_table.
     bool m_isTableFresh = false;
     bool m_isStopping = false;
     std::optional<TimePoint> m_interruptedAt;
@@ -326,6 +437,8 @@
     TimePoint m_timerDue;
     std::map<std::string, WeightedRoundRobin> m_roundRobins;
     std::map<HttpExchangeId, OpenCall> m_calls;
+    std::map<CreditRequestId, HttpExchangeId> m_creditRequests; ///< Calls that wait for credit.
+    CreditRequestId m_lastCreditRequest = 0;
     std::size_t m_bodyLimit = std::numeric_limits<std::size_t>::max(); ///< Of the request bodies of all open calls together.
     std::size_t m_openBodyBytes = 0;
     std::map<ProxyAttemptId, HttpExchangeId> m_attempts;
@@ -347,7 +460,9 @@
         return false;
     }
     d->m_table = table;
-    logEvent(LogEvent::RoutesInForce, {{"version", table.version}, {"routes", table.routes.size()}, {"services", table.services.size()}});
+    d->m_accounts = makeAccountIndex(d->m_table);
+    logEvent(LogEvent::RoutesInForce,
+             {{"version", table.version}, {"routes", table.routes.size()}, {"services", table.services.size()}, {"accounts", table.accounts.size()}});
     return true;
 }
 
@@ -407,14 +522,18 @@
     d->countColdUpstreams();
 }
 
-void ProxyTask::finishCredit(CreditRequestId id, const CreditDecision &decision)
+void ProxyTask::finishAttempt(const ProxyAttemptResult &result)
 {
-    d->finishCredit(id, decision);
+    d->finishAttempt(result);
 }
 
-void ProxyTask::finishAttempt(const ProxyAttemptResult &result)
+void ProxyTask::finishCredit(CreditRequestId id, const CreditDecision &decision)
 {
-    d->finishAttempt(result);
+    if ((id & ColdCreditMark) != 0) {
+        d->finishColdCredit(id, decision);
+    } else {
+        d->finishCredit(id, decision);
+    }
 }
 
 std::size_t ProxyTask::openCallCount() const
--- a/src/tasks/proxytask.h
+++ b/src/tasks/proxytask.h
@@ -53,7 +53,7 @@
     void abandon(HttpExchangeId exchange);
     void finishProbe(const ProbeEnded &ended);
     void finishAttempt(const ProxyAttemptResult &result);
-    /** Continues the call that requested credit; other requests are ignored. */
+    /** Continues or refuses the call for which creditRequested() was emitted. */
     void finishCredit(CreditRequestId id, const CreditDecision &decision);
 
     /** Returns the number of calls that have no reply yet. */
@@ -64,10 +64,11 @@
     void probeStarted(const OutgoingProbe &probe);
     void attemptStarted(const OutgoingProxyAttempt &attempt);
     void attemptCancelled(ProxyAttemptId id);
-    /** A call needs credit of @p line; finishCredit() is due, unless creditCancelled() is emitted before. The times are those of suspendAwareNow(). */
+    /** A call needs credit of its client account, or of a cold upstream, until @p deadline (of suspendAwareNow()); finishCredit() must follow. */
     void creditRequested(CreditRequestId id, const CreditLine &line, TimePoint deadline);
+    /** The call for which creditRequested() was emitted is gone, or needs no credit any more. */
     void creditCancelled(CreditRequestId id);
-    /** A credit that was granted is not used. */
+    /** The call for which this credit was granted did not run, or did not use it. */
     void creditReturned(const CreditDecision &decision);
 
 private:
