Limit the calls to cold upstreams over the fleet

A test shows that an entry VM without credit sends a cold upstream nothing, and calls again once it says that it is warm.

--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -384,8 +384,9 @@
 
     void publishUpstreams()
     {
-        const std::vector<RegisteredUpstream> upstreams = registeredUpstreams(m_upstreamRegistry);
-        for (const RegisteredUpstream &upstream : upstreams) {
+        std::vector<RegisteredUpstream> upstreams = registeredUpstreams(m_upstreamRegistry);
+        for (RegisteredUpstream &upstream : upstreams) {
+            upstream.isColdLimited = isColdLimited(upstream);
             m_upstreamPort.setConnectionLimit(upstream.endpoint, connectionLimitOf(upstream));
         }
         const auto draining = std::count_if(upstreams.begin(), upstreams.end(), [](const RegisteredUpstream &upstream) {
@@ -397,6 +398,11 @@
         scheduleExpiry();
     }
 
+    bool isColdLimited(const RegisteredUpstream &upstream) const
+    {
+        return m_credit.isLimited({.kind = CreditKind::ColdUpstream, .scope = upstream.service, .upstream = upstream.id});
+    }
+
     std::size_t connectionLimitOf(const RegisteredUpstream &upstream) const
     {
         const auto service = m_proxy.table().services.find(upstream.service);
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -550,6 +550,43 @@
     EXPECT_EQ(waitFor(send("/a/x")).response.body, "i-1");
 }
 
+// An entry VM that has found no other one assumes a large fleet, and gets no credit.
+TEST_F(GatewayTest, AColdUpstreamGetsNoCallsWithoutCreditAndAllOnceItIsWarm)
+{
+    QJsonObject limited = configuration(4);
+    QJsonArray resources = limited["resources"].toArray();
+    QJsonObject service = resources[1].toObject();
+    service["spec"] = QJsonObject{{"healthPath", "/health"}, {"maxConnections", 200}, {"coldPerS", 4.5}};
+    resources[1] = service;
+    limited["resources"] = resources;
+    store.put("config", "main", limited);
+    start();
+    EXPECT_EQ(statusOf("/a/x"), 200);
+    upstream.coldMilliseconds = 60'000;
+    const TimePoint known = Clock::now() + std::chrono::milliseconds(300);
+    EXPECT_TRUE(waitUntil([known] {
+        return Clock::now() >= known;
+    }));
+    upstream.calls.clear();
+    for (int call = 0; call < 10; ++call) {
+        EXPECT_EQ(statusOf("/a/x"), 503);
+    }
+    EXPECT_TRUE(upstream.calls.empty());
+    RoutedUpstream other("i-2");
+    QJsonObject elsewhere = other.registration();
+    elsewhere["zone"] = "b";
+    store.put("servers", "i-2", elsewhere);
+    EXPECT_TRUE(repeatUntilStatus("/a/x", 200)) << "a warm upstream in another availability zone";
+    EXPECT_TRUE(upstream.calls.empty());
+    upstream.coldMilliseconds = 0;
+    // The other upstream gets the calls until its load report is no longer fresh.
+    const TimePoint warmKnown = Clock::now() + std::chrono::milliseconds(300);
+    EXPECT_TRUE(waitUntil([warmKnown] {
+        return Clock::now() >= warmKnown;
+    }));
+    EXPECT_EQ(waitFor(send("/a/x")).response.body, "i-1");
+}
+
 TEST_F(GatewayTest, WithoutABoundEvacuationsHaveNoEffect)
 {
     start();
