Merge limits of cold upstreams

Calls to cold upstreams need credit of a limit that holds over the fleet; docs/design/evacuation.md. A fleet that starts delegates half of its shares after 1 s without a new member, and all of them after 3 s: after a loss of power of all VMs, limited accounts were refused for about 6 s.

--- a/src/controllers/creditdelegator.cpp
+++ b/src/controllers/creditdelegator.cpp
@@ -21,8 +21,10 @@
 /** How long the largest number of members counts after some have gone: they may only be cut off. */
 constexpr std::chrono::hours FleetSizeValidity{1};
 constexpr std::size_t MaximumFleetSize = 4096;
+/** Part of its share that a member delegates while it may still find as many members as it knows. */
+constexpr double SettledPart = 0.5;
 /** A member that has not found the others expects them after this time. */
-constexpr std::chrono::seconds ConvergenceTime{3};
+constexpr std::chrono::seconds ConvergenceTime{1};
 
 bool isConfirmed(const CreditDelegator &delegator, const std::string &name, TimePoint now)
 {
@@ -107,8 +109,9 @@
 OutgoingDelegation delegate(CreditDelegator &delegator, DelegatedPart &part, std::uint64_t &lastSequence, TimePoint now)
 {
     OutgoingDelegation outgoing = greeting(delegator, part.keeper, lastSequence);
-    if (delegator.isConverged && now >= delegator.quarantinedUntil) {
-        outgoing.delegation.share = 1.0 / static_cast<double>(KeeperCount * std::max<std::size_t>(1, delegator.fleetSize.size));
+    if (delegator.knowledge != FleetKnowledge::Unknown && now >= delegator.quarantinedUntil) {
+        const double usedPart = delegator.knowledge == FleetKnowledge::Converged ? 1.0 : SettledPart;
+        outgoing.delegation.share = usedPart / static_cast<double>(KeeperCount * std::max<std::size_t>(1, delegator.fleetSize.size));
         part.boundUntil = now + BoundTime;
     }
     part.sequence = outgoing.delegation.sequence;
@@ -152,10 +155,10 @@
     memory.size = size;
 }
 
-void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, bool isConverged, TimePoint now)
+void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now)
 {
     rememberFleetSize(delegator.fleetSize, members.size(), now + FleetSizeValidity);
-    delegator.isConverged = isConverged;
+    delegator.knowledge = knowledge;
     delegator.candidates = orderCandidates(members);
     std::erase_if(delegator.contacts, [&](const auto &entry) {
         return !members.contains(entry.first);
@@ -242,7 +245,7 @@
 TimePoint keepersExpectedAt(const CreditDelegator &delegator, TimePoint now)
 {
     TimePoint expected = std::max(delegator.nextRenewalAt, now);
-    if (!delegator.isConverged) {
+    if (delegator.knowledge == FleetKnowledge::Unknown) {
         return std::max(expected, now + ConvergenceTime);
     }
     if (delegator.quarantinedUntil != TimePoint::max()) {
--- a/src/controllers/creditdelegator.h
+++ b/src/controllers/creditdelegator.h
@@ -52,7 +52,7 @@
     std::vector<std::string> keepers; ///< Confirmed keepers in order of preference, at most @ref KeeperCount.
     std::map<std::string, KeeperContact> contacts;
     FleetSizeMemory fleetSize;
-    bool isConverged = false; ///< Whether the members have found each other.
+    FleetKnowledge knowledge = FleetKnowledge::Unknown;
     TimePoint quarantinedUntil = TimePoint::max(); ///< Nothing is delegated before; set by the first receipt of another member.
     TimePoint nextRenewalAt;
 };
@@ -67,7 +67,7 @@
 void rememberFleetSize(FleetSizeMemory &memory, std::size_t size, TimePoint validUntil);
 
 /** Takes the live members into account, and for an hour the largest number of them. */
-void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, bool isConverged, TimePoint now);
+void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now);
 
 /** Renews the delegations, and finds keepers in place of those that do not answer. To be called at nextRenewalAt. */
 std::vector<OutgoingDelegation> renew(CreditDelegator &delegator, std::size_t liveMembers, std::uint64_t &lastSequence, TimePoint now, std::mt19937_64 &random);
--- a/src/controllers/fleetcredit.cpp
+++ b/src/controllers/fleetcredit.cpp
@@ -154,7 +154,7 @@
     for (const CreditMember &member : event.members) {
         credit.members.emplace(member.name, member);
     }
-    changeMembers(credit.delegator, credit.members, event.isConverged, context.now);
+    changeMembers(credit.delegator, credit.members, event.knowledge, context.now);
 }
 
 void handle(CreditStepContext &context, const CreditRequested &event)
--- a/src/controllers/fleetcredit.h
+++ b/src/controllers/fleetcredit.h
@@ -27,7 +27,7 @@
 /** The live members of the fleet changed. */
 struct CreditMembersChanged {
     std::vector<CreditMember> members; ///< Includes this member itself.
-    bool isConverged = false; ///< Whether the members have found each other.
+    FleetKnowledge knowledge = FleetKnowledge::Unknown;
 };
 struct CreditMessageReceived {
     Endpoint from;
--- a/src/controllers/fleetshare.cpp
+++ b/src/controllers/fleetshare.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t AssumedProbingFleetSize = 8;
 /** The members have found each other once none has been found for this time. */
 constexpr std::chrono::seconds ConvergenceTime{3};
+/** The same for limits whose shares are corrected within a second: a whole fleet that starts must not wait longer than needed. */
+constexpr std::chrono::seconds SettlingTime{1};
 /** Fraction of an upstream's connection limit that the fleet uses. */
 constexpr double UsableConnectionFraction = 0.8;
 constexpr std::size_t MinimumConnections = 8;
@@ -38,7 +40,9 @@
     if (size > fleet.largestSize) {
         fleet.largestSize = size;
         fleet.convergesAt = now + ConvergenceTime;
+        fleet.settlesAt = now + SettlingTime;
     }
+    fleet.isSettled = fleet.isSettled || (hasFoundOthers(fleet) && now >= fleet.settlesAt);
     fleet.isConverged = fleet.isConverged || (hasFoundOthers(fleet) && now >= fleet.convergesAt);
 }
 
@@ -50,6 +54,14 @@
     return std::max(now, fleet.convergesAt);
 }
 
+std::optional<TimePoint> nextSettling(const FleetSizeEstimate &fleet, TimePoint now)
+{
+    if (fleet.isSettled || !hasFoundOthers(fleet)) {
+        return std::nullopt;
+    }
+    return std::max(now, fleet.settlesAt);
+}
+
 std::size_t fleetSize(const FleetSizeEstimate &fleet)
 {
     return fleet.isConverged ? std::max<std::size_t>(1, fleet.largestSize) : std::max(AssumedFleetSize, fleet.largestSize);
--- a/src/controllers/fleetshare.h
+++ b/src/controllers/fleetshare.h
@@ -23,8 +23,13 @@
     std::size_t largestSize = 0; ///< Largest number of members that were live at the same time.
     bool isConverged = false; ///< Whether the members have found each other. A member that has found no other one does not know.
     TimePoint convergesAt; ///< When the members count as having found each other, unless more of them are found before.
+    bool isSettled = false; ///< Whether no member was found for a shorter time, after which members that start find few more.
+    TimePoint settlesAt; ///< When the estimate counts as settled, unless more members are found before.
 };
 
+/** Returns when the estimate settles if no further member is found, or nothing if it has or only a further member changes it. */
+std::optional<TimePoint> nextSettling(const FleetSizeEstimate &fleet, TimePoint now);
+
 /** Takes into account that @p size members are live; to be called at changes and at nextFleetSizeChange(). */
 void observeFleetSize(FleetSizeEstimate &fleet, std::size_t size, TimePoint now);
 
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -28,6 +28,7 @@
 using ProxyCallId = std::uint64_t;
 using ProbeId = std::uint64_t;
 using ProxyAttemptId = std::uint64_t;
+using ColdCreditId = std::uint64_t;
 
 struct ProxySettings {
     std::string name; ///< Of this entry VM. Without it, no subset of upstreams is preferred.
@@ -67,6 +68,7 @@
     ProbeOutcome outcome = ProbeOutcome::Unreachable;
     UpstreamLoad load;
     UpstreamNotice notice;
+    Duration coldTime{}; ///< How long the upstream stays cold; zero if it is warm.
 };
 /** The outcome of an attempt at an upstream. */
 enum class ProxyAttemptOutcome {
@@ -108,13 +110,26 @@
 struct EvacuationsReplaced {
     std::set<std::string> availabilityZones;
 };
+/** The request for credit of a cold upstream has been decided. */
+struct ColdCreditDecided {
+    ColdCreditId id = 0;
+    bool isGranted = false;
+    TimePoint retryAt; ///< When to ask for credit of this upstream again. Valid if not granted.
+};
 /** The share of the fleet-wide retry and probe limits that this entry VM may use has changed. */
 struct FleetShareChanged {
     double retrySlack = 0.0;
     double probesPerSecond = 0.0;
 };
-using ProxyEvent = std::
-    variant<ProxyCallAdmitted, ProxyCallAbandoned, ProbeEnded, ProxyAttemptEnded, ProxyTimerFired, UpstreamsReplaced, EvacuationsReplaced, FleetShareChanged>;
+using ProxyEvent = std::variant<ProxyCallAdmitted,
+                                ProxyCallAbandoned,
+                                ProbeEnded,
+                                ProxyAttemptEnded,
+                                ProxyTimerFired,
+                                UpstreamsReplaced,
+                                EvacuationsReplaced,
+                                ColdCreditDecided,
+                                FleetShareChanged>;
 
 struct StartProbe {
     ProbeId id = 0;
@@ -133,6 +148,20 @@
 struct CancelProxyAttempt {
     ProxyAttemptId id = 0;
 };
+/** Requests credit for one call to a cold upstream. Exactly one ColdCreditDecided follows, unless the request is cancelled. */
+struct RequestColdCredit {
+    ColdCreditId id = 0;
+    std::string service;
+    std::string upstream; ///< Its id.
+    TimePoint deadline;
+};
+struct CancelColdCredit {
+    ColdCreditId id = 0;
+};
+/** Gives back a credit that was granted and is not used. Follows ColdCreditDecided at once. */
+struct ReturnColdCredit {
+    ColdCreditId id = 0;
+};
 /** Ends a call. Exactly one is returned for each call that was not abandoned. */
 struct EndProxyCall {
     ProxyCallId call = 0;
@@ -142,7 +171,7 @@
     UnknownReason unknown = UnknownReason::ConnectionLost;
     Duration retryAfter{}; ///< Time after which the caller should retry. Valid if not run.
 };
-using ProxyAction = std::variant<StartProbe, StartProxyAttempt, CancelProxyAttempt, EndProxyCall>;
+using ProxyAction = std::variant<StartProbe, StartProxyAttempt, CancelProxyAttempt, RequestColdCredit, CancelColdCredit, ReturnColdCredit, EndProxyCall>;
 
 /** The state of one call. */
 struct ProxyCall {
@@ -156,6 +185,8 @@
     std::uint32_t openProbes = 0;
     std::uint32_t attempts = 0; ///< Attempts so far, without those whose request was not sent.
     std::uint32_t failedConnects = 0;
+    std::optional<ColdCreditId> openCredit; ///< The request for credit that the call waits for.
+    std::uint32_t creditRequests = 0;
     std::optional<ProxyAttemptId> running;
     std::optional<ProxyAttemptId> hedge; ///< A second running attempt; only set together with @ref running.
     TimePoint hedgeAt; ///< When to hedge the running attempt. The epoch if it is not to be hedged, or the hedge has begun.
@@ -183,6 +214,13 @@
     UpstreamKey upstream = 0;
 };
 
+/** A request for credit of a cold upstream. */
+struct ColdCredit {
+    ProxyCallId call = 0;
+    std::string service;
+    UpstreamKey upstream = 0;
+};
+
 struct ProxyService {
     UpstreamPool pool;
     RetryBudget retryBudget;
@@ -201,6 +239,7 @@
     std::map<ProxyCallId, ProxyCall> calls;
     std::map<ProxyAttemptId, ProxyAttempt> attempts;
     std::map<ProbeId, ProxyProbe> probes;
+    std::map<ColdCreditId, ColdCredit> credits;
     std::set<std::pair<TimePoint, ProxyCallId>> timers;
     std::set<std::string> evacuatedZones; ///< Availability zones that get no calls.
     std::uint64_t lastId = 0;
--- a/src/tasks/credittask.cpp
+++ b/src/tasks/credittask.cpp
@@ -174,9 +174,9 @@
     }
 }
 
-void CreditTask::setMembers(const std::vector<CreditMember> &members, bool isConverged)
+void CreditTask::setMembers(const std::vector<CreditMember> &members, FleetKnowledge knowledge)
 {
-    d->handleEvent(CreditMembersChanged{members, isConverged});
+    d->handleEvent(CreditMembersChanged{members, knowledge});
 }
 
 bool CreditTask::isLimited(const CreditLine &line) const
--- a/src/tasks/credittask.h
+++ b/src/tasks/credittask.h
@@ -46,7 +46,7 @@
     /** Sets the limits in force. */
     void setTable(const RouteTable &table);
     /** Sets the live members, including this one, and whether they have found each other (see FleetSizeEstimate). */
-    void setMembers(const std::vector<CreditMember> &members, bool isConverged);
+    void setMembers(const std::vector<CreditMember> &members, FleetKnowledge knowledge);
 
     /** Returns whether calls need credit of @p line. If not, it must not be requested. */
     bool isLimited(const CreditLine &line) const;
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -115,6 +115,14 @@
     return members;
 }
 
+FleetKnowledge knowledgeOf(const FleetSizeEstimate &fleet)
+{
+    if (fleet.isConverged) {
+        return FleetKnowledge::Converged;
+    }
+    return fleet.isSettled ? FleetKnowledge::Settled : FleetKnowledge::Unknown;
+}
+
 /** Returns the live members as far as limits of the whole fleet depend on them. */
 std::vector<CreditMember> creditMembers(const Membership &membership)
 {
@@ -281,7 +289,7 @@
 
     void updateCreditMembers()
     {
-        m_credit.setMembers(creditMembers(m_membership.membership()), m_fleetSize.isConverged);
+        m_credit.setMembers(creditMembers(m_membership.membership()), knowledgeOf(m_fleetSize));
     }
 
     bool start()
@@ -386,8 +394,9 @@
 
     void publishUpstreams()
     {
-        const std::vector<RegisteredUpstream> upstreams = registeredUpstreams(m_upstreamRegistry);
-        for (const RegisteredUpstream &upstream : upstreams) {
+        std::vector<RegisteredUpstream> upstreams = registeredUpstreams(m_upstreamRegistry);
+        for (RegisteredUpstream &upstream : upstreams) {
+            upstream.isColdLimited = isColdLimited(upstream);
             m_upstreamPort.setConnectionLimit(upstream.endpoint, connectionLimitOf(upstream));
         }
         const auto draining = std::count_if(upstreams.begin(), upstreams.end(), [](const RegisteredUpstream &upstream) {
@@ -399,6 +408,11 @@
         scheduleExpiry();
     }
 
+    bool isColdLimited(const RegisteredUpstream &upstream) const
+    {
+        return m_credit.isLimited({.kind = CreditKind::ColdUpstream, .scope = upstream.service, .upstream = upstream.id});
+    }
+
     std::size_t connectionLimitOf(const RegisteredUpstream &upstream) const
     {
         const auto service = m_proxy.table().services.find(upstream.service);
@@ -416,12 +430,13 @@
     void updateFleetShare()
     {
         const TimePoint now = Clock::now();
-        const bool wasConverged = m_fleetSize.isConverged;
+        const FleetKnowledge before = knowledgeOf(m_fleetSize);
         observeFleetSize(m_fleetSize, liveMembers(m_membership.membership()).size(), now);
-        if (m_fleetSize.isConverged != wasConverged) {
+        if (knowledgeOf(m_fleetSize) != before) {
             updateCreditMembers();
         }
-        if (const auto next = nextFleetSizeChange(m_fleetSize, now)) {
+        const auto settling = nextSettling(m_fleetSize, now);
+        if (const auto next = settling ? settling : nextFleetSizeChange(m_fleetSize, now)) {
             m_convergenceTimer.start(std::chrono::ceil<std::chrono::milliseconds>(*next - now));
         }
         const FleetLimits limits{.retrySlack = m_settings.retrySlack, .probesPerSecondPerUpstream = m_settings.probesPerSecondPerUpstream};
--- a/tests/creditdelegatortest.cpp
+++ b/tests/creditdelegatortest.cpp
@@ -22,7 +22,7 @@
         }
         members["self"] = {.name = "self", .availabilityZone = "a", .capacity = 10};
         delegator.self = "self";
-        changeMembers(delegator, members, true, now);
+        changeMembers(delegator, members, FleetKnowledge::Converged, now);
     }
 
     std::vector<OutgoingDelegation> renewNow()
@@ -86,7 +86,7 @@
     EXPECT_EQ(delegatedParts(renewNow()), 0U);
     run(1s);
     EXPECT_EQ(delegatedParts(renewNow()), KeeperCount);
-    changeMembers(delegator, members, false, now);
+    changeMembers(delegator, members, FleetKnowledge::Unknown, now);
     EXPECT_EQ(delegatedParts(renewNow()), 0U);
 }
 
@@ -160,7 +160,7 @@
     for (const std::string gone : {"small-a", "small-b", "small-c", "other-a", "other-b"}) {
         members.erase(gone);
     }
-    changeMembers(delegator, members, true, now);
+    changeMembers(delegator, members, FleetKnowledge::Converged, now);
     run(3599s);
     EXPECT_EQ(renewNow()[0].delegation.share, 1.0 / (10.0 * KeeperCount));
     run(2s);
--- a/tests/creditfleet.h
+++ b/tests/creditfleet.h
@@ -67,7 +67,7 @@
         vm.credit = makeFleetCredit(nameOfVm(index), zoneOf(index), m_random() | 1U, localNow(vm));
         vm.view = {index};
         vm.largestView = 1;
-        vm.isConverged = false;
+        vm.knowledge = FleetKnowledge::Unknown;
         vm.open.clear();
         publishView(index);
         feed(index, CreditLimitsChanged{m_limits});
@@ -237,7 +237,7 @@
         std::set<std::size_t> view; ///< VMs that it considers live.
         std::size_t largestView = 0;
         TimePoint convergesAt;
-        bool isConverged = false;
+        FleetKnowledge knowledge = FleetKnowledge::Unknown;
         std::map<CreditRequestId, std::size_t> open; ///< Demand of each request that is not decided.
     };
 
@@ -332,25 +332,28 @@
         publishView(index);
     }
 
-    /** The members have found each other once no more have been found for three seconds. */
+    /** The members have found each other once no more have been found for three seconds, and probably have after one. */
     void publishView(std::size_t index)
     {
         Vm &vm = m_vms[index];
         if (vm.view.size() > vm.largestView) {
             vm.largestView = vm.view.size();
             vm.convergesAt = m_now + std::chrono::seconds(3);
-            schedule(vm.convergesAt, [this, index, run = vm.run] {
-                if (m_vms[index].run == run && m_vms[index].convergesAt <= m_now) {
-                    m_vms[index].isConverged = true;
-                    publishView(index);
-                }
-            });
+            for (const auto &[after, knowledge] :
+                 {std::pair(std::chrono::seconds(1), FleetKnowledge::Settled), {std::chrono::seconds(3), FleetKnowledge::Converged}}) {
+                schedule(m_now + after, [this, index, knowledge, expected = vm.convergesAt, run = vm.run] {
+                    if (m_vms[index].run == run && m_vms[index].convergesAt == expected && m_vms[index].knowledge < knowledge) {
+                        m_vms[index].knowledge = knowledge;
+                        publishView(index);
+                    }
+                });
+            }
         }
         std::vector<CreditMember> members;
         for (const std::size_t member : vm.view) {
             members.push_back(memberOf(member));
         }
-        feed(index, CreditMembersChanged{members, vm.isConverged});
+        feed(index, CreditMembersChanged{members, vm.knowledge});
     }
 
     void feed(std::size_t index, const CreditEvent &event)
--- a/tests/credittasktest.cpp
+++ b/tests/credittasktest.cpp
@@ -52,7 +52,7 @@
             });
         }
         for (const auto &task : tasks) {
-            task->setMembers(members, true);
+            task->setMembers(members, FleetKnowledge::Converged);
         }
     }
 
--- a/tests/fakes/proxyload.cpp
+++ b/tests/fakes/proxyload.cpp
@@ -170,6 +170,13 @@
     }
 }
 
+// Calls to the upstreams of a load are not limited while they are cold.
+void ProxyLoadPlayer::execute(std::size_t, const RequestColdCredit &) {}
+
+void ProxyLoadPlayer::execute(std::size_t, const CancelColdCredit &) {}
+
+void ProxyLoadPlayer::execute(std::size_t, const ReturnColdCredit &) {}
+
 void ProxyLoadPlayer::execute(std::size_t, const EndProxyCall &action)
 {
     const auto call = m_calls.extract(action.call).mapped();
--- a/tests/fakes/proxyload.h
+++ b/tests/fakes/proxyload.h
@@ -101,6 +101,9 @@
     void execute(std::size_t entry, const StartProbe &action);
     void execute(std::size_t entry, const StartProxyAttempt &action);
     void execute(std::size_t entry, const CancelProxyAttempt &action);
+    void execute(std::size_t entry, const RequestColdCredit &action);
+    void execute(std::size_t entry, const CancelColdCredit &action);
+    void execute(std::size_t entry, const ReturnColdCredit &action);
     void execute(std::size_t entry, const EndProxyCall &action);
     /** Returns the delay until a request of @p entry reaches @p upstream, on an idle or a new connection. */
     Duration connect(std::size_t entry, std::size_t upstream);
--- a/tests/fleetsharetest.cpp
+++ b/tests/fleetsharetest.cpp
@@ -50,6 +50,22 @@
     EXPECT_TRUE(fleet.isConverged) << "one more member is no reason to assume a larger fleet";
 }
 
+TEST(FleetShare, AFleetThatStartsSettlesBeforeItHasConverged)
+{
+    using namespace std::chrono_literals;
+    constexpr TimePoint Start{1000s};
+    FleetSizeEstimate fleet;
+    observeFleetSize(fleet, 1, Start);
+    EXPECT_FALSE(nextSettling(fleet, Start));
+    observeFleetSize(fleet, 141, Start + 500ms);
+    EXPECT_FALSE(fleet.isSettled);
+    ASSERT_EQ(nextSettling(fleet, Start + 500ms), Start + 1500ms);
+    observeFleetSize(fleet, 141, Start + 1500ms);
+    EXPECT_TRUE(fleet.isSettled);
+    EXPECT_FALSE(fleet.isConverged);
+    EXPECT_FALSE(nextSettling(fleet, Start + 1500ms));
+}
+
 TEST(FleetShare, AnEntryVmThatReachesNoOtherMemberAssumesALargeFleet)
 {
     using namespace std::chrono_literals;
