Test crowds of clients that do not behave

Cause: clients outside our control made processes of similar systems run out of memory or descriptors. Nothing tested this from outside. Each starts gatewayd with 64 MiB of memory and 700 descriptors, of which 200 are for files, and 150 connections; idle crowds have 700. It checks that the process lives, its peak of resident memory and its open descriptors, and that ordinary requests are answered while the crowd is still connected.

--- /dev/null
+++ b/tests/processcrowdtest.cpp
@@ -0,0 +1,359 @@
+#include "fakes/crowd.h"
+#include "fakes/eventloop.h"
+#include "fakes/fakestore.h"
+#include "fakes/freeendpoint.h"
+#include "http/httpclient.h"
+#include "http/httpserver.h"
+
+#include <gtest/gtest.h>
+
+#include <QCoreApplication>
+#include <QDir>
+#include <QFile>
+#include <QJsonArray>
+#include <QProcess>
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <map>
+
+#include <sys/resource.h>
+
+/** Runs gatewayd as a process while crowds of clients that do not behave are connected to one of its ports. */
+namespace Plantainweir {
+namespace {
+
+constexpr auto Host = "rink.example";
+constexpr auto UpstreamId = "i-1";
+constexpr std::size_t MebiByte = 1024 * 1024;
+
+/** Memory of gatewayd in MiB, and the size of a crowd in relation to it. */
+constexpr std::size_t DefaultMemoryMb = 64;
+constexpr std::size_t CrowdConnections = 150;
+/** Clients that only connect need as many descriptors as gatewayd has. */
+constexpr std::size_t Descriptors = 700;
+/** Descriptors that the users' platform reserves for files. */
+constexpr std::size_t FileDescriptors = 200;
+constexpr std::size_t AnswerBytes = 16 * 1024;
+
+/** The port and path that a crowd connects to. */
+enum class CrowdPlace {
+    Route,
+    NoRoute,
+    ReadyPath, ///< The path of the readiness query, at the callers' port.
+    Readiness,
+    Directory,
+    Operators,
+};
+
+constexpr std::array<EnumName<CrowdPlace>, 6> enumNames(CrowdPlace)
+{
+    return {{
+        {CrowdPlace::Route, "route"},
+        {CrowdPlace::NoRoute, "no-route"},
+        {CrowdPlace::ReadyPath, "ready-path"},
+        {CrowdPlace::Readiness, "readiness"},
+        {CrowdPlace::Directory, "directory"},
+        {CrowdPlace::Operators, "operators"},
+    }};
+}
+static_assert(isEnumTableOrdered<CrowdPlace>());
+
+/** An upstream that answers all calls at once. */
+class ImmediateUpstream
+{
+public:
+    ImmediateUpstream()
+    {
+        EXPECT_TRUE(m_server.listen({.address = "127.0.0.1", .port = 0}));
+        QObject::connect(&m_server, &HttpServer::requestReceived, &m_server, [this](HttpExchangeId exchange, const HttpRequest &request) {
+            m_server.respond(exchange,
+                             {.status = 200,
+                              .fields = {{"X-Plantainweir-Response-Stamp", "stamp"},
+                                         {"X-Plantainweir-Instance-Id", UpstreamId},
+                                         {"X-Plantainweir-Backend-Load", "0,0,1000,100"},
+                                         {"X-Plantainweir-Request-Id", std::string(fieldValue(request.fields, "X-Plantainweir-Request-Id"))}},
+                              .body = std::string(request.target == "/health" ? 0 : AnswerBytes, 'x')});
+        });
+    }
+
+    QJsonObject registration() const
+    {
+        return {{"service", "desk"},
+                {"address", QString("127.0.0.1:%1").arg(m_server.port())},
+                {"zone", "a"},
+                {"version", "v1"},
+                {"slots", 1000},
+                {"state", "ready"},
+                {"cold", "0ms"},
+                {"sequence", 1}};
+    }
+
+private:
+    HttpServer m_server{HttpLimits{}};
+};
+
+QJsonObject configuration()
+{
+    const QJsonObject route{
+        {"host", Host}, {"pathPrefix", "/a/"}, {"kind", "safe"}, {"timeout", "2s"}, {"targetLatency", "400ms"}, {"service", "desk"}, {"maxAttempts", 2}};
+    return {{"version", 1},
+            {"resources",
+             QJsonArray{QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", "r1"}}}, {"spec", route}},
+                        QJsonObject{{"resourceKind", "services"},
+                                    {"metadata", QJsonObject{{"name", "desk"}}},
+                                    {"spec", QJsonObject{{"healthPath", "/health"}, {"maxConnections", 200}}}}}}};
+}
+
+/** One gatewayd with little memory and few descriptors, a fake store and an upstream. */
+class CrowdFixture : public testing::Test
+{
+protected:
+    CrowdFixture()
+    {
+        QObject::connect(&m_client, &HttpClient::finished, &m_client, [this](HttpRequestId id, const HttpRequestResult &result) {
+            m_results[id] = result;
+        });
+        m_store.put("config", "main", configuration());
+        m_store.put("servers", UpstreamId, m_upstream.registration());
+    }
+
+    void SetUp() override
+    {
+        m_gateway.setStandardOutputFile(QProcess::nullDevice());
+        m_gateway.setProcessChannelMode(QProcess::ForwardedErrorChannel);
+        m_gateway.setChildProcessModifier([limit = descriptors()] {
+            const rlimit descriptorLimit{.rlim_cur = limit, .rlim_max = limit};
+            ::setrlimit(RLIMIT_NOFILE, &descriptorLimit);
+        });
+        const auto argument = [](const char *name, const Endpoint &endpoint) {
+            return QString("--%1=%2").arg(name, QString::fromStdString(toString(endpoint)));
+        };
+        m_gateway.start(PLANTAINWEIR_BIN_DIR "/plantainweir-gatewayd",
+                        {"--name=e1",
+                         "--availability-zone=a",
+                         argument("caller-port", m_callers),
+                         argument("readiness-port", m_readiness),
+                         argument("directory-port", m_directory),
+                         argument("membership-port", m_membership),
+                         argument("exchange-port", freeEndpoint()),
+                         argument("operators-port", m_operators),
+                         argument("store", m_store.endpoint()),
+                         argument("seeds", m_membership),
+                         "--retry-share=0.2",
+                         "--retry-slack=50",
+                         "--retry-window=10s",
+                         "--probe-limit=1000",
+                         QString("--memory-mb=%1").arg(memoryMb()),
+                         "--stop-time=6s"});
+        ASSERT_TRUE(m_gateway.waitForStarted());
+        ASSERT_TRUE(isAnswered(CrowdPlace::Route));
+    }
+
+    void TearDown() override
+    {
+        m_gateway.kill();
+        m_gateway.waitForFinished();
+    }
+
+    static std::size_t memoryMb()
+    {
+        return qEnvironmentVariableIsSet("PLANTAINWEIR_CROWD_MEMORY_MB")
+                   ? static_cast<std::size_t>(qEnvironmentVariableIntValue("PLANTAINWEIR_CROWD_MEMORY_MB"))
+                   : DefaultMemoryMb;
+    }
+
+    static std::size_t descriptors()
+    {
+        return Descriptors * memoryMb() / DefaultMemoryMb;
+    }
+
+    static std::size_t crowdConnections(CrowdKind kind)
+    {
+        return kind == CrowdKind::Idle ? descriptors() : CrowdConnections * memoryMb() / DefaultMemoryMb;
+    }
+
+    Endpoint endpointOf(CrowdPlace place) const
+    {
+        switch (place) {
+        case CrowdPlace::Readiness:
+            return m_readiness;
+        case CrowdPlace::Directory:
+            return m_directory;
+        case CrowdPlace::Operators:
+            return m_operators;
+        default:
+            return m_callers;
+        }
+    }
+
+    /** Returns whether @p place is at another port than calls. */
+    static bool isPortOfItsOwn(CrowdPlace place)
+    {
+        return place == CrowdPlace::Readiness || place == CrowdPlace::Directory || place == CrowdPlace::Operators;
+    }
+
+    static std::string targetOf(CrowdPlace place)
+    {
+        switch (place) {
+        case CrowdPlace::Route:
+            return "/a/x";
+        case CrowdPlace::NoRoute:
+            return "/none/x";
+        case CrowdPlace::ReadyPath:
+        case CrowdPlace::Readiness:
+            return "/v1/ready";
+        case CrowdPlace::Directory:
+            return "/v1/resolve?name=rink.example&zone=a";
+        case CrowdPlace::Operators:
+            return "/metrics";
+        }
+        return {};
+    }
+
+    void startCrowd(CrowdKind kind, CrowdPlace place, std::size_t connections)
+    {
+        m_crowds.push_back(std::make_unique<Crowd>(endpointOf(place), crowdPlan(kind, Host, targetOf(place)), connections));
+    }
+
+    void waitUntilCrowdsAreSettled()
+    {
+        EXPECT_TRUE(waitUntil([this] {
+            noteDescriptors();
+            return std::all_of(m_crowds.begin(), m_crowds.end(), [](const auto &crowd) {
+                return crowd->isSettled();
+            });
+        }));
+    }
+
+    /** Returns whether an ordinary request is answered with 200. A client repeats it if it is refused. */
+    bool isAnswered(CrowdPlace place)
+    {
+        const HttpRequest request{.method = "GET",
+                                  .target = targetOf(place),
+                                  .fields = {{"Host", Host}, {"X-Plantainweir-Request-Id", "ordinary"}, {"X-Plantainweir-Deadline-Ms", "5000"}},
+                                  .body = {}};
+        HttpRequestId id = 0;
+        return waitUntil([&] {
+            noteDescriptors();
+            if (id != 0 && !m_results.contains(id)) {
+                return false;
+            }
+            const bool isOk = id != 0 && m_results[id].outcome == HttpRequestOutcome::Answered && m_results[id].response.status == 200;
+            id = isOk ? id : m_client.send(endpointOf(place), request, Clock::now() + std::chrono::seconds(5));
+            return isOk;
+        });
+    }
+
+    void noteDescriptors()
+    {
+        const QDir directory(QString("/proc/%1/fd").arg(m_gateway.processId()));
+        m_mostDescriptors = std::max(m_mostDescriptors, directory.entryList(QDir::NoDotAndDotDot | QDir::AllEntries | QDir::System).size());
+    }
+
+    /** Returns the largest resident memory that gatewayd has had, in bytes. */
+    std::size_t peakResidentBytes() const
+    {
+        QFile file(QString("/proc/%1/status").arg(m_gateway.processId()));
+        EXPECT_TRUE(file.open(QIODevice::ReadOnly));
+        for (const QByteArray &line : file.readAll().split('\n')) {
+            if (line.startsWith("VmHWM:")) {
+                return line.mid(6).trimmed().split(' ').value(0).toULongLong() * 1024;
+            }
+        }
+        ADD_FAILURE() << "no VmHWM";
+        return 0;
+    }
+
+    /** Checks the bounds of gatewayd, and that it still answers an ordinary request at @p place, and a call. */
+    void expectUnharmed(CrowdPlace place)
+    {
+        if (isPortOfItsOwn(place)) {
+            EXPECT_TRUE(isAnswered(place)) << nameOf(place);
+        }
+        EXPECT_TRUE(isAnswered(CrowdPlace::Route)) << "a call";
+        ASSERT_EQ(m_gateway.state(), QProcess::Running);
+        EXPECT_LE(m_mostDescriptors, descriptors() - FileDescriptors);
+#ifndef __SANITIZE_ADDRESS__
+        EXPECT_LE(peakResidentBytes(), memoryMb() * MebiByte);
+#endif
+        RecordProperty("peak_mb", std::to_string(peakResidentBytes() / MebiByte));
+        RecordProperty("descriptors", std::to_string(m_mostDescriptors));
+    }
+
+private:
+    int m_argumentCount = 1;
+    char m_program[5] = "test";
+    char *m_arguments[2] = {m_program, nullptr};
+    QCoreApplication m_application{m_argumentCount, m_arguments};
+    Endpoint m_callers = freeEndpoint();
+    Endpoint m_readiness = freeEndpoint();
+    Endpoint m_directory = freeEndpoint();
+    Endpoint m_operators = freeEndpoint();
+    Endpoint m_membership = freeEndpoint();
+    FakeStore m_store;
+    ImmediateUpstream m_upstream;
+    HttpClient m_client{HttpLimits{}};
+    std::map<HttpRequestId, HttpRequestResult> m_results;
+    std::vector<std::unique_ptr<Crowd>> m_crowds;
+    QProcess m_gateway;
+    qsizetype m_mostDescriptors = 0;
+};
+
+std::vector<CrowdKind> allKinds()
+{
+    std::vector<CrowdKind> kinds;
+    for (const auto &row : enumNames(CrowdKind{})) {
+        kinds.push_back(row.value);
+    }
+    return kinds;
+}
+
+std::vector<CrowdPlace> allPlaces()
+{
+    std::vector<CrowdPlace> places;
+    for (const auto &row : enumNames(CrowdPlace{})) {
+        places.push_back(row.value);
+    }
+    return places;
+}
+
+class CrowdTest : public CrowdFixture, public testing::WithParamInterface<std::tuple<CrowdKind, CrowdPlace>>
+{
+};
+
+TEST_P(CrowdTest, CostsOnlyItself)
+{
+    const auto [kind, place] = GetParam();
+    startCrowd(kind, place, crowdConnections(kind));
+    waitUntilCrowdsAreSettled();
+    expectUnharmed(place);
+}
+
+std::string caseName(const testing::TestParamInfo<CrowdTest::ParamType> &info)
+{
+    std::string name = fmt::format("{}_{}", nameOf(std::get<CrowdKind>(info.param)), nameOf(std::get<CrowdPlace>(info.param)));
+    std::replace(name.begin(), name.end(), '-', '_');
+    return name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Crowds, CrowdTest, testing::Combine(testing::ValuesIn(allKinds()), testing::ValuesIn(allPlaces())), caseName);
+
+/** Clients of each kind at each place, all at once. */
+TEST_F(CrowdFixture, AllKindsAtOnce)
+{
+    constexpr std::size_t CrowdDivisor = 25;
+    for (const CrowdKind kind : allKinds()) {
+        for (const CrowdPlace place : allPlaces()) {
+            startCrowd(kind, place, crowdConnections(kind) / CrowdDivisor);
+        }
+    }
+    waitUntilCrowdsAreSettled();
+    for (const CrowdPlace place : {CrowdPlace::Readiness, CrowdPlace::Directory, CrowdPlace::Operators}) {
+        expectUnharmed(place);
+    }
+}
+
+}
+}
