Bound what clients make gatewayd hold

Cause: incomplete bodies were counted by their bytes, but not the buffers beside them, the fields of headers (Beast stores them as they arrive, 313 KB for a header of 16 KB), or requests decoded ahead; the readiness and directory ports allowed bodies and 256 MiB of them. Connections were limited without regard to descriptors, the newest one was refused, and Qt stops accepting after an error. Change: an account for each port of all that its clients make the process hold, and decision/peermemory.h, which selects the connections that are refused or closed. Ports that need no body take none. Decoding waits while answers are not read. A body has a minimum pace instead of the header's time. Large buffers are returned to the system.

--- a/src/core/message.cpp
+++ b/src/core/message.cpp
@@ -2,13 +2,18 @@
 
 namespace Plantainweir {
 
-std::size_t memorySize(const ResponseMessage &response)
+std::size_t memorySize(const MessageFields &fields)
 {
-    std::size_t bytes = sizeof(ResponseMessage) + response.body.size();
-    for (const MessageField &field : response.fields) {
+    std::size_t bytes = 0;
+    for (const MessageField &field : fields) {
         bytes += sizeof(MessageField) + field.name.size() + field.value.size();
     }
     return bytes;
 }
 
+std::size_t memorySize(const ResponseMessage &response)
+{
+    return sizeof(ResponseMessage) + response.body.size() + memorySize(response.fields);
+}
+
 }
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -27,6 +27,8 @@
     std::string body;
 };
 
+/** Returns the approximate memory of @p fields in bytes, which for short fields is many times their size in a message. */
+std::size_t memorySize(const MessageFields &fields);
 /** Returns the approximate memory of @p response in bytes. */
 std::size_t memorySize(const ResponseMessage &response);
 
--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -38,10 +39,23 @@
     }
 }
 
+/** Returns the approximate memory of the header of @p message: a field is an allocation of its own. */
+template<typename Message>
+std::size_t headerMemory(const Message &message)
+{
+    constexpr std::size_t FieldOverhead = 96;
+    std::size_t bytes = message.target().size();
+    for (const auto &field : message) {
+        bytes += FieldOverhead + field.name_string().size() + field.value().size();
+    }
+    return bytes;
+}
+
 template<typename Message>
 HttpFields takeFields(const Message &message)
 {
     HttpFields fields;
+    fields.reserve(static_cast<std::size_t>(std::distance(message.begin(), message.end())));
     http::token_list connectionOptions(message[http::field::connection]);
     for (const auto &field : message) {
         if (!isConnectionField(field.name()) && !connectionOptions.exists(field.name_string())) {
@@ -252,6 +266,8 @@
 
     HttpLimits m_limits;
     http::request_parser<SegmentedBody> m_parser;
+    std::size_t m_headerBytes = 0; ///< Memory of the fields that have been decoded.
+    bool m_isHeaderCounted = false; ///< Whether m_headerBytes is final.
 };
 
 HttpRequestDecoder::HttpRequestDecoder(const HttpLimits &limits)
@@ -263,7 +279,18 @@
 
 DecodeState HttpRequestDecoder::decode(std::string &buffer)
 {
-    return parseBytes(d->m_parser, buffer, d->m_limits);
+    const DecodeState state = parseBytes(d->m_parser, buffer, d->m_limits);
+    // Beast stores the fields of an incomplete header as they arrive.
+    if (!d->m_isHeaderCounted) {
+        d->m_headerBytes = headerMemory(d->m_parser.get());
+        d->m_isHeaderCounted = d->m_parser.is_header_done();
+    }
+    return state;
+}
+
+bool HttpRequestDecoder::isHeaderComplete() const
+{
+    return d->m_parser.is_header_done();
 }
 
 std::size_t HttpRequestDecoder::bodyBytes() const
@@ -271,6 +298,11 @@
     return d->m_parser.get().body().size;
 }
 
+std::size_t HttpRequestDecoder::memoryBytes() const
+{
+    return d->m_headerBytes + d->m_parser.get().body().size;
+}
+
 bool HttpRequestDecoder::isKeepAlive() const
 {
     return d->m_parser.get().keep_alive();
--- a/src/http/httpcodec.h
+++ b/src/http/httpcodec.h
@@ -37,6 +37,9 @@
 
     /** Consumes bytes from the front of @p buffer; bytes after a complete message stay in it. */
     DecodeState decode(std::string &buffer);
+    /** Returns the approximate memory that the decoded part of the message takes. */
+    std::size_t memoryBytes() const;
+    bool isHeaderComplete() const;
     /** Returns the size of the body received so far. */
     std::size_t bodyBytes() const;
     /** Returns whether the sender wants to keep the connection open; valid when complete. */
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -17,6 +17,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include <malloc.h>
+
 namespace Plantainweir {
 namespace {
 
@@ -25,6 +27,13 @@
 constexpr std::size_t MaximumPipelinedRequests = 16;
 /** Buffered bytes of undecoded requests above which reading from a connection pauses. */
 constexpr std::size_t MaximumUndecodedBytes = 64 * 1024;
+/** Unsent bytes of responses, or memory of unanswered requests, above which no further request of a connection is decoded. */
+constexpr std::size_t MaximumUnreadBytes = 256 * 1024;
+constexpr std::size_t MaximumUnansweredBytes = 64 * 1024;
+/** Capacity of an empty buffer above which its memory is freed. */
+constexpr std::size_t MaximumIdleCapacity = 4 * 1024;
+/** Memory of a connection without messages: its objects, their allocations and the notifiers of its socket. */
+constexpr std::size_t ConnectionOverhead = 2 * 1024;
 constexpr int ListenBacklog = 1024;
 
 HttpResponse errorResponse(DecodeState state)
@@ -46,6 +55,7 @@
     HttpExchangeId id = 0;
     bool isHead = false; ///< Whether its answer has no body.
     bool isSafe = true; ///< Whether its method is safe (RFC 9110, section 9.2.1), so that it may be processed concurrently.
+    std::size_t headerBytes = 0; ///< Memory of its header until it is answered. Bodies belong to the receiver of the request.
     std::optional<HttpResponse> response;
 };
 
@@ -59,9 +69,12 @@
     bool isKeepAlive = true;
     bool hasPartialRequest = false;
     bool isContinueSent = false;
+    bool isBodyStarted = false;
+    TimePoint bodyStartedAt; ///< Valid if isBodyStarted.
     bool isClosing = false;
     bool isReadingPaused = false;
-    std::size_t bufferedBytes = 0; ///< Part of the request being received.
+    std::size_t heldBytes = 0; ///< Part of the server's sum.
+    TimePoint heldSince; ///< When the connection was last without a message.
 };
 
 bool isSafeMethod(const std::string &method)
@@ -81,7 +94,8 @@
         m_listener.onAccepted = [this](qintptr descriptor) {
             accept(descriptor);
         };
-        connect(&m_sweepTimer, &QTimer::timeout, this, &Private::closeExpiredConnections);
+        connect(&m_listener, &QTcpServer::acceptError, this, &Private::handleAcceptError);
+        connect(&m_sweepTimer, &QTimer::timeout, this, &Private::sweep);
         m_sweepTimer.start(SweepPeriod);
     }
 
@@ -97,7 +111,7 @@
     {
         auto *stream = new TcpStream(this);
         stream->adoptSocket(descriptor);
-        if (m_connections.size() >= m_limits.connections) {
+        if (m_connections.size() >= m_limits.connections && !replaceConnection()) {
             stream->close();
             stream->deleteLater();
             return;
@@ -105,12 +119,16 @@
         auto connection = std::make_unique<Connection>();
         connection->stream = stream;
         connection->deadline = Clock::now() + m_limits.idleTimeout;
+        connection->heldSince = Clock::now();
         connection->decoder = std::make_unique<HttpRequestDecoder>(m_limits);
         Connection *raw = connection.get();
         m_connections.emplace(stream, std::move(connection));
         connect(stream, &TcpStream::received, this, [this, raw](const std::string &bytes) {
             receive(*raw, bytes);
         });
+        connect(stream, &TcpStream::sent, this, [this, stream] {
+            decodeAvailable(stream);
+        });
         connect(stream, &TcpStream::ended, this, [this, stream] {
             removeConnection(stream);
         });
@@ -131,11 +149,25 @@
         if (connection.buffer.empty() || connection.isClosing || !connection.isKeepAlive) {
             return false;
         }
+        if (connection.stream->unsentBytes() > MaximumUnreadBytes) {
+            return false;
+        }
         if (connection.exchanges.empty() || connection.hasPartialRequest) {
             return true;
         }
         const bool hasSafeMethod = connection.buffer.starts_with('G') || connection.buffer.starts_with('H') || connection.buffer.starts_with('O');
-        return hasSafeMethod && connection.exchanges.back().isSafe && connection.exchanges.size() < MaximumPipelinedRequests;
+        return hasSafeMethod && connection.exchanges.back().isSafe && connection.exchanges.size() < MaximumPipelinedRequests
+               && unansweredBytes(connection) < MaximumUnansweredBytes;
+    }
+
+    /** Returns the memory of the headers of requests without a response. */
+    static std::size_t unansweredBytes(const Connection &connection)
+    {
+        std::size_t bytes = 0;
+        for (const Exchange &exchange : connection.exchanges) {
+            bytes += exchange.headerBytes;
+        }
+        return bytes;
     }
 
     /**
@@ -153,6 +185,12 @@
             Connection &connection = *found->second;
             connection.isReadingPaused = !canDecodeNext(connection) && connection.buffer.size() > MaximumUndecodedBytes;
             stream->setReadingPaused(connection.isReadingPaused);
+            if (connection.buffer.size() < connection.buffer.capacity() / 2 && connection.buffer.capacity() > MaximumIdleCapacity) {
+                connection.buffer.shrink_to_fit();
+            }
+            updateHeldBytes(connection);
+            // At once: until the next event, many other connections may receive as much.
+            releaseHeldBytes();
         }
     }
 
@@ -165,53 +203,173 @@
         }
         const DecodeState state = connection.decoder->decode(connection.buffer);
         if (state == DecodeState::Incomplete) {
-            countBufferedBytes(connection, connection.decoder->bodyBytes() + connection.buffer.size());
+            extendDeadline(connection);
             sendContinue(connection);
-            limitBufferedBytes();
             return false;
         }
-        countBufferedBytes(connection, 0);
         if (state != DecodeState::Complete) {
             rejectRequest(connection, state);
             return false;
         }
+        if (measureForRequest(connection.decoder->memoryBytes(), m_heldBytes - connection.heldBytes, m_limits.totalBytes) == PeerRequestMeasure::Refuse) {
+            logEvent(LogEvent::MemoryLimitReached, {{"measure", "refused"}, {"bytes", m_heldBytes}, {"largest", connection.decoder->memoryBytes()}});
+            rejectRequest(connection, DecodeState::Incomplete);
+            Q_EMIT q->peerReleased(PeerRelease::RequestRefused);
+            return false;
+        }
         takeRequest(connection);
         return true;
     }
 
-    void countBufferedBytes(Connection &connection, std::size_t bytes)
+    /** Gives the client time for the body, as long as it sends it fast enough. */
+    void extendDeadline(Connection &connection) const
+    {
+        if (!connection.decoder->isHeaderComplete()) {
+            return;
+        }
+        if (!connection.isBodyStarted) {
+            connection.isBodyStarted = true;
+            connection.bodyStartedAt = Clock::now();
+        }
+        const std::chrono::milliseconds paceTime(1000 * connection.decoder->bodyBytes() / m_limits.bodyBytesPerSecond);
+        connection.deadline = connection.bodyStartedAt + m_limits.requestTimeout + paceTime;
+    }
+
+    /** Returns the approximate memory that the client of @p connection makes this process hold. */
+    static std::size_t heldBytes(const Connection &connection)
     {
-        m_bufferedBytes = m_bufferedBytes - connection.bufferedBytes + bytes;
-        connection.bufferedBytes = bytes;
+        const std::size_t received = connection.buffer.capacity() + connection.decoder->memoryBytes() + unansweredBytes(connection);
+        return received + unreadBytes(connection) + ConnectionOverhead;
     }
 
-    /** Refuses the largest incomplete request if all of them together are too large. */
-    void limitBufferedBytes()
+    void updateHeldBytes(Connection &connection)
     {
-        if (m_bufferedBytes <= m_limits.totalBytes) {
+        const std::size_t bytes = heldBytes(connection);
+        if (connection.exchanges.empty() && !connection.hasPartialRequest && connection.stream->unsentBytes() == 0) {
+            connection.heldSince = Clock::now();
+        }
+        m_heldBytes = m_heldBytes - connection.heldBytes + bytes;
+        m_mostHeldBytes = std::max(m_mostHeldBytes, m_heldBytes);
+        connection.heldBytes = bytes;
+    }
+
+    std::vector<PeerHolding> holdings() const
+    {
+        std::vector<PeerHolding> holdings;
+        holdings.reserve(m_connections.size());
+        for (const auto &[stream, connection] : m_connections) {
+            holdings.push_back({.connection = reinterpret_cast<std::uintptr_t>(stream),
+                                .bytes = connection->heldBytes,
+                                .since = connection->heldSince,
+                                .activity = activityOf(*connection)});
+        }
+        return holdings;
+    }
+
+    static PeerActivity activityOf(const Connection &connection)
+    {
+        if (connection.isClosing) {
+            return PeerActivity::Closing;
+        }
+        if (!connection.exchanges.empty() || connection.stream->unsentBytes() > 0) {
+            return PeerActivity::Answering;
+        }
+        return connection.hasPartialRequest ? PeerActivity::Receiving : PeerActivity::Idle;
+    }
+
+    /** Closes connections if all of them together hold too much. */
+    void releaseHeldBytes()
+    {
+        if (m_heldBytes <= m_limits.totalBytes) {
             return;
         }
-        const auto largest = std::max_element(m_connections.begin(), m_connections.end(), [](const auto &left, const auto &right) {
-            return left.second->bufferedBytes < right.second->bufferedBytes;
-        });
-        logEvent(LogEvent::MemoryLimitReached, {{"messages", "incomplete_requests"}, {"bytes", m_bufferedBytes}, {"largest", largest->second->bufferedBytes}});
-        countBufferedBytes(*largest->second, 0);
-        rejectRequest(*largest->second, DecodeState::Incomplete);
+        for (const auto &[stream, connection] : m_connections) {
+            updateHeldBytes(*connection);
+        }
+        const std::vector<std::uint64_t> released = connectionsToRelease(holdings(), m_limits.totalBytes, Clock::now());
+        if (released.empty()) {
+            return;
+        }
+        logEvent(LogEvent::MemoryLimitReached, {{"measure", "released"}, {"bytes", m_heldBytes}, {"connections", released.size()}});
+        for (const std::uint64_t stream : released) {
+            release(reinterpret_cast<TcpStream *>(static_cast<std::uintptr_t>(stream)));
+            Q_EMIT q->peerReleased(PeerRelease::MemoryHeld);
+        }
+    }
+
+    /** Refuses the incomplete request of a connection, or closes it if its client has to read responses first. */
+    void release(TcpStream *stream)
+    {
+        const auto found = m_connections.find(stream);
+        if (found == m_connections.end()) {
+            return;
+        }
+        Connection &connection = *found->second;
+        if (activityOf(connection) != PeerActivity::Receiving) {
+            removeConnection(stream);
+            return;
+        }
+        rejectRequest(connection, DecodeState::Incomplete);
+        updateHeldBytes(connection);
+    }
+
+    /** Closes a connection in favour of a new one; returns whether there is one to be closed. */
+    bool replaceConnection()
+    {
+        const auto replaced = connectionToReplace(holdings());
+        if (!replaced) {
+            return false;
+        }
+        logEvent(LogEvent::ConnectionReplaced, {{"connections", m_connections.size()}});
+        removeConnection(reinterpret_cast<TcpStream *>(static_cast<std::uintptr_t>(*replaced)));
+        Q_EMIT q->peerReleased(PeerRelease::ConnectionReplaced);
+        return true;
+    }
+
+    /** QTcpServer stops to accept connections after an error, such as a lack of descriptors. */
+    void handleAcceptError()
+    {
+        logEvent(LogEvent::AcceptFailed, {{"connections", m_connections.size()}});
+        m_isAcceptingAgain = true;
+    }
+
+    void acceptAgain()
+    {
+        if (!m_isAcceptingAgain || m_isAcceptingPaused || m_isDraining) {
+            return;
+        }
+        m_isAcceptingAgain = false;
+        replaceConnection();
+        m_listener.resumeAccepting();
+    }
+
+    void sweep()
+    {
+        closeExpiredConnections();
+        acceptAgain();
+        // Otherwise the allocator keeps what a crowd has made it allocate.
+        if (m_mostHeldBytes > m_limits.totalBytes / 2 && m_heldBytes < m_mostHeldBytes / 2) {
+            m_mostHeldBytes = m_heldBytes;
+            ::malloc_trim(0);
+        }
     }
 
     void takeRequest(Connection &connection)
     {
         connection.isKeepAlive = connection.decoder->isKeepAlive();
-        HttpRequest request = connection.decoder->takeRequest();
+        const HttpRequest request = connection.decoder->takeRequest();
         const HttpExchangeId id = ++m_lastExchangeId;
-        connection.exchanges.push_back({.id = id, .isHead = request.method == "HEAD", .isSafe = isSafeMethod(request.method), .response = std::nullopt});
+        connection.exchanges.push_back({.id = id,
+                                        .isHead = request.method == "HEAD",
+                                        .isSafe = isSafeMethod(request.method),
+                                        .headerBytes = memorySize(request.fields) + request.target.size(),
+                                        .response = std::nullopt});
         connection.decoder = std::make_unique<HttpRequestDecoder>(m_limits);
-        if (connection.buffer.empty()) {
-            connection.buffer.shrink_to_fit();
-        }
         connection.hasPartialRequest = false;
         connection.isContinueSent = false;
+        connection.isBodyStarted = false;
         m_exchanges.emplace(id, &connection);
+        updateHeldBytes(connection);
         Q_EMIT q->requestReceived(id, request);
     }
 
@@ -229,7 +387,8 @@
     {
         connection.isKeepAlive = false;
         connection.hasPartialRequest = false;
-        connection.buffer.clear();
+        connection.buffer = {};
+        connection.decoder = std::make_unique<HttpRequestDecoder>(m_limits);
         const HttpExchangeId id = ++m_lastExchangeId;
         connection.exchanges.push_back({.id = id, .isSafe = true, .response = std::nullopt});
         m_exchanges.emplace(id, &connection);
@@ -254,11 +413,14 @@
         for (Exchange &exchange : connection.exchanges) {
             if (exchange.id == id) {
                 exchange.response = response;
+                exchange.headerBytes = 0;
             }
         }
         sendReadyResponses(connection);
-        if (unreadBytes(connection) > 0) {
-            QMetaObject::invokeMethod(this, &Private::limitUnreadBytes, Qt::QueuedConnection);
+        updateHeldBytes(connection);
+        if (m_heldBytes > m_limits.totalBytes) {
+            // The slot that responds may be called while a request of this or another connection is decoded.
+            QMetaObject::invokeMethod(this, &Private::releaseHeldBytes, Qt::QueuedConnection);
         }
     }
 
@@ -267,31 +429,11 @@
     {
         std::size_t bytes = connection.stream->unsentBytes();
         for (const Exchange &exchange : connection.exchanges) {
-            bytes += exchange.response ? exchange.response->body.size() : 0;
+            bytes += exchange.response ? memorySize(*exchange.response) : 0;
         }
         return bytes;
     }
 
-    /** Closes the connection with the most unread bytes if those of all connections together are too many. */
-    void limitUnreadBytes()
-    {
-        std::size_t total = 0;
-        std::size_t most = 0;
-        TcpStream *largest = nullptr;
-        for (const auto &[stream, connection] : m_connections) {
-            const std::size_t bytes = unreadBytes(*connection);
-            total += bytes;
-            if (bytes > most) {
-                most = bytes;
-                largest = stream;
-            }
-        }
-        if (total > m_limits.totalBytes) {
-            logEvent(LogEvent::MemoryLimitReached, {{"messages", "unread_responses"}, {"bytes", total}, {"largest", most}});
-            removeConnection(largest);
-        }
-    }
-
     /** Sends the responses that are ready, in the order of their requests. */
     void sendReadyResponses(Connection &connection)
     {
@@ -347,7 +489,7 @@
                 unanswered.push_back(exchange.id);
             }
         }
-        countBufferedBytes(*found->second, 0);
+        m_heldBytes -= found->second->heldBytes;
         stream->disconnect(this);
         stream->close();
         stream->deleteLater();
@@ -413,7 +555,10 @@
     Listener m_listener;
     QTimer m_sweepTimer;
     HttpExchangeId m_lastExchangeId = 0;
-    std::size_t m_bufferedBytes = 0; ///< Of all incomplete requests.
+    std::size_t m_heldBytes = 0; ///< Of all connections.
+    std::size_t m_mostHeldBytes = 0; ///< Since memory was last returned to the system.
+    bool m_isAcceptingPaused = false;
+    bool m_isAcceptingAgain = false; ///< Whether accepting has failed and is to be resumed.
     bool m_isDraining = false;
     bool m_isClosingAfterResponses = false;
     std::unordered_map<TcpStream *, std::unique_ptr<Connection>> m_connections;
@@ -436,6 +581,7 @@
 
 void HttpServer::setAcceptingPaused(bool isPaused)
 {
+    d->m_isAcceptingPaused = isPaused;
     if (isPaused) {
         d->m_listener.pauseAccepting();
     } else {
--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "decision/peermemory.h"
 #include "http/httpmessage.h"
 
 #include <QObject>
@@ -16,8 +17,10 @@
  * Task that owns a listening port and its connections.
  *
  * Limits the sizes of headers and bodies, the number of connections, the time in which a request must be complete and the
- * idle time of a connection. Pipelined requests with safe methods are processed concurrently and answered in order; a
- * request with another method waits until all requests before it are answered.
+ * idle time of a connection. One account holds all that clients make the process keep: received bytes, decoded headers, bodies
+ * of incomplete requests, headers of unanswered ones and responses that clients have not read. If it exceeds the limit, those
+ * that hold most for longest are refused or closed (decision/peermemory.h). Pipelined requests with safe methods are processed concurrently and answered in
+ * order; a request with another method waits until all requests before it are answered.
  */
 class HttpServer : public QObject
 {
@@ -58,6 +61,8 @@
     void requestReceived(HttpExchangeId exchange, const HttpRequest &request);
     /** The client closed its connection before the response; a later response is discarded. */
     void clientDisconnected(HttpExchangeId exchange);
+    /** A request was refused, or a connection closed, in favour of others. */
+    void peerReleased(Plantainweir::PeerRelease release);
     /** All connections are closed after drain(). */
     void drained();
 
--- a/src/http/operatorsport.cpp
+++ b/src/http/operatorsport.cpp
@@ -62,6 +62,11 @@
 
 OperatorsPort::~OperatorsPort() = default;
 
+void OperatorsPort::setLimits(const HttpLimits &limits)
+{
+    d->m_server.setLimits(limits);
+}
+
 bool OperatorsPort::listen(const Endpoint &endpoint)
 {
     return d->m_server.listen(endpoint);
--- a/src/http/operatorsport.h
+++ b/src/http/operatorsport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "http/httpmessage.h"
 
 #include <QObject>
 
@@ -27,6 +28,8 @@
     OperatorsPort(const Metrics &metrics, std::function<std::string()> status, QObject *parent = nullptr);
     ~OperatorsPort() override;
 
+    /** Changes the limits for new requests and connections. */
+    void setLimits(const HttpLimits &limits);
     /** Starts to listen; returns whether the port is open. */
     bool listen(const Endpoint &endpoint);
     quint16 port() const;
--- a/src/http/tcpstream.cpp
+++ b/src/http/tcpstream.cpp
@@ -22,7 +22,7 @@
 /** Accepted sockets do not inherit the non-blocking mode of the listening socket (accept(2)). */
 constexpr int SendFlags = MSG_NOSIGNAL | MSG_DONTWAIT;
 /** Bytes after which reading returns to the event loop, so that one fast peer does not block the others. */
-constexpr std::size_t MaximumBytesPerEvent = 128 * 1024;
+constexpr std::size_t MaximumBytesPerEvent = 64 * 1024;
 
 /** Idle time before the first keep-alive probe, and interval between probes, in seconds. */
 constexpr int KeepAliveIntervalSeconds = 1;
@@ -130,7 +130,11 @@
             finishConnecting();
             return;
         }
+        const QPointer<TcpStream> guard(q);
         flush();
+        if (guard != nullptr && m_descriptor >= 0 && m_outgoing.empty()) {
+            Q_EMIT q->sent();
+        }
     }
 
     void finishConnecting()
--- a/src/http/tcpstream.h
+++ b/src/http/tcpstream.h
@@ -68,6 +68,8 @@
 Q_SIGNALS:
     void connected();
     void received(const std::string &bytes);
+    /** The socket has accepted bytes that it could not accept at first; none are left. */
+    void sent();
     /** Emitted at most once, as the last signal. */
     void ended(Plantainweir::StreamEnd end);
 
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -74,6 +74,8 @@
     StoreLost = 1520,
     StoreReturned = 1521,
     LogLinesDropped = 1522,
+    ConnectionReplaced = 1523,
+    AcceptFailed = 1524,
     ReloadRequested = 1530,
     StoreReadingChanged = 1540,
     FeedEnded = 1541,
--- a/src/programs/plantainweirgatewayd.cpp
+++ b/src/programs/plantainweirgatewayd.cpp
@@ -7,8 +7,12 @@
 #include <QCoreApplication>
 
 #include <algorithm>
+#include <limits>
 #include <random>
 
+#include <malloc.h>
+#include <sys/resource.h>
+
 using namespace Plantainweir;
 
 namespace {
@@ -32,7 +36,8 @@
     commandLine.addDuration("change-bound", "time in which an acknowledged change of the configuration must be in force", "2s");
     commandLine.addDuration("drain-bound", "time in which an upstream that reports to be draining must get no more calls", "2s");
     commandLine.addNumber("processor-share", "share of a processor core that this VM has; VMs with a larger share read the store for others", 0.0, 1e6, 0.0);
-    commandLine.addInteger("memory-mb", "memory that this process may use, in MiB; incomplete messages take at most a quarter of it", 32, 1 << 20, 512);
+    commandLine.addInteger("memory-mb", "memory that this process may use, in MiB; what callers make it hold takes at most a part of it", 32, 1 << 20, 512);
+    commandLine.addInteger("descriptors", "file descriptors that this process may use; 0: as many as the system permits", 0, 1 << 20, 0);
     commandLine.addChoice("fleet-starting", "whether the whole fleet starts for the first time", {"true", "false"}, "false");
     commandLine.addDuration("stop-time", "time from the stop signal to the forced exit");
 }
@@ -46,6 +51,24 @@
     return seeds;
 }
 
+/** Returns the number of descriptors that this process may use, @p setting if it is not zero. */
+std::size_t descriptorLimit(std::size_t setting)
+{
+    rlimit limit{};
+    const bool isKnown = ::getrlimit(RLIMIT_NOFILE, &limit) == 0;
+    const std::size_t permitted = isKnown ? static_cast<std::size_t>(limit.rlim_cur) : std::numeric_limits<std::size_t>::max();
+    return setting == 0 ? permitted : setting;
+}
+
+/** Lets large buffers be returned to the system as soon as they are freed, whatever lies beside them. */
+void configureAllocator()
+{
+    constexpr int LargeBufferBytes = 64 * 1024;
+    constexpr int TrimBytes = 1024 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, LargeBufferBytes);
+    ::mallopt(M_TRIM_THRESHOLD, TrimBytes);
+}
+
 GatewaySettings readSettings(const CommandLine &commandLine)
 {
     return {
@@ -66,6 +89,7 @@
         .changeBound = std::min(commandLine.duration("change-bound"), commandLine.duration("drain-bound")),
         .processorShare = commandLine.number("processor-share"),
         .memoryBytes = static_cast<std::size_t>(commandLine.integer("memory-mb")) * 1024 * 1024,
+        .descriptors = descriptorLimit(static_cast<std::size_t>(commandLine.integer("descriptors"))),
         .isFleetStarting = commandLine.text("fleet-starting") == "true",
         .stopTime = commandLine.duration("stop-time"),
         .seed = (static_cast<std::uint64_t>(std::random_device{}()) << 32) | std::random_device{}(),
@@ -104,6 +128,7 @@
     if (const auto status = commandLine.parse(argc, argv)) {
         return static_cast<int>(*status);
     }
+    configureAllocator();
     useStandardOutputForLogs();
     return run(commandLine, argc, argv);
 }
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -25,9 +25,21 @@
 constexpr std::size_t MinimumLocalEntries = 2;
 /** Callers accept at most this many addresses in a directory answer. */
 constexpr std::size_t MaximumDirectoryEntries = 64;
-constexpr std::size_t CallerConnectionLimit = 3000;
-constexpr std::size_t ReadinessConnectionLimit = 200;
-constexpr std::size_t DirectoryConnectionLimit = 1000;
+/** Descriptors that are kept free for files. */
+constexpr std::size_t FileDescriptors = 200;
+
+/** Connections of one port: a part of the descriptors, and an upper limit. What no port may take is left for upstreams, the store and other VMs. */
+struct PortShare {
+    std::size_t connections = 0;
+    std::size_t percent = 0;
+};
+
+constexpr PortShare CallerShare{.connections = 3000, .percent = 60};
+constexpr PortShare ReadinessShare{.connections = 200, .percent = 4};
+constexpr PortShare DirectoryShare{.connections = 1000, .percent = 10};
+constexpr PortShare OperatorsShare{.connections = 64, .percent = 2};
+/** All that the clients of these ports make the process hold, as parts of the memory. They need no bodies. */
+constexpr std::size_t QueryMemoryDivisor = 64;
 constexpr int ConflictStatus = 409;
 constexpr int FirstRedirectionStatus = 300;
 /**
@@ -57,18 +69,30 @@
     return {.bodyBytes = settings.memoryBytes / BodyMemoryDivisor, .totalBytes = settings.memoryBytes / TotalMemoryDivisor};
 }
 
+std::size_t connectionsOf(const PortShare &share, const GatewaySettings &settings)
+{
+    const std::size_t sockets = settings.descriptors - std::min(settings.descriptors, FileDescriptors);
+    return std::clamp<std::size_t>(sockets * share.percent / 100, 1, share.connections);
+}
+
 HttpLimits toHttpLimits(const CallerLimits &limits, std::chrono::milliseconds idleTimeout, const GatewaySettings &settings)
 {
     HttpLimits http;
     http.totalBytes = settings.memoryBytes / TotalMemoryDivisor;
     http.headerBytes = limits.headerBytes;
     http.bodyBytes = limits.bodyBytes;
-    http.connections = CallerConnectionLimit;
+    http.connections = connectionsOf(CallerShare, settings);
     http.requestTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(limits.headerTimeout);
     http.idleTimeout = idleTimeout;
     return http;
 }
 
+/** Returns the limits of a port that answers queries without a body. */
+HttpLimits queryLimits(const PortShare &share, const GatewaySettings &settings)
+{
+    return {.bodyBytes = 0, .totalBytes = settings.memoryBytes / QueryMemoryDivisor, .connections = connectionsOf(share, settings)};
+}
+
 MemberRecord memberRecord(const GatewaySettings &settings)
 {
     MemberRecord record;
@@ -127,8 +151,8 @@
                   settings.seed)
         , m_upstreamPort(codec, upstreamLimits(settings))
         , m_callerServer(toHttpLimits({}, InitialIdleTimeout, settings))
-        , m_readinessServer(HttpLimits{.connections = ReadinessConnectionLimit})
-        , m_directoryServer(HttpLimits{.connections = DirectoryConnectionLimit})
+        , m_readinessServer(queryLimits(ReadinessShare, settings))
+        , m_directoryServer(queryLimits(DirectoryShare, settings))
         , m_operatorsPort(m_metrics,
                           [] {
                               return std::string("{}");
@@ -139,6 +163,7 @@
         , m_exchangeClient(m_metrics)
         , m_storeClient(HttpLimits{})
     {
+        m_operatorsPort.setLimits(queryLimits(OperatorsShare, settings));
         m_proxy.setBodyLimit(settings.memoryBytes / CallMemoryDivisor);
         connectCalls();
         connectStore();
@@ -156,6 +181,13 @@
             m_proxy.admit(
                 {.exchange = exchange, .call = m_codec.decodeCall(request, Clock::now()), .message = std::make_shared<const RequestMessage>(request)});
         });
+        for (const HttpServer *server : {&m_callerServer, &m_readinessServer, &m_directoryServer}) {
+            connect(server, &HttpServer::peerReleased, this, [this](PeerRelease release) {
+                m_metrics.addToCounter("plantainweir_peer_releases_total",
+                                       "Requests refused and connections closed because clients made this process hold too much.",
+                                       std::string(nameOf(release)));
+            });
+        }
         connect(&m_callerServer, &HttpServer::clientDisconnected, &m_proxy, &ProxyTask::abandon);
         connect(&m_callerServer, &HttpServer::drained, this, &Private::stopIfDone);
         connect(&m_proxy, &ProxyTask::replyReady, this, [this](HttpExchangeId exchange, const std::string &requestId, const CallReply &reply) {
--- a/src/tasks/gateway.h
+++ b/src/tasks/gateway.h
@@ -32,6 +32,7 @@
     Duration changeBound = std::chrono::seconds(2); ///< Time in which an acknowledged change must be in force.
     double processorShare = 0.0; ///< Of this VM, in cores; zero if not known.
     std::size_t memoryBytes = 512 * 1024 * 1024; ///< Memory that this process may use.
+    std::size_t descriptors = 4096; ///< File descriptors that this process may use.
     bool isFleetStarting = false; ///< Whether the whole fleet starts for the first time, before there are calls.
     Duration stopTime{}; ///< Time from the request to stop until the forced end.
     std::uint64_t seed = 0; ///< Seed of the random generators.
--- a/tests/fakes/crowd.cpp
+++ b/tests/fakes/crowd.cpp
@@ -145,7 +145,7 @@
         if (m_plan.reading != CrowdReading::All) {
             ::setsockopt(client.descriptor, SOL_SOCKET, SO_RCVBUF, &ReceiveBufferBytes, sizeof(ReceiveBufferBytes));
         }
-        ::connect(client.descriptor, reinterpret_cast<const sockaddr *>(&m_address), sizeof(m_address));
+        static_cast<void>(::connect(client.descriptor, reinterpret_cast<const sockaddr *>(&m_address), sizeof(m_address)));
         m_progressAt = Clock::now();
     }
 
