Add crowds to the faults of the soak

Cause: the soak knew no clients that do not behave. Change: in phases with all faults, a crowd connects to one port of an entry VM; its own generator selects it, so that the faults of a seed stay the same.

--- a/tests/peermemorytest.cpp
+++ b/tests/peermemorytest.cpp
@@ -9,7 +9,7 @@
 using testing::ElementsAre;
 using testing::IsEmpty;
 
-const TimePoint Now{seconds(1000)};
+constexpr TimePoint Now{seconds(1000)};
 
 PeerHolding holding(std::uint64_t connection, std::size_t bytes, seconds age, PeerActivity activity = PeerActivity::Receiving)
 {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak.h"
 
+#include "fakes/crowd.h"
 #include "fakes/fakestore.h"
 #include "http/httpclient.h"
 #include "soak/loopbackproxy.h"
@@ -39,6 +40,8 @@
 /** Length of a phase. Phases that inject only planned changes alternate with phases that inject all kinds of SoakFault. */
 constexpr milliseconds PhaseDuration{7000};
 constexpr std::size_t MaximumActiveFaults = 3;
+constexpr std::size_t CrowdConnections = 60;
+constexpr std::array CrowdPorts{CallerPort, std::uint16_t{8081}, std::uint16_t{8082}};
 
 /** One entry VM of the soak. */
 struct SoakEntry {
@@ -69,6 +72,7 @@
         : m_settings(settings)
         , m_random(settings.seed)
         , m_callRandom(settings.seed + 1)
+        , m_crowdRandom(settings.seed + 2)
         , m_client(HttpLimits{})
     {
         m_history.isTimingChecked = settings.isTimingChecked;
@@ -304,11 +308,14 @@
         const TimePoint start = Clock::now();
         while (Clock::now() < start + m_settings.duration) {
             const auto phase = (Clock::now() - start) / PhaseDuration;
+            if (phase % 2 != 0 && m_crowd == nullptr) {
+                injectCrowd();
+            }
             injectFault(static_cast<SoakFault>(phase % 2 == 0 ? FirstPlannedFault + randomIndex(enumCount<SoakFault>() - FirstPlannedFault)
                                                               : randomIndex(enumCount<SoakFault>())));
             runEventLoopFor(randomTime(100, 700));
         }
-        while (m_activeFaults > 0) {
+        while (m_activeFaults + m_activeCrowds > 0) {
             runEventLoopFor(milliseconds(50));
         }
     }
@@ -321,7 +328,23 @@
         runAfter(randomTime(200, 4000), [this, end] {
             end();
             --m_activeFaults;
-            recordFault(m_history, m_activeFaults == 0, Clock::now());
+            recordFault(m_history, m_activeFaults + m_activeCrowds == 0, Clock::now());
+        });
+    }
+
+    /** Lets clients that do not behave connect to one port of an entry VM for some time. */
+    void injectCrowd()
+    {
+        const auto kind = static_cast<CrowdKind>(m_crowdRandom() % enumCount<CrowdKind>());
+        const SoakEntry &entry = *m_entries[m_crowdRandom() % m_entries.size()];
+        const Endpoint endpoint{.address = entry.address, .port = CrowdPorts[m_crowdRandom() % CrowdPorts.size()]};
+        m_crowd = std::make_unique<Crowd>(endpoint, crowdPlan(kind, CallerHost, "/v1/ready"), CrowdConnections);
+        ++m_activeCrowds;
+        recordFault(m_history, false, Clock::now());
+        runAfter(milliseconds(1000 + m_crowdRandom() % 3000), [this] {
+            m_crowd.reset();
+            --m_activeCrowds;
+            recordFault(m_history, m_activeFaults + m_activeCrowds == 0, Clock::now());
         });
     }
 
@@ -461,6 +484,8 @@
     SoakSettings m_settings;
     std::mt19937_64 m_random; ///< For the faults. Calls use m_callRandom, because their number differs between runs with the same seed.
     std::mt19937_64 m_callRandom;
+    std::mt19937_64 m_crowdRandom; ///< Crowds come beside the faults, so that the faults of a seed stay the same.
+    std::unique_ptr<Crowd> m_crowd;
     SoakHistory m_history;
     FakeStore m_store;
     std::deque<std::unique_ptr<SoakUpstream>> m_upstreams;
@@ -469,6 +494,7 @@
     std::map<HttpRequestId, OpenCall> m_openCalls;
     std::set<std::size_t> m_servingEntries;
     std::size_t m_activeFaults = 0;
+    std::size_t m_activeCrowds = 0;
     int m_version = 0;
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_lastUpstream = 0;
