--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -75,6 +75,8 @@
     StoreReturned = 1521,
     LogLinesDropped = 1522,
     EvacuationsChanged = 1523,
+    ConnectionReplaced = 1524,
+    AcceptFailed = 1525,
     ReloadRequested = 1530,
     StoreReadingChanged = 1540,
     FeedEnded = 1541,
