Leave the last probes to accounts within their share

Change: a call above its account's share does not probe once half of the probes that may be sent at once are used.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -346,6 +346,13 @@
     return true;
 }
 
+/** Returns whether less than half of the probes are left that may be sent at once. */
+bool areProbesScarce(const ProxyStepContext &context)
+{
+    const ProxyState &state = context.state;
+    return state.probeTokens < state.settings.probesPerSecond * ProbeBurstSeconds / 2.0;
+}
+
 void startProbes(ProxyStepContext &context, ProxyCallId id, const std::vector<PooledUpstream *> &candidates)
 {
     ProxyCall &call = context.state.calls.at(id);
@@ -429,7 +436,11 @@
     if (call.nextRoundAt > context.now || call.openCredit) {
         return;
     }
-    startProbes(context, id, candidates);
+    // Calls of accounts that send beyond their share leave the last probes to others.
+    const bool mayProbe = !call.isAboveShare || !areProbesScarce(context);
+    if (mayProbe) {
+        startProbes(context, id, candidates);
+    }
     if (call.openProbes > 0) {
         return;
     }
