Delegate shares as soon as they are free

After a loss of power of all VMs, the delegations began with the next renewal after the wait for earlier ones, up to 0.5 s late, and the second half of a share with the next one too. Both times now end a pause between renewals.

--- a/src/controllers/creditdelegator.cpp
+++ b/src/controllers/creditdelegator.cpp
@@ -158,6 +158,10 @@
 void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now)
 {
     rememberFleetSize(delegator.fleetSize, members.size(), now + FleetSizeValidity);
+    if (knowledge > delegator.knowledge) {
+        // More of the share may be delegated now.
+        delegator.nextRenewalAt = std::min(delegator.nextRenewalAt, now);
+    }
     delegator.knowledge = knowledge;
     delegator.candidates = orderCandidates(members);
     std::erase_if(delegator.contacts, [&](const auto &entry) {
@@ -180,6 +184,9 @@
     rememberFleetSize(delegator.fleetSize, liveMembers, now + FleetSizeValidity);
     const std::int64_t period = Duration(RenewalPeriod).count();
     delegator.nextRenewalAt = now + Duration(std::uniform_int_distribution<std::int64_t>(period * 9 / 10, period)(random));
+    if (delegator.quarantinedUntil > now) {
+        delegator.nextRenewalAt = std::min(delegator.nextRenewalAt, delegator.quarantinedUntil);
+    }
 
     std::vector<OutgoingDelegation> outgoing;
     std::vector<std::string> greetings;
