Check a configuration of the platform before it is sent

Operators had no way to see what gatewayd makes of a configuration before the store accepts it. plantainweirctl check-platform reads it with the decoder of gatewayd and reports errors with entry and field, entries that can never match, limits that contradict each other, and what differs from the version in force with what callers notice. Keys appear by the start of their digest only.

The checks and the differences are free functions over the route table (routetablecheck, routetablediff); only the reading of the text is in platform/. Tests on tables and files, and a fuzz run over damaged texts.

--- a/src/operators/reports.cpp
+++ b/src/operators/reports.cpp
@@ -46,6 +46,61 @@
     return array;
 }
 
+QJsonArray toJson(const std::vector<Finding> &findings)
+{
+    QJsonArray array;
+    for (const Finding &finding : findings) {
+        array.append(QJsonObject{{"severity", toQString(nameOf(finding.severity))},
+                                 {"entry", toQString(nameOf(finding.entry))},
+                                 {"name", toQString(finding.name)},
+                                 {"field", toQString(finding.field)},
+                                 {"message", toQString(finding.message)}});
+    }
+    return array;
+}
+
+QJsonArray toJson(const std::vector<RouteTableDifference> &differences)
+{
+    QJsonArray array;
+    for (const RouteTableDifference &row : differences) {
+        array.append(QJsonObject{{"kind", toQString(nameOf(row.difference.kind))},
+                                 {"item", toQString(row.difference.item)},
+                                 {"before", toQString(row.difference.before)},
+                                 {"after", toQString(row.difference.after)},
+                                 {"effect", toQString(row.effect)}});
+    }
+    return array;
+}
+
+std::size_t countOf(const RouteTableReport &report, FindingSeverity severity)
+{
+    return static_cast<std::size_t>(std::count_if(report.findings.begin(), report.findings.end(), [severity](const Finding &finding) {
+        return finding.severity == severity;
+    }));
+}
+
+std::string renderTable(const RouteTableReport &report)
+{
+    std::string text;
+    for (const Finding &finding : report.findings) {
+        text += toString(finding) + '\n';
+    }
+    for (const RouteTableDifference &row : report.differences) {
+        text += toString(row.difference) + '\n';
+        text += row.effect.empty() ? std::string() : fmt::format("    {}\n", row.effect);
+    }
+    if (report.isCompared && report.differences.empty()) {
+        text += "no difference from the version in force\n";
+    }
+    return text
+           + fmt::format("{} errors, {} warnings: {} routes, {} services, {} accounts\n",
+                         countOf(report, FindingSeverity::Error),
+                         countOf(report, FindingSeverity::Warning),
+                         report.routes,
+                         report.services,
+                         report.accounts);
+}
+
 /** Returns the command that shows the result of a write, or an empty text if the result is known. */
 std::string statusCommand(const ObjectChange &change)
 {
@@ -272,6 +327,22 @@
     return fmt::format("valid: {} services, {} upstreams, {} work kinds\n", report.services, report.upstreams, report.workKinds);
 }
 
+std::string render(const RouteTableReport &report, OutputFormat format)
+{
+    if (format == OutputFormat::Table) {
+        return renderTable(report);
+    }
+    QJsonObject object{{"isSound", countOf(report, FindingSeverity::Error) == 0},
+                       {"findings", toJson(report.findings)},
+                       {"routes", static_cast<qint64>(report.routes)},
+                       {"services", static_cast<qint64>(report.services)},
+                       {"accounts", static_cast<qint64>(report.accounts)}};
+    if (report.isCompared) {
+        object.insert("differences", toJson(report.differences));
+    }
+    return toText(object);
+}
+
 std::string render(const ChangeReport &report, OutputFormat format)
 {
     if (format == OutputFormat::Table) {
@@ -298,6 +369,15 @@
     return report.errors.empty() ? OperatorExitStatus::Success : OperatorExitStatus::Usage;
 }
 
+OperatorExitStatus exitStatusOf(const RouteTableReport &report)
+{
+    if (countOf(report, FindingSeverity::Error) > 0) {
+        return OperatorExitStatus::Usage;
+    }
+    const bool hasWarnings = countOf(report, FindingSeverity::Warning) > 0;
+    return report.isStrict && hasWarnings ? OperatorExitStatus::Failure : OperatorExitStatus::Success;
+}
+
 OperatorExitStatus exitStatusOf(const ChangeReport &report)
 {
     switch (report.result) {
--- a/src/operators/reports.h
+++ b/src/operators/reports.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "configuration/routetablecheck.h"
+#include "configuration/routetablediff.h"
 #include "configuration/sourcefile.h"
 #include "core/enumnames.h"
 #include "operators/changetask.h"
@@ -42,11 +44,25 @@
     std::size_t workKinds = 0;
 };
 
+/** Result of a check of a configuration in the platform's format. */
+struct RouteTableReport {
+    std::vector<Finding> findings;
+    bool isCompared = false; ///< Whether there was a version in force to compare with.
+    std::vector<RouteTableDifference> differences; ///< From the version in force.
+    std::size_t routes = 0;
+    std::size_t services = 0;
+    std::size_t accounts = 0;
+    bool isStrict = false; ///< Whether warnings make the check fail.
+};
+
 std::string render(const CheckReport &report, OutputFormat format);
+std::string render(const RouteTableReport &report, OutputFormat format);
 std::string render(const ChangeReport &report, OutputFormat format);
 std::string render(const StatusReport &report, OutputFormat format);
 
 OperatorExitStatus exitStatusOf(const CheckReport &report);
+/** Returns Usage if there are errors, and Failure if there are only warnings and the check is strict. */
+OperatorExitStatus exitStatusOf(const RouteTableReport &report);
 OperatorExitStatus exitStatusOf(const ChangeReport &report);
 OperatorExitStatus exitStatusOf(const StatusReport &report);
 
--- a/src/programs/plantainweirctl.cpp
+++ b/src/programs/plantainweirctl.cpp
@@ -5,6 +5,7 @@
 #include "operators/changetask.h"
 #include "operators/reports.h"
 #include "operators/statustask.h"
+#include "platform/configurationfile.h"
 #include "tasks/platformtask.h"
 
 #include <QCoreApplication>
@@ -22,15 +23,17 @@
 
 enum class Command {
     Check,
+    CheckPlatform,
     Apply,
     Status,
     Drain,
 };
 
-constexpr std::array<EnumName<Command>, 4> enumNames(Command)
+constexpr std::array<EnumName<Command>, 5> enumNames(Command)
 {
     return {{
         {Command::Check, "check"},
+        {Command::CheckPlatform, "check-platform"},
         {Command::Apply, "apply"},
         {Command::Status, "status"},
         {Command::Drain, "drain"},
@@ -40,6 +43,8 @@
 
 constexpr auto CommandHelp = "Commands:\n"
                              "  check                    check the inventory and the rules; changes nothing\n"
+                             "  check-platform           check a configuration in the platform's format; changes nothing. Exit statuses:\n"
+                             "                           0 no error, 1 warnings with --strict, 2 errors\n"
                              "  apply                    check both files, then write them to the platform\n"
                              "  status                   show what the platform stores and which versions daemons have in force\n"
                              "  drain SERVICE/UPSTREAM   give an upstream no new work; --undo ends the drain\n"
@@ -77,6 +82,9 @@
 {
     commandLine.addText("inventory", "CSV file of the upstreams, for check and apply", "");
     commandLine.addText("rules", "YAML file of the work kinds and the probe budget, for check and apply", "");
+    commandLine.addText("configuration", "JSON file of a configuration in the platform's format, for check-platform", "");
+    commandLine.addText("in-force", "JSON file of the configuration in force, with which check-platform compares", "");
+    commandLine.addNumber("retry-share", "--retry-share of the gatewayds, for check-platform; negative if not known", -1.0, 10.0, -1.0);
     commandLine.addEndpoint("platform", "the platform", "127.0.0.1:7900");
     commandLine.addInteger("timeout-ms", "time in milliseconds after which writes without a known result are reported as not known", 100, 3'600'000, 30'000);
     commandLine.addInteger("platform-calls-per-second", "maximum number of calls to the platform per second", 1, 500, 50);
@@ -84,6 +92,7 @@
     commandLine.addEndpointList("entry", "operators' ports of entryds and controlds, for status");
     commandLine.addText("write", "a write whose answer was lost, as OBJECT@BASE#ID, for status", "");
     commandLine.addSwitch("prune", "apply removes services that the inventory does not name");
+    commandLine.addSwitch("strict", "check-platform fails on warnings too");
     commandLine.addSwitch("undo", "drain ends the draining of the upstream instead");
     commandLine.addPositional("COMMAND", CommandHelp, 2);
 }
@@ -189,6 +198,69 @@
     return toExitStatus(exitStatusOf(files.report));
 }
 
+/** Reads a file and its findings; adds the reason to @p findings if it cannot be read. */
+Platform::ConfigurationFile readPlatformFile(const std::string &path)
+{
+    std::vector<FileError> errors;
+    const auto text = collectErrors(
+        [&path] {
+            return readSourceFile(path);
+        },
+        errors);
+    if (text) {
+        return Platform::readConfigurationFile(*text);
+    }
+    Platform::ConfigurationFile unread;
+    for (const FileError &error : errors) {
+        unread.findings.push_back(
+            {.severity = FindingSeverity::Error, .entry = FindingEntry::Configuration, .name = {}, .field = {}, .message = toString(error)});
+    }
+    return unread;
+}
+
+FleetSettings fleetSettings(const CommandLine &commandLine)
+{
+    const double retryShare = commandLine.number("retry-share");
+    return {.retryShare = retryShare < 0.0 ? std::nullopt : std::optional(retryShare)};
+}
+
+int checkPlatform(const CommandLine &commandLine, OutputFormat format)
+{
+    const Platform::ConfigurationFile file = readPlatformFile(commandLine.text("configuration"));
+    RouteTableReport report{.findings = file.findings, .isStrict = commandLine.isOn("strict")};
+    if (file.table) {
+        const std::vector<Finding> findings = findingsIn(*file.table, fleetSettings(commandLine));
+        report.findings.insert(report.findings.end(), findings.begin(), findings.end());
+        report.routes = file.table->routes.size();
+        report.services = file.table->services.size();
+        report.accounts = file.table->accounts.size();
+    } else {
+        report.findings.push_back({.severity = FindingSeverity::Error,
+                                   .entry = FindingEntry::Configuration,
+                                   .name = {},
+                                   .field = {},
+                                   .message = "gatewayd would not put this configuration into force"});
+    }
+    const std::string inForcePath = commandLine.text("in-force");
+    if (file.table && !inForcePath.empty()) {
+        const Platform::ConfigurationFile inForce = readPlatformFile(inForcePath);
+        if (!inForce.table) {
+            return failUsage(fmt::format("--in-force is \"{}\"; allowed: a file with a configuration that gatewayd accepts", inForcePath));
+        }
+        report.isCompared = true;
+        report.differences = differences(*inForce.table, *file.table);
+        if (file.table->version <= inForce.table->version) {
+            report.findings.push_back({.severity = FindingSeverity::Error,
+                                       .entry = FindingEntry::Configuration,
+                                       .name = {},
+                                       .field = "version",
+                                       .message = fmt::format("{} is not above {}, which is in force", file.table->version, inForce.table->version)});
+        }
+    }
+    fmt::print("{}", render(report, format));
+    return toExitStatus(exitStatusOf(report));
+}
+
 int apply(QCoreApplication &application, const CommandLine &commandLine, OutputFormat format)
 {
     const ConfigurationFiles files = readFiles(commandLine);
@@ -239,16 +311,21 @@
     const std::string commandName = commandLine.positional().empty() ? std::string() : commandLine.positional().front();
     const auto command = valueNamed<Command>(commandName);
     if (!command) {
-        return failUsage(fmt::format("the command is \"{}\"; allowed: check, apply, status, drain", commandName));
+        return failUsage(fmt::format("the command is \"{}\"; allowed: check, check-platform, apply, status, drain", commandName));
     }
     const OutputFormat format = valueNamed<OutputFormat>(commandLine.text("output")).value_or(OutputFormat::Table);
     const bool needsFiles = command == Command::Check || command == Command::Apply;
     if (needsFiles && (commandLine.text("inventory").empty() || commandLine.text("rules").empty())) {
         return failUsage(fmt::format("--inventory and --rules are needed for {}; allowed: the path of a file each", commandName));
     }
+    if (command == Command::CheckPlatform && commandLine.text("configuration").empty()) {
+        return failUsage("--configuration is needed for check-platform; allowed: the path of a file");
+    }
     switch (*command) {
     case Command::Check:
         return check(commandLine, format);
+    case Command::CheckPlatform:
+        return checkPlatform(commandLine, format);
     case Command::Apply:
         return apply(application, commandLine, format);
     case Command::Status:
--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -114,6 +114,64 @@
     EXPECT_EQ(counts.lists + counts.reads + counts.writes + counts.watches, 0U);
 }
 
+/** A configuration in the platform's format with one service and @p resources. */
+std::string platformConfiguration(int version, const std::string &resources)
+{
+    return R"({"version":)" + std::to_string(version)
+           + R"(,"resources":[{"resourceKind":"services","metadata":{"name":"till"},"spec":{"healthPath":"/health","maxConnections":9}},)" + resources + "]}";
+}
+
+std::string platformRoute(const std::string &name, const std::string &more)
+{
+    return R"({"resourceKind":"routes","metadata":{"name":")" + name + R"("},"spec":{"host":"h.example","pathPrefix":"/)" + name
+           + R"(/","timeout":"2s","targetLatency":"250ms","kind":"safe")" + more + "}}";
+}
+
+TEST_F(CtlTest, CheckPlatformReportsEveryErrorInOneRun)
+{
+    writeFile("c.json", platformConfiguration(2, platformRoute("a", R"(,"service":"absent","colour":"red")") + "," + platformRoute("b", R"(,"service":7)")));
+    const Outcome outcome = run({"check-platform", "--configuration", m_folder.filePath("c.json")});
+    EXPECT_EQ(outcome.exitStatus, 2);
+    EXPECT_FALSE(outcome.json().value("isSound").toBool());
+    std::set<QString> messages;
+    for (const QJsonValue finding : outcome.json().value("findings").toArray()) {
+        messages.insert(finding["name"].toString() + " " + finding["field"].toString() + ": " + finding["message"].toString());
+    }
+    EXPECT_TRUE(messages.contains("a colour: is not known and is ignored"));
+    EXPECT_TRUE(messages.contains("a service: the service \"absent\" does not exist"));
+    EXPECT_TRUE(messages.contains("b service: is not a text"));
+}
+
+TEST_F(CtlTest, CheckPlatformFailsOnWarningsOnlyIfItIsStrict)
+{
+    writeFile("c.json", platformConfiguration(2, platformRoute("a", R"(,"service":"till","colour":"red")")));
+    const QStringList arguments{"check-platform", "--configuration", m_folder.filePath("c.json")};
+    EXPECT_EQ(run(arguments).exitStatus, 0);
+    EXPECT_EQ(run(arguments + QStringList{"--strict"}).exitStatus, 1);
+}
+
+TEST_F(CtlTest, CheckPlatformComparesWithTheVersionInForce)
+{
+    writeFile("old.json", platformConfiguration(2, platformRoute("a", R"(,"service":"till")")));
+    writeFile("new.json", platformConfiguration(3, platformRoute("b", R"(,"service":"till")")));
+    const Outcome outcome = run({"check-platform", "--configuration", m_folder.filePath("new.json"), "--in-force", m_folder.filePath("old.json")});
+    EXPECT_EQ(outcome.exitStatus, 0);
+    const QJsonArray differences = outcome.json().value("differences").toArray();
+    ASSERT_EQ(differences.size(), 2);
+    EXPECT_EQ(differences.at(0)["item"].toString(), "route a");
+    EXPECT_EQ(differences.at(0)["effect"].toString(), "calls are refused as not found");
+    EXPECT_EQ(run({"check-platform", "--configuration", m_folder.filePath("old.json"), "--in-force", m_folder.filePath("new.json")}).exitStatus, 2);
+}
+
+TEST_F(CtlTest, CheckPlatformNeverShowsAKey)
+{
+    const std::string account = R"({"resourceKind":"tenants","metadata":{"name":"t"},"spec":{"apiKeys":["secret-1"],"ratePerS":"secret-2","burst":1}})";
+    writeFile("c.json", platformConfiguration(2, platformRoute("a", R"(,"service":"till")") + "," + account));
+    const Outcome outcome = run({"check-platform", "--configuration", m_folder.filePath("c.json")});
+    EXPECT_EQ(outcome.exitStatus, 2);
+    EXPECT_EQ((outcome.output + outcome.errors).find("secret"), std::string::npos);
+}
+
 TEST_F(CtlTest, UsageErrorNamesTheAllowedValues)
 {
     for (const QStringList &arguments : {QStringList{}, {"aply"}, {"apply"}, {"drain", "rinkdesk"}, {"status", "--write", "x"}}) {
--- a/tests/decoderfuzztest.cpp
+++ b/tests/decoderfuzztest.cpp
@@ -1,11 +1,13 @@
 #include "http/httpcodec.h"
 #include "platform/callcodec.h"
+#include "platform/configurationfile.h"
 #include "platform/storecodec.h"
 #include "rpc/membershipmessages.h"
 #include "rpc/storemessages.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <random>
 
@@ -166,6 +168,24 @@
     EXPECT_GT(decoded, 0U);
 }
 
+TEST_F(DecoderFuzz, DamagedConfigurationsHaveATableOrAnError)
+{
+    const std::string text = R"({"version":7,"resources":[{"resourceKind":"routes","metadata":{"name":"a"},"spec":{"host":"h","pathPrefix":"/a/",)"
+                             R"("kind":"safe","timeout":"2s","targetLatency":"250ms","split":[{"service":"s","weight":9}]}},)"
+                             R"({"resourceKind":"services","metadata":{"name":"s"},"spec":{"healthPath":"/h","maxConnections":9}},)"
+                             R"({"resourceKind":"tenants","metadata":{"name":"t"},"spec":{"apiKeys":["k"],"ratePerS":2.5,"burst":3}}]})";
+    for (std::size_t message = 0; message < messageCount() / 10; ++message) {
+        const Platform::ConfigurationFile file = Platform::readConfigurationFile(damaged(text));
+        const bool hasError = std::any_of(file.findings.begin(), file.findings.end(), [](const Finding &finding) {
+            return finding.severity == FindingSeverity::Error;
+        });
+        ASSERT_TRUE(file.table || hasError);
+        if (file.table) {
+            findingsIn(*file.table, {});
+        }
+    }
+}
+
 TEST_F(DecoderFuzz, DamagedRequestsStayWithinTheLimits)
 {
     const std::vector<std::string> requests{
