Name the accounts that share a key in the check of a configuration

gatewayd refuses such a configuration as a whole, so that the check said only that. It looks at the table before the accounts are validated now, and names both accounts.

--- a/src/programs/plantainweirctl.cpp
+++ b/src/programs/plantainweirctl.cpp
@@ -234,7 +234,8 @@
         report.routes = file.table->routes.size();
         report.services = file.table->services.size();
         report.accounts = file.table->accounts.size();
-    } else {
+    }
+    if (!file.isAccepted) {
         report.findings.push_back({.severity = FindingSeverity::Error,
                                    .entry = FindingEntry::Configuration,
                                    .name = {},
@@ -244,7 +245,7 @@
     const std::string inForcePath = commandLine.text("in-force");
     if (file.table && !inForcePath.empty()) {
         const Platform::ConfigurationFile inForce = readPlatformFile(inForcePath);
-        if (!inForce.table) {
+        if (!inForce.isAccepted) {
             return failUsage(fmt::format("--in-force is \"{}\"; allowed: a file with a configuration that gatewayd accepts", inForcePath));
         }
         report.isCompared = true;
--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -163,6 +163,18 @@
     EXPECT_EQ(run({"check-platform", "--configuration", m_folder.filePath("old.json"), "--in-force", m_folder.filePath("new.json")}).exitStatus, 2);
 }
 
+TEST_F(CtlTest, CheckPlatformNamesTwoAccountsWithOneKey)
+{
+    const auto account = [](const std::string &name) {
+        return R"({"resourceKind":"tenants","metadata":{"name":")" + name + R"("},"spec":{"apiKeys":["secret-1"]}})";
+    };
+    writeFile("c.json", platformConfiguration(2, platformRoute("a", R"(,"service":"till")") + "," + account("t") + "," + account("u")));
+    const Outcome outcome = run({"check-platform", "--configuration", m_folder.filePath("c.json")});
+    EXPECT_EQ(outcome.exitStatus, 2);
+    EXPECT_NE(outcome.output.find("shares a key with the account \\\"t\\\""), std::string::npos) << outcome.output;
+    EXPECT_EQ(outcome.output.find("secret"), std::string::npos);
+}
+
 TEST_F(CtlTest, CheckPlatformNeverShowsAKey)
 {
     const std::string account = R"({"resourceKind":"tenants","metadata":{"name":"t"},"spec":{"apiKeys":["secret-1"],"ratePerS":"secret-2","burst":1}})";
--- a/tests/decoderfuzztest.cpp
+++ b/tests/decoderfuzztest.cpp
@@ -199,6 +199,7 @@
             return finding.severity == FindingSeverity::Error;
         });
         ASSERT_TRUE(file.table || hasError);
+        ASSERT_TRUE(file.table || !file.isAccepted);
         if (file.table) {
             findingsIn(*file.table, {});
         }
