--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -232,7 +232,7 @@
             connection.bodyStartedAt = Clock::now();
         }
         const std::chrono::milliseconds paceTime(1000 * connection.decoder->bodyBytes() / m_limits.bodyBytesPerSecond);
-        connection.deadline = connection.bodyStartedAt + m_limits.requestTimeout + paceTime;
+        connection.deadline = connection.bodyStartedAt + std::max(m_limits.requestTimeout, m_limits.idleTimeout) + paceTime;
     }
 
     /** Returns the approximate memory that the client of @p connection makes this process hold. */
@@ -268,12 +268,12 @@
 
     static PeerActivity activityOf(const Connection &connection)
     {
-        if (connection.isClosing) {
-            return PeerActivity::Closing;
-        }
         if (!connection.exchanges.empty() || connection.stream->unsentBytes() > 0) {
             return PeerActivity::Answering;
         }
+        if (connection.isClosing) {
+            return PeerActivity::Closing;
+        }
         return connection.hasPartialRequest ? PeerActivity::Receiving : PeerActivity::Idle;
     }
 
@@ -451,6 +451,9 @@
             }
         }
         connection.deadline = Clock::now() + (connection.hasPartialRequest ? m_limits.requestTimeout : m_limits.idleTimeout);
+        if (connection.hasPartialRequest) {
+            extendDeadline(connection);
+        }
         if (connection.buffer.empty() && !connection.isReadingPaused) {
             return;
         }
--- a/src/http/tcpstream.cpp
+++ b/src/http/tcpstream.cpp
@@ -165,6 +165,7 @@
             const ssize_t count = ::send(m_descriptor, m_outgoing.data() + m_sentOffset, m_outgoing.size() - m_sentOffset, SendFlags);
             if (count < 0) {
                 if (isRetryable(errno)) {
+                    freeSentPart();
                     m_writeNotifier->setEnabled(true);
                     return;
                 }
@@ -185,6 +186,15 @@
         }
     }
 
+    /** Frees the sent part once it is a quarter, so that a peer that stops reading keeps little more than what it has not read. */
+    void freeSentPart()
+    {
+        if (m_sentOffset > m_outgoing.size() / 4) {
+            m_outgoing = m_outgoing.substr(m_sentOffset);
+            m_sentOffset = 0;
+        }
+    }
+
     /** Frees the buffer, so that an idle connection does not keep memory of the size of its largest message. */
     void discardOutgoing()
     {
--- a/tests/tcpstreamtest.cpp
+++ b/tests/tcpstreamtest.cpp
@@ -9,6 +9,8 @@
 
 #include <memory>
 
+#include <malloc.h>
+
 namespace Plantainweir {
 namespace {
 
@@ -283,6 +285,88 @@
     EXPECT_LE(server.connectionCount(), MaximumOpen);
 }
 
+// Guards against clients that stop reading shortly before the end: the account counts only what is not sent.
+TEST(HttpServerMemory, TheReadPartOfAResponseIsFreed)
+{
+    constexpr std::size_t ResponseBytes = 64 * 1024 * 1024;
+    constexpr std::size_t ReadBytes = ResponseBytes - 16 * 1024 * 1024;
+    HttpServer server(HttpLimits{});
+    ASSERT_TRUE(server.listen({.address = "127.0.0.1", .port = 0}));
+    QObject::connect(&server, &HttpServer::requestReceived, &server, [&server](HttpExchangeId exchange) {
+        server.respond(exchange, {.status = 200, .fields = {}, .body = std::string(ResponseBytes, 'x')});
+    });
+    const auto allocatedBytes = [] {
+        const auto usage = ::mallinfo2();
+        return usage.uordblks + usage.hblkhd;
+    };
+    const std::size_t before = allocatedBytes();
+    QTcpSocket client;
+    client.setReadBufferSize(64 * 1024);
+    client.connectToHost(QHostAddress::LocalHost, server.port());
+    client.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::size_t readBytes = 0;
+    ASSERT_TRUE(waitUntil([&] {
+        readBytes += static_cast<std::size_t>(client.readAll().size());
+        return readBytes >= ReadBytes;
+    }));
+    QCoreApplication::processEvents();
+    EXPECT_EQ(server.connectionCount(), 1U);
+    EXPECT_LE(allocatedBytes() - before, ResponseBytes / 2);
+}
+
+// Guards against half a response: a connection that closes after its last response may still be sending it.
+TEST(HttpServerMemory, AConnectionThatStillSendsItsLastResponseIsNotReplaced)
+{
+    constexpr std::size_t ResponseBytes = 64 * 1024 * 1024;
+    HttpServer server(HttpLimits{.connections = 1});
+    ASSERT_TRUE(server.listen({.address = "127.0.0.1", .port = 0}));
+    bool isAnswered = false;
+    QObject::connect(&server, &HttpServer::requestReceived, &server, [&](HttpExchangeId exchange) {
+        server.respond(exchange, {.status = 200, .fields = {}, .body = std::string(ResponseBytes, 'x')});
+        isAnswered = true;
+    });
+    QTcpSocket client;
+    client.setReadBufferSize(64 * 1024);
+    client.connectToHost(QHostAddress::LocalHost, server.port());
+    client.write("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(waitUntil([&isAnswered] {
+        return isAnswered;
+    }));
+    QTcpSocket other;
+    other.connectToHost(QHostAddress::LocalHost, server.port());
+    EXPECT_TRUE(waitUntil([&other] {
+        return other.state() == QAbstractSocket::UnconnectedState;
+    })) << "the new connection is the one that goes";
+    std::size_t readBytes = 0;
+    EXPECT_TRUE(waitUntil([&] {
+        readBytes += static_cast<std::size_t>(client.readAll().size());
+        return readBytes >= ResponseBytes;
+    }));
+}
+
+// Guards against a limit that a slow client inside the limits meets: its header is complete in time, and no limit is on its body.
+TEST(HttpServerMemory, ASlowBodyMayTakeTheIdleTimeout)
+{
+    HttpServer server(HttpLimits{.requestTimeout = std::chrono::milliseconds(300), .idleTimeout = std::chrono::milliseconds(30'000)});
+    ASSERT_TRUE(server.listen({.address = "127.0.0.1", .port = 0}));
+    bool isReceived = false;
+    QObject::connect(&server, &HttpServer::requestReceived, &server, [&](HttpExchangeId exchange) {
+        server.respond(exchange, {.status = 200, .fields = {}, .body = {}});
+        isReceived = true;
+    });
+    QTcpSocket client;
+    client.connectToHost(QHostAddress::LocalHost, server.port());
+    client.write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\na");
+    const TimePoint end = Clock::now() + std::chrono::milliseconds(1500);
+    ASSERT_TRUE(waitUntil([end] {
+        return Clock::now() > end;
+    }));
+    client.write("b");
+    EXPECT_TRUE(waitUntil([&isReceived] {
+        return isReceived;
+    }));
+}
+
 TEST_F(RawClientTest, ConnectionFieldsAreNotForwarded)
 {
     socket.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n\r\n");
