--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -239,7 +239,9 @@
     static std::size_t heldBytes(const Connection &connection)
     {
         const std::size_t received = connection.buffer.capacity() + connection.decoder->memoryBytes() + unansweredBytes(connection);
-        return received + unreadBytes(connection) + ConnectionOverhead;
+        // Other connections are read as soon as bytes arrive.
+        const std::size_t waiting = connection.isReadingPaused ? connection.stream->waitingBytes() : 0;
+        return received + waiting + unreadBytes(connection) + ConnectionOverhead;
     }
 
     void updateHeldBytes(Connection &connection)
@@ -347,6 +349,7 @@
     {
         closeExpiredConnections();
         acceptAgain();
+        countWaitingBytes();
         // Otherwise the allocator keeps what a crowd has made it allocate.
         if (m_mostHeldBytes > m_limits.totalBytes / 2 && m_heldBytes < m_mostHeldBytes / 2) {
             m_mostHeldBytes = m_heldBytes;
@@ -354,6 +357,17 @@
         }
     }
 
+    /** There is no event for bytes that arrive while reading is paused. */
+    void countWaitingBytes()
+    {
+        for (const auto &[stream, connection] : m_connections) {
+            if (connection->isReadingPaused) {
+                updateHeldBytes(*connection);
+            }
+        }
+        releaseHeldBytes();
+    }
+
     void takeRequest(Connection &connection)
     {
         connection.isKeepAlive = connection.decoder->isKeepAlive();
--- a/src/http/tcpstream.cpp
+++ b/src/http/tcpstream.cpp
@@ -12,6 +12,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -354,4 +355,11 @@
     return d->m_outgoing.size() - d->m_sentOffset;
 }
 
+std::size_t TcpStream::waitingBytes() const
+{
+    int bytes = 0;
+    const bool isKnown = d->m_descriptor >= 0 && ::ioctl(d->m_descriptor, FIONREAD, &bytes) == 0;
+    return isKnown && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 }
--- a/tests/tcpstreamtest.cpp
+++ b/tests/tcpstreamtest.cpp
@@ -7,6 +7,7 @@
 
 #include <QTcpSocket>
 
+#include <algorithm>
 #include <memory>
 
 #include <malloc.h>
@@ -285,6 +286,39 @@
     EXPECT_LE(server.connectionCount(), MaximumOpen);
 }
 
+// Guards against clients that send ahead: what the system holds for a connection that is not read counts toward the memory of the VM.
+TEST(HttpServerMemory, BytesThatWaitInTheSystemCount)
+{
+    constexpr std::size_t ClientCount = 20;
+    constexpr std::size_t FirstBytes = 66 * 1024;
+    // More than the server itself holds of each client: a string of the first bytes, which has doubled.
+    constexpr std::size_t HeldBytes = 140 * 1024;
+    HttpServer server(HttpLimits{.totalBytes = ClientCount * HeldBytes});
+    ASSERT_TRUE(server.listen({.address = "127.0.0.1", .port = 0}));
+    std::size_t requestCount = 0;
+    QObject::connect(&server, &HttpServer::requestReceived, &server, [&requestCount] {
+        ++requestCount;
+    });
+    std::vector<std::unique_ptr<QTcpSocket>> clients;
+    for (std::size_t index = 0; index < ClientCount; ++index) {
+        clients.push_back(std::make_unique<QTcpSocket>());
+        clients.back()->connectToHost(QHostAddress::LocalHost, server.port());
+        clients.back()->write("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n" + QByteArray(FirstBytes, 'x'));
+    }
+    ASSERT_TRUE(waitUntil([&] {
+        return requestCount == ClientCount && std::all_of(clients.begin(), clients.end(), [](const auto &client) {
+                   return client->bytesToWrite() == 0;
+               });
+    }));
+    EXPECT_EQ(server.connectionCount(), ClientCount);
+    for (const auto &client : clients) {
+        client->write(QByteArray(8 * FirstBytes, 'x'));
+    }
+    EXPECT_TRUE(waitUntil([&server] {
+        return server.connectionCount() < ClientCount;
+    }));
+}
+
 // Guards against clients that stop reading shortly before the end: the account counts only what is not sent.
 TEST(HttpServerMemory, TheReadPartOfAResponseIsFreed)
 {
