--- a/src/http/httpserver.h
+++ b/src/http/httpserver.h
@@ -18,9 +18,10 @@
  *
  * Limits the sizes of headers and bodies, the number of connections, the time in which a request must be complete and the
  * idle time of a connection. One account holds all that clients make the process keep: received bytes, decoded headers, bodies
- * of incomplete requests, bytes that wait while a connection is not read, headers of unanswered ones and responses that clients have not read. If it exceeds the limit, those
- * that hold most for longest are refused or closed (decision/peermemory.h). Pipelined requests with safe methods are processed concurrently and answered in
- * order; a request with another method waits until all requests before it are answered.
+ * of incomplete requests, bytes that wait while a connection is not read, headers of unanswered requests and responses that
+ * clients have not read. If it exceeds the limit, those that hold most for longest are refused or closed
+ * (decision/peermemory.h). Pipelined requests with safe methods are processed concurrently and answered in order; a request
+ * with another method waits until all requests before it are answered.
  */
 class HttpServer : public QObject
 {
