--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -232,14 +232,16 @@
             connection.bodyStartedAt = Clock::now();
         }
         const std::chrono::milliseconds paceTime(1000 * connection.decoder->bodyBytes() / m_limits.bodyBytesPerSecond);
-        connection.deadline = connection.bodyStartedAt + m_limits.requestTimeout + paceTime;
+        connection.deadline = connection.bodyStartedAt + std::max(m_limits.requestTimeout, m_limits.idleTimeout) + paceTime;
     }
 
     /** Returns the approximate memory that the client of @p connection makes this process hold. */
     static std::size_t heldBytes(const Connection &connection)
     {
         const std::size_t received = connection.buffer.capacity() + connection.decoder->memoryBytes() + unansweredBytes(connection);
-        return received + unreadBytes(connection) + ConnectionOverhead;
+        // Other connections are read as soon as bytes arrive.
+        const std::size_t waiting = connection.isReadingPaused ? connection.stream->waitingBytes() : 0;
+        return received + waiting + unreadBytes(connection) + ConnectionOverhead;
     }
 
     void updateHeldBytes(Connection &connection)
@@ -268,12 +270,12 @@
 
     static PeerActivity activityOf(const Connection &connection)
     {
-        if (connection.isClosing) {
-            return PeerActivity::Closing;
-        }
         if (!connection.exchanges.empty() || connection.stream->unsentBytes() > 0) {
             return PeerActivity::Answering;
         }
+        if (connection.isClosing) {
+            return PeerActivity::Closing;
+        }
         return connection.hasPartialRequest ? PeerActivity::Receiving : PeerActivity::Idle;
     }
 
@@ -347,6 +349,7 @@
     {
         closeExpiredConnections();
         acceptAgain();
+        countWaitingBytes();
         // Otherwise the allocator keeps what a crowd has made it allocate.
         if (m_mostHeldBytes > m_limits.totalBytes / 2 && m_heldBytes < m_mostHeldBytes / 2) {
             m_mostHeldBytes = m_heldBytes;
@@ -354,6 +357,17 @@
         }
     }
 
+    /** There is no event for bytes that arrive while reading is paused. */
+    void countWaitingBytes()
+    {
+        for (const auto &[stream, connection] : m_connections) {
+            if (connection->isReadingPaused) {
+                updateHeldBytes(*connection);
+            }
+        }
+        releaseHeldBytes();
+    }
+
     void takeRequest(Connection &connection)
     {
         connection.isKeepAlive = connection.decoder->isKeepAlive();
@@ -451,6 +465,9 @@
             }
         }
         connection.deadline = Clock::now() + (connection.hasPartialRequest ? m_limits.requestTimeout : m_limits.idleTimeout);
+        if (connection.hasPartialRequest) {
+            extendDeadline(connection);
+        }
         if (connection.buffer.empty() && !connection.isReadingPaused) {
             return;
         }
--- a/src/http/tcpstream.cpp
+++ b/src/http/tcpstream.cpp
@@ -12,6 +12,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -165,6 +166,7 @@
             const ssize_t count = ::send(m_descriptor, m_outgoing.data() + m_sentOffset, m_outgoing.size() - m_sentOffset, SendFlags);
             if (count < 0) {
                 if (isRetryable(errno)) {
+                    freeSentPart();
                     m_writeNotifier->setEnabled(true);
                     return;
                 }
@@ -185,6 +187,15 @@
         }
     }
 
+    /** Frees the sent part once it is a quarter, so that a peer that stops reading keeps little more than what it has not read. */
+    void freeSentPart()
+    {
+        if (m_sentOffset > m_outgoing.size() / 4) {
+            m_outgoing = m_outgoing.substr(m_sentOffset);
+            m_sentOffset = 0;
+        }
+    }
+
     /** Frees the buffer, so that an idle connection does not keep memory of the size of its largest message. */
     void discardOutgoing()
     {
@@ -344,4 +355,11 @@
     return d->m_outgoing.size() - d->m_sentOffset;
 }
 
+std::size_t TcpStream::waitingBytes() const
+{
+    int bytes = 0;
+    const bool isKnown = d->m_descriptor >= 0 && ::ioctl(d->m_descriptor, FIONREAD, &bytes) == 0;
+    return isKnown && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 }
