--- a/tests/creditfleet.h
+++ b/tests/creditfleet.h
@@ -332,6 +332,18 @@
         publishView(index);
     }
 
+    /** Raises the knowledge of the VM after @p time, unless it finds more members before. */
+    void scheduleKnowledge(std::size_t index, FleetKnowledge knowledge, Duration time)
+    {
+        const Vm &vm = m_vms[index];
+        schedule(m_now + time, [this, index, knowledge, expected = vm.convergesAt, run = vm.run] {
+            if (m_vms[index].run == run && m_vms[index].convergesAt == expected && m_vms[index].knowledge < knowledge) {
+                m_vms[index].knowledge = knowledge;
+                publishView(index);
+            }
+        });
+    }
+
     /** The members have found each other once no more have been found for three seconds, and probably have after one. */
     void publishView(std::size_t index)
     {
@@ -339,15 +351,8 @@
         if (vm.view.size() > vm.largestView) {
             vm.largestView = vm.view.size();
             vm.convergesAt = m_now + std::chrono::seconds(3);
-            for (const auto &[after, knowledge] :
-                 {std::pair(std::chrono::seconds(1), FleetKnowledge::Settled), {std::chrono::seconds(3), FleetKnowledge::Converged}}) {
-                schedule(m_now + after, [this, index, knowledge, expected = vm.convergesAt, run = vm.run] {
-                    if (m_vms[index].run == run && m_vms[index].convergesAt == expected && m_vms[index].knowledge < knowledge) {
-                        m_vms[index].knowledge = knowledge;
-                        publishView(index);
-                    }
-                });
-            }
+            scheduleKnowledge(index, FleetKnowledge::Settled, std::chrono::seconds(1));
+            scheduleKnowledge(index, FleetKnowledge::Converged, std::chrono::seconds(3));
         }
         std::vector<CreditMember> members;
         for (const std::size_t member : vm.view) {
