Find what gatewayd ignores in a configuration of the platform

check-platform passed routes without a destination, keys that are not well-formed, numbers beyond 32 bits and second entries of one name, and said nothing of the reason if accounts share a name or a key, because there is no table then. It refused null, which gatewayd reads as absent.

--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -15,6 +15,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 /** Runs plantainweirctl as a process against the fake platform; no test waits for a fixed time, only for processes to end. */
@@ -163,6 +164,36 @@
     EXPECT_EQ(run({"check-platform", "--configuration", m_folder.filePath("old.json"), "--in-force", m_folder.filePath("new.json")}).exitStatus, 2);
 }
 
+TEST_F(CtlTest, CheckPlatformFindsWhatGatewaydIgnores)
+{
+    const auto account = [](const QString &name, const QString &fields) {
+        return QString(R"(,{"resourceKind":"tenants","metadata":{"name":"%1"},"spec":{%2}})").arg(name, fields).toStdString();
+    };
+    const std::string route = platformRoute("a", R"(,"service":"till")");
+    const auto messagesFor = [&](const std::string &resources) {
+        writeFile("c.json", platformConfiguration(2, resources));
+        const Outcome outcome = run({"check-platform", "--configuration", m_folder.filePath("c.json")});
+        EXPECT_EQ((outcome.output + outcome.errors).find("secret"), std::string::npos);
+        return outcome;
+    };
+    EXPECT_EQ(messagesFor(route + account("t", R"("apiKeys":["secret-1"],"priority":null)")).exitStatus, 0);
+    const std::map<std::string, std::string> cases{
+        {platformRoute("b", ""), "there is no split, so gatewayd ignores the route"},
+        {platformRoute("b", R"(,"service":"till","maxAttempts":5000000000)"), "is not a whole number from 0 to 4294967295"},
+        {route + account("t", R"("apiKeys":["secret-1"],"priority":5000000000)"), "is not a whole number from 0 to 4294967295"},
+        {route + account("t", R"("apiKeys":["secret-1","secret 2"])"), "contains a key that is not 1 to 256 visible characters"},
+        {route + account("t t", R"("apiKeys":["secret-1"])"), "no call belongs to the account"},
+        {route + account("t", R"("apiKeys":["secret-1"])") + account("u", R"("apiKeys":["secret-1"])"), "shares a key with the account"},
+        {route + account("t", R"("apiKeys":["secret-1"])") + account("t", R"("apiKeys":["secret-2"])"), "another account has the same name"},
+        {route + R"(,{"resourceKind":"limits","spec":{}},{"resourceKind":"limits","spec":{}})", "only the last counts"},
+    };
+    for (const auto &[resources, message] : cases) {
+        const Outcome outcome = messagesFor(resources);
+        EXPECT_EQ(outcome.exitStatus, 2) << message;
+        EXPECT_NE(outcome.output.find(message), std::string::npos) << message << outcome.output;
+    }
+}
+
 TEST_F(CtlTest, CheckPlatformNeverShowsAKey)
 {
     const std::string account = R"({"resourceKind":"tenants","metadata":{"name":"t"},"spec":{"apiKeys":["secret-1"],"ratePerS":"secret-2","burst":1}})";
