Merge faults that a review of the configuration check found

A quota whose burst is below one call is a warning now, no error: calls pass by the part of the tolerated excess that gatewayd uses, so that "never" was wrong.

--- a/src/configuration/routetablecheck.cpp
+++ b/src/configuration/routetablecheck.cpp
@@ -136,8 +136,9 @@
             }
         }
         if (account.callsPerSecond > 0.0 && account.burst < 1.0) {
-            addError(
-                target, "burst", fmt::format("a burst of {} never lets a call pass, although {} a second are allowed", account.burst, account.callsPerSecond));
+            // A call passes only because gatewayd uses part of the excess that the platform tolerates.
+            addWarning(
+                target, "burst", fmt::format("a burst of {} is below one call, although {} a second are allowed", account.burst, account.callsPerSecond));
         }
         if (account.callsPerSecond <= 0.0 && account.burst > 0.0) {
             addWarning(target, "burst", "has no effect without a limit on calls a second");
