--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -184,7 +184,7 @@
     const std::string route = platformRoute("a", R"(,"service":"till")");
     const auto messagesFor = [&](const std::string &resources) {
         writeFile("c.json", platformConfiguration(2, resources));
-        const Outcome outcome = run({"check-platform", "--configuration", m_folder.filePath("c.json")});
+        Outcome outcome = run({"check-platform", "--configuration", m_folder.filePath("c.json")});
         EXPECT_EQ((outcome.output + outcome.errors).find("secret"), std::string::npos);
         return outcome;
     };
