Take cancelled attempts off the estimated load while calls are hedged

Cause: an attempt that was cancelled, because the other one answered first, stayed in the number of calls sent since the last load report.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -118,6 +118,10 @@
         ProxyService &service = serviceOf(context, attempt->second.service);
         if (PooledUpstream *upstream = findUpstream(service.pool, attempt->second.upstream)) {
             --upstream->inFlight;
+            if (context.state.settings.hedgeShare > 0.0) {
+                // Otherwise upstreams that often lose against hedges would seem full.
+                recordEndWithoutLoadReport(*upstream);
+            }
         }
         if (call.admitted.repeatability == Repeatability::Idempotent) {
             recordCancelled(service.hedging, context.now - attempt->second.startedAt);
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -513,12 +513,15 @@
 
 TEST_F(GatewayTest, SlowCallsThatMayBeRepeatedAreHedged)
 {
-    constexpr int Rounds = 8;
+    constexpr int Rounds = 24; // Each slow call goes to one of the two upstreams at random.
     constexpr int UsualCalls = 32; // Before each slow one, so that both budgets have a token for it.
     RoutedUpstream other("i-2");
     store.put("config", "main", configurationForReads(4));
     store.put("servers", "i-2", other.registration());
     settings.hedgeShare = 1.0;
+    // A pause of this process makes a usual call slow, too. Its hedge must leave a token for the next one.
+    settings.retryShare = 1.0;
+    settings.retrySlack = 1600.0;
     start();
     std::size_t delayedCalls = 0;
     for (int round = 0; round < Rounds; ++round) {
