Prefer the subset of upstreams in a call's first round of probes only

Cause: a round of probes takes longer than its load reports stay fresh. The next round found the subset's members unknown and probed them again instead of going on, so that calls of a crowded availability zone, or with slow members, ended at slow upstreams although others had room. Change: a call's subset counts in its first round only; later rounds and retries choose among all upstreams.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -226,7 +226,12 @@
     return upstream.registration.availabilityZone == context.state.settings.availabilityZone;
 }
 
-/** Returns the usable upstreams that the call has not tried: the same availability zone first, within each group the subset first. */
+/**
+ * Returns the usable upstreams that the call has not tried: the same availability zone first, within each group the subset first.
+ *
+ * After the first round, all upstreams are alike: a round takes longer than its load reports stay fresh, so that the next one would
+ * find the subset unknown and probe it again.
+ */
 std::vector<PooledUpstream *> candidatesOf(ProxyStepContext &context, ProxyService &service, const ProxyCall &call)
 {
     std::vector<PooledUpstream *> candidates = usableUpstreams(service.pool, context.now);
@@ -237,9 +242,11 @@
     const auto otherZones = std::partition(candidates.begin(), candidates.end(), [&context](const PooledUpstream *upstream) {
         return isSameZone(context, *upstream);
     });
-    const std::size_t size = subsetSize(callsPerSecond(service.callRate, context.now));
-    moveSubsetToFront({candidates.begin(), otherZones}, size, context.now);
-    moveSubsetToFront({otherZones, candidates.end()}, size, context.now);
+    if (call.probeRounds <= 1) {
+        const std::size_t size = subsetSize(callsPerSecond(service.callRate, context.now));
+        moveSubsetToFront({candidates.begin(), otherZones}, size, context.now);
+        moveSubsetToFront({otherZones, candidates.end()}, size, context.now);
+    }
     return candidates;
 }
 
@@ -280,6 +287,7 @@
 
 void startRound(ProxyStepContext &context, const ProxyService &service, ProxyCall &call)
 {
+    ++call.probeRounds;
     call.probed.clear();
     call.sameZoneProbes = 0;
     call.otherZoneProbes = 0;
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -183,6 +183,7 @@
     std::uint32_t otherZoneProbes = 0; ///< Probes of the current round in other availability zones.
     std::uint32_t otherZoneProbeLimit = 0; ///< Limit on @ref otherZoneProbes in the current round.
     std::uint32_t openProbes = 0;
+    std::uint32_t probeRounds = 0; ///< Rounds that have begun.
     std::uint32_t attempts = 0; ///< Attempts so far, without those whose request was not sent.
     std::uint32_t failedConnects = 0;
     std::optional<ColdCreditId> openCredit; ///< The request for credit that the call waits for.
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
+#include <utility>
 
 namespace Plantainweir {
 namespace {
@@ -125,6 +127,30 @@
     }
 }
 
+/** Answers the load of upstreams that stay slow or full for seconds: if they are the subset, the call must find the others. */
+TEST_F(ProxyingTest, AWaitingCallProbesBeyondTheSubsetInItsNextRounds)
+{
+    state.settings.name = "entry";
+    std::vector<RegisteredUpstream> upstreams;
+    for (UpstreamKey key = 1; key <= 60; ++key) {
+        upstreams.push_back(makeUpstream(key, key <= 30 ? "a" : "b"));
+    }
+    setUpstreams(upstreams);
+    feed(ProxyCallAdmitted{
+        .id = 1, .service = "desk", .maximumAttempts = 2, .target = std::chrono::milliseconds(1600), .deadline = now + std::chrono::seconds(2)});
+    std::set<UpstreamKey> probed;
+    while (attempts.empty() && ends.empty()) {
+        // A round takes longer than its first reports stay fresh.
+        advanceTime(std::chrono::milliseconds(8));
+        for (const StartProbe &probe : std::exchange(probes, {})) {
+            probed.insert(probe.upstream.key);
+            feed(ProbeEnded{.id = probe.id, .outcome = ProbeOutcome::Answered, .load = {.running = 3, .waiting = 2, .slots = 3, .workTimeFactor = 1.0}});
+        }
+    }
+    // The subset has four members in each availability zone, and the next upstreams after it are four more.
+    EXPECT_GT(probed.size(), 24U);
+}
+
 TEST_F(ProxyingTest, ProbesOtherZonesRarelyWhileTheyAreFull)
 {
     setUpstreams({makeUpstream(1, "a"), makeUpstream(2, "b"), makeUpstream(3, "b"), makeUpstream(4, "c"), makeUpstream(5, "c")});
