Share the bytes of a feed update between feeds

A reader copied each update into a message of its own for every feed.

The update is encoded once and its bytes are shared; each feed adds its echo as a second part of the message. The follower hands a received message on instead of copying it.

--- a/src/rpc/storemessages.cpp
+++ b/src/rpc/storemessages.cpp
@@ -290,6 +290,11 @@
     return message;
 }
 
+EncodedFeedUpdate encode(const FeedUpdate &update)
+{
+    return std::make_shared<const std::string>(toMessage(update).SerializeAsString());
+}
+
 std::optional<FeedUpdate> fromMessage(const StoreProtocol::FeedUpdate &message)
 {
     const auto outage = durationOf(message.outage_microseconds());
--- a/src/rpc/storemessages.h
+++ b/src/rpc/storemessages.h
@@ -4,6 +4,7 @@
 
 #include "store.pb.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -44,11 +45,16 @@
     bool operator==(const FeedRequest &) const = default;
 };
 
+/** The bytes of an update without the echo; must not be null. */
+using EncodedFeedUpdate = std::shared_ptr<const std::string>;
+
 StoreProtocol::Object toMessage(const StoreObject &object);
 StoreProtocol::Delta toMessage(const StoreDelta &delta);
 StoreProtocol::FeedUpdate toMessage(const FeedUpdate &update);
 StoreProtocol::FollowRequest toMessage(const FeedRequest &request);
 
+EncodedFeedUpdate encode(const FeedUpdate &update);
+
 /** Decodes an object. One whose value is out of range is returned as malformed; nothing is returned if it has no name. */
 std::optional<StoreObject> fromMessage(const StoreProtocol::Object &message);
 /** Returns nothing if a part of @p message is malformed, since the revision would claim changes that are missing. */
--- a/src/tasks/storefeedclient.cpp
+++ b/src/tasks/storefeedclient.cpp
@@ -92,9 +92,11 @@
             m_mailbox.post(m_handlers.onEnd);
             return;
         }
-        m_mailbox.post([handler = m_handlers.onUpdate, update = m_update] {
-            handler(update);
+        m_mailbox.post([handler = m_handlers.onUpdate, update = std::make_shared<const StoreProtocol::FeedUpdate>(std::move(m_update))] {
+            handler(*update);
         });
+        // A message that is read into again keeps the memory of its largest content.
+        m_update = {};
         StartRead(&m_update);
     }
 
--- a/src/tasks/storefeedserver.cpp
+++ b/src/tasks/storefeedserver.cpp
@@ -8,6 +8,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -25,8 +26,33 @@
     std::function<void(FeedId, bool)> done;
 };
 
-/** One open feed. Its callbacks run on gRPC threads and only post to the task, which calls all other functions. */
-class FeedStream : public grpc::ServerBidiReactor<StoreProtocol::FollowRequest, StoreProtocol::FeedUpdate>
+/** Returns a slice of @p bytes that keeps them alive. */
+grpc::Slice sharedSlice(const EncodedFeedUpdate &bytes)
+{
+    using Holder = EncodedFeedUpdate;
+    // gRPC only reads the bytes.
+    return {const_cast<char *>(bytes->data()),
+            bytes->size(),
+            [](void *holder) {
+                delete static_cast<Holder *>(holder);
+            },
+            new Holder(bytes)};
+}
+
+/** Decodes a request; nothing is returned if it is malformed. */
+std::optional<FeedRequest> decodeRequest(const grpc::ByteBuffer &bytes)
+{
+    grpc::Slice slice;
+    StoreProtocol::FollowRequest message;
+    const bool isParsed = bytes.DumpToSingleSlice(&slice).ok() && message.ParseFromArray(slice.begin(), static_cast<int>(slice.size()));
+    return isParsed ? fromMessage(message) : std::nullopt;
+}
+
+/**
+ * One open feed. Its callbacks run on gRPC threads and only post to the task, which calls all other functions. Messages are bytes,
+ * so that feeds can share them.
+ */
+class FeedStream : public grpc::ServerBidiReactor<grpc::ByteBuffer, grpc::ByteBuffer>
 {
 public:
     FeedStream(FeedId id, QObject *task, const FeedHandlers &handlers)
@@ -51,25 +77,33 @@
         post(m_handlers.done, true);
     }
 
-    const StoreProtocol::FollowRequest &request() const
+    const grpc::ByteBuffer &request() const
     {
         return m_request;
     }
 
     void readNext()
     {
-        m_request.Clear();
         StartRead(&m_request);
     }
 
-    void write(const StoreProtocol::FeedUpdate &update)
+    void write(const EncodedFeedUpdate &update)
     {
         m_isWriting = true;
-        m_update = update;
-        m_update.set_echoed_microseconds(m_echo);
+        // Encoded messages that follow each other are one message, in which the last value of a field counts.
+        StoreProtocol::FeedUpdate echo;
+        echo.set_echoed_microseconds(m_echo);
+        const std::array<grpc::Slice, 2> parts{sharedSlice(update), grpc::Slice(echo.SerializeAsString())};
+        m_update = grpc::ByteBuffer(parts.data(), parts.size());
         StartWrite(&m_update);
     }
 
+    void releaseWritten()
+    {
+        m_isWriting = false;
+        m_update.Clear();
+    }
+
     void finish(const grpc::Status &status)
     {
         if (!m_isFinished) {
@@ -104,13 +138,13 @@
     FeedId m_id;
     QObject *m_task;
     const FeedHandlers &m_handlers;
-    StoreProtocol::FollowRequest m_request;
-    StoreProtocol::FeedUpdate m_update;
+    grpc::ByteBuffer m_request;
+    grpc::ByteBuffer m_update;
 };
 
 }
 
-class StoreFeedServer::Private : public QObject, public StoreProtocol::StoreFeed::CallbackService
+class StoreFeedServer::Private : public QObject, public StoreProtocol::StoreFeed::WithRawCallbackMethod_Follow<StoreProtocol::StoreFeed::Service>
 {
 public:
     Private(StoreFeedServer *server, Metrics &metrics)
@@ -135,7 +169,7 @@
     }
 
     /** Called on a gRPC thread; posts the feed to the task. */
-    grpc::ServerBidiReactor<StoreProtocol::FollowRequest, StoreProtocol::FeedUpdate> *Follow(grpc::CallbackServerContext *) override
+    grpc::ServerBidiReactor<grpc::ByteBuffer, grpc::ByteBuffer> *Follow(grpc::CallbackServerContext *) override
     {
         const FeedId id = ++m_lastFeed;
         auto *feed = new FeedStream(id, this, m_handlers);
@@ -174,12 +208,12 @@
         if (feed == nullptr || feed->m_isFinished) {
             return;
         }
-        const auto request = isOk ? fromMessage(feed->request()) : std::nullopt;
+        const auto request = isOk ? decodeRequest(feed->request()) : std::nullopt;
         if (!request) {
             feed->finish(isOk ? grpc::Status(grpc::StatusCode::INVALID_ARGUMENT, "the request is malformed") : grpc::Status::OK);
             return;
         }
-        feed->m_echo = feed->request().sent_at_microseconds();
+        feed->m_echo = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(request->sentAt.time_since_epoch()).count());
         if (!feed->m_known) {
             feed->m_known = request;
         }
@@ -193,7 +227,7 @@
         if (feed == nullptr) {
             return;
         }
-        feed->m_isWriting = false;
+        feed->releaseWritten();
         if (!isOk) {
             feed->finish(grpc::Status::OK);
             return;
@@ -244,7 +278,7 @@
     }
 }
 
-void StoreFeedServer::send(FeedId feed, const StoreProtocol::FeedUpdate &update, const FeedRequest &known)
+void StoreFeedServer::send(FeedId feed, const EncodedFeedUpdate &update, const FeedRequest &known)
 {
     FeedStream *stream = d->find(feed);
     if (stream == nullptr || !stream->canWrite()) {
@@ -253,7 +287,7 @@
     stream->m_known->configurationRevision = known.configurationRevision;
     stream->m_known->upstreamsRevision = known.upstreamsRevision;
     stream->m_known->evacuationsRevision = known.evacuationsRevision;
-    d->m_metrics.addToCounter("plantainweir_store_feed_sent_bytes_total", "Bytes of feed updates sent.", {}, static_cast<double>(update.ByteSizeLong()));
+    d->m_metrics.addToCounter("plantainweir_store_feed_sent_bytes_total", "Bytes of feed updates sent.", {}, static_cast<double>(update->size()));
     stream->write(update);
 }
 
--- a/src/tasks/storefeedserver.h
+++ b/src/tasks/storefeedserver.h
@@ -37,10 +37,10 @@
      */
     void publish(Duration outage = {});
     /**
-     * Sends @p update on @p feed, in answer to updateRequested(). The server adds the echo.
+     * Sends @p update on @p feed, in answer to updateRequested(). The server adds the echo. Feeds share the bytes of an update.
      * @param known has the revisions that the follower has once it has received the update.
      */
-    void send(FeedId feed, const StoreProtocol::FeedUpdate &update, const FeedRequest &known);
+    void send(FeedId feed, const EncodedFeedUpdate &update, const FeedRequest &known);
     /** Ends all feeds. */
     void close();
 
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -24,7 +24,7 @@
 
 /** The last update that was encoded. Most followers have the same revisions and need the same update. */
 struct CachedUpdate {
-    StoreProtocol::FeedUpdate update;
+    EncodedFeedUpdate update;
     FeedRequest known; ///< Revisions that the update starts from.
     TimePoint reusableUntil;
 };
@@ -548,7 +548,7 @@
         const TimePoint now = suspendAwareNow();
         const bool isReusable = outage == Duration::zero() && now <= m_cached.reusableUntil && haveSameRevisions(m_cached.known, known);
         if (!isReusable) {
-            m_cached = {.update = toMessage(makeUpdate(known, outage, now)),
+            m_cached = {.update = encode(makeUpdate(known, outage, now)),
                         .known = known,
                         .reusableUntil = outage == Duration::zero() ? now + UpdateReuseTime : TimePoint{}};
         }
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -4,17 +4,24 @@
 #include "fakes/freeendpoint.h"
 #include "observability/metrics.h"
 #include "platform/platformcodec.h"
+#include "rpc/storemessages.h"
 #include "tasks/exchangeserver.h"
 
+#include <grpcpp/generic/generic_stub.h>
+#include <grpcpp/grpcpp.h>
 #include <gtest/gtest.h>
 
 #include <QJsonArray>
 
 #include <algorithm>
+#include <atomic>
 #include <ctime>
 #include <functional>
+#include <future>
 #include <set>
 
+#include <malloc.h>
+
 namespace Plantainweir {
 namespace {
 
@@ -31,6 +38,32 @@
     return {{"version", version}, {"resources", QJsonArray()}};
 }
 
+/** A configuration of @p count routes. */
+QJsonObject largeConfiguration(int version, int count)
+{
+    QJsonArray resources;
+    for (int index = 0; index < count; ++index) {
+        const QString name = QString("route-%1").arg(index);
+        const QJsonObject spec{{"host", "desk.example"},
+                               {"pathPrefix", "/" + name + "/"},
+                               {"kind", "safe"},
+                               {"timeout", "800ms"},
+                               {"targetLatency", "250ms"},
+                               {"priority", 1},
+                               {"maxAttempts", 2},
+                               {"service", "desk"}};
+        resources.append(QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", name}}}, {"spec", spec}});
+    }
+    return {{"version", version}, {"resources", resources}};
+}
+
+/** Returns the bytes that the program has allocated and not freed. */
+std::size_t allocatedBytes()
+{
+    const auto memory = ::mallinfo2();
+    return memory.uordblks + memory.hblkhd;
+}
+
 /** One entry VM of the zone: its source, the gRPC server that feeds others, and what the source has reported. */
 class Entry
 {
@@ -83,6 +116,11 @@
         return {.name = name, .feedEndpoint = m_endpoint, .capacity = capacity};
     }
 
+    Endpoint feedEndpoint() const
+    {
+        return m_endpoint;
+    }
+
     StoreSourceTask &source()
     {
         return m_source;
@@ -107,6 +145,125 @@
     Endpoint m_endpoint;
 };
 
+/** Feeds that leave the updates undecoded. Their callbacks run on gRPC threads. */
+class UndecodedFeeds
+{
+public:
+    UndecodedFeeds(const Endpoint &endpoint, std::size_t count)
+    {
+        for (std::size_t index = 0; index < count; ++index) {
+            m_feeds.push_back(std::make_unique<Feed>(*this, endpoint, "f" + std::to_string(index)));
+        }
+    }
+
+    ~UndecodedFeeds()
+    {
+        for (const auto &feed : m_feeds) {
+            feed->cancel();
+        }
+        for (const auto &feed : m_feeds) {
+            feed->waitUntilDone();
+        }
+    }
+
+    void countUpdatesFrom(std::size_t bytes)
+    {
+        m_minimumBytes = bytes;
+    }
+
+    std::size_t countedUpdates() const
+    {
+        return m_countedUpdates;
+    }
+
+    std::size_t countedBytes() const
+    {
+        return m_countedBytes;
+    }
+
+    /** Returns the largest value of allocatedBytes() when a counted update arrived. */
+    std::size_t largestAllocation() const
+    {
+        return m_largestAllocation;
+    }
+
+private:
+    class Feed final : public grpc::ClientBidiReactor<grpc::ByteBuffer, grpc::ByteBuffer>
+    {
+    public:
+        Feed(UndecodedFeeds &feeds, const Endpoint &endpoint, const std::string &name)
+            : m_feeds(feeds)
+            , m_stub(grpc::CreateChannel(toString(endpoint), grpc::InsecureChannelCredentials()))
+        {
+            const grpc::Slice request(toMessage(FeedRequest{.sender = name}).SerializeAsString());
+            m_request = grpc::ByteBuffer(&request, 1);
+            m_stub.PrepareBidiStreamingCall(&m_context, "/plantainweir.store.v1.StoreFeed/Follow", {}, this);
+            StartWrite(&m_request);
+            StartRead(&m_update);
+            StartCall();
+        }
+
+        void OnReadDone(bool isOk) override
+        {
+            if (isOk) {
+                m_feeds.handleUpdate(m_update.Length());
+                StartRead(&m_update);
+            }
+        }
+
+        void OnDone(const grpc::Status &) override
+        {
+            m_done.set_value();
+        }
+
+        void cancel()
+        {
+            m_context.TryCancel();
+        }
+
+        void waitUntilDone()
+        {
+            m_done.get_future().wait();
+        }
+
+    private:
+        UndecodedFeeds &m_feeds;
+        grpc::GenericStub m_stub;
+        grpc::ClientContext m_context;
+        grpc::ByteBuffer m_request;
+        grpc::ByteBuffer m_update;
+        std::promise<void> m_done;
+    };
+
+    void handleUpdate(std::size_t bytes)
+    {
+        const std::size_t minimum = m_minimumBytes;
+        if (minimum == 0 || bytes < minimum) {
+            return;
+        }
+        const std::size_t allocated = allocatedBytes();
+        std::size_t largest = m_largestAllocation;
+        while (allocated > largest && !m_largestAllocation.compare_exchange_weak(largest, allocated)) {
+        }
+        m_countedBytes += bytes;
+        ++m_countedUpdates;
+    }
+
+    std::vector<std::unique_ptr<Feed>> m_feeds;
+    std::atomic<std::size_t> m_minimumBytes = 0;
+    std::atomic<std::size_t> m_countedUpdates = 0;
+    std::atomic<std::size_t> m_countedBytes = 0;
+    std::atomic<std::size_t> m_largestAllocation = 0;
+};
+
+void wait(Duration duration)
+{
+    const TimePoint end = Clock::now() + duration;
+    EXPECT_TRUE(waitUntil([end] {
+        return Clock::now() >= end;
+    }));
+}
+
 class StoreSourceTaskTest : public testing::Test
 {
 protected:
@@ -148,6 +305,27 @@
     EXPECT_TRUE(follower.isCurrent);
 }
 
+// Guards against a copy of a large configuration for each feed while it is sent.
+TEST_F(StoreSourceTaskTest, ALargeConfigurationIsNotCopiedForEachFeed)
+{
+    constexpr std::size_t Followers = 40;
+    constexpr std::size_t LargeUpdateBytes = 64 * 1024;
+    EXPECT_TRUE(waitUntil([this] {
+        return reader.isCurrent && follower.isCurrent;
+    }));
+    UndecodedFeeds feeds(reader.feedEndpoint(), Followers);
+    wait(500ms);
+    const std::size_t before = allocatedBytes();
+    feeds.countUpdatesFrom(LargeUpdateBytes);
+    store.put("config", "main", largeConfiguration(5, 1600));
+    EXPECT_TRUE(waitUntil([&feeds] {
+        return feeds.countedUpdates() == Followers;
+    }));
+    // The followers' undecoded copies, and the tables and messages of one reader and one follower.
+    const std::size_t expected = feeds.countedBytes() + std::size_t(12) * 1024 * 1024;
+    EXPECT_LT(feeds.largestAllocation(), before + expected);
+}
+
 TEST_F(StoreSourceTaskTest, AFollowerThatLosesItsReaderReadsTheStore)
 {
     EXPECT_TRUE(waitUntil([this] {
@@ -254,14 +432,6 @@
         });
     }
 
-    static void wait(Duration duration)
-    {
-        const TimePoint end = Clock::now() + duration;
-        EXPECT_TRUE(waitUntil([end] {
-            return Clock::now() >= end;
-        }));
-    }
-
     /** Loses the answers for the time of the parameter, and changes an object after a third of it. */
     void loseAnswersDuringAChange()
     {
