Let readers return as soon as the store answers them

A member whose report is in force now checks the store about once a second with a stale read, and ends the report when one passes. One report in 20 s may end early, so that a store that answers checks and nothing else does not change the readers all the time.

--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -155,6 +155,12 @@
     }
 }
 
+/** Returns whether this member, which has reported that it cannot reach the store, asks for the store's return. */
+bool mayReturnEarly(const StoreSource &source, TimePoint now)
+{
+    return source.isUnreachableReported && now >= source.nextEarlyReturnAt;
+}
+
 void startCheck(StepContext &context)
 {
     StoreSource &source = context.source;
@@ -181,7 +187,8 @@
         }
         // Before the first confirmation, the objects may come from a member that is not a reader, which confirms nothing.
         const bool mayBeConfirmed = !source.confirmedAt && context.now < source.startDeadline;
-        if (isTooOld(source, context.now) && !mayBeConfirmed) {
+        const bool needsKnowledge = isTooOld(source, context.now) && !mayBeConfirmed;
+        if (needsKnowledge || mayReturnEarly(source, context.now)) {
             startCheck(context);
         }
         return;
@@ -265,6 +272,10 @@
         }
         return;
     }
+    if (mayReturnEarly(source, context.now)) {
+        source.reportUntil = context.now;
+        source.nextEarlyReturnAt = context.now + UnreachableReportTime;
+    }
     if (source.failedChecks > 0 && !source.isSmallZone) {
         // The store was away. The readers return first, so that not all members read at once.
         source.failedChecks = 0;
--- a/src/controllers/storesource.h
+++ b/src/controllers/storesource.h
@@ -76,6 +76,7 @@
     TimePoint nextCheckAt;
     bool isUnreachableReported = false;
     TimePoint reportUntil; ///< End of the report that the store cannot be reached.
+    TimePoint nextEarlyReturnAt; ///< From when on a check that the store answers ends the report; at most one does within a report's time.
 };
 
 struct SourceTimerFired {
--- a/tests/storesourcetest.cpp
+++ b/tests/storesourcetest.cpp
@@ -248,6 +248,59 @@
     EXPECT_EQ(count<ReportStoreReachability>(), 1U) << "it becomes a candidate again";
 }
 
+// Guards against weak members that stay readers long after an outage of the store, because the capable ones have reported it.
+TEST_F(StoreSourceTest, AReaderIsACandidateAgainSoonAfterTheStoreReturns)
+{
+    make("e7");
+    feed(FeedMembersChanged{zone, true});
+    advance(400ms);
+    advance(3s);
+    ASSERT_EQ(count<ReportStoreReachability>(), 1U);
+    zone[7].isStoreUnreachable = true;
+    feed(FeedMembersChanged{zone, true});
+    const auto waitForCheck = [this] {
+        for (int wait = 0; wait < 150 && !source.isChecking; ++wait) {
+            feedFrom("e12");
+            advance(10ms);
+        }
+        return source.isChecking;
+    };
+    for (int checks = 0; checks < 3; ++checks) {
+        ASSERT_TRUE(waitForCheck()) << "others keep its knowledge young";
+        advance(800ms);
+        feed(StoreChecked{.isPassed = false});
+        EXPECT_EQ(count<ReportStoreReachability>(), 0U);
+    }
+    ASSERT_TRUE(waitForCheck());
+    feed(StoreChecked{.isPassed = true});
+    ASSERT_EQ(count<ReportStoreReachability>(), 1U);
+    EXPECT_FALSE(std::get<ReportStoreReachability>(actions.back()).isUnreachable);
+    zone[7].isStoreUnreachable = false;
+    feed(FeedMembersChanged{zone, true});
+    EXPECT_TRUE(source.isReading);
+}
+
+// A store that answers checks and nothing else would make the readers change all the time.
+TEST_F(StoreSourceTest, AReaderThatLosesTheStoreAgainSoonStaysOutForTheWholeReport)
+{
+    make("e7");
+    feed(FeedMembersChanged{zone, true});
+    int reports = 0;
+    for (int tick = 0; tick < 2500; ++tick) {
+        feedFrom("e12");
+        advance(10ms);
+        reports += static_cast<int>(count<ReportStoreReachability>());
+        zone[7].isStoreUnreachable = source.isUnreachableReported;
+        feed(FeedMembersChanged{zone, true});
+        reports += static_cast<int>(count<ReportStoreReachability>());
+        if (source.isChecking) {
+            feed(StoreChecked{.isPassed = true});
+            reports += static_cast<int>(count<ReportStoreReachability>());
+        }
+    }
+    EXPECT_EQ(reports, 4) << "lost after 3.3 s, ended at once, lost again 3 s later, ended 20 s after the first end";
+}
+
 TEST_F(StoreSourceTest, ABrokenFeedIsOpenedAgainAtAGrowingDelay)
 {
     make("e1");
