Compare a configuration with the store's, and check bodies and cold calls

A store that does not answer is an error.

Two more rules: a body limit below the largest body that callers send (--body-bytes), or of 0 although a route takes calls that may run only once; and a timeout with which the calls that a cold upstream gets need more connections than it accepts. The damaged configurations of decoderfuzztest now have limits and cold calls, and are compared with the undamaged one.

--- a/src/configuration/routetablecheck.cpp
+++ b/src/configuration/routetablecheck.cpp
@@ -9,6 +9,8 @@
 namespace Plantainweir {
 namespace {
 
+constexpr double MillisecondsPerSecond = 1000.0;
+
 /** Collects the findings about one entry. */
 struct EntryFindings {
     std::vector<Finding> &findings;
@@ -58,6 +60,31 @@
     }
 }
 
+/**
+ * A cold upstream gets up to coldCallsPerSecond calls a second, and each occupies a connection until its timeout at most. The
+ * product must be within the limit of connections, or a cold upstream that answers slowly refuses connections.
+ */
+void checkColdCalls(EntryFindings &target, const Route &route, const RouteTable &table)
+{
+    for (const RouteTarget &part : route.targets) {
+        const auto service = table.services.find(part.service);
+        if (service == table.services.end() || part.weight == 0) {
+            continue;
+        }
+        const double connections = service->second.coldCallsPerSecond * toMilliseconds(route.timeout) / MillisecondsPerSecond;
+        if (connections > service->second.connectionLimit) {
+            addWarning(target,
+                       "timeout",
+                       fmt::format("{} cold calls a second of {} ms each need {:.0f} connections to an upstream of \"{}\", which accepts {}",
+                                   service->second.coldCallsPerSecond,
+                                   toMilliseconds(route.timeout),
+                                   connections,
+                                   part.service,
+                                   service->second.connectionLimit));
+        }
+    }
+}
+
 void checkTimes(EntryFindings &target, const Route &route)
 {
     if (route.timeout <= Duration(0)) {
@@ -89,6 +116,7 @@
         checkMatch(target, route);
         checkTargets(target, route, table);
         checkTimes(target, route);
+        checkColdCalls(target, route, table);
         checkAttempts(target, route, settings);
         const auto [other, isFirst] = matches.try_emplace({route.host, route.pathPrefix}, route.name);
         if (!isFirst) {
@@ -146,9 +174,26 @@
     }
 }
 
-void checkLimits(std::vector<Finding> &findings, const CallerLimits &limits)
+/** Routes do not say how large their bodies are; those of calls that may run only once have one as a rule. */
+void checkBodyLimit(EntryFindings &target, const RouteTable &table, const FleetSettings &settings)
+{
+    const std::size_t limit = table.limits.bodyBytes;
+    if (settings.largestBodyBytes && *settings.largestBodyBytes > limit) {
+        addError(target, "body bytes", fmt::format("callers send bodies of {} bytes, and those above {} are refused", *settings.largestBodyBytes, limit));
+    }
+    const auto route = std::find_if(table.routes.begin(), table.routes.end(), [](const Route &row) {
+        return row.repeatability == Repeatability::AtMostOnce;
+    });
+    if (limit == 0 && route != table.routes.end()) {
+        addWarning(target, "body bytes", fmt::format("the limit is 0, so calls with a body are refused, also those of route \"{}\"", route->name));
+    }
+}
+
+void checkLimits(std::vector<Finding> &findings, const RouteTable &table, const FleetSettings &settings)
 {
+    const CallerLimits &limits = table.limits;
     EntryFindings target{findings, FindingEntry::Limits, {}};
+    checkBodyLimit(target, table, settings);
     if (limits.headerBytes == 0) {
         addError(target, "header bytes", "the limit is 0, so each call is refused");
     }
@@ -172,7 +217,7 @@
     checkRoutes(findings, table, settings);
     checkServices(findings, table);
     checkAccounts(findings, table);
-    checkLimits(findings, table.limits);
+    checkLimits(findings, table, settings);
     return findings;
 }
 
--- a/src/configuration/routetablecheck.h
+++ b/src/configuration/routetablecheck.h
@@ -54,9 +54,10 @@
     bool operator==(const Finding &) const = default;
 };
 
-/** Settings of gatewayd that a configuration may contradict; not checked where they are not known. */
+/** What operators know about the fleet and its callers, and a configuration may contradict; not checked where it is not known. */
 struct FleetSettings {
     std::optional<double> retryShare; ///< Retries that the fleet may send for each call.
+    std::optional<std::size_t> largestBodyBytes; ///< Largest request body that callers send.
 };
 
 /** Returns all findings about @p table, in the order of its entries. */
--- a/src/programs/plantainweirctl.cpp
+++ b/src/programs/plantainweirctl.cpp
@@ -6,7 +6,9 @@
 #include "operators/reports.h"
 #include "operators/statustask.h"
 #include "platform/configurationfile.h"
+#include "platform/platformcodec.h"
 #include "tasks/platformtask.h"
+#include "tasks/storelisttask.h"
 
 #include <QCoreApplication>
 #include <QUuid>
@@ -14,12 +16,14 @@
 #include <fmt/core.h>
 
 #include <chrono>
+#include <limits>
 
 using namespace Plantainweir;
 
 namespace {
 
 constexpr std::string_view Program = "plantainweirctl";
+constexpr std::int64_t MaximumBodyBytes = std::numeric_limits<std::int64_t>::max();
 
 enum class Command {
     Check,
@@ -84,6 +88,8 @@
     commandLine.addText("rules", "YAML file of the work kinds and the probe budget, for check and apply", "");
     commandLine.addText("configuration", "JSON file of a configuration in the platform's format, for check-platform", "");
     commandLine.addText("in-force", "JSON file of the configuration in force, with which check-platform compares", "");
+    commandLine.addText("store", "address of the platform's store, with whose configuration check-platform compares", "");
+    commandLine.addInteger("body-bytes", "size of the largest body that callers send, for check-platform; 0 if not known", 0, MaximumBodyBytes, 0);
     commandLine.addNumber("retry-share", "--retry-share of the gatewayds, for check-platform; negative if not known", -1.0, 10.0, -1.0);
     commandLine.addEndpoint("platform", "the platform", "127.0.0.1:7900");
     commandLine.addInteger("timeout-ms", "time in milliseconds after which writes without a known result are reported as not known", 100, 3'600'000, 30'000);
@@ -221,41 +227,92 @@
 FleetSettings fleetSettings(const CommandLine &commandLine)
 {
     const double retryShare = commandLine.number("retry-share");
-    return {.retryShare = retryShare < 0.0 ? std::nullopt : std::optional(retryShare)};
+    const std::int64_t bodyBytes = commandLine.integer("body-bytes");
+    return {.retryShare = retryShare < 0.0 ? std::nullopt : std::optional(retryShare),
+            .largestBodyBytes = bodyBytes == 0 ? std::nullopt : std::optional(static_cast<std::size_t>(bodyBytes))};
 }
 
-int checkPlatform(const CommandLine &commandLine, OutputFormat format)
+void addFinding(RouteTableReport &report, FindingSeverity severity, const std::string &field, const std::string &message)
+{
+    report.findings.push_back({.severity = severity, .entry = FindingEntry::Configuration, .name = {}, .field = field, .message = message});
+}
+
+/** Returns the report about @p file alone. */
+RouteTableReport reportOn(const Platform::ConfigurationFile &file, const CommandLine &commandLine)
 {
-    const Platform::ConfigurationFile file = readPlatformFile(commandLine.text("configuration"));
     RouteTableReport report{.findings = file.findings, .isStrict = commandLine.isOn("strict")};
-    if (file.table) {
-        const std::vector<Finding> findings = findingsIn(*file.table, fleetSettings(commandLine));
-        report.findings.insert(report.findings.end(), findings.begin(), findings.end());
-        report.routes = file.table->routes.size();
-        report.services = file.table->services.size();
-        report.accounts = file.table->accounts.size();
-    } else {
-        report.findings.push_back({.severity = FindingSeverity::Error,
-                                   .entry = FindingEntry::Configuration,
-                                   .name = {},
-                                   .field = {},
-                                   .message = "gatewayd would not put this configuration into force"});
+    if (!file.table) {
+        addFinding(report, FindingSeverity::Error, {}, "gatewayd would not put this configuration into force");
+        return report;
+    }
+    const std::vector<Finding> findings = findingsIn(*file.table, fleetSettings(commandLine));
+    report.findings.insert(report.findings.end(), findings.begin(), findings.end());
+    report.routes = file.table->routes.size();
+    report.services = file.table->services.size();
+    report.accounts = file.table->accounts.size();
+    return report;
+}
+
+void compare(RouteTableReport &report, const RouteTable &inForce, const RouteTable &table)
+{
+    report.isCompared = true;
+    report.differences = differences(inForce, table);
+    if (table.version <= inForce.version) {
+        addFinding(report, FindingSeverity::Error, "version", fmt::format("{} is not above {}, which is in force", table.version, inForce.version));
+    }
+}
+
+/** Compares @p table with the configuration among the objects of the store. */
+void compareWithStored(RouteTableReport &report, const StoreDelta &stored, const RouteTable &table)
+{
+    for (const StoreObject &object : stored.objects) {
+        if (const auto *inForce = std::get_if<RouteTable>(&object.value)) {
+            compare(report, *inForce, table);
+            return;
+        }
     }
+    addFinding(report, FindingSeverity::Warning, "store", "holds no configuration that gatewayd accepts, so nothing was compared");
+}
+
+/** Reads the configuration of the store once, compares @p table with it, and prints the report. */
+int compareWithStore(QCoreApplication &application, const Endpoint &store, RouteTableReport report, const RouteTable &table, OutputFormat format)
+{
+    StoreListTask list(StoreObjectKind::Configuration, store, Platform::platformCodec());
+    QObject::connect(&list, &StoreListTask::listed, &application, [&report, &table, format](const StoreDelta &stored) {
+        compareWithStored(report, stored, table);
+        printAndExit(report, format);
+    });
+    QObject::connect(&list, &StoreListTask::failed, &application, [&report, &store, format] {
+        addFinding(report, FindingSeverity::Error, "store", fmt::format("{} did not answer, so nothing was compared", toString(store)));
+        printAndExit(report, format);
+    });
+    // An answer that is seconds old is good enough: whoever sends the configuration is told of a conflict by the store.
+    list.start(ReadConsistency::Stale);
+    return QCoreApplication::exec();
+}
+
+int checkPlatform(QCoreApplication &application, const CommandLine &commandLine, OutputFormat format)
+{
     const std::string inForcePath = commandLine.text("in-force");
+    const std::string storeAddress = commandLine.text("store");
+    const auto store = parseEndpoint(storeAddress);
+    if (!storeAddress.empty() && !store) {
+        return failUsage(fmt::format("--store is \"{}\"; allowed: IP:port", storeAddress));
+    }
+    if (store && !inForcePath.empty()) {
+        return failUsage("--store and --in-force are given; allowed: one of them");
+    }
+    const Platform::ConfigurationFile file = readPlatformFile(commandLine.text("configuration"));
+    RouteTableReport report = reportOn(file, commandLine);
+    if (file.table && store) {
+        return compareWithStore(application, *store, report, *file.table, format);
+    }
     if (file.table && !inForcePath.empty()) {
         const Platform::ConfigurationFile inForce = readPlatformFile(inForcePath);
         if (!inForce.table) {
             return failUsage(fmt::format("--in-force is \"{}\"; allowed: a file with a configuration that gatewayd accepts", inForcePath));
         }
-        report.isCompared = true;
-        report.differences = differences(*inForce.table, *file.table);
-        if (file.table->version <= inForce.table->version) {
-            report.findings.push_back({.severity = FindingSeverity::Error,
-                                       .entry = FindingEntry::Configuration,
-                                       .name = {},
-                                       .field = "version",
-                                       .message = fmt::format("{} is not above {}, which is in force", file.table->version, inForce.table->version)});
-        }
+        compare(report, *inForce.table, *file.table);
     }
     fmt::print("{}", render(report, format));
     return toExitStatus(exitStatusOf(report));
@@ -325,7 +382,7 @@
     case Command::Check:
         return check(commandLine, format);
     case Command::CheckPlatform:
-        return checkPlatform(commandLine, format);
+        return checkPlatform(application, commandLine, format);
     case Command::Apply:
         return apply(application, commandLine, format);
     case Command::Status:
--- a/tests/ctltest.cpp
+++ b/tests/ctltest.cpp
@@ -1,5 +1,6 @@
 #include "configuration/configurationjson.h"
 #include "fakes/fakeplatform.h"
+#include "fakes/fakestore.h"
 #include "http/operatorsport.h"
 #include "observability/metrics.h"
 
@@ -164,6 +165,44 @@
     EXPECT_EQ(run({"check-platform", "--configuration", m_folder.filePath("old.json"), "--in-force", m_folder.filePath("new.json")}).exitStatus, 2);
 }
 
+TEST_F(CtlTest, CheckPlatformComparesWithTheStore)
+{
+    FakeStore store;
+    const QString address = QString::fromStdString(toString(store.endpoint()));
+    writeFile("new.json", platformConfiguration(3, platformRoute("b", R"(,"service":"till")")));
+    const QStringList arguments{"check-platform", "--configuration", m_folder.filePath("new.json"), "--store", address};
+    const Outcome unset = run(arguments);
+    EXPECT_EQ(unset.exitStatus, 0) << unset.errors;
+    EXPECT_FALSE(unset.json().contains("differences"));
+    EXPECT_NE(unset.output.find("holds no configuration that gatewayd accepts"), std::string::npos) << unset.output;
+    const auto put = [&store](int version, const std::string &route) {
+        const std::string text = platformConfiguration(version, platformRoute(route, R"(,"service":"till")"));
+        store.put("config", "main", QJsonDocument::fromJson(QByteArray::fromStdString(text)).object());
+    };
+    put(2, "a");
+    const Outcome compared = run(arguments);
+    EXPECT_EQ(compared.exitStatus, 0);
+    EXPECT_EQ(compared.json().value("differences").toArray().size(), 2);
+    put(3, "b");
+    const Outcome sent = run(arguments);
+    EXPECT_EQ(sent.exitStatus, 2) << "the version is in force already";
+    EXPECT_TRUE(sent.json().value("differences").toArray().isEmpty());
+    EXPECT_EQ(store.callCount(), 0) << "stale reads only";
+    store.setFaults({.isBusy = true});
+    const Outcome refused = run(arguments);
+    EXPECT_EQ(refused.exitStatus, 2);
+    EXPECT_NE(refused.output.find("did not answer, so nothing was compared"), std::string::npos) << refused.output;
+}
+
+TEST_F(CtlTest, CheckPlatformFindsBodiesAboveTheLimit)
+{
+    const std::string limits = R"(,{"resourceKind":"limits","metadata":{},"spec":{"maxBodyBytes":1000}})";
+    writeFile("c.json", platformConfiguration(2, platformRoute("a", R"(,"service":"till")") + limits));
+    const QStringList arguments{"check-platform", "--configuration", m_folder.filePath("c.json"), "--body-bytes"};
+    EXPECT_EQ(run(arguments + QStringList{"1000"}).exitStatus, 0);
+    EXPECT_EQ(run(arguments + QStringList{"1001"}).exitStatus, 2);
+}
+
 TEST_F(CtlTest, CheckPlatformNamesTwoAccountsWithOneKey)
 {
     const auto account = [](const std::string &name) {
@@ -217,7 +256,14 @@
 
 TEST_F(CtlTest, UsageErrorNamesTheAllowedValues)
 {
-    for (const QStringList &arguments : {QStringList{}, {"aply"}, {"apply"}, {"drain", "rinkdesk"}, {"status", "--write", "x"}}) {
+    const QStringList checkPlatform{"check-platform", "--configuration", "c.json", "--store"};
+    for (const QStringList &arguments : {QStringList{},
+                                         {"aply"},
+                                         {"apply"},
+                                         {"drain", "rinkdesk"},
+                                         {"status", "--write", "x"},
+                                         checkPlatform + QStringList{"nowhere"},
+                                         checkPlatform + QStringList{"127.0.0.1:1", "--in-force", "d.json"}}) {
         const Outcome outcome = run(arguments);
         EXPECT_EQ(outcome.exitStatus, 2);
         EXPECT_NE(outcome.errors.find("allowed: "), std::string::npos) << outcome.errors;
--- a/tests/decoderfuzztest.cpp
+++ b/tests/decoderfuzztest.cpp
@@ -1,4 +1,5 @@
 #include "configuration/clientaccounts.h"
+#include "configuration/routetablediff.h"
 #include "http/httpcodec.h"
 #include "platform/callcodec.h"
 #include "platform/configurationfile.h"
@@ -191,8 +192,11 @@
 {
     const std::string text = R"({"version":7,"resources":[{"resourceKind":"routes","metadata":{"name":"a"},"spec":{"host":"h","pathPrefix":"/a/",)"
                              R"("kind":"safe","timeout":"2s","targetLatency":"250ms","split":[{"service":"s","weight":9}]}},)"
-                             R"({"resourceKind":"services","metadata":{"name":"s"},"spec":{"healthPath":"/h","maxConnections":9}},)"
+                             R"({"resourceKind":"services","metadata":{"name":"s"},"spec":{"healthPath":"/h","maxConnections":9,"coldPerS":40}},)"
+                             R"({"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":4096,"maxBodyBytes":65536,"headerTimeout":"3s"}},)"
                              R"({"resourceKind":"tenants","metadata":{"name":"t"},"spec":{"apiKeys":["k"],"ratePerS":2.5,"burst":3}}]})";
+    const auto inForce = Platform::readConfigurationFile(text).table;
+    ASSERT_TRUE(inForce);
     for (std::size_t message = 0; message < messageCount() / 10; ++message) {
         const Platform::ConfigurationFile file = Platform::readConfigurationFile(damaged(text));
         const bool hasError = std::any_of(file.findings.begin(), file.findings.end(), [](const Finding &finding) {
@@ -200,7 +204,11 @@
         });
         ASSERT_TRUE(file.table || hasError);
         if (file.table) {
-            findingsIn(*file.table, {});
+            const auto found = findingsIn(*file.table, {.retryShare = 0.0, .largestBodyBytes = 60'000});
+            ASSERT_TRUE(std::none_of(found.begin(), found.end(), [](const Finding &finding) {
+                return finding.message.empty();
+            }));
+            ASSERT_EQ(differences(*inForce, *file.table).empty(), differences(*file.table, *inForce).empty());
         }
     }
 }
--- a/tests/routetablechecktest.cpp
+++ b/tests/routetablechecktest.cpp
@@ -97,6 +97,31 @@
     EXPECT_EQ(fieldsOf(soundTable(), FindingSeverity::Warning, {.retryShare = 0.0}), Fields{"attempts"});
 }
 
+TEST(RouteTableCheckTest, FindsABodyLimitBelowWhatRoutesNeed)
+{
+    RouteTable table = soundTable();
+    table.limits.bodyBytes = 1000;
+    EXPECT_TRUE(findingsIn(table, {.largestBodyBytes = 1000}).empty());
+    EXPECT_EQ(fieldsOf(table, FindingSeverity::Error, {.largestBodyBytes = 1001}), Fields{"body bytes"});
+    table.limits.bodyBytes = 0;
+    EXPECT_EQ(fieldsOf(table, FindingSeverity::Warning), Fields{"body bytes"});
+    table.routes.front().repeatability = Repeatability::Idempotent;
+    EXPECT_TRUE(findingsIn(table, {}).empty()) << "reads need no body";
+}
+
+TEST(RouteTableCheckTest, FindsATimeoutAboveWhatAColdUpstreamBears)
+{
+    RouteTable table = soundTable();
+    table.services.at("tillside").coldCallsPerSecond = 50.0;
+    EXPECT_TRUE(findingsIn(table, {}).empty()) << "50 calls a second of 2 s each take all 100 connections";
+    table.routes.front().timeout = std::chrono::milliseconds(2100);
+    ASSERT_EQ(fieldsOf(table, FindingSeverity::Warning), Fields{"timeout"});
+    EXPECT_NE(findingsIn(table, {}).front().message.find("need 105 connections"), std::string::npos);
+    table.routes.front().targets = {{.service = "tillside", .weight = 0}, {.service = "other", .weight = 1}};
+    table.services["other"] = {.name = "other", .healthPath = "/health", .connectionLimit = 1};
+    EXPECT_EQ(fieldsOf(table, FindingSeverity::Warning), Fields{"weight"}) << "a service without calls needs no connections";
+}
+
 TEST(RouteTableCheckTest, FindsTwoAccountsWithOneKeyWithoutShowingIt)
 {
     RouteTable table = soundTable();
