Let a reader that has read since its return return early again

A confirmation by the store 2 s or more after an early return now shows that it was right, and the next one need not wait.

--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -258,6 +258,9 @@
     source.failedChecks = 0;
     source.confirmedAt = std::max(source.confirmedAt, std::optional(event.confirmedAt));
     source.storeConfirmedAt = std::max(source.storeConfirmedAt, event.confirmedAt);
+    if (event.confirmedAt >= source.returnProvenAt) {
+        source.nextEarlyReturnAt = std::min(source.nextEarlyReturnAt, context.now);
+    }
     source.reportUntil = std::min(source.reportUntil, context.now);
 }
 
@@ -275,6 +278,7 @@
     if (mayReturnEarly(source, context.now)) {
         source.reportUntil = context.now;
         source.nextEarlyReturnAt = context.now + UnreachableReportTime;
+        source.returnProvenAt = context.now + MinimumReadingTime;
     }
     if (source.failedChecks > 0 && !source.isSmallZone) {
         // The store was away. The readers return first, so that not all members read at once.
--- a/tests/storesourcetest.cpp
+++ b/tests/storesourcetest.cpp
@@ -301,6 +301,36 @@
     EXPECT_EQ(reports, 4) << "lost after 3.3 s, ended at once, lost again 3 s later, ended 20 s after the first end";
 }
 
+TEST_F(StoreSourceTest, AReaderThatHasReadTheStoreSinceItsReturnMayReturnEarlyAgain)
+{
+    make("e7");
+    feed(FeedMembersChanged{zone, true});
+    std::vector<TimePoint> returns;
+    for (int tick = 0; tick < 1500; ++tick) {
+        const Duration time = now - Start;
+        // Two outages of 4 s.
+        const bool isStoreUp = (time > 4s && time < 8s) || time > 12s;
+        feedFrom("e12");
+        advance(10ms);
+        if (source.isReading && isStoreUp) {
+            feed(StoreConfirmed{now});
+        }
+        if (source.isChecking) {
+            const bool wasReported = source.isUnreachableReported;
+            feed(StoreChecked{.isPassed = isStoreUp});
+            if (wasReported && !source.isUnreachableReported) {
+                returns.push_back(now);
+            }
+        }
+        zone[7].isStoreUnreachable = source.isUnreachableReported;
+        feed(FeedMembersChanged{zone, true});
+    }
+    ASSERT_EQ(returns.size(), 2U);
+    EXPECT_LT(returns[0], Start + 5500ms);
+    EXPECT_LT(returns[1], Start + 13500ms);
+    EXPECT_TRUE(source.isReading);
+}
+
 TEST_F(StoreSourceTest, ABrokenFeedIsOpenedAgainAtAGrowingDelay)
 {
     make("e1");
