Log upstreams that become cold or warm

cold_upstreams_changed (1526) names up to eight upstreams that became cold and eight that became warm since they were counted last, at most once a second and only if there is a change. A gateway test checks the event and that it comes once.

--- a/src/decision/coldstart.cpp
+++ b/src/decision/coldstart.cpp
@@ -1,6 +1,7 @@
 #include "decision/coldstart.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace Plantainweir {
 namespace {
@@ -31,4 +32,12 @@
     return start.coldUntil > now ? Coldness::Cold : Coldness::Warm;
 }
 
+ColdChanges coldChanges(const std::set<std::string> &before, const std::set<std::string> &now)
+{
+    ColdChanges changes;
+    std::set_difference(now.begin(), now.end(), before.begin(), before.end(), std::back_inserter(changes.cold));
+    std::set_difference(before.begin(), before.end(), now.begin(), now.end(), std::back_inserter(changes.warm));
+    return changes;
+}
+
 }
--- a/src/decision/coldstart.h
+++ b/src/decision/coldstart.h
@@ -3,6 +3,10 @@
 #include "core/enumnames.h"
 #include "core/time.h"
 
+#include <set>
+#include <string>
+#include <vector>
+
 /**
  * What is known about the cold start of an upstream whose calls are limited meanwhile.
  *
@@ -42,4 +46,14 @@
 
 Coldness coldnessOf(const ColdStart &start, TimePoint now);
 
+/** Upstreams that became cold or warm, by id in order. */
+struct ColdChanges {
+    std::vector<std::string> cold;
+    std::vector<std::string> warm; ///< Those that are warm or gone.
+    bool operator==(const ColdChanges &) const = default;
+};
+
+/** Returns what differs between the cold upstreams @p before and @p now. */
+ColdChanges coldChanges(const std::set<std::string> &before, const std::set<std::string> &now);
+
 }
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -7,7 +7,10 @@
 
 #include <QTimer>
 
+#include <fmt/ranges.h>
+
 #include <limits>
+#include <set>
 
 namespace Plantainweir {
 namespace {
@@ -27,6 +30,8 @@
 constexpr CreditRequestId ColdCreditMark = CreditRequestId{1} << 63;
 /** Interval at which cold upstreams are counted. */
 constexpr std::chrono::milliseconds ColdCountInterval{1000};
+/** A whole zone may become cold at once. */
+constexpr std::size_t MaximumNamesInLog = 8;
 
 /** A call that has no reply yet. */
 struct OpenCall {
@@ -318,7 +323,7 @@
         m_credits.erase(credit);
     }
 
-    /** Reports the number of upstreams that said that they are cold. */
+    /** Reports the upstreams that said that they are cold, at most once in ColdCountInterval. */
     void countColdUpstreams()
     {
         const TimePoint now = Clock::now();
@@ -326,17 +331,37 @@
             return;
         }
         m_coldCountDue = now + ColdCountInterval;
-        std::size_t limited = 0;
-        std::size_t cold = 0;
+        bool isAnyLimited = false;
+        std::set<std::string> cold;
         for (const auto &[name, service] : m_state.services) {
             for (const auto &[key, upstream] : service.pool.upstreams) {
-                limited += upstream.registration.isColdLimited ? 1 : 0;
-                cold += upstream.registration.isColdLimited && upstream.coldStart.coldUntil > now ? 1 : 0;
+                isAnyLimited = isAnyLimited || upstream.registration.isColdLimited;
+                if (upstream.registration.isColdLimited && upstream.coldStart.coldUntil > now) {
+                    cold.insert(upstream.registration.id);
+                }
             }
         }
-        if (limited > 0) {
-            m_metrics.setGauge("plantainweir_cold_upstreams", "Upstreams whose calls are limited because they are cold.", static_cast<double>(cold));
+        if (isAnyLimited) {
+            m_metrics.setGauge("plantainweir_cold_upstreams", "Upstreams whose calls are limited because they are cold.", static_cast<double>(cold.size()));
         }
+        logColdChanges(coldChanges(m_coldUpstreams, cold), cold.size());
+        m_coldUpstreams = std::move(cold);
+    }
+
+    static void logColdChanges(const ColdChanges &changes, std::size_t coldCount)
+    {
+        if (changes.cold.empty() && changes.warm.empty()) {
+            return;
+        }
+        logEvent(LogEvent::ColdUpstreamsChanged, {{"cold", coldCount}, {"became_cold", someOf(changes.cold)}, {"became_warm", someOf(changes.warm)}});
+    }
+
+    /** Returns the first of @p names, and how many others there are. */
+    static std::string someOf(const std::vector<std::string> &names)
+    {
+        const std::size_t shown = std::min(names.size(), MaximumNamesInLog);
+        const std::string list = fmt::format("{}", fmt::join(names.begin(), names.begin() + static_cast<std::ptrdiff_t>(shown), ","));
+        return shown == names.size() ? list : fmt::format("{} and {} more", list, names.size() - shown);
     }
 
     void execute(const EndProxyCall &action)
@@ -475,6 +500,7 @@
     std::map<ProxyAttemptId, OpenAttempt> m_attempts;
     std::map<ColdCreditId, CreditDecision> m_credits; ///< Of the requests for credit of cold upstreams; empty until they are decided.
     TimePoint m_coldCountDue;
+    std::set<std::string> m_coldUpstreams; ///< When they were counted last, by id.
 };
 
 ProxyTask::ProxyTask(const ProxySettings &settings, Metrics &metrics, std::uint64_t seed, QObject *parent)
--- a/tests/coldstarttest.cpp
+++ b/tests/coldstarttest.cpp
@@ -36,6 +36,13 @@
     EXPECT_LE(start.coldUntil, Start + 6min);
 }
 
+TEST(ColdStart, ChangesNameEachUpstreamThatBecameColdOrWarm)
+{
+    EXPECT_EQ(coldChanges({}, {}), ColdChanges{});
+    EXPECT_EQ(coldChanges({"a", "b"}, {"b", "c", "d"}), (ColdChanges{.cold = {"c", "d"}, .warm = {"a"}}));
+    EXPECT_EQ(coldChanges({"a"}, {"a"}), ColdChanges{});
+}
+
 RegisteredUpstream makeUpstream(UpstreamKey key, const std::string &zone = "a")
 {
     return {.key = key,
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -604,6 +604,7 @@
     store.put("config", "main", limited);
     start();
     EXPECT_EQ(statusOf("/a/x"), 200);
+    testing::internal::CaptureStderr();
     upstream.coldMilliseconds = 60'000;
     const TimePoint known = Clock::now() + std::chrono::milliseconds(300);
     EXPECT_TRUE(waitUntil([known] {
@@ -613,6 +614,16 @@
     for (int call = 0; call < 10; ++call) {
         EXPECT_EQ(statusOf("/a/x"), 503);
     }
+    // The upstreams are counted after a probe, at most once a second.
+    const TimePoint counted = Clock::now() + std::chrono::seconds(1);
+    EXPECT_TRUE(waitUntil([counted] {
+        return Clock::now() >= counted;
+    }));
+    EXPECT_EQ(statusOf("/a/x"), 503);
+    const std::string log = testing::internal::GetCapturedStderr();
+    const std::size_t event = log.find("cold_upstreams_changed cold=1 became_cold=i-1");
+    EXPECT_NE(event, std::string::npos) << log;
+    EXPECT_EQ(log.find("cold_upstreams_changed", event + 1), std::string::npos) << "once for each change";
     EXPECT_TRUE(upstream.calls.empty());
     RoutedUpstream other("i-2");
     QJsonObject elsewhere = other.registration();
