--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -592,6 +592,28 @@
     EXPECT_TRUE(follower.isCurrent);
 }
 
+// The calls in 5 s of calm, stale ones included, are counted before the wishes and while they are in force.
+TEST_F(EvacuationTest, EvacuationsInForceCostNoFurtherCalls)
+{
+    const auto callsInCalm = [this] {
+        wait(1500ms);
+        const auto calls = [this] {
+            return store.callCountOf("config") + store.callCountOf("servers") + store.callCountOf("evacuations");
+        };
+        const int before = calls();
+        wait(5s);
+        return calls() - before;
+    };
+    const int without = callsInCalm();
+    store.put("evacuations", "a", {});
+    store.put("evacuations", "b", {});
+    EXPECT_TRUE(bothKnow({"a", "b"}));
+    const int with = callsInCalm();
+    EXPECT_NEAR(with, without, 3) << "checks are timed, and one more or less may fall into the time";
+    RecordProperty("callsWithout", without);
+    RecordProperty("callsWith", with);
+}
+
 TEST_F(EvacuationTest, AnEvacuationThatEndsWhileTheStoreIsDownEndsWhenItReturns)
 {
     store.put("evacuations", "a", {});
