End a report by a real read only, and pace the checks for the store's return

A stale answer alone ended a report, though reads may still fail, so that the substitutes would stop before they had fed anyone. And the timer did not know the time of the next try.

A failed check is always followed by 0.8 to 1.2 s without one. An answered check starts a try to read while the report stands, one within 20 s unless the store confirms something, and the confirmation ends the report.

--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -75,7 +75,6 @@
 
 void delayCheckAfterFailure(StepContext &context)
 {
-    ++context.source.failedChecks;
     // A check without an answer has used up most of the interval already.
     context.source.nextCheckAt = context.source.checkStartedAt + randomBetween(MinimumCheckInterval, MaximumCheckInterval, context.random);
 }
@@ -258,9 +257,7 @@
     source.failedChecks = 0;
     source.confirmedAt = std::max(source.confirmedAt, std::optional(event.confirmedAt));
     source.storeConfirmedAt = std::max(source.storeConfirmedAt, event.confirmedAt);
-    if (event.confirmedAt >= source.returnProvenAt) {
-        source.nextEarlyReturnAt = std::min(source.nextEarlyReturnAt, context.now);
-    }
+    source.nextEarlyReturnAt = std::min(source.nextEarlyReturnAt, context.now);
     source.reportUntil = std::min(source.reportUntil, context.now);
 }
 
@@ -269,16 +266,18 @@
     StoreSource &source = context.source;
     source.isChecking = false;
     if (!event.isPassed) {
+        delayCheckAfterFailure(context);
         // Knowledge that is younger than the check shows that the store has returned since.
         if (!source.confirmedAt || *source.confirmedAt < source.checkStartedAt) {
-            delayCheckAfterFailure(context);
+            ++source.failedChecks;
         }
         return;
     }
     if (mayReturnEarly(source, context.now)) {
-        source.reportUntil = context.now;
+        // A stale answer does not show that reads work. The first confirmation ends the report.
         source.nextEarlyReturnAt = context.now + UnreachableReportTime;
-        source.returnProvenAt = context.now + MinimumReadingTime;
+        startReading(context);
+        return;
     }
     if (source.failedChecks > 0 && !source.isSmallZone) {
         // The store was away. The readers return first, so that not all members read at once.
@@ -340,6 +339,7 @@
     }
     if (source.isUnreachableReported) {
         include(source.reportUntil);
+        include(source.nextEarlyReturnAt);
     }
     for (const auto &[name, feed] : source.feeds) {
         include(feed.isOpen ? feed.silentAt : feed.retryAt);
--- a/src/controllers/storesource.h
+++ b/src/controllers/storesource.h
@@ -76,8 +76,7 @@
     TimePoint nextCheckAt;
     bool isUnreachableReported = false;
     TimePoint reportUntil; ///< End of the report that the store cannot be reached.
-    TimePoint nextEarlyReturnAt; ///< From when on a check that the store answers ends the report.
-    TimePoint returnProvenAt; ///< A confirmation by the store from then on shows that the last early return was right.
+    TimePoint nextEarlyReturnAt; ///< From when on a check that the store answers starts another try to read it while the report stands.
 };
 
 struct SourceTimerFired {
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -178,7 +178,7 @@
         {LogEvent::ColdUpstreamsChanged,
          Info,
          "cold_upstreams_changed",
-         "Upstreams whose calls are limited while they are cold became cold or warm; the fields give the number of cold ones and some names."},
+         "Upstreams whose calls are limited while they are cold became cold, or became warm or left; the fields give the number of cold ones and some names."},
         {LogEvent::ReloadRequested,
          Info,
          "reload_requested",
