--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -75,7 +75,6 @@
 
 void delayCheckAfterFailure(StepContext &context)
 {
-    ++context.source.failedChecks;
     // A check without an answer has used up most of the interval already.
     context.source.nextCheckAt = context.source.checkStartedAt + randomBetween(MinimumCheckInterval, MaximumCheckInterval, context.random);
 }
@@ -155,6 +154,12 @@
     }
 }
 
+/** Returns whether this member, which has reported that it cannot reach the store, asks for the store's return. */
+bool mayReturnEarly(const StoreSource &source, TimePoint now)
+{
+    return source.isUnreachableReported && now >= source.nextEarlyReturnAt;
+}
+
 void startCheck(StepContext &context)
 {
     StoreSource &source = context.source;
@@ -181,7 +186,8 @@
         }
         // Before the first confirmation, the objects may come from a member that is not a reader, which confirms nothing.
         const bool mayBeConfirmed = !source.confirmedAt && context.now < source.startDeadline;
-        if (isTooOld(source, context.now) && !mayBeConfirmed) {
+        const bool needsKnowledge = isTooOld(source, context.now) && !mayBeConfirmed;
+        if (needsKnowledge || mayReturnEarly(source, context.now)) {
             startCheck(context);
         }
         return;
@@ -251,6 +257,7 @@
     source.failedChecks = 0;
     source.confirmedAt = std::max(source.confirmedAt, std::optional(event.confirmedAt));
     source.storeConfirmedAt = std::max(source.storeConfirmedAt, event.confirmedAt);
+    source.nextEarlyReturnAt = std::min(source.nextEarlyReturnAt, context.now);
     source.reportUntil = std::min(source.reportUntil, context.now);
 }
 
@@ -259,12 +266,19 @@
     StoreSource &source = context.source;
     source.isChecking = false;
     if (!event.isPassed) {
+        delayCheckAfterFailure(context);
         // Knowledge that is younger than the check shows that the store has returned since.
         if (!source.confirmedAt || *source.confirmedAt < source.checkStartedAt) {
-            delayCheckAfterFailure(context);
+            ++source.failedChecks;
         }
         return;
     }
+    if (mayReturnEarly(source, context.now)) {
+        // A stale answer does not show that reads work. The first confirmation ends the report.
+        source.nextEarlyReturnAt = context.now + UnreachableReportTime;
+        startReading(context);
+        return;
+    }
     if (source.failedChecks > 0 && !source.isSmallZone) {
         // The store was away. The readers return first, so that not all members read at once.
         source.failedChecks = 0;
@@ -325,6 +339,7 @@
     }
     if (source.isUnreachableReported) {
         include(source.reportUntil);
+        include(source.nextEarlyReturnAt);
     }
     for (const auto &[name, feed] : source.feeds) {
         include(feed.isOpen ? feed.silentAt : feed.retryAt);
--- a/tests/storesourcetest.cpp
+++ b/tests/storesourcetest.cpp
@@ -82,6 +82,28 @@
         feed(FeedReceived{.member = member, .hasObjects = true, .confirmedAt = now, .senderConfirmedAt = now});
     }
 
+    /** Makes e7 a reader that has got no answer and has reported it. */
+    void reportUnreachable()
+    {
+        make("e7");
+        feed(FeedMembersChanged{zone, true});
+        advance(400ms);
+        advance(3s);
+        ASSERT_EQ(count<ReportStoreReachability>(), 1U);
+        zone[7].isStoreUnreachable = true;
+        feed(FeedMembersChanged{zone, true});
+    }
+
+    /** Lets time pass, in which e12 feeds this member, until it checks the store; returns whether it does. */
+    bool waitForCheck()
+    {
+        for (int wait = 0; wait < 150 && !source.isChecking; ++wait) {
+            feedFrom("e12");
+            advance(10ms);
+        }
+        return source.isChecking;
+    }
+
     template<typename Action>
     std::size_t count() const
     {
@@ -248,6 +270,99 @@
     EXPECT_EQ(count<ReportStoreReachability>(), 1U) << "it becomes a candidate again";
 }
 
+// Guards against weak members that stay readers long after an outage of the store, because the capable ones have reported it.
+TEST_F(StoreSourceTest, AReaderIsACandidateAgainSoonAfterTheStoreReturns)
+{
+    reportUnreachable();
+    for (int checks = 0; checks < 3; ++checks) {
+        ASSERT_TRUE(waitForCheck()) << "others keep its knowledge young";
+        advance(800ms);
+        feed(StoreChecked{.isPassed = false});
+        EXPECT_EQ(count<ReportStoreReachability>(), 0U);
+    }
+    ASSERT_TRUE(waitForCheck());
+    feed(StoreChecked{.isPassed = true});
+    EXPECT_TRUE(source.isReading);
+    EXPECT_TRUE(source.isUnreachableReported) << "a stale answer does not show that reads work";
+    feed(StoreConfirmed{now});
+    ASSERT_EQ(count<ReportStoreReachability>(), 1U);
+    EXPECT_FALSE(source.isUnreachableReported);
+    zone[7].isStoreUnreachable = false;
+    feed(FeedMembersChanged{zone, true});
+    EXPECT_TRUE(source.isReader && source.isReading);
+}
+
+// Guards against checks without a pause, which a refusal within milliseconds would cause while feeds keep the knowledge young.
+TEST_F(StoreSourceTest, ChecksForTheStoresReturnArePaced)
+{
+    reportUnreachable();
+    std::vector<TimePoint> checks;
+    for (int tick = 0; tick < 1000; ++tick) {
+        feedFrom("e12");
+        advance(10ms);
+        if (source.isChecking) {
+            checks.push_back(now);
+            feedFrom("e12");
+            feed(StoreChecked{.isPassed = false});
+            EXPECT_FALSE(source.isChecking);
+        }
+    }
+    ASSERT_GE(checks.size(), 8U);
+    for (std::size_t index = 1; index < checks.size(); ++index) {
+        EXPECT_GE(checks[index] - checks[index - 1], 800ms);
+        EXPECT_LE(checks[index] - checks[index - 1], 1250ms);
+    }
+}
+
+// Guards against readers whose checks are answered and whose reads are not: the substitutes would stop again and again.
+TEST_F(StoreSourceTest, AReaderWhoseReadsFailKeepsItsReport)
+{
+    reportUnreachable();
+    int readings = 0;
+    for (int tick = 0; tick < 1900; ++tick) {
+        feedFrom("e12");
+        advance(10ms);
+        readings += static_cast<int>(count<StartReading>());
+        if (source.isChecking) {
+            feed(StoreChecked{.isPassed = true});
+            readings += static_cast<int>(count<StartReading>());
+        }
+        EXPECT_TRUE(source.isUnreachableReported);
+    }
+    EXPECT_EQ(readings, 1) << "one try within a report";
+    EXPECT_FALSE(source.isReading);
+}
+
+TEST_F(StoreSourceTest, AReaderThatHasReadTheStoreSinceItsReturnMayReturnEarlyAgain)
+{
+    make("e7");
+    feed(FeedMembersChanged{zone, true});
+    std::vector<TimePoint> returns;
+    for (int tick = 0; tick < 1500; ++tick) {
+        const Duration time = now - Start;
+        // Two outages of 4 s.
+        const bool isStoreUp = (time > 4s && time < 8s) || time > 12s;
+        const bool wasReported = source.isUnreachableReported;
+        feedFrom("e12");
+        advance(10ms);
+        if (source.isChecking) {
+            feed(StoreChecked{.isPassed = isStoreUp});
+        }
+        if (source.isReading && isStoreUp) {
+            feed(StoreConfirmed{now});
+        }
+        if (wasReported && !source.isUnreachableReported) {
+            returns.push_back(now);
+        }
+        zone[7].isStoreUnreachable = source.isUnreachableReported;
+        feed(FeedMembersChanged{zone, true});
+    }
+    ASSERT_EQ(returns.size(), 2U);
+    EXPECT_LT(returns[0], Start + 5500ms);
+    EXPECT_LT(returns[1], Start + 13500ms);
+    EXPECT_TRUE(source.isReading);
+}
+
 TEST_F(StoreSourceTest, ABrokenFeedIsOpenedAgainAtAGrowingDelay)
 {
     make("e1");
