Close unread connections for new ones, and accept again without spinning

- A port whose connections all had a little of an answer unread, or were never read, turned new callers away until the idle timeout.
Such connections now give way after half requests (PeerActivity::Unread).
- A half request that gave way for a new connection was closed without its 503, so that its client did not learn that it had not run.
- A release of memory made all idle connections look equally old, because each look at an idle connection moved its time.
The time now moves only when a message begins or ends.
It also began before the message: a caller with a kept connection went first for the time in which it held nothing.

--- a/src/decision/peermemory.cpp
+++ b/src/decision/peermemory.cpp
@@ -9,6 +9,21 @@
 /** Added to the time of each holding, so that size decides between connections that have just come. */
 constexpr std::chrono::milliseconds MinimumHoldingTime{100};
 
+bool mayGiveWay(const PeerHolding &holding, TimePoint now)
+{
+    switch (holding.activity) {
+    case PeerActivity::Closing:
+    case PeerActivity::Idle:
+    case PeerActivity::Receiving:
+        return true;
+    case PeerActivity::Unread:
+        return holding.readAt + UnreadTime <= now;
+    case PeerActivity::Answering:
+        break;
+    }
+    return false;
+}
+
 double weightOf(const PeerHolding &holding, TimePoint now)
 {
     const Duration time = std::max(Duration(0), Duration(now - holding.since)) + MinimumHoldingTime;
@@ -50,15 +65,16 @@
     return released;
 }
 
-std::optional<std::uint64_t> connectionToReplace(const std::vector<PeerHolding> &holdings)
+std::optional<std::uint64_t> connectionToReplace(const std::vector<PeerHolding> &holdings, TimePoint now)
 {
-    const auto first = std::min_element(holdings.begin(), holdings.end(), [](const PeerHolding &left, const PeerHolding &right) {
-        return std::tie(left.activity, left.since) < std::tie(right.activity, right.since);
-    });
-    if (first == holdings.end() || first->activity == PeerActivity::Answering) {
-        return std::nullopt;
+    const PeerHolding *first = nullptr;
+    for (const PeerHolding &holding : holdings) {
+        const bool isBefore = first == nullptr || std::tie(holding.activity, holding.since) < std::tie(first->activity, first->since);
+        if (isBefore && mayGiveWay(holding, now)) {
+            first = &holding;
+        }
     }
-    return first->connection;
+    return first == nullptr ? std::nullopt : std::optional(first->connection);
 }
 
 }
--- a/src/decision/peermemory.h
+++ b/src/decision/peermemory.h
@@ -19,15 +19,17 @@
     Closing, ///< Its last response has been sent.
     Idle, ///< Between two requests.
     Receiving, ///< A request is incomplete.
-    Answering, ///< A request has no response yet, or a response is not sent.
+    Unread, ///< The client has not read all of the last response.
+    Answering, ///< A request has no response yet.
 };
 
-constexpr std::array<EnumName<PeerActivity>, 4> enumNames(PeerActivity)
+constexpr std::array<EnumName<PeerActivity>, 5> enumNames(PeerActivity)
 {
     return {{
         {PeerActivity::Closing, "closing"},
         {PeerActivity::Idle, "idle"},
         {PeerActivity::Receiving, "receiving"},
+        {PeerActivity::Unread, "unread"},
         {PeerActivity::Answering, "answering"},
     }};
 }
@@ -39,6 +41,7 @@
     std::size_t bytes = 0;
     TimePoint since; ///< When the connection began to hold them or, if it holds none, when it became idle.
     PeerActivity activity = PeerActivity::Idle;
+    TimePoint readAt; ///< When the client last read a sizeable part of its response, if it is unread.
 };
 
 /** Why a request was refused or a connection closed in favour of others. */
@@ -67,6 +70,9 @@
 /** Requests of at most this size are accepted whatever others hold, since connectionsToRelease() makes room for them. */
 inline constexpr std::size_t SmallRequestBytes = 16 * 1024;
 
+/** Time without reading after which a client is taken for one that does not read its response. */
+inline constexpr std::chrono::seconds UnreadTime{2};
+
 /** Returns the measure for a request that takes @p bytes, while all connections hold @p held of at most @p limit bytes. */
 PeerRequestMeasure measureForRequest(std::size_t bytes, std::size_t held, std::size_t limit);
 
@@ -78,8 +84,9 @@
 
 /**
  * Returns the connection to be closed for a new one: the one that has been idle for longest, or else the one whose request has
- * been incomplete for longest. Returns nothing if all wait for responses.
+ * been incomplete for longest, or else, of those whose clients have not read for UnreadTime, the one that has had an unread
+ * response for longest. Returns nothing if all others wait for responses or read them.
  */
-std::optional<std::uint64_t> connectionToReplace(const std::vector<PeerHolding> &holdings);
+std::optional<std::uint64_t> connectionToReplace(const std::vector<PeerHolding> &holdings, TimePoint now);
 
 }
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -6,8 +6,6 @@
 #include "http/tcpstream.h"
 #include "observability/logevents.h"
 
-#include <QHostAddress>
-#include <QTcpServer>
 #include <QTimer>
 
 #include <algorithm>
@@ -30,11 +28,12 @@
 /** Unsent bytes of responses, or memory of unanswered requests, above which no further request of a connection is decoded. */
 constexpr std::size_t MaximumUnreadBytes = 256 * 1024;
 constexpr std::size_t MaximumUnansweredBytes = 64 * 1024;
+/** What a client must read of its response within UnreadTime to count as reading: 4 KiB a second, the slowest pace of a body. */
+constexpr std::size_t ReadStepBytes = 8 * 1024;
 /** Capacity of an empty buffer above which its memory is freed. */
 constexpr std::size_t MaximumIdleCapacity = 4 * 1024;
 /** Memory of a connection without messages: its objects, their allocations and the notifiers of its socket. */
 constexpr std::size_t ConnectionOverhead = 2 * 1024;
-constexpr int ListenBacklog = 1024;
 
 HttpResponse errorResponse(DecodeState state)
 {
@@ -74,7 +73,10 @@
     bool isClosing = false;
     bool isReadingPaused = false;
     std::size_t heldBytes = 0; ///< Part of the server's sum.
-    TimePoint heldSince; ///< When the connection was last without a message.
+    bool hasMessage = false; ///< Whether a request is incomplete or unanswered, or a response is not sent.
+    TimePoint heldSince; ///< When hasMessage last changed.
+    std::size_t unreadBytes = 0; ///< That its client had not acknowledged at readAt, or more if responses were added; zero if all are sent.
+    TimePoint readAt; ///< When the client had last read a whole ReadStepBytes.
 };
 
 bool isSafeMethod(const std::string &method)
@@ -91,10 +93,8 @@
         : q(server)
         , m_limits(limits)
     {
-        m_listener.onAccepted = [this](qintptr descriptor) {
-            accept(descriptor);
-        };
-        connect(&m_listener, &QTcpServer::acceptError, this, &Private::handleAcceptError);
+        connect(&m_listener, &Listener::accepted, this, &Private::accept);
+        connect(&m_listener, &Listener::acceptFailed, this, &Private::handleAcceptFailure);
         connect(&m_sweepTimer, &QTimer::timeout, this, &Private::sweep);
         m_sweepTimer.start(SweepPeriod);
     }
@@ -247,7 +247,11 @@
     void updateHeldBytes(Connection &connection)
     {
         const std::size_t bytes = heldBytes(connection);
-        if (connection.exchanges.empty() && !connection.hasPartialRequest && connection.stream->unsentBytes() == 0) {
+        const bool isUnsent = connection.stream->unsentBytes() > 0;
+        noteReading(connection, isUnsent ? connection.stream->unacknowledgedBytes() : 0);
+        const bool hasMessage = !connection.exchanges.empty() || connection.hasPartialRequest || isUnsent;
+        if (hasMessage != connection.hasMessage) {
+            connection.hasMessage = hasMessage;
             connection.heldSince = Clock::now();
         }
         m_heldBytes = m_heldBytes - connection.heldBytes + bytes;
@@ -255,6 +259,17 @@
         connection.heldBytes = bytes;
     }
 
+    /** The socket accepts more only after the client has read a third of a large buffer, so that unsentBytes() is too coarse. */
+    static void noteReading(Connection &connection, std::size_t unread)
+    {
+        const bool isFirst = connection.unreadBytes == 0;
+        if (isFirst || unread == 0 || unread + ReadStepBytes <= connection.unreadBytes) {
+            connection.readAt = Clock::now();
+            connection.unreadBytes = unread;
+        }
+        connection.unreadBytes = std::max(connection.unreadBytes, unread);
+    }
+
     std::vector<PeerHolding> holdings() const
     {
         std::vector<PeerHolding> holdings;
@@ -263,16 +278,20 @@
             holdings.push_back({.connection = reinterpret_cast<std::uintptr_t>(stream),
                                 .bytes = connection->heldBytes,
                                 .since = connection->heldSince,
-                                .activity = activityOf(*connection)});
+                                .activity = activityOf(*connection),
+                                .readAt = connection->readAt});
         }
         return holdings;
     }
 
     static PeerActivity activityOf(const Connection &connection)
     {
-        if (!connection.exchanges.empty() || connection.stream->unsentBytes() > 0) {
+        if (!connection.exchanges.empty()) {
             return PeerActivity::Answering;
         }
+        if (connection.stream->unsentBytes() > 0) {
+            return PeerActivity::Unread;
+        }
         if (connection.isClosing) {
             return PeerActivity::Closing;
         }
@@ -318,18 +337,24 @@
     /** Closes a connection in favour of a new one; returns whether there is one to be closed. */
     bool replaceConnection()
     {
-        const auto replaced = connectionToReplace(holdings());
+        const auto replaced = connectionToReplace(holdings(), Clock::now());
         if (!replaced) {
             return false;
         }
-        logEvent(LogEvent::ConnectionReplaced, {{"connections", m_connections.size()}});
-        removeConnection(reinterpret_cast<TcpStream *>(static_cast<std::uintptr_t>(*replaced)));
+        auto *stream = reinterpret_cast<TcpStream *>(static_cast<std::uintptr_t>(*replaced));
+        const PeerActivity activity = activityOf(*m_connections.at(stream));
+        logEvent(LogEvent::ConnectionReplaced, {{"connections", m_connections.size()}, {"activity", nameOf(activity)}});
+        if (activity == PeerActivity::Receiving) {
+            // The client learns that its request has not run. Its descriptor is needed at once, so that nothing else is awaited.
+            stream->write(encodeResponse(errorResponse(DecodeState::Incomplete), false, false));
+        }
+        removeConnection(stream);
         Q_EMIT q->peerReleased(PeerRelease::ConnectionReplaced);
         return true;
     }
 
-    /** QTcpServer stops to accept connections after an error, such as a lack of descriptors. */
-    void handleAcceptError()
+    /** Accepting pauses until the next sweep, which frees a descriptor for the connection that waits. */
+    void handleAcceptFailure()
     {
         logEvent(LogEvent::AcceptFailed, {{"connections", m_connections.size()}});
         m_isAcceptingAgain = true;
@@ -342,14 +367,14 @@
         }
         m_isAcceptingAgain = false;
         replaceConnection();
-        m_listener.resumeAccepting();
+        m_listener.resume();
     }
 
     void sweep()
     {
         closeExpiredConnections();
         acceptAgain();
-        countWaitingBytes();
+        lookAtHeldBytes();
         // Otherwise the allocator keeps what a crowd has made it allocate.
         if (m_mostHeldBytes > m_limits.totalBytes / 2 && m_heldBytes < m_mostHeldBytes / 2) {
             m_mostHeldBytes = m_heldBytes;
@@ -357,11 +382,11 @@
         }
     }
 
-    /** There is no event for bytes that arrive while reading is paused. */
-    void countWaitingBytes()
+    /** There is no event for bytes that arrive while reading is paused, nor for a part of a response that the client reads. */
+    void lookAtHeldBytes()
     {
         for (const auto &[stream, connection] : m_connections) {
-            if (connection->isReadingPaused) {
+            if (connection->isReadingPaused || connection->unreadBytes > 0) {
                 updateHeldBytes(*connection);
             }
         }
@@ -548,8 +573,7 @@
         m_isDraining = true;
         m_isClosingAfterResponses = true;
         // Connections that the system has accepted, and requests that it has received, would be lost with the sockets.
-        while (m_listener.waitForNewConnection(0)) {
-        }
+        m_listener.acceptWaiting();
         m_listener.close();
         for (TcpStream *stream : idleStreams()) {
             stream->readArrived();
@@ -592,23 +616,22 @@
 
 bool HttpServer::listen(const Endpoint &endpoint)
 {
-    d->m_listener.setListenBacklogSize(ListenBacklog);
-    return d->m_listener.listen(QHostAddress(QString::fromStdString(endpoint.address)), endpoint.port);
+    return d->m_listener.listen(endpoint);
 }
 
 void HttpServer::setAcceptingPaused(bool isPaused)
 {
     d->m_isAcceptingPaused = isPaused;
     if (isPaused) {
-        d->m_listener.pauseAccepting();
+        d->m_listener.pause();
     } else {
-        d->m_listener.resumeAccepting();
+        d->m_listener.resume();
     }
 }
 
 quint16 HttpServer::port() const
 {
-    return d->m_listener.serverPort();
+    return d->m_listener.port();
 }
 
 std::size_t HttpServer::connectionCount() const
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -1,23 +1,47 @@
 #pragma once
 
-#include <QTcpServer>
+#include "core/endpoint.h"
 
-#include <functional>
+#include <QObject>
+
+#include <memory>
 
 namespace Plantainweir {
 
-/** A QTcpServer that passes on the descriptors of accepted connections and creates no QTcpSocket for them. */
-class Listener : public QTcpServer
+/**
+ * A listening TCP port.
+ *
+ * Accepts connections itself instead of by QTcpServer, which tries again at once, without end, while the process has no
+ * descriptor for a connection that waits.
+ */
+class Listener : public QObject
 {
+    Q_OBJECT
+
 public:
-    /** Called with the descriptor of each connection; the receiver owns it. */
-    std::function<void(qintptr)> onAccepted;
-
-protected:
-    void incomingConnection(qintptr descriptor) override
-    {
-        onAccepted(descriptor);
-    }
+    explicit Listener(QObject *parent = nullptr);
+    ~Listener() override;
+
+    /** Starts to listen on @p endpoint; port 0 selects a free port. Returns whether the port is open. */
+    bool listen(const Endpoint &endpoint);
+    quint16 port() const;
+    /** Accepts no further connections until resume(); the system keeps them. */
+    void pause();
+    void resume();
+    /** Accepts the connections that wait, without waiting for the event loop; emits the same signals. */
+    void acceptWaiting();
+    /** Closes the port. */
+    void close();
+
+Q_SIGNALS:
+    /** A connection was accepted; exactly one receiver owns @p descriptor. */
+    void accepted(qintptr descriptor);
+    /** A connection cannot be accepted, for example for lack of descriptors. Accepting is paused. */
+    void acceptFailed();
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
 };
 
 }
--- a/src/http/tcpstream.cpp
+++ b/src/http/tcpstream.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -355,6 +356,13 @@
     return d->m_outgoing.size() - d->m_sentOffset;
 }
 
+std::size_t TcpStream::unacknowledgedBytes() const
+{
+    int bytes = 0;
+    const bool isKnown = d->m_descriptor >= 0 && ::ioctl(d->m_descriptor, SIOCOUTQ, &bytes) == 0;
+    return unsentBytes() + (isKnown && bytes > 0 ? static_cast<std::size_t>(bytes) : 0);
+}
+
 std::size_t TcpStream::waitingBytes() const
 {
     int bytes = 0;
--- a/src/http/tcpstream.h
+++ b/src/http/tcpstream.h
@@ -65,6 +65,9 @@
     /** Returns the number of written bytes that the socket has not accepted yet. */
     std::size_t unsentBytes() const;
 
+    /** Returns the number of written bytes that the peer has not acknowledged, those that the socket has not accepted included. */
+    std::size_t unacknowledgedBytes() const;
+
     /** Returns the number of bytes that the system has received and that have not been read. */
     std::size_t waitingBytes() const;
 
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -170,7 +170,7 @@
         {LogEvent::ConnectionReplaced,
          Warning,
          "connection_replaced",
-         "A port has as many connections as it may have; the idlest one is closed for a new one."},
+         "A port has as many connections as it may have; the one that gives way first is closed for a new one."},
         {LogEvent::AcceptFailed,
          Error,
          "accept_failed",
--- a/tests/peermemorytest.cpp
+++ b/tests/peermemorytest.cpp
@@ -76,18 +76,32 @@
                                             holding(2, 0, seconds(5), PeerActivity::Idle),
                                             holding(3, 9, seconds(9), PeerActivity::Receiving),
                                             holding(4, 9, seconds(9), PeerActivity::Answering)};
-    EXPECT_EQ(connectionToReplace(holdings), 2U);
+    EXPECT_EQ(connectionToReplace(holdings, Now), 2U);
 }
 
 TEST(PeerMemory, WithoutAnIdleConnectionTheOldestIncompleteRequestGivesWay)
 {
-    EXPECT_EQ(connectionToReplace({holding(1, 9, seconds(2)), holding(2, 9, seconds(4)), holding(3, 0, seconds(9), PeerActivity::Answering)}), 2U);
+    EXPECT_EQ(connectionToReplace({holding(1, 9, seconds(2)), holding(2, 9, seconds(4)), holding(3, 0, seconds(9), PeerActivity::Answering)}, Now), 2U);
+}
+
+TEST(PeerMemory, WithoutThoseTheOldestUnreadResponseGivesWay)
+{
+    const auto unread = [](std::uint64_t connection, seconds age, seconds sinceRead) {
+        PeerHolding unreadResponse = holding(connection, 9, age, PeerActivity::Unread);
+        unreadResponse.readAt = Now - sinceRead;
+        return unreadResponse;
+    };
+    const PeerHolding waiting = holding(1, 9, seconds(9), PeerActivity::Answering);
+    EXPECT_EQ(connectionToReplace({waiting, unread(2, seconds(2), seconds(2)), unread(3, seconds(4), seconds(3))}, Now), 3U);
+    EXPECT_EQ(connectionToReplace({unread(1, seconds(9), seconds(9)), holding(2, 9, seconds(1))}, Now), 2U);
+    EXPECT_EQ(connectionToReplace({unread(1, seconds(9), seconds(1)), unread(2, seconds(3), seconds(3))}, Now), 2U) << "the first one reads";
+    EXPECT_EQ(connectionToReplace({waiting, unread(2, seconds(9), seconds(1))}, Now), std::nullopt);
 }
 
 TEST(PeerMemory, NoConnectionThatWaitsForAResponseGivesWay)
 {
-    EXPECT_EQ(connectionToReplace({holding(1, 0, seconds(9), PeerActivity::Answering)}), std::nullopt);
-    EXPECT_EQ(connectionToReplace({}), std::nullopt);
+    EXPECT_EQ(connectionToReplace({holding(1, 0, seconds(9), PeerActivity::Answering)}, Now), std::nullopt);
+    EXPECT_EQ(connectionToReplace({}, Now), std::nullopt);
 }
 
 }
--- a/tests/soak/loopbackproxy.cpp
+++ b/tests/soak/loopbackproxy.cpp
@@ -29,10 +29,8 @@
     explicit Private(const Endpoint &target)
         : m_target(target)
     {
-        m_listener.onAccepted = [this](qintptr descriptor) {
-            accept(descriptor);
-        };
-        m_listener.listen(QHostAddress(QHostAddress::LocalHost));
+        connect(&m_listener, &Listener::accepted, this, &Private::accept);
+        m_listener.listen({.address = "127.0.0.1", .port = 0});
     }
 
     void accept(qintptr descriptor)
@@ -140,7 +138,7 @@
 
 Endpoint LoopbackProxy::endpoint() const
 {
-    return {.address = "127.0.0.1", .port = d->m_listener.serverPort()};
+    return {.address = "127.0.0.1", .port = d->m_listener.port()};
 }
 
 void LoopbackProxy::setFault(LinkFault fault)
