Count the body of a call that runs on without its caller

The body of an at-most-once call left the account of memory when its caller disconnected, although its attempt runs on and holds the encoded request until the upstream has read it. Callers that send large bodies and leave could thereby make the process hold more than the limit. A body now counts as long as the call is open or one of its attempts runs.

--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -8,6 +8,7 @@
 #include <QTimer>
 
 #include <limits>
+#include <unordered_map>
 
 namespace Plantainweir {
 namespace {
@@ -40,6 +41,12 @@
     std::map<ProxyAttemptId, std::shared_ptr<const ResponseMessage>> responses; ///< By attempt; the proxy step decides which one answers the call.
 };
 
+/** The body of a call, which takes memory as long as the call is open or one of its attempts may still send it. */
+struct HeldBody {
+    std::size_t bytes = 0;
+    std::size_t holders = 0;
+};
+
 /** An attempt whose result is expected. */
 struct OpenAttempt {
     HttpExchangeId call = 0;
@@ -95,7 +102,7 @@
             .isTableFresh = m_isTableFresh,
             .isStopping = m_isStopping,
             .interruptedAt = m_interruptedAt,
-            .freeBodyBytes = m_bodyLimit - std::min(m_bodyLimit, m_openBodyBytes),
+            .freeBodyBytes = m_bodyLimit - std::min(m_bodyLimit, m_bodyBytes),
             .now = now,
         };
         if (runRouteChain(context, environment) == RouteOutcome::Refuse) {
@@ -104,7 +111,7 @@
         }
         const Route &route = *context.route;
         const std::string account = accountName(context);
-        m_openBodyBytes += call.call.bodyBytes;
+        holdBody(call.exchange, call.call.bodyBytes);
         m_calls.emplace(call.exchange,
                         OpenCall{.incoming = call, .route = route.name, .account = m_table.accounts.empty() ? std::nullopt : std::optional(account)});
         const ProxyCallAdmitted admitted{
@@ -196,6 +203,25 @@
         }
     }
 
+    void holdBody(HttpExchangeId call, std::size_t bytes)
+    {
+        HeldBody &body = m_bodies[call];
+        if (body.holders == 0) {
+            body.bytes = bytes;
+            m_bodyBytes += bytes;
+        }
+        ++body.holders;
+    }
+
+    void releaseBody(HttpExchangeId call)
+    {
+        const auto found = m_bodies.find(call);
+        if (--found->second.holders == 0) {
+            m_bodyBytes -= found->second.bytes;
+            m_bodies.erase(found);
+        }
+    }
+
     WeightedRoundRobin &roundRobinOf(const Route &route)
     {
         const auto found = m_roundRobins.find(route.name);
@@ -249,6 +275,7 @@
         OpenCall &call = m_calls.at(action.call);
         call.lastUpstream = action.upstream.id;
         ++call.attempts;
+        holdBody(action.call, call.incoming.call.bodyBytes);
         m_attempts.emplace(action.id, OpenAttempt{.call = action.call, .upstream = action.upstream.id, .isHedge = action.retry == RetryReason::Hedge});
         if (action.retry) {
             m_metrics.countRetry(*action.retry);
@@ -271,11 +298,17 @@
         const auto attempt = m_attempts.find(action.id);
         if (attempt != m_attempts.end()) {
             countHedge(attempt->second, HedgeOutcome::Cancelled);
-            m_attempts.erase(attempt);
+            eraseAttempt(attempt);
         }
         Q_EMIT q->attemptCancelled(action.id);
     }
 
+    void eraseAttempt(std::map<ProxyAttemptId, OpenAttempt>::iterator attempt)
+    {
+        releaseBody(attempt->second.call);
+        m_attempts.erase(attempt);
+    }
+
     void countHedge(const OpenAttempt &attempt, HedgeOutcome outcome)
     {
         if (attempt.isHedge) {
@@ -354,7 +387,7 @@
     {
         OpenCall call = std::move(found->second);
         m_calls.erase(found);
-        m_openBodyBytes -= call.incoming.call.bodyBytes;
+        releaseBody(call.incoming.exchange);
         return call;
     }
 
@@ -408,7 +441,7 @@
                 logNotice(call->second.lastUpstream, result.ended.notice);
                 countHedge(attempt->second, result.ended.outcome == ProxyAttemptOutcome::Succeeded ? HedgeOutcome::Won : HedgeOutcome::Failed);
             }
-            m_attempts.erase(attempt);
+            eraseAttempt(attempt);
         }
         handleEvent(result.ended);
     }
@@ -470,8 +503,9 @@
     std::map<HttpExchangeId, OpenCall> m_calls;
     std::map<CreditRequestId, HttpExchangeId> m_creditRequests; ///< Calls that wait for credit.
     CreditRequestId m_lastCreditRequest = 0;
-    std::size_t m_bodyLimit = std::numeric_limits<std::size_t>::max(); ///< Of the request bodies of all open calls together.
-    std::size_t m_openBodyBytes = 0;
+    std::size_t m_bodyLimit = std::numeric_limits<std::size_t>::max(); ///< Of all m_bodies together.
+    std::unordered_map<HttpExchangeId, HeldBody> m_bodies; ///< By call; also of calls whose caller has disconnected while an attempt runs.
+    std::size_t m_bodyBytes = 0; ///< Of all m_bodies.
     std::map<ProxyAttemptId, OpenAttempt> m_attempts;
     std::map<ColdCreditId, CreditDecision> m_credits; ///< Of the requests for credit of cold upstreams; empty until they are decided.
     TimePoint m_coldCountDue;
--- a/src/tasks/proxytask.h
+++ b/src/tasks/proxytask.h
@@ -43,7 +43,10 @@
     void setFleetShare(const FleetShareChanged &share);
     /** Refuses all calls that are admitted from now on. */
     void refuseNewCalls();
-    /** Sets how many bytes the request bodies of all calls in flight may take together; there is no limit at first. */
+    /**
+     * Sets how many bytes the request bodies of all calls in flight may take together; there is no limit at first. The body of a call
+     * that runs on without its caller counts until its attempt has ended.
+     */
     void setBodyLimit(std::size_t bytes);
     /** Sets when calls in flight will be interrupted; from then on, calls with a later deadline are refused. */
     void setInterruption(TimePoint at);
