Use no more descriptors than the system permits

It does not refuse to start, since it serves within the smaller limit, and a VM that does not start serves nobody.

The fixture of the crowd tests takes arguments, and gatewayd logs to a file. MoreDescriptorsThanTheSystemPermits failed before and passes.

--- a/src/programs/plantainweirgatewayd.cpp
+++ b/src/programs/plantainweirgatewayd.cpp
@@ -46,7 +46,7 @@
                                     "time in which an evacuated availability zone must get no more calls; if empty, evacuations are not read");
     commandLine.addNumber("processor-share", "share of a processor core that this VM has; VMs with a larger share read the store for others", 0.0, 1e6, 0.0);
     commandLine.addInteger("memory-mb", "memory that this process may use, in MiB; what callers make it hold takes at most a part of it", 32, 1 << 20, 512);
-    commandLine.addInteger("descriptors", "file descriptors that this process may use; 0: as many as the system permits", 0, 1 << 20, 0);
+    commandLine.addInteger("descriptors", "file descriptors that this process may use; at most, and with 0, as many as the system permits", 0, 1 << 20, 0);
     commandLine.addChoice("fleet-starting", "whether the whole fleet starts for the first time", {"true", "false"}, "false");
     commandLine.addDuration("stop-time", "time from the stop signal to the forced exit");
 }
@@ -72,13 +72,16 @@
     };
 }
 
-/** Returns the number of descriptors that this process may use, @p setting if it is not zero. */
+/** Returns the number of descriptors that this process may use: @p setting, unless it is zero or the system permits fewer. */
 std::size_t descriptorLimit(std::size_t setting)
 {
     rlimit limit{};
     const bool isKnown = ::getrlimit(RLIMIT_NOFILE, &limit) == 0;
     const std::size_t permitted = isKnown ? static_cast<std::size_t>(limit.rlim_cur) : std::numeric_limits<std::size_t>::max();
-    return setting == 0 ? permitted : setting;
+    if (setting > permitted) {
+        logEvent(LogEvent::DescriptorsLimited, {{"setting", setting}, {"permitted", permitted}});
+    }
+    return setting == 0 ? permitted : std::min(setting, permitted);
 }
 
 /** Lets large buffers be returned to the system as soon as they are freed, whatever lies beside them. */
--- a/tests/processcrowdtest.cpp
+++ b/tests/processcrowdtest.cpp
@@ -12,6 +12,8 @@
 #include <QFile>
 #include <QJsonArray>
 #include <QProcess>
+#include <QTemporaryFile>
+#include <QTimer>
 
 #include <fmt/core.h>
 
@@ -60,27 +62,34 @@
 }
 static_assert(isEnumTableOrdered<CrowdPlace>());
 
-/** An upstream that answers all calls at once. */
-class ImmediateUpstream
+/** An upstream that answers probes at once, and calls after a time. */
+class CrowdUpstream
 {
 public:
-    ImmediateUpstream()
+    explicit CrowdUpstream(const std::string &id = UpstreamId, std::chrono::milliseconds answerTime = {})
+        : m_id(id)
     {
         EXPECT_TRUE(m_server.listen({.address = "127.0.0.1", .port = 0}));
-        QObject::connect(&m_server, &HttpServer::requestReceived, &m_server, [this](HttpExchangeId exchange, const HttpRequest &request) {
-            m_server.respond(exchange,
-                             {.status = 200,
-                              .fields = {{"X-Plantainweir-Response-Stamp", "stamp"},
-                                         {"X-Plantainweir-Instance-Id", UpstreamId},
-                                         {"X-Plantainweir-Backend-Load", "0,0,1000,100"},
-                                         {"X-Plantainweir-Request-Id", std::string(fieldValue(request.fields, "X-Plantainweir-Request-Id"))}},
-                              .body = std::string(request.target == "/health" ? 0 : AnswerBytes, 'x')});
+        QObject::connect(&m_server, &HttpServer::requestReceived, &m_server, [this, answerTime](HttpExchangeId exchange, const HttpRequest &request) {
+            const HttpResponse response{.status = 200,
+                                        .fields = {{"X-Plantainweir-Response-Stamp", "stamp"},
+                                                   {"X-Plantainweir-Instance-Id", m_id},
+                                                   {"X-Plantainweir-Backend-Load", "0,0,1000,100"},
+                                                   {"X-Plantainweir-Request-Id", std::string(fieldValue(request.fields, "X-Plantainweir-Request-Id"))}},
+                                        .body = std::string(request.target == "/health" ? 0 : AnswerBytes, 'x')};
+            if (request.target == "/health" || answerTime.count() == 0) {
+                m_server.respond(exchange, response);
+                return;
+            }
+            QTimer::singleShot(answerTime, &m_server, [this, exchange, response] {
+                m_server.respond(exchange, response);
+            });
         });
     }
 
-    QJsonObject registration() const
+    QJsonObject registration(const char *service = "desk") const
     {
-        return {{"service", "desk"},
+        return {{"service", service},
                 {"address", QString("127.0.0.1:%1").arg(m_server.port())},
                 {"zone", "a"},
                 {"version", "v1"},
@@ -91,7 +100,8 @@
     }
 
 private:
-    HttpServer m_server{HttpLimits{}};
+    std::string m_id;
+    HttpServer m_server{HttpLimits{.bodyBytes = 64 * MebiByte}};
 };
 
 QJsonObject configuration()
@@ -121,7 +131,13 @@
 
     void SetUp() override
     {
-        m_gateway.setStandardOutputFile(QProcess::nullDevice());
+        startGateway(memoryMb());
+    }
+
+    void startGateway(std::size_t memory, const QStringList &arguments = {})
+    {
+        ASSERT_TRUE(m_log.open());
+        m_gateway.setStandardOutputFile(m_log.fileName());
         m_gateway.setProcessChannelMode(QProcess::ForwardedErrorChannel);
         m_gateway.setChildProcessModifier([limit = descriptors()] {
             const rlimit descriptorLimit{.rlim_cur = limit, .rlim_max = limit};
@@ -131,22 +147,23 @@
             return QString("--%1=%2").arg(name, QString::fromStdString(toString(endpoint)));
         };
         m_gateway.start(PLANTAINWEIR_BIN_DIR "/plantainweir-gatewayd",
-                        {"--name=e1",
-                         "--availability-zone=a",
-                         argument("caller-port", m_callers),
-                         argument("readiness-port", m_readiness),
-                         argument("directory-port", m_directory),
-                         argument("membership-port", m_membership),
-                         argument("exchange-port", freeEndpoint()),
-                         argument("operators-port", m_operators),
-                         argument("store", m_store.endpoint()),
-                         argument("seeds", m_membership),
-                         "--retry-share=0.2",
-                         "--retry-slack=50",
-                         "--retry-window=10s",
-                         "--probe-limit=1000",
-                         QString("--memory-mb=%1").arg(memoryMb()),
-                         "--stop-time=6s"});
+                        QStringList{"--name=e1",
+                                    "--availability-zone=a",
+                                    argument("caller-port", m_callers),
+                                    argument("readiness-port", m_readiness),
+                                    argument("directory-port", m_directory),
+                                    argument("membership-port", m_membership),
+                                    argument("exchange-port", freeEndpoint()),
+                                    argument("operators-port", m_operators),
+                                    argument("store", m_store.endpoint()),
+                                    argument("seeds", m_membership),
+                                    "--retry-share=0.2",
+                                    "--retry-slack=50",
+                                    "--retry-window=10s",
+                                    "--probe-limit=1000",
+                                    QString("--memory-mb=%1").arg(memory),
+                                    "--stop-time=6s"}
+                            + arguments);
         ASSERT_TRUE(m_gateway.waitForStarted());
         ASSERT_TRUE(isAnswered(CrowdPlace::Route));
     }
@@ -217,6 +234,17 @@
         m_crowds.push_back(std::make_unique<Crowd>(endpointOf(place), crowdPlan(kind, Host, targetOf(place)), connections));
     }
 
+    /** Returns whether gatewayd has logged an event. */
+    bool isLogged(const char *event)
+    {
+        QFile log(m_log.fileName());
+        return waitUntil([&] {
+            const bool isFound = log.open(QIODevice::ReadOnly) && log.readAll().contains(event);
+            log.close();
+            return isFound;
+        });
+    }
+
     void waitUntilCrowdsAreSettled()
     {
         EXPECT_TRUE(waitUntil([this] {
@@ -287,17 +315,22 @@
     char m_program[5] = "test";
     char *m_arguments[2] = {m_program, nullptr};
     QCoreApplication m_application{m_argumentCount, m_arguments};
+
+protected:
+    FakeStore m_store;
+    HttpClient m_client{HttpLimits{}};
+    std::map<HttpRequestId, HttpRequestResult> m_results;
+    QProcess m_gateway;
+
+private:
+    QTemporaryFile m_log;
     Endpoint m_callers = freeEndpoint();
     Endpoint m_readiness = freeEndpoint();
     Endpoint m_directory = freeEndpoint();
     Endpoint m_operators = freeEndpoint();
     Endpoint m_membership = freeEndpoint();
-    FakeStore m_store;
-    ImmediateUpstream m_upstream;
-    HttpClient m_client{HttpLimits{}};
-    std::map<HttpRequestId, HttpRequestResult> m_results;
+    CrowdUpstream m_upstream;
     std::vector<std::unique_ptr<Crowd>> m_crowds;
-    QProcess m_gateway;
     qsizetype m_mostDescriptors = 0;
 };
 
@@ -340,6 +373,22 @@
 
 INSTANTIATE_TEST_SUITE_P(Crowds, CrowdTest, testing::Combine(testing::ValuesIn(allKinds()), testing::ValuesIn(allPlaces())), caseName);
 
+/** Starts gatewayd with settings of each test. */
+class CrowdSettingsTest : public CrowdFixture
+{
+protected:
+    void SetUp() override {}
+};
+
+TEST_F(CrowdSettingsTest, MoreDescriptorsThanTheSystemPermits)
+{
+    startGateway(memoryMb(), {"--descriptors=100000"});
+    startCrowd(CrowdKind::Idle, CrowdPlace::Route, crowdConnections(CrowdKind::Idle));
+    waitUntilCrowdsAreSettled();
+    expectUnharmed(CrowdPlace::Route);
+    EXPECT_TRUE(isLogged("descriptors_limited"));
+}
+
 /** Clients of each kind at each place, all at once. */
 TEST_F(CrowdFixture, AllKindsAtOnce)
 {
