Serve a single large request in calm

A request of more than half of the callers' account was refused even if nobody else held anything: bodies above 7 MB on a VM of 112 MB, and above 10 MB on one of 160 MB, although the configuration permitted them. While others hold at most a quarter of the account, a request may now take all that is free.

ALargeRequestIsServedWith112Mb and ...160Mb send 13 and 19 MB; both were answered with 503 before, and with 200 now, within the memory of the VM.

--- a/src/decision/peermemory.cpp
+++ b/src/decision/peermemory.cpp
@@ -8,6 +8,8 @@
 
 /** Added to the time of each holding, so that size decides between connections that have just come. */
 constexpr std::chrono::milliseconds MinimumHoldingTime{100};
+/** While others hold at most this part of the limit, one request may take all that is free. */
+constexpr std::size_t CalmDivisor = 4;
 
 bool mayGiveWay(const PeerHolding &holding, TimePoint now)
 {
@@ -35,7 +37,8 @@
 PeerRequestMeasure measureForRequest(std::size_t bytes, std::size_t held, std::size_t limit)
 {
     const std::size_t free = limit - std::min(limit, held);
-    return bytes > SmallRequestBytes && bytes > free / 2 ? PeerRequestMeasure::Refuse : PeerRequestMeasure::Accept;
+    const std::size_t most = held <= limit / CalmDivisor ? free : free / 2;
+    return bytes > SmallRequestBytes && bytes > most ? PeerRequestMeasure::Refuse : PeerRequestMeasure::Accept;
 }
 
 std::vector<std::uint64_t> connectionsToRelease(std::vector<PeerHolding> holdings, std::size_t limit, TimePoint now)
--- a/src/decision/peermemory.h
+++ b/src/decision/peermemory.h
@@ -64,7 +64,7 @@
 /** What to do about a request that has been received completely. */
 enum class PeerRequestMeasure {
     Accept,
-    Refuse, ///< It is large, and takes more than half of what is free.
+    Refuse, ///< It is large, and takes more than half of what is free while others hold more than a quarter.
 };
 
 /** Requests of at most this size are accepted whatever others hold, since connectionsToRelease() makes room for them. */
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -32,7 +32,7 @@
 /** Descriptors that are kept free for files. */
 constexpr std::size_t FileDescriptors = 200;
 
-/** Connections of one port: a part of the descriptors, and an upper limit. What no port may take is left for upstreams, the store and other VMs. */
+/** Connections of one port: a part of the descriptors, and an upper limit. The rest is left for the store and other VMs. */
 struct PortShare {
     std::size_t connections = 0;
     std::size_t percent = 0;
@@ -54,6 +54,8 @@
 constexpr std::size_t TotalMemoryDivisor = 8;
 /** The same for the request bodies of the calls in flight. Each may be held twice while an upstream reads it slowly. */
 constexpr std::size_t CallMemoryDivisor = 4;
+/** Memory of the header of a request, of bytes that are not decoded and of connections that are idle. */
+constexpr std::size_t HeaderMemory = 512 * 1024;
 /** Idle timeout of caller connections until the first configuration arrives. */
 constexpr std::chrono::milliseconds InitialIdleTimeout{60'000};
 /** An entry VM that has found no other member after this time registers itself in the store. */
@@ -68,15 +70,24 @@
 /** How long before the end of the stop time stopped() is emitted if callers are still connected. */
 constexpr std::chrono::milliseconds ForcedStopMargin{300};
 
+std::size_t connectionsOf(const PortShare &share, const GatewaySettings &settings)
+{
+    const std::size_t sockets = settings.descriptors - std::min(settings.descriptors, FileDescriptors);
+    return std::clamp<std::size_t>(sockets * share.percent / 100, 1, share.connections);
+}
+
 HttpLimits upstreamLimits(const GatewaySettings &settings)
 {
     return {.bodyBytes = settings.memoryBytes / BodyMemoryDivisor, .totalBytes = settings.memoryBytes / TotalMemoryDivisor};
 }
 
-std::size_t connectionsOf(const PortShare &share, const GatewaySettings &settings)
+/** Returns the size of the largest body that is accepted while nobody else holds much. */
+std::size_t largestBodyBytes(const GatewaySettings &settings)
 {
-    const std::size_t sockets = settings.descriptors - std::min(settings.descriptors, FileDescriptors);
-    return std::clamp<std::size_t>(sockets * share.percent / 100, 1, share.connections);
+    const std::size_t received = settings.memoryBytes / TotalMemoryDivisor;
+    // A call may take half of what is free (filterMemory).
+    const std::size_t inFlight = settings.memoryBytes / CallMemoryDivisor / 2;
+    return std::min(received - std::min(received, HeaderMemory), inFlight);
 }
 
 HttpLimits toHttpLimits(const CallerLimits &limits, std::chrono::milliseconds idleTimeout, const GatewaySettings &settings)
@@ -391,6 +402,10 @@
     {
         m_longestIdleTimeout = std::max(m_longestIdleTimeout, std::chrono::duration_cast<std::chrono::milliseconds>(limits.idleTimeout));
         m_callerServer.setLimits(toHttpLimits(limits, m_longestIdleTimeout, m_settings));
+        const std::size_t largest = largestBodyBytes(m_settings);
+        if (limits.bodyBytes > largest) {
+            logEvent(LogEvent::BodyLimitTooLarge, {{"configured", limits.bodyBytes}, {"served", largest}});
+        }
     }
 
     void applyUpstreamRecords(const std::vector<StoreObject> &objects)
--- a/tests/peermemorytest.cpp
+++ b/tests/peermemorytest.cpp
@@ -65,6 +65,15 @@
     EXPECT_EQ(measureForRequest(SmallRequestBytes + 1, 2 * Limit, Limit), PeerRequestMeasure::Refuse);
 }
 
+TEST(PeerMemory, InCalmALargeRequestMayTakeAllThatIsFree)
+{
+    constexpr std::size_t Limit = 100 * SmallRequestBytes;
+    EXPECT_EQ(measureForRequest(100 * SmallRequestBytes, 0, Limit), PeerRequestMeasure::Accept);
+    EXPECT_EQ(measureForRequest(75 * SmallRequestBytes, 25 * SmallRequestBytes, Limit), PeerRequestMeasure::Accept);
+    EXPECT_EQ(measureForRequest(75 * SmallRequestBytes + 1, 25 * SmallRequestBytes, Limit), PeerRequestMeasure::Refuse);
+    EXPECT_EQ(measureForRequest(74 * SmallRequestBytes, 26 * SmallRequestBytes, Limit), PeerRequestMeasure::Refuse);
+}
+
 TEST(PeerMemory, ASmallRequestIsAcceptedWhateverOthersHold)
 {
     EXPECT_EQ(measureForRequest(SmallRequestBytes, 200, 100), PeerRequestMeasure::Accept);
--- a/tests/processcrowdtest.cpp
+++ b/tests/processcrowdtest.cpp
@@ -116,6 +116,18 @@
                                     {"spec", QJsonObject{{"healthPath", "/health"}, {"maxConnections", 200}}}}}}};
 }
 
+/** Returns configuration() with a further resource. */
+QJsonObject configurationWith(const QJsonArray &resources)
+{
+    QJsonObject object = configuration();
+    QJsonArray all = object["resources"].toArray();
+    for (const QJsonValue &resource : resources) {
+        all.append(resource);
+    }
+    object["resources"] = all;
+    return object;
+}
+
 /** One gatewayd with little memory and few descriptors, a fake store and an upstream. */
 class CrowdFixture : public testing::Test
 {
@@ -234,6 +246,21 @@
         m_crowds.push_back(std::make_unique<Crowd>(endpointOf(place), crowdPlan(kind, Host, targetOf(place)), connections));
     }
 
+    void startCrowd(const CrowdPlan &plan, std::size_t connections)
+    {
+        m_crowds.push_back(std::make_unique<Crowd>(m_callers, plan, connections));
+    }
+
+    /** Sends @p request to the callers' port and returns the status of the answer, or zero if there is none. */
+    int statusOf(const HttpRequest &request)
+    {
+        const HttpRequestId id = m_client.send(m_callers, request, Clock::now() + std::chrono::seconds(5));
+        EXPECT_TRUE(waitUntil([&] {
+            return m_results.contains(id);
+        }));
+        return m_results[id].outcome == HttpRequestOutcome::Answered ? m_results[id].response.status : 0;
+    }
+
     /** Returns whether gatewayd has logged an event. */
     bool isLogged(const char *event)
     {
@@ -378,8 +405,39 @@
 {
 protected:
     void SetUp() override {}
+
+    /** Checks that a VM with @p memory serves a request that takes almost all that callers may make it hold. */
+    void expectLargeRequestServed(std::size_t memory)
+    {
+        const std::size_t callerBytes = memory * MebiByte / 8;
+        const QJsonObject limits{
+            {"maxHeaderBytes", 16384}, {"maxBodyBytes", static_cast<qint64>(callerBytes + MebiByte)}, {"headerTimeout", "10s"}, {"idleTimeout", "60s"}};
+        m_store.put("config", "main", configurationWith({QJsonObject{{"resourceKind", "limits"}, {"metadata", QJsonObject{}}, {"spec", limits}}}));
+        startGateway(memory);
+        EXPECT_TRUE(isLogged("body_limit_too_large"));
+        EXPECT_EQ(statusOf({.method = "POST",
+                            .target = targetOf(CrowdPlace::Route),
+                            .fields = {{"Host", Host}, {"X-Plantainweir-Request-Id", "large"}, {"X-Plantainweir-Deadline-Ms", "5000"}},
+                            .body = std::string(callerBytes - MebiByte, 'x')}),
+                  200);
+        ASSERT_EQ(m_gateway.state(), QProcess::Running);
+#ifndef __SANITIZE_ADDRESS__
+        EXPECT_LE(peakResidentBytes(), memory * MebiByte);
+#endif
+        RecordProperty("peak_mb", std::to_string(peakResidentBytes() / MebiByte));
+    }
 };
 
+TEST_F(CrowdSettingsTest, ALargeRequestIsServedWith112Mb)
+{
+    expectLargeRequestServed(112);
+}
+
+TEST_F(CrowdSettingsTest, ALargeRequestIsServedWith160Mb)
+{
+    expectLargeRequestServed(160);
+}
+
 TEST_F(CrowdSettingsTest, MoreDescriptorsThanTheSystemPermits)
 {
     startGateway(memoryMb(), {"--descriptors=100000"});
