Bound the connections to all upstreams together

Connections were limited for each upstream only: calls to 24 slow upstreams took 700 of 700 descriptors, although 200 are reserved for files. All connections to upstreams now take at most 15% of the descriptors that are not for files. At the limit, the idlest connection to any upstream gives way; if all are busy, the request is not sent, and the call is refused as not run. A probe that finds no connection does not eject its upstream.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "http/httpclient.h"
 
+#include "decision/outgoingconnections.h"
 #include "http/httpcodec.h"
 #include "http/tcpstream.h"
 #include "observability/logevents.h"
@@ -21,6 +22,8 @@
 /** Time before the server's announced idle timeout at which an idle connection is closed, to avoid a race with the server's close. */
 constexpr std::chrono::milliseconds IdleTimeoutMargin{1500};
 constexpr std::chrono::milliseconds SweepPeriod{500};
+/** Shortest time between two log lines about too many connections. */
+constexpr std::chrono::seconds LimitLogInterval{1};
 /** A server that sends more responses to other requests before the expected one is considered broken. */
 constexpr int MaximumForeignResponses = 8;
 
@@ -62,17 +65,13 @@
         ClientConnection *connection = takeIdleConnection(endpoint);
         const bool isReused = connection != nullptr;
         if (!isReused) {
+            const ConnectionMeasure measure = makeRoom(endpoint);
+            if (measure == ConnectionMeasure::RefuseEndpoint || measure == ConnectionMeasure::RefuseTotal) {
+                refuse(id, measure);
+                return id;
+            }
             connection = openConnection(endpoint);
         }
-        if (connection == nullptr) {
-            QMetaObject::invokeMethod(
-                this,
-                [this, id] {
-                    Q_EMIT q->finished(id, {.outcome = HttpRequestOutcome::NotSent, .response = {}});
-                },
-                Qt::QueuedConnection);
-            return id;
-        }
         connection->requestId = id;
         connection->deadline = deadline;
         connection->isRequestSent = false;
@@ -104,14 +103,53 @@
         return nullptr;
     }
 
-    ClientConnection *openConnection(const Endpoint &endpoint)
+    /** Decides about a new connection to @p endpoint, and closes the idlest connection if that one takes its place. */
+    ConnectionMeasure makeRoom(const Endpoint &endpoint)
     {
         const auto limit = m_connectionLimits.find(endpoint);
-        std::size_t &count = m_connectionCounts[endpoint];
-        if (count >= (limit == m_connectionLimits.end() ? DefaultConnectionLimit : limit->second)) {
-            return nullptr;
+        const ConnectionMeasure measure = measureForConnection({
+            .toEndpoint = m_connectionCounts[endpoint],
+            .endpointLimit = limit == m_connectionLimits.end() ? DefaultConnectionLimit : limit->second,
+            .total = m_connections.size(),
+            .totalLimit = m_limits.connections,
+            .hasIdle = m_connections.size() > m_pendingRequests.size(),
+        });
+        if (measure == ConnectionMeasure::ReplaceIdle) {
+            closeIdlestConnection();
+        }
+        return measure;
+    }
+
+    void closeIdlestConnection()
+    {
+        ClientConnection *idlest = nullptr;
+        for (const auto &[endpoint, idle] : m_idleConnections) {
+            if (!idle.empty() && (idlest == nullptr || idle.front()->deadline < idlest->deadline)) {
+                idlest = idle.front();
+            }
         }
-        ++count;
+        removeFromIdleConnections(idlest);
+        removeConnection(idlest);
+    }
+
+    void refuse(HttpRequestId id, ConnectionMeasure measure)
+    {
+        const bool isOutOfConnections = measure == ConnectionMeasure::RefuseTotal;
+        if (isOutOfConnections && m_nextLimitLog <= Clock::now()) {
+            m_nextLimitLog = Clock::now() + LimitLogInterval;
+            logEvent(LogEvent::ConnectionLimitReached, {{"connections", m_connections.size()}});
+        }
+        QMetaObject::invokeMethod(
+            this,
+            [this, id, isOutOfConnections] {
+                Q_EMIT q->finished(id, {.outcome = HttpRequestOutcome::NotSent, .response = {}, .isOutOfConnections = isOutOfConnections});
+            },
+            Qt::QueuedConnection);
+    }
+
+    ClientConnection *openConnection(const Endpoint &endpoint)
+    {
+        ++m_connectionCounts[endpoint];
         auto connection = std::make_unique<ClientConnection>();
         connection->endpoint = endpoint;
         connection->stream = new TcpStream(this);
@@ -324,6 +362,7 @@
     QTimer m_sweepTimer;
     HttpRequestId m_lastRequestId = 0;
     std::size_t m_bufferedBytes = 0; ///< Of all incomplete responses.
+    TimePoint m_nextLimitLog;
     std::map<Endpoint, std::size_t> m_connectionLimits;
     std::map<Endpoint, std::size_t> m_connectionCounts;
     std::map<Endpoint, std::vector<ClientConnection *>> m_idleConnections;
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -36,13 +36,14 @@
 struct HttpRequestResult {
     HttpRequestOutcome outcome = HttpRequestOutcome::NotSent;
     HttpResponse response; ///< Set if answered.
+    bool isOutOfConnections = false; ///< Whether it was not sent because there are too many connections to all endpoints together.
 };
 
 /**
- * Task that owns the connections to other servers, with a limit on the connections to each endpoint.
+ * Task that owns the connections to other servers, with limits on the connections to each endpoint and to all together.
  *
- * Sends each request at most once and never retries. There is no queue: if all connections are busy and the limit is
- * reached, the request ends with HttpRequestOutcome::NotSent.
+ * Sends each request at most once and never retries. There is no queue: if all connections are busy and a limit is reached
+ * (decision/outgoingconnections.h), the request ends with HttpRequestOutcome::NotSent.
  */
 class HttpClient : public QObject
 {
--- a/src/http/httpmessage.h
+++ b/src/http/httpmessage.h
@@ -28,7 +28,7 @@
     std::size_t headerBytes = 16 * 1024; ///< Request line or status line and all fields.
     std::size_t bodyBytes = 1024 * 1024;
     std::size_t totalBytes = 256 * 1024 * 1024; ///< All that the peers of all connections together make this process hold, see HttpServer and HttpClient.
-    std::size_t connections = 10'000;
+    std::size_t connections = 10'000; ///< Of all peers together.
     std::chrono::milliseconds requestTimeout{10'000}; ///< From the first byte of a request to the end of its header.
     std::size_t bodyBytesPerSecond = 4 * 1024; ///< Slowest pace of a body, beyond a first time of the longer one of both timeouts.
     std::chrono::milliseconds idleTimeout{60'000}; ///< Longest time without a byte between two requests.
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -77,6 +77,7 @@
     EvacuationsChanged = 1523,
     ConnectionReplaced = 1524,
     AcceptFailed = 1525,
+    ConnectionLimitReached = 1526,
     BodyLimitTooLarge = 1527,
     DescriptorsLimited = 1528,
     ReloadRequested = 1530,
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -42,6 +42,7 @@
 constexpr PortShare ReadinessShare{.connections = 200, .percent = 4};
 constexpr PortShare DirectoryShare{.connections = 1000, .percent = 10};
 constexpr PortShare OperatorsShare{.connections = 64, .percent = 2};
+constexpr PortShare UpstreamShare{.connections = 3000, .percent = 15}; ///< Towards all upstreams.
 /** All that the clients of these ports make the process hold, as parts of the memory. They need no bodies. */
 constexpr std::size_t QueryMemoryDivisor = 64;
 constexpr int ConflictStatus = 409;
@@ -78,7 +79,9 @@
 
 HttpLimits upstreamLimits(const GatewaySettings &settings)
 {
-    return {.bodyBytes = settings.memoryBytes / BodyMemoryDivisor, .totalBytes = settings.memoryBytes / TotalMemoryDivisor};
+    return {.bodyBytes = settings.memoryBytes / BodyMemoryDivisor,
+            .totalBytes = settings.memoryBytes / TotalMemoryDivisor,
+            .connections = connectionsOf(UpstreamShare, settings)};
 }
 
 /** Returns the size of the largest body that is accepted while nobody else holds much. */
--- a/src/tasks/proxyupstreamport.cpp
+++ b/src/tasks/proxyupstreamport.cpp
@@ -53,6 +53,10 @@
     void finishProbe(const OutgoingProbe &probe, const HttpRequestResult &result)
     {
         ProbeEnded ended{.id = probe.id, .outcome = ProbeOutcome::Unreachable, .load = {}, .notice = {}};
+        if (result.isOutOfConnections) {
+            // That this process has no connection left says nothing about the upstream, which is therefore not ejected.
+            ended.outcome = ProbeOutcome::Unhealthy;
+        }
         if (result.outcome == HttpRequestOutcome::Answered) {
             const DecodedProbeResponse decoded = m_codec.decodeProbeResponse(result.response, probe.upstream);
             ended.outcome = decoded.outcome;
--- a/tests/processcrowdtest.cpp
+++ b/tests/processcrowdtest.cpp
@@ -447,6 +447,30 @@
     EXPECT_TRUE(isLogged("descriptors_limited"));
 }
 
+TEST_F(CrowdSettingsTest, CallsToManySlowUpstreams)
+{
+    constexpr std::size_t SlowUpstreams = 24;
+    constexpr std::chrono::milliseconds AnswerTime{1500};
+    const QJsonObject route{
+        {"host", Host}, {"pathPrefix", "/slow/"}, {"kind", "safe"}, {"timeout", "2s"}, {"targetLatency", "2s"}, {"service", "slow"}, {"maxAttempts", 2}};
+    m_store.put("config",
+                "main",
+                configurationWith({QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", "r2"}}}, {"spec", route}},
+                                   QJsonObject{{"resourceKind", "services"},
+                                               {"metadata", QJsonObject{{"name", "slow"}}},
+                                               {"spec", QJsonObject{{"healthPath", "/health"}, {"maxConnections", 10'000}}}}}));
+    std::vector<std::unique_ptr<CrowdUpstream>> upstreams;
+    for (std::size_t index = 0; index < SlowUpstreams; ++index) {
+        const std::string id = fmt::format("s-{}", index);
+        upstreams.push_back(std::make_unique<CrowdUpstream>(id, AnswerTime));
+        m_store.put("servers", id.c_str(), upstreams.back()->registration("slow"));
+    }
+    startGateway(memoryMb());
+    startCrowd(crowdPlan(CrowdKind::RequestsAhead, Host, "/slow/x"), crowdConnections(CrowdKind::RequestsAhead));
+    waitUntilCrowdsAreSettled();
+    expectUnharmed(CrowdPlace::Route);
+}
+
 /** Clients of each kind at each place, all at once. */
 TEST_F(CrowdFixture, AllKindsAtOnce)
 {
