Refuse a call at once when no connection is left

Cause: an attempt that found no free connection counted as a refused one. It ejected its upstream for 0.7 s and was repeated at up to four others, which cannot be reached either.

Change: such an attempt ends its call as not run, and says nothing about the upstream.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -686,7 +686,9 @@
         recordReplaced(upstream, now);
         return;
     case ProxyAttemptOutcome::NotSent:
-        recordUnreachable(upstream, now);
+        if (!event.isOutOfConnections) {
+            recordUnreachable(upstream, now);
+        }
         return;
     }
 }
@@ -801,6 +803,8 @@
             endOneOfTwo(context, attempt.call, event.id, event.outcome);
         } else {
             call->second.running.reset();
+            // Attempts elsewhere would not be sent either, and would take the time of other calls.
+            call->second.failedConnects += event.isOutOfConnections ? MaximumFailedConnects : 0;
             continueAfterAttempt(context, attempt.call, event.id, event.outcome);
         }
     }
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -99,6 +99,7 @@
     ProxyAttemptOutcome outcome = ProxyAttemptOutcome::ConnectionLost;
     std::optional<UpstreamLoad> load;
     UpstreamNotice notice;
+    bool isOutOfConnections = false; ///< Whether it was not sent because this process has no connection left, whatever the upstream.
 };
 struct ProxyTimerFired {
 };
--- a/src/http/httpserver.cpp
+++ b/src/http/httpserver.cpp
@@ -75,7 +75,7 @@
     std::size_t heldBytes = 0; ///< Part of the server's sum.
     bool hasMessage = false; ///< Whether a request is incomplete or unanswered, or a response is not sent.
     TimePoint heldSince; ///< When hasMessage last changed.
-    std::size_t unreadBytes = 0; ///< That its client had not acknowledged at readAt, or more if responses were added; zero if all are sent.
+    std::size_t unreadBytes = 0; ///< What its client had not acknowledged at readAt, and responses since then; zero if all are sent.
     TimePoint readAt; ///< When the client had last read a whole ReadStepBytes.
 };
 
@@ -263,11 +263,11 @@
     static void noteReading(Connection &connection, std::size_t unread)
     {
         const bool isFirst = connection.unreadBytes == 0;
-        if (isFirst || unread == 0 || unread + ReadStepBytes <= connection.unreadBytes) {
+        if (unread > 0 && (isFirst || unread + ReadStepBytes <= connection.unreadBytes)) {
             connection.readAt = Clock::now();
             connection.unreadBytes = unread;
         }
-        connection.unreadBytes = std::max(connection.unreadBytes, unread);
+        connection.unreadBytes = unread == 0 ? 0 : std::max(connection.unreadBytes, unread);
     }
 
     std::vector<PeerHolding> holdings() const
--- a/src/tasks/proxyupstreamport.cpp
+++ b/src/tasks/proxyupstreamport.cpp
@@ -69,7 +69,8 @@
 
     void finishAttempt(ProxyAttemptId id, const HttpRequestResult &result)
     {
-        ProxyAttemptResult attempt{.ended = {.id = id, .outcome = outcomeOf(result.outcome), .load = std::nullopt, .notice = {}}, .response = nullptr};
+        ProxyAttemptResult attempt{.ended = {.id = id, .outcome = outcomeOf(result.outcome), .isOutOfConnections = result.isOutOfConnections},
+                                   .response = nullptr};
         if (result.outcome == HttpRequestOutcome::Answered) {
             const DecodedAttemptResponse decoded = m_codec.decodeAttemptResponse(result.response);
             attempt.ended.outcome = decoded.outcome;
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -273,6 +273,7 @@
     const rlimit few{.rlim_cur = FewDescriptors, .rlim_max = before.rlim_max};
     ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &few), 0);
     std::vector<int> taken;
+    taken.reserve(FewDescriptors);
     for (int descriptor = ::dup(STDERR_FILENO); descriptor >= 0; descriptor = ::dup(STDERR_FILENO)) {
         taken.push_back(descriptor);
     }
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -185,6 +185,23 @@
     EXPECT_TRUE(attempts.empty());
 }
 
+// The load: a crowd of calls to slow upstreams takes all connections that this process may have.
+TEST_F(ProxyingTest, WithoutAConnectionACallIsRefusedAtOnceAndItsUpstreamStaysInUse)
+{
+    setUpstreams({makeUpstream(1), makeUpstream(2)});
+    admit(1);
+    answerIdle();
+    ASSERT_EQ(attempts.size(), 1U);
+    feed(ProxyAttemptEnded{.id = attempts[0].id, .outcome = ProxyAttemptOutcome::NotSent, .isOutOfConnections = true});
+    EXPECT_EQ(attempts.size(), 1U) << "no other upstream can be reached";
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].outcome, CallOutcome::NotRun);
+    setUpstreams({makeUpstream(attempts[0].upstream.key)});
+    admit(2);
+    answerIdle();
+    EXPECT_EQ(attempts.size(), 2U) << "the upstream is not ejected";
+}
+
 TEST_F(ProxyingTest, NeverRetriesAtMostOnceCallsThatMayHaveRun)
 {
     for (const auto outcome : {ProxyAttemptOutcome::ConnectionLost, ProxyAttemptOutcome::DeadlinePassed, ProxyAttemptOutcome::ServerError}) {
