--- a/src/tasks/proxyupstreamport.cpp
+++ b/src/tasks/proxyupstreamport.cpp
@@ -53,6 +53,10 @@
     void finishProbe(const OutgoingProbe &probe, const HttpRequestResult &result)
     {
         ProbeEnded ended{.id = probe.id, .outcome = ProbeOutcome::Unreachable, .load = {}, .notice = {}};
+        if (result.isOutOfConnections) {
+            // That this process has no connection left says nothing about the upstream, which is therefore not ejected.
+            ended.outcome = ProbeOutcome::Unhealthy;
+        }
         if (result.outcome == HttpRequestOutcome::Answered) {
             const DecodedProbeResponse decoded = m_codec.decodeProbeResponse(result.response, probe.upstream);
             ended.outcome = decoded.outcome;
@@ -65,7 +69,8 @@
 
     void finishAttempt(ProxyAttemptId id, const HttpRequestResult &result)
     {
-        ProxyAttemptResult attempt{.ended = {.id = id, .outcome = outcomeOf(result.outcome), .load = std::nullopt, .notice = {}}, .response = nullptr};
+        ProxyAttemptResult attempt{.ended = {.id = id, .outcome = outcomeOf(result.outcome), .isOutOfConnections = result.isOutOfConnections},
+                                   .response = nullptr};
         if (result.outcome == HttpRequestOutcome::Answered) {
             const DecodedAttemptResponse decoded = m_codec.decodeAttemptResponse(result.response);
             attempt.ended.outcome = decoded.outcome;
