Refill the tokens for probes when calls above their share check them

Such calls compared the tokens of the last refill, and only a call that probes refilled them. Once all accounts of an entry VM sent more than their share and less than half of the tokens were left, no call probed any more, so that all were refused for good although the upstreams were idle. The check refills now.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -336,13 +336,20 @@
     context.actions.emplace_back(StartProbe{probe, upstream.registration, context.now + ProbeTimeout});
 }
 
-/** Takes one token for a probe. Returns false if the rate limit is reached. */
-bool withdrawProbe(ProxyStepContext &context)
+/** Adds the tokens for probes that became due since the last time. */
+void refillProbes(ProxyStepContext &context)
 {
     ProxyState &state = context.state;
     const double seconds = toMilliseconds(context.now - state.probeTokensRefilledAt) / 1000.0;
     state.probeTokens = std::min(state.settings.probesPerSecond * ProbeBurstSeconds, state.probeTokens + seconds * state.settings.probesPerSecond);
     state.probeTokensRefilledAt = context.now;
+}
+
+/** Takes one token for a probe. Returns false if the rate limit is reached. */
+bool withdrawProbe(ProxyStepContext &context)
+{
+    refillProbes(context);
+    ProxyState &state = context.state;
     if (state.probeTokens < 1.0) {
         return false;
     }
@@ -351,8 +358,9 @@
 }
 
 /** Returns whether less than half of the probes are left that may be sent at once. */
-bool areProbesScarce(const ProxyStepContext &context)
+bool areProbesScarce(ProxyStepContext &context)
 {
+    refillProbes(context);
     const ProxyState &state = context.state;
     return state.probeTokens < state.settings.probesPerSecond * ProbeBurstSeconds / 2.0;
 }
--- a/tests/fairsharetest.cpp
+++ b/tests/fairsharetest.cpp
@@ -116,5 +116,53 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FairShareLoad, testing::Values(1, 2));
 
+/** Equal accounts at one entry VM, all of which send more than their share while the upstreams are full for some time. */
+struct Recovery {
+    int accounts = 1;
+    double callsPerSecond = 5.0; ///< Of each account.
+    double probesPerSecond = 9.25;
+    Duration fullFrom = std::chrono::seconds(60);
+    Duration fullTime = std::chrono::seconds(10);
+};
+
+/** Returns the served share of the calls from 30 s after the upstreams have room again. */
+double servedShareAfter(const Recovery &recovery, std::uint64_t seed)
+{
+    PlayedLoad load;
+    load.zones = 1;
+    load.entriesPerZone = 1;
+    load.upstreamsPerZone = 10;
+    load.isSilentWhenFull = false;
+    load.noisyShare = 0.0;
+    load.seed = seed;
+    load.probesPerSecond = recovery.probesPerSecond;
+    load.fullFrom = recovery.fullFrom;
+    load.fullUntil = recovery.fullFrom + recovery.fullTime;
+    load.countedFrom = load.fullUntil + std::chrono::seconds(30);
+    load.duration = load.countedFrom + std::chrono::seconds(60);
+    for (int account = 0; account < recovery.accounts; ++account) {
+        load.calls.push_back({.account = "account-" + std::to_string(account), .perSecond = recovery.callsPerSecond});
+    }
+    PlayedOutcome all;
+    for (const PlayedOutcome &outcome : ProxyLoadPlayer(load).play().outcomes) {
+        all.calls += outcome.calls;
+        all.answered += outcome.answered;
+    }
+    return all.servedShare();
+}
+
+class FairShareRecovery : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against probes that are withheld from all calls above their share, so that none ever finds the room again.
+TEST_P(FairShareRecovery, AccountsAboveTheirSharesFindTheRoomThatReturns)
+{
+    EXPECT_GT(servedShareAfter({}, GetParam()), 0.95);
+    EXPECT_GT(servedShareAfter({.accounts = 5, .probesPerSecond = 57.0}, GetParam()), 0.95);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FairShareRecovery, testing::Values(1, 2, 3));
+
 }
 }
--- a/tests/fakes/proxyload.cpp
+++ b/tests/fakes/proxyload.cpp
@@ -27,6 +27,9 @@
 ProxyLoadPlayer::ProxyLoadPlayer(const PlayedLoad &load)
     : m_load(load)
     , m_random(load.seed)
+    , m_fullFrom(m_now + load.fullFrom)
+    , m_fullUntil(m_now + load.fullUntil)
+    , m_countedFrom(m_now + load.countedFrom)
     , m_end(m_now + load.duration)
 {
     m_result.outcomes.resize(load.calls.size());
@@ -50,7 +53,7 @@
                                 .availabilityZone = zoneName(entry.zone),
                                 .retryShare = 0.2,
                                 .retrySlack = 319.0 / static_cast<double>(m_entries.size()),
-                                .probesPerSecond = 47.0};
+                                .probesPerSecond = load.probesPerSecond};
         feed(index, UpstreamsReplaced{registered});
     }
 }
@@ -92,7 +95,7 @@
         const ProxyCallId id = ++m_lastCall;
         const PlayedCalls &calls = m_load.calls[kind];
         m_calls.emplace(id, Call{.kind = kind, .admittedAt = m_now});
-        ++m_result.outcomes[kind].calls;
+        m_result.outcomes[kind].calls += m_now >= m_countedFrom ? 1 : 0;
         feed(entry,
              ProxyCallAdmitted{.id = id,
                                .service = "desk",
@@ -180,6 +183,9 @@
 void ProxyLoadPlayer::execute(std::size_t, const EndProxyCall &action)
 {
     const auto call = m_calls.extract(action.call).mapped();
+    if (call.admittedAt < m_countedFrom) {
+        return;
+    }
     PlayedOutcome &outcome = m_result.outcomes[call.kind];
     switch (action.outcome) {
     case CallOutcome::Answered:
@@ -223,11 +229,11 @@
 void ProxyLoadPlayer::receive(std::size_t upstream, const Work &work)
 {
     Upstream &target = m_upstreams[upstream];
-    if (target.running.size() < m_load.slots) {
+    if (!isFull() && target.running.size() < m_load.slots) {
         run(upstream, work);
         return;
     }
-    if (target.queue.size() < m_load.queuePlaces) {
+    if (!isFull() && target.queue.size() < m_load.queuePlaces) {
         target.queue.push_back(work);
         return;
     }
@@ -303,8 +309,16 @@
     return std::bernoulli_distribution(m_load.noisyShare)(random) ? m_load.noisySlowdown : 1.0;
 }
 
+bool ProxyLoadPlayer::isFull() const
+{
+    return m_now >= m_fullFrom && m_now < m_fullUntil;
+}
+
 UpstreamLoad ProxyLoadPlayer::loadOf(std::size_t upstream) const
 {
+    if (isFull()) {
+        return {.running = m_load.slots, .waiting = m_load.queuePlaces, .slots = m_load.slots};
+    }
     const Upstream &target = m_upstreams[upstream];
     return {.running = static_cast<std::uint32_t>(target.running.size()),
             .waiting = static_cast<std::uint32_t>(target.queue.size()),
--- a/tests/fakes/proxyload.h
+++ b/tests/fakes/proxyload.h
@@ -37,6 +37,10 @@
     Duration timeout = std::chrono::milliseconds(800);
     Duration idleTime = std::chrono::milliseconds(8500); ///< Time after which an idle connection is closed.
     Duration duration = std::chrono::seconds(20);
+    Duration fullFrom{}; ///< Time after the start at which work of others takes all room at the upstreams.
+    Duration fullUntil{}; ///< Time after the start at which it ends.
+    Duration countedFrom{}; ///< Calls that arrive earlier after the start are not part of the outcomes.
+    double probesPerSecond = 47.0; ///< Limit of each entry VM.
     bool hasSubsets = true;
     std::vector<PlayedCalls> calls;
     std::uint64_t seed = 1;
@@ -115,12 +119,17 @@
     void remove(std::size_t upstream, ProxyAttemptId attempt);
     void runQueued(std::size_t upstream);
     double slowdownAt(std::size_t upstream, TimePoint at) const;
+    /** Returns whether work of others takes all room at the upstreams now. */
+    bool isFull() const;
     UpstreamLoad loadOf(std::size_t upstream) const;
 
     PlayedLoad m_load;
     PlayedResult m_result;
     std::mt19937_64 m_random;
     TimePoint m_now{std::chrono::seconds(1000)};
+    TimePoint m_fullFrom;
+    TimePoint m_fullUntil;
+    TimePoint m_countedFrom;
     TimePoint m_end;
     std::multimap<TimePoint, std::function<void()>> m_events;
     std::vector<Entry> m_entries;
