Let scarcity decay while calls are refused

Calls that are refused by lot see no room and are not answered. When all calls of an entry VM were above their share, neither the scarcity nor the count of answered calls was updated, so that the refused share rose to 1 and stayed there: for a VM that starts while the upstreams are full, at once. The scarcity decays now with the time constant of the counts, 10 s.

--- a/src/decision/fairshare.cpp
+++ b/src/decision/fairshare.cpp
@@ -80,10 +80,12 @@
     add(use.sent, now);
 }
 
-void recordRoom(FairShares &shares, std::uint32_t priority, Room room)
+void recordRoom(FairShares &shares, std::uint32_t priority, Room room, TimePoint now)
 {
-    RankUse &rank = shares.ranks[priority];
-    rank.scarcity += ScarcityWeight * ((room == Room::Available ? 0.0 : 1.0) - rank.scarcity);
+    RecentCount &scarcity = shares.ranks[priority].scarcity;
+    const double known = countAt(scarcity, now);
+    scarcity.count = known + ScarcityWeight * ((room == Room::Available ? 0.0 : 1.0) - known);
+    scarcity.updatedAt = now;
 }
 
 void recordServed(FairShares &shares, std::uint32_t priority, TimePoint now)
@@ -94,7 +96,12 @@
 double refusedShare(const FairShares &shares, const AccountCall &call, TimePoint now)
 {
     const auto rank = shares.ranks.find(call.priority);
-    if (rank == shares.ranks.end() || rank->second.scarcity <= MinimumScarcity) {
+    if (rank == shares.ranks.end()) {
+        return 0.0;
+    }
+    // Calls that are refused see no room. Without the decay, room that returns would not be noticed while all calls are refused.
+    const double scarcity = countAt(rank->second.scarcity, now);
+    if (scarcity <= MinimumScarcity) {
         return 0.0;
     }
     const auto use = rank->second.accounts.find(call.account);
@@ -111,7 +118,7 @@
     if (sent <= fairCalls + ToleratedExcess) {
         return 0.0;
     }
-    const double urgency = std::min(1.0, (rank->second.scarcity - MinimumScarcity) / (FullScarcity - MinimumScarcity));
+    const double urgency = std::min(1.0, (scarcity - MinimumScarcity) / (FullScarcity - MinimumScarcity));
     return urgency * (1.0 - fairCalls / sent);
 }
 
--- a/src/decision/fairshare.h
+++ b/src/decision/fairshare.h
@@ -40,7 +40,7 @@
 struct RankUse {
     std::map<std::string, AccountUse> accounts;
     RecentCount served; ///< Calls of all accounts that were answered.
-    double scarcity = 0.0; ///< Exponentially weighted share of the calls that found no available upstream.
+    RecentCount scarcity; ///< Exponentially weighted share of the calls that found no available upstream, which decays like the counts.
 };
 
 /** The use of one service at one entry VM. */
@@ -59,7 +59,7 @@
 void recordSent(FairShares &shares, const AccountCall &call, TimePoint now);
 
 /** Counts the room that a call of @p priority found. */
-void recordRoom(FairShares &shares, std::uint32_t priority, Room room);
+void recordRoom(FairShares &shares, std::uint32_t priority, Room room, TimePoint now);
 
 /** Counts a call of @p priority that was answered. */
 void recordServed(FairShares &shares, std::uint32_t priority, TimePoint now);
--- a/tests/fairsharetest.cpp
+++ b/tests/fairsharetest.cpp
@@ -19,7 +19,7 @@
         }
     }
     for (int call = 0; call < 100; ++call) {
-        recordRoom(shares, 0, otherwise);
+        recordRoom(shares, 0, otherwise, Start);
     }
     shares.ranks.at(0).served = {.count = static_cast<double>(served), .updatedAt = Start};
     return shares;
@@ -162,6 +162,20 @@
     EXPECT_GT(servedShareAfter({.accounts = 5, .probesPerSecond = 57.0}, GetParam()), 0.95);
 }
 
+// Guards against a scarcity that no call updates, because all are refused by lot.
+TEST_P(FairShareRecovery, ALongTimeWithoutRoomIsForgotten)
+{
+    const Duration minute = std::chrono::seconds(60);
+    EXPECT_GT(servedShareAfter({.fullTime = minute}, GetParam()), 0.95);
+    EXPECT_GT(servedShareAfter({.accounts = 5, .probesPerSecond = 57.0, .fullTime = minute}, GetParam()), 0.95);
+}
+
+TEST_P(FairShareRecovery, AVmThatStartsWhileThereIsNoRoomFindsItLater)
+{
+    EXPECT_GT(servedShareAfter({.fullFrom = {}}, GetParam()), 0.95);
+    EXPECT_GT(servedShareAfter({.accounts = 5, .probesPerSecond = 57.0, .fullFrom = {}}, GetParam()), 0.95);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, FairShareRecovery, testing::Values(1, 2, 3));
 
 }
