Count the age of a cold start answer from the start of its probe

The 0.15 s for which an answer tells that an upstream is warm began when the answer was read. A VM that was stopped reads the socket before the timer of the probe fires, so that a "warm" of any age counted as new, and calls went to cold upstreams without credit. The age counts from the start of the probe now, an answer to an earlier probe does not replace that of a later one, and a call whose probe was answered after its deadline may probe the upstream again. Notices and the load in a late answer are used as before: other services would otherwise refuse calls when a VM is slow.

coldstarttest: three new cases fail on the code before and pass now. coldstartexplorationtest keeps its bounds.

--- a/src/decision/coldstart.cpp
+++ b/src/decision/coldstart.cpp
@@ -17,10 +17,13 @@
     start.coldUntil = std::max(start.coldUntil, coldUntil);
 }
 
-void recordAnswer(ColdStart &start, Duration coldTime, TimePoint now)
+void recordAnswer(ColdStart &start, Duration coldTime, TimePoint probedAt, TimePoint now)
 {
+    if (probedAt < start.toldAt) {
+        return;
+    }
     start.coldUntil = now + std::clamp(coldTime, Duration(0), Duration(MaximumColdTime));
-    start.toldAt = now;
+    start.toldAt = probedAt;
 }
 
 Coldness coldnessOf(const ColdStart &start, TimePoint now)
--- a/src/decision/coldstart.h
+++ b/src/decision/coldstart.h
@@ -30,15 +30,20 @@
 
 struct ColdStart {
     TimePoint coldUntil; ///< End of the cold start, as told last.
-    TimePoint toldAt; ///< When a probe was answered last; the epoch if none was.
+    TimePoint toldAt; ///< When the last probe was sent that was answered; the epoch if none was.
     TimePoint creditRetryAt; ///< No credit for calls to the upstream is requested before this time.
 };
 
 /** Records a registration that says that the upstream is cold until @p coldUntil. It may be older than the last answer. */
 void recordRegistration(ColdStart &start, TimePoint coldUntil);
 
-/** Records the answer to a probe, that the upstream stays cold for @p coldTime. */
-void recordAnswer(ColdStart &start, Duration coldTime, TimePoint now);
+/**
+ * Records the answer to a probe that was sent at @p probedAt: the upstream stays cold for @p coldTime.
+ *
+ * The answer is as old as its probe, because it may have been given at any time since then. It is ignored if a later probe has
+ * been answered.
+ */
+void recordAnswer(ColdStart &start, Duration coldTime, TimePoint probedAt, TimePoint now);
 
 Coldness coldnessOf(const ColdStart &start, TimePoint now);
 
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -329,11 +329,12 @@
 {
     ProxyCall &call = context.state.calls.at(id);
     const ProbeId probe = ++context.state.lastId;
-    context.state.probes.emplace(probe, ProxyProbe{id, call.admitted.service, upstream.registration.key});
+    const TimePoint deadline = context.now + ProbeTimeout;
+    context.state.probes.emplace(probe, ProxyProbe{id, call.admitted.service, upstream.registration.key, context.now, deadline});
     call.probed.insert(upstream.registration.key);
     ++(isSameZone(context, upstream) ? call.sameZoneProbes : call.otherZoneProbes);
     ++call.openProbes;
-    context.actions.emplace_back(StartProbe{probe, upstream.registration, context.now + ProbeTimeout});
+    context.actions.emplace_back(StartProbe{probe, upstream.registration, deadline});
 }
 
 /** Adds the tokens for probes that became due since the last time. */
@@ -622,12 +623,12 @@
     removeCall(context, event.id);
 }
 
-void recordProbeResult(PooledUpstream &upstream, const ProbeEnded &event, TimePoint now)
+void recordProbeResult(PooledUpstream &upstream, const ProxyProbe &probe, const ProbeEnded &event, TimePoint now)
 {
     switch (event.outcome) {
     case ProbeOutcome::Answered:
         recordLoadReport(upstream, event.load, now);
-        recordAnswer(upstream.coldStart, event.coldTime, now);
+        recordAnswer(upstream.coldStart, event.coldTime, probe.startedAt, now);
         return;
     case ProbeOutcome::Unhealthy:
         upstream.loadReceivedAt = {};
@@ -650,7 +651,7 @@
     const ProxyProbe probe = found->second;
     context.state.probes.erase(found);
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, probe.service).pool, probe.upstream)) {
-        recordProbeResult(*upstream, event, context.now);
+        recordProbeResult(*upstream, probe, event, context.now);
         recordNotice(serviceOf(context, probe.service).pool, *upstream, event.notice, context.now);
         recordAvailability(serviceOf(context, probe.service).hedging, loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Available);
         if (event.outcome == ProbeOutcome::Answered) {
@@ -665,6 +666,10 @@
         return;
     }
     --call->second.openProbes;
+    if (event.outcome == ProbeOutcome::Answered && context.now > probe.deadline) {
+        // An entry VM that was stopped may read an answer of any age before its timers fire. It does not tell whether the upstream is cold.
+        call->second.probed.erase(probe.upstream);
+    }
     if (!call->second.running) {
         advance(context, probe.call);
     } else if (call->second.isHedgeProbing) {
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -212,6 +212,8 @@
     ProxyCallId call = 0;
     std::string service;
     UpstreamKey upstream = 0;
+    TimePoint startedAt;
+    TimePoint deadline; ///< After an answer that is read later, the call may probe the upstream again.
 };
 
 /** A request for credit of a cold upstream. */
--- a/tests/coldstarttest.cpp
+++ b/tests/coldstarttest.cpp
@@ -19,7 +19,7 @@
     EXPECT_EQ(coldnessOf(start, Start), Coldness::Unknown);
     recordRegistration(start, Start + 3s);
     EXPECT_EQ(coldnessOf(start, Start), Coldness::Unknown) << "a registration may be seconds old";
-    recordAnswer(start, 0s, Start);
+    recordAnswer(start, 0s, Start, Start);
     EXPECT_EQ(coldnessOf(start, Start + 150ms), Coldness::Warm) << "the answer is newer than the registration";
     EXPECT_EQ(coldnessOf(start, Start + 160ms), Coldness::Unknown) << "it may have become cold again";
 }
@@ -27,15 +27,26 @@
 TEST(ColdStart, EndsAtTheTimeThatTheLastAnswerTold)
 {
     ColdStart start;
-    recordAnswer(start, 50ms, Start);
+    recordAnswer(start, 50ms, Start, Start);
     EXPECT_EQ(coldnessOf(start, Start + 40ms), Coldness::Cold);
     EXPECT_EQ(coldnessOf(start, Start + 60ms), Coldness::Warm);
     recordRegistration(start, Start + 2s);
     EXPECT_EQ(coldnessOf(start, Start + 60ms), Coldness::Cold) << "a later registration says that it started again";
-    recordAnswer(start, std::chrono::hours(9), Start + 700ms);
+    recordAnswer(start, std::chrono::hours(9), Start + 700ms, Start + 700ms);
     EXPECT_LE(start.coldUntil, Start + 6min);
 }
 
+TEST(ColdStart, AnAnswerIsAsOldAsItsProbe)
+{
+    ColdStart start;
+    recordAnswer(start, 0s, Start, Start + 100ms);
+    EXPECT_EQ(coldnessOf(start, Start + 150ms), Coldness::Warm);
+    EXPECT_EQ(coldnessOf(start, Start + 160ms), Coldness::Unknown) << "it may have been given just after the probe was sent";
+    recordAnswer(start, 3s, Start + 130ms, Start + 140ms);
+    recordAnswer(start, 0s, Start + 20ms, Start + 145ms);
+    EXPECT_EQ(coldnessOf(start, Start + 150ms), Coldness::Cold) << "the answer to the later probe holds";
+}
+
 RegisteredUpstream makeUpstream(UpstreamKey key, const std::string &zone = "a")
 {
     return {.key = key,
@@ -245,6 +256,36 @@
     EXPECT_EQ(credits.size(), 1U);
 }
 
+TEST_F(ColdProxyingTest, TheTimeOfAProbeCountsForTheAgeOfItsAnswer)
+{
+    feed(UpstreamsReplaced{{makeUpstream(1)}});
+    admit(1);
+    now += 100ms;
+    answerProbes();
+    EXPECT_EQ(attempts.size(), 1U);
+    const PooledUpstream &upstream = state.services.at("desk").pool.upstreams.at(1);
+    EXPECT_EQ(coldnessOf(upstream, now), Coldness::Warm);
+    EXPECT_EQ(coldnessOf(upstream, now + 60ms), Coldness::Unknown);
+}
+
+// Answers a VM that is stopped for a moment and reads the answer before its timers fire.
+TEST_F(ColdProxyingTest, AnAnswerThatIsReadAfterTheDeadlineOfItsProbeDoesNotTellThatAnUpstreamIsWarm)
+{
+    feed(UpstreamsReplaced{{makeUpstream(1)}});
+    admit(1);
+    ASSERT_EQ(probes.size(), 1U);
+    const StartProbe late = probes.front();
+    probes.clear();
+    now += 1s;
+    feed(ProbeEnded{.id = late.id, .outcome = ProbeOutcome::Answered, .load = {.slots = 3}});
+    EXPECT_TRUE(attempts.empty());
+    EXPECT_EQ(coldnessOf(state.services.at("desk").pool.upstreams.at(1), now), Coldness::Unknown);
+    EXPECT_TRUE(ends.empty());
+    ASSERT_EQ(probes.size(), 1U) << "the call probes the upstream again";
+    answerProbes();
+    EXPECT_EQ(attempts.size(), 1U);
+}
+
 TEST_F(ColdProxyingTest, WithoutProbesOnlyUpstreamsThatAreKnownToBeWarmGetCalls)
 {
     state.settings.probesPerSecond = 0.25; // The token bucket holds two.
