Count attempts that hedges overtake late as failures of small weight

An attempt that may be repeated and is cancelled after the 95th percentile counts now with a weight of 0.1 in the failure rate (a failure with 0.3): seven in a row eject the upstream, three within 20 ms do not. Without hedging nothing changes.

proxyhedgingtest: two new cases fail on the code before and pass now; one more passes on both.

--- a/src/decision/proxyhedging.cpp
+++ b/src/decision/proxyhedging.cpp
@@ -32,10 +32,15 @@
     addSample(hedging.latency, latency);
 }
 
+bool isOverdue(const ProxyHedging &hedging, Duration age)
+{
+    return hasQuantiles(hedging.latency) && age >= hedging.latency.quantiles.p95;
+}
+
 void recordCancelled(ProxyHedging &hedging, Duration age)
 {
     // Without these, the estimate would forget the attempts that hedges overtake, and hedges would start ever earlier.
-    if (hasQuantiles(hedging.latency) && age >= hedging.latency.quantiles.p95) {
+    if (isOverdue(hedging, age)) {
         addSample(hedging.latency, age);
     }
 }
--- a/src/decision/proxyhedging.h
+++ b/src/decision/proxyhedging.h
@@ -59,6 +59,9 @@
 /** Records how long an attempt took that was answered. */
 void recordLatency(ProxyHedging &hedging, Duration latency);
 
+/** Returns whether an attempt that has run for @p age takes longer than most. */
+bool isOverdue(const ProxyHedging &hedging, Duration age);
+
 /** Records an attempt that was cancelled after @p age; it counts as one of the slowest if it had taken longer than most. */
 void recordCancelled(ProxyHedging &hedging, Duration age);
 
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -116,15 +116,21 @@
         }
         const auto attempt = context.state.attempts.find(**running);
         ProxyService &service = serviceOf(context, attempt->second.service);
+        const Duration age = context.now - attempt->second.startedAt;
+        const bool isIdempotent = call.admitted.repeatability == Repeatability::Idempotent;
         if (PooledUpstream *upstream = findUpstream(service.pool, attempt->second.upstream)) {
             --upstream->inFlight;
             if (context.state.settings.hedgeShare > 0.0) {
                 // Otherwise upstreams that often lose against hedges would seem full.
                 recordEndWithoutLoadReport(*upstream);
+                if (isIdempotent && isOverdue(service.hedging, age)) {
+                    // Otherwise an upstream that hangs on calls and answers probes would never be ejected.
+                    recordOverdue(*upstream, context.now);
+                }
             }
         }
-        if (call.admitted.repeatability == Repeatability::Idempotent) {
-            recordCancelled(service.hedging, context.now - attempt->second.startedAt);
+        if (isIdempotent) {
+            recordCancelled(service.hedging, age);
         }
         context.actions.emplace_back(CancelProxyAttempt{**running});
         context.state.attempts.erase(attempt);
--- a/src/decision/upstreampool.cpp
+++ b/src/decision/upstreampool.cpp
@@ -14,6 +14,8 @@
 
 /** Weight of the newest attempt in the failure rate. */
 constexpr double FailureWeight = 0.3;
+/** Weight of an overdue attempt: seven in a row eject an upstream, three do not. */
+constexpr double OverdueWeight = 0.1;
 /** Exceeded by two consecutive failures, or if about half of many attempts fail. */
 constexpr double EjectionFailureRate = 0.5;
 constexpr std::chrono::milliseconds BaseEjectionTime{1500};
@@ -33,6 +35,15 @@
     ++upstream.consecutiveEjections;
 }
 
+void addFailure(PooledUpstream &upstream, double weight, TimePoint now)
+{
+    upstream.failureRate = upstream.failureRate * (1.0 - weight) + weight;
+    if (upstream.failureRate > EjectionFailureRate) {
+        upstream.failureRate = EjectionFailureRate / 2.0;
+        eject(upstream, BaseEjectionTime, now);
+    }
+}
+
 std::uint32_t slotsOf(const PooledUpstream &upstream)
 {
     return std::max(1U, upstream.load.slots == 0 ? upstream.registration.slots : upstream.load.slots);
@@ -119,11 +130,12 @@
 
 void recordFailure(PooledUpstream &upstream, TimePoint now)
 {
-    upstream.failureRate = upstream.failureRate * (1.0 - FailureWeight) + FailureWeight;
-    if (upstream.failureRate > EjectionFailureRate) {
-        upstream.failureRate = EjectionFailureRate / 2.0;
-        eject(upstream, BaseEjectionTime, now);
-    }
+    addFailure(upstream, FailureWeight, now);
+}
+
+void recordOverdue(PooledUpstream &upstream, TimePoint now)
+{
+    addFailure(upstream, OverdueWeight, now);
 }
 
 void recordUnreachable(PooledUpstream &upstream, TimePoint now)
--- a/src/decision/upstreampool.h
+++ b/src/decision/upstreampool.h
@@ -105,6 +105,8 @@
 void recordSuccess(PooledUpstream &upstream);
 /** Records a failed attempt, and ejects the upstream if its failure rate is high. */
 void recordFailure(PooledUpstream &upstream, TimePoint now);
+/** Records an attempt that was cancelled although most take less time. It weighs less than a failure. */
+void recordOverdue(PooledUpstream &upstream, TimePoint now);
 /** Ejects an upstream that cannot be reached. The ejection time doubles with each ejection. */
 void recordUnreachable(PooledUpstream &upstream, TimePoint now);
 /** Ejects an upstream whose address is used by another process. It returns with a new key when it is registered again. */
--- a/tests/proxyhedgingtest.cpp
+++ b/tests/proxyhedgingtest.cpp
@@ -121,6 +121,23 @@
         ASSERT_EQ(attempts[1].retry, RetryReason::Hedge);
     }
 
+    /** Hedges call @p id when it is due, and lets the hedge succeed. */
+    void overtake(ProxyCallId id)
+    {
+        hedging().budget.tokens = hedging().budget.capacity;
+        service().retryBudget.tokens = 10.0;
+        advanceTime(std::max(Duration(0), Duration(state.calls.at(id).hedgeAt - now)));
+        answerProbes({.slots = Slots});
+        ASSERT_EQ(attempts.back().call, id);
+        ASSERT_EQ(attempts.back().retry, RetryReason::Hedge);
+        end(attempts.back(), ProxyAttemptOutcome::Succeeded);
+    }
+
+    PooledUpstream &upstream(UpstreamKey key)
+    {
+        return service().pool.upstreams.at(key);
+    }
+
     void end(const StartProxyAttempt &attempt, ProxyAttemptOutcome outcome)
     {
         feed(ProxyAttemptEnded{.id = attempt.id, .outcome = outcome, .load = std::nullopt});
@@ -270,6 +287,62 @@
     EXPECT_GT(overtaken.latency.quantiles.p95, fromMilliseconds(60.0));
 }
 
+// Answers an upstream that answers probes and hangs on calls.
+TEST_F(ProxyHedgingTest, AnUpstreamThatHedgesOvertakeAgainAndAgainIsEjected)
+{
+    prepare();
+    int overtaken = 0;
+    for (ProxyCallId id = 1; id <= 200 && upstream(1).ejectedUntil <= now; ++id) {
+        admit(id);
+        ASSERT_EQ(attempts.back().call, id);
+        if (attempts.back().upstream.key != 1) {
+            advanceTime(UsualTime / 2);
+            end(attempts.back(), ProxyAttemptOutcome::Succeeded);
+            continue;
+        }
+        overtake(id);
+        ++overtaken;
+    }
+    EXPECT_GT(upstream(1).ejectedUntil, now);
+    EXPECT_GT(overtaken, 3);
+    EXPECT_LE(overtaken, 10);
+    EXPECT_EQ(upstream(2).failureRate, 0.0);
+    EXPECT_EQ(upstream(3).failureRate, 0.0);
+}
+
+TEST_F(ProxyHedgingTest, ThreeLossesWithinAMomentDoNotEjectAnUpstream)
+{
+    prepare();
+    for (const UpstreamKey other : {2U, 3U}) {
+        recordLoadReport(upstream(other), {.running = Slots, .waiting = 1, .slots = Slots}, now);
+    }
+    recordLoadReport(upstream(1), {.running = 1, .slots = Slots}, now);
+    for (const ProxyCallId id : {1U, 2U, 3U}) {
+        admit(id);
+        ASSERT_EQ(attempts.back().upstream.key, 1U);
+    }
+    hedging().budget.tokens = 3.0;
+    advanceTime(2 * UsualTime);
+    answerProbes({.slots = Slots});
+    ASSERT_EQ(attempts.size(), 6U);
+    for (std::size_t hedge = 3; hedge < 6; ++hedge) {
+        end(attempts[hedge], ProxyAttemptOutcome::Succeeded);
+        now += std::chrono::milliseconds(5);
+    }
+    EXPECT_EQ(cancelled.size(), 3U);
+    EXPECT_LE(upstream(1).ejectedUntil, now);
+    EXPECT_GT(upstream(1).failureRate, 0.0);
+    EXPECT_EQ(upstream(1).inFlight, 0U);
+}
+
+TEST_F(ProxyHedgingTest, AnAttemptThatIsOvertakenEarlyIsNoFailure)
+{
+    startHedge();
+    end(attempts[0], ProxyAttemptOutcome::Succeeded);
+    EXPECT_EQ(cancelled, std::vector<ProxyAttemptId>{attempts[1].id});
+    EXPECT_EQ(upstream(attempts[1].upstream.key).failureRate, 0.0) << "the hedge had just begun";
+}
+
 TEST_F(ProxyHedgingTest, AnAbandonedCallCancelsBothAttempts)
 {
     startHedge();
