--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -116,15 +116,21 @@
         }
         const auto attempt = context.state.attempts.find(**running);
         ProxyService &service = serviceOf(context, attempt->second.service);
+        const Duration age = context.now - attempt->second.startedAt;
+        const bool isIdempotent = call.admitted.repeatability == Repeatability::Idempotent;
         if (PooledUpstream *upstream = findUpstream(service.pool, attempt->second.upstream)) {
             --upstream->inFlight;
             if (context.state.settings.hedgeShare > 0.0) {
                 // Otherwise upstreams that often lose against hedges would seem full.
                 recordEndWithoutLoadReport(*upstream);
+                if (isIdempotent && isOverdue(service.hedging, age)) {
+                    // Otherwise an upstream that hangs on calls and answers probes would never be ejected.
+                    recordOverdue(*upstream, context.now);
+                }
             }
         }
-        if (call.admitted.repeatability == Repeatability::Idempotent) {
-            recordCancelled(service.hedging, context.now - attempt->second.startedAt);
+        if (isIdempotent) {
+            recordCancelled(service.hedging, age);
         }
         context.actions.emplace_back(CancelProxyAttempt{**running});
         context.state.attempts.erase(attempt);
@@ -337,20 +343,28 @@
 {
     ProxyCall &call = context.state.calls.at(id);
     const ProbeId probe = ++context.state.lastId;
-    context.state.probes.emplace(probe, ProxyProbe{id, call.admitted.service, upstream.registration.key});
+    const TimePoint deadline = context.now + ProbeTimeout;
+    context.state.probes.emplace(probe, ProxyProbe{id, call.admitted.service, upstream.registration.key, context.now, deadline});
     call.probed.insert(upstream.registration.key);
     ++(isSameZone(context, upstream) ? call.sameZoneProbes : call.otherZoneProbes);
     ++call.openProbes;
-    context.actions.emplace_back(StartProbe{probe, upstream.registration, context.now + ProbeTimeout});
+    context.actions.emplace_back(StartProbe{probe, upstream.registration, deadline});
 }
 
-/** Takes one token for a probe. Returns false if the rate limit is reached. */
-bool withdrawProbe(ProxyStepContext &context)
+/** Adds the tokens for probes that became due since the last time. */
+void refillProbes(ProxyStepContext &context)
 {
     ProxyState &state = context.state;
     const double seconds = toMilliseconds(context.now - state.probeTokensRefilledAt) / 1000.0;
     state.probeTokens = std::min(state.settings.probesPerSecond * ProbeBurstSeconds, state.probeTokens + seconds * state.settings.probesPerSecond);
     state.probeTokensRefilledAt = context.now;
+}
+
+/** Takes one token for a probe. Returns false if the rate limit is reached. */
+bool withdrawProbe(ProxyStepContext &context)
+{
+    refillProbes(context);
+    ProxyState &state = context.state;
     if (state.probeTokens < 1.0) {
         return false;
     }
@@ -359,8 +373,9 @@
 }
 
 /** Returns whether less than half of the probes are left that may be sent at once. */
-bool areProbesScarce(const ProxyStepContext &context)
+bool areProbesScarce(ProxyStepContext &context)
 {
+    refillProbes(context);
     const ProxyState &state = context.state;
     return state.probeTokens < state.settings.probesPerSecond * ProbeBurstSeconds / 2.0;
 }
@@ -391,10 +406,10 @@
     return {.priority = call.priority, .account = call.account, .weight = call.accountWeight};
 }
 
-void recordRoom(ProxyService &service, const ProxyCall &call, Room room)
+void recordRoom(ProxyStepContext &context, const ProxyCall &call, Room room)
 {
     if (!call.admitted.account.empty()) {
-        recordRoom(service.shares, call.admitted.priority, room);
+        recordRoom(serviceOf(context, call.admitted.service).shares, call.admitted.priority, room, context.now);
     }
 }
 
@@ -441,7 +456,7 @@
     ProxyService &service = serviceOf(context, call.admitted.service);
     const std::vector<PooledUpstream *> candidates = candidatesOf(context, service, call);
     if (PooledUpstream *available = bestCandidate(context, candidates, LoadState::Available, FreshLoadAge)) {
-        recordRoom(service, call, Room::Available);
+        recordRoom(context, call, Room::Available);
         startAttempt(context, id, *available);
         return;
     }
@@ -464,8 +479,8 @@
         // Without probes, the choice is based on the calls that this entry VM has in flight. If most upstreams are full, the
         // upstream would probably queue the call beyond its target, or have no place for it in its queue.
         if (PooledUpstream *upstream = leastLoadedCandidate(context, candidates)) {
-            recordRoom(service, call, Room::Scarce);
             startAttempt(context, id, *upstream);
+            context.state.attempts.at(*call.running).isUnprobed = true;
             return;
         }
     }
@@ -483,11 +498,11 @@
         return;
     }
     if (upstream != nullptr) {
-        recordRoom(service, call, Room::Scarce);
+        recordRoom(context, call, Room::Scarce);
         startAttempt(context, id, *upstream);
         return;
     }
-    recordRoom(service, call, Room::None);
+    recordRoom(context, call, Room::None);
     endWithoutAnswer(context, id, candidates.empty() ? RefusalReason::NoUpstream : RefusalReason::QueueFull, UnknownReason::ConnectionLost);
 }
 
@@ -622,12 +637,12 @@
     removeCall(context, event.id);
 }
 
-void recordProbeResult(PooledUpstream &upstream, const ProbeEnded &event, TimePoint now)
+void recordProbeResult(PooledUpstream &upstream, const ProxyProbe &probe, const ProbeEnded &event, TimePoint now)
 {
     switch (event.outcome) {
     case ProbeOutcome::Answered:
         recordLoadReport(upstream, event.load, now);
-        recordAnswer(upstream.coldStart, event.coldTime, now);
+        recordAnswer(upstream.coldStart, event.coldTime, probe.startedAt, now);
         return;
     case ProbeOutcome::Unhealthy:
         upstream.loadReceivedAt = {};
@@ -650,7 +665,7 @@
     const ProxyProbe probe = found->second;
     context.state.probes.erase(found);
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, probe.service).pool, probe.upstream)) {
-        recordProbeResult(*upstream, event, context.now);
+        recordProbeResult(*upstream, probe, event, context.now);
         recordNotice(serviceOf(context, probe.service).pool, *upstream, event.notice, context.now);
         recordAvailability(serviceOf(context, probe.service).hedging, loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Available);
         if (event.outcome == ProbeOutcome::Answered) {
@@ -665,6 +680,10 @@
         return;
     }
     --call->second.openProbes;
+    if (event.outcome == ProbeOutcome::Answered && context.now > probe.deadline) {
+        // An entry VM that was stopped may read an answer of any age before its timers fire. It does not tell whether the upstream is cold.
+        call->second.probed.erase(probe.upstream);
+    }
     if (!call->second.running) {
         advance(context, probe.call);
     } else if (call->second.isHedgeProbing) {
@@ -720,7 +739,7 @@
         return;
     case ProxyAttemptOutcome::Shed:
     case ProxyAttemptOutcome::Replaced:
-        recordRoom(serviceOf(context, call.admitted.service), call, Room::None);
+        recordRoom(context, call, Room::None);
         if (!retry(context, id, RetryReason::UpstreamShed, true)) {
             endWithoutAnswer(context, id, RefusalReason::UpstreamShed, UnknownReason::ConnectionLost);
         }
@@ -791,12 +810,15 @@
     }
     const ProxyAttempt attempt = found->second;
     context.state.attempts.erase(found);
-    bool hasFreeSlot = false;
+    LoadState reported = LoadState::Unknown;
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, attempt.service).pool, attempt.upstream)) {
         recordAttemptResult(*upstream, event, context.now);
         recordNotice(serviceOf(context, attempt.service).pool, *upstream, event.notice, context.now);
-        hasFreeSlot = event.load && loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Available;
+        if (event.load) {
+            reported = loadStateOf(*upstream, FreshLoadAge, context.now);
+        }
     }
+    const bool hasFreeSlot = reported == LoadState::Available;
     ProxyHedging &hedging = serviceOf(context, attempt.service).hedging;
     if (event.load) {
         recordAvailability(hedging, hasFreeSlot);
@@ -806,6 +828,9 @@
         if (event.outcome == ProxyAttemptOutcome::Succeeded && call->second.admitted.repeatability == Repeatability::Idempotent) {
             recordLatency(hedging, context.now - attempt.startedAt);
         }
+        if (attempt.isUnprobed && reported != LoadState::Unknown && event.outcome != ProxyAttemptOutcome::Shed) {
+            recordRoom(context, call->second, reported == LoadState::Full ? Room::Scarce : Room::Available);
+        }
         call->second.wasShedWithFreeSlot = event.outcome == ProxyAttemptOutcome::Shed && hasFreeSlot;
         if (call->second.hedge) {
             endOneOfTwo(context, attempt.call, event.id, event.outcome);
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -208,12 +208,15 @@
     std::string service;
     UpstreamKey upstream = 0;
     TimePoint startedAt;
+    bool isUnprobed = false; ///< Whether the load of the upstream was not known because of the limit on probes.
 };
 
 struct ProxyProbe {
     ProxyCallId call = 0;
     std::string service;
     UpstreamKey upstream = 0;
+    TimePoint startedAt;
+    TimePoint deadline; ///< After an answer that is read later, the call may probe the upstream again.
 };
 
 /** A request for credit of a cold upstream. */
--- a/tests/fairsharetest.cpp
+++ b/tests/fairsharetest.cpp
@@ -19,7 +19,7 @@
         }
     }
     for (int call = 0; call < 100; ++call) {
-        recordRoom(shares, 0, otherwise);
+        recordRoom(shares, 0, otherwise, Start);
     }
     shares.ranks.at(0).served = {.count = static_cast<double>(served), .updatedAt = Start};
     return shares;
@@ -91,6 +91,12 @@
     return static_cast<double>(answered) / calls;
 }
 
+/** Returns the served shares of all other accounts and of the first one. */
+std::string describe(const PlayedResult &result)
+{
+    return "others " + std::to_string(servedShareOfOthers(result)) + ", the one " + std::to_string(result.outcomes[0].servedShare());
+}
+
 class FairShareLoad : public testing::TestWithParam<std::uint64_t>
 {
 };
@@ -108,13 +114,102 @@
         calls.account.clear();
     }
     const PlayedResult unshared = ProxyLoadPlayer(without).play();
+    // The rows of docs/design/scarce-room.md.
+    RecordProperty("usual", describe(usual));
+    RecordProperty("unshared", describe(unshared));
+    RecordProperty("shared", describe(heavy));
     EXPECT_GT(servedShareOfOthers(heavy), servedShareOfOthers(usual) - 0.02);
     EXPECT_GT(heavy.outcomes[0].answered, usual.outcomes[0].answered);
     EXPECT_LT(servedShareOfOthers(unshared), servedShareOfOthers(usual) - 0.1);
     EXPECT_GT(heavy.outcomes[1].inTimeShare(), unshared.outcomes[1].inTimeShare());
 }
 
+// Guards against calls above their share that pass only by chance once probes are used up.
+TEST_P(FairShareLoad, WithFewProbesTheHeavyAccountKeepsItsShare)
+{
+    PlayedLoad load = manyAccounts();
+    load.seed = GetParam();
+    load.probesPerSecond = 6.0;
+    load.calls[0].perSecond = 30.0;
+    const PlayedResult usual = ProxyLoadPlayer(load).play();
+    load.calls[0].perSecond *= 6.0;
+    const PlayedResult heavy = ProxyLoadPlayer(load).play();
+    RecordProperty("few_probes_usual", describe(usual));
+    RecordProperty("few_probes_heavy", describe(heavy));
+    EXPECT_GT(servedShareOfOthers(heavy), servedShareOfOthers(usual) - 0.06);
+    EXPECT_GT(heavy.outcomes[0].answered, 2 * heavy.outcomes[1].answered);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, FairShareLoad, testing::Values(1, 2));
 
+/** Equal accounts at one entry VM, all of which send more than their share while the upstreams are full for some time. */
+struct Recovery {
+    int accounts = 1;
+    double callsPerSecond = 5.0; ///< Of each account.
+    double probesPerSecond = 9.25;
+    Duration fullFrom = std::chrono::seconds(60);
+    Duration fullTime = std::chrono::seconds(10);
+};
+
+/** Returns the served share of the calls from 30 s after the upstreams have room again. */
+double servedShareAfter(const Recovery &recovery, std::uint64_t seed)
+{
+    PlayedLoad load;
+    load.zones = 1;
+    load.entriesPerZone = 1;
+    load.upstreamsPerZone = 10;
+    load.isSilentWhenFull = false;
+    load.noisyShare = 0.0;
+    load.seed = seed;
+    load.probesPerSecond = recovery.probesPerSecond;
+    load.fullFrom = recovery.fullFrom;
+    load.fullUntil = recovery.fullFrom + recovery.fullTime;
+    load.countedFrom = load.fullUntil + std::chrono::seconds(30);
+    load.duration = load.countedFrom + std::chrono::seconds(60);
+    for (int account = 0; account < recovery.accounts; ++account) {
+        load.calls.push_back({.account = "account-" + std::to_string(account), .perSecond = recovery.callsPerSecond});
+    }
+    PlayedOutcome all;
+    for (const PlayedOutcome &outcome : ProxyLoadPlayer(load).play().outcomes) {
+        all.calls += outcome.calls;
+        all.answered += outcome.answered;
+    }
+    return all.servedShare();
+}
+
+class FairShareRecovery : public testing::TestWithParam<std::uint64_t>
+{
+};
+
+// Guards against probes that are withheld from all calls above their share, so that none ever finds the room again.
+TEST_P(FairShareRecovery, AccountsAboveTheirSharesFindTheRoomThatReturns)
+{
+    EXPECT_GT(servedShareAfter({}, GetParam()), 0.95);
+    EXPECT_GT(servedShareAfter({.accounts = 5, .probesPerSecond = 57.0}, GetParam()), 0.95);
+}
+
+// Guards against a scarcity that no call updates, because all are refused by lot.
+TEST_P(FairShareRecovery, ALongTimeWithoutRoomIsForgotten)
+{
+    const Duration minute = std::chrono::seconds(60);
+    EXPECT_GT(servedShareAfter({.fullTime = minute}, GetParam()), 0.95);
+    EXPECT_GT(servedShareAfter({.accounts = 5, .probesPerSecond = 57.0, .fullTime = minute}, GetParam()), 0.95);
+}
+
+TEST_P(FairShareRecovery, AVmThatStartsWhileThereIsNoRoomFindsItLater)
+{
+    EXPECT_GT(servedShareAfter({.fullFrom = {}}, GetParam()), 0.95);
+    EXPECT_GT(servedShareAfter({.accounts = 5, .probesPerSecond = 57.0, .fullFrom = {}}, GetParam()), 0.95);
+}
+
+// Guards against a lack of probes that counts as a lack of room.
+TEST_P(FairShareRecovery, MoreCallsThanProbesFindIdleUpstreams)
+{
+    EXPECT_GT(servedShareAfter({.accounts = 5, .fullTime = {}}, GetParam()), 0.95);
+    EXPECT_GT(servedShareAfter({.accounts = 5, .callsPerSecond = 20.0, .fullTime = {}}, GetParam()), 0.95);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FairShareRecovery, testing::Values(1, 2, 3));
+
 }
 }
