--- /dev/null
+++ b/src/decision/fullness.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/time.h"
+#include "decision/upstreampool.h"
+
+/**
+ * Decides whether calls that may not probe are refused because the upstreams are probably full.
+ *
+ * Answers the load of more calls than the upstreams can run. Without a probe, an entry VM chooses by its own calls in flight, which says
+ * little about upstreams with few slots, and costs a call that an upstream never answers.
+ */
+namespace Plantainweir {
+
+/** What one entry VM saw of the full upstreams of a service. */
+struct Fullness {
+    double share = 0.0; ///< Share of full upstreams among those probed, exponentially weighted.
+    TimePoint silenceSeenAt; ///< When an upstream was last seen not to answer a call. The epoch if never.
+};
+
+/** Counts an upstream that was probed. */
+void recordProbed(Fullness &fullness, bool isFull);
+
+/** Records that an upstream did not answer a call although it answers others. */
+void recordSilence(Fullness &fullness, TimePoint now);
+
+/**
+ * Returns whether the upstreams of @p pool lose more by calls without a probe than others: they registered few slots, or were seen lately not
+ * to answer.
+ */
+bool isUnprobedCostly(const Fullness &fullness, const UpstreamPool &pool, TimePoint now);
+
+/** Returns whether calls that may not probe are refused. @param limit share of full upstreams from which they are; zero for never. */
+bool refusesUnprobed(const Fullness &fullness, const UpstreamPool &pool, double limit, TimePoint now);
+
+}
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -23,10 +23,6 @@
 /** Below this share, most probes in other availability zones are wasted, and only some rounds send one there. */
 constexpr double MinimumOtherZoneAvailableRate = 0.15;
 constexpr double OtherZoneTrialProbability = 0.1;
-/** Weight of the newest probe in the share of full upstreams. */
-constexpr double FullRateWeight = 0.05;
-/** Above this share of full upstreams, calls that may not probe are refused. */
-constexpr double MaximumFullRateWithoutProbes = 0.5;
 constexpr std::chrono::milliseconds ProbeTimeout{150};
 /** Capacity of the token bucket for probes, in seconds. The platform counts probes over much longer windows. */
 constexpr double ProbeBurstSeconds = 8.0;
@@ -237,7 +233,10 @@
     const auto otherZones = std::partition(candidates.begin(), candidates.end(), [&context](const PooledUpstream *upstream) {
         return isSameZone(context, *upstream);
     });
-    const std::size_t size = subsetSize(callsPerSecond(service.callRate, context.now));
+    if (context.state.settings.subsetSize == 0) {
+        return candidates;
+    }
+    const std::size_t size = subsetSize(callsPerSecond(service.callRate, context.now), context.state.settings.subsetSize);
     moveSubsetToFront({candidates.begin(), otherZones}, size, context.now);
     moveSubsetToFront({otherZones, candidates.end()}, size, context.now);
     return candidates;
@@ -293,13 +292,6 @@
     service.otherZoneAvailableRate += OtherZoneAvailableWeight * ((isAvailable ? 1.0 : 0.0) - service.otherZoneAvailableRate);
 }
 
-/** Updates the share of full upstreams. */
-void recordFullness(ProxyService &service, const PooledUpstream &upstream, TimePoint now)
-{
-    const bool isFull = loadStateOf(upstream, FreshLoadAge, now) == LoadState::Full;
-    service.fullRate += FullRateWeight * ((isFull ? 1.0 : 0.0) - service.fullRate);
-}
-
 /**
  * Returns the candidate with the fewest calls of this entry VM that was not full recently, or null. It is known to be warm, if
  * cold ones are limited.
@@ -452,7 +444,8 @@
         endWithoutAnswer(context, id, RefusalReason::ShareExceeded, UnknownReason::ConnectionLost);
         return;
     }
-    if (std::exchange(call.isProbeLimited, false) && service.fullRate < MaximumFullRateWithoutProbes) {
+    const bool isRefused = refusesUnprobed(service.fullness, service.pool, context.state.settings.fullRefusalShare, context.now);
+    if (std::exchange(call.isProbeLimited, false) && !isRefused) {
         // Without probes, the choice is based on the calls that this entry VM has in flight. If most upstreams are full, the
         // upstream would probably queue the call beyond its target, or have no place for it in its queue.
         if (PooledUpstream *upstream = leastLoadedCandidate(context, candidates)) {
@@ -646,7 +639,7 @@
         recordNotice(serviceOf(context, probe.service).pool, *upstream, event.notice, context.now);
         recordAvailability(serviceOf(context, probe.service).hedging, loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Available);
         if (event.outcome == ProbeOutcome::Answered) {
-            recordFullness(serviceOf(context, probe.service), *upstream, context.now);
+            recordProbed(serviceOf(context, probe.service).fullness, loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Full);
         }
         if (!isSameZone(context, *upstream)) {
             recordOtherZoneAvailability(serviceOf(context, probe.service), *upstream, context.now);
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -4,6 +4,7 @@
 #include "core/time.h"
 #include "core/work.h"
 #include "decision/fairshare.h"
+#include "decision/fullness.h"
 #include "decision/proxyhedging.h"
 #include "decision/retrybudget.h"
 #include "decision/subset.h"
@@ -31,13 +32,15 @@
 using ColdCreditId = std::uint64_t;
 
 struct ProxySettings {
-    std::string name; ///< Of this entry VM. Without it, no subset of upstreams is preferred.
+    std::string name; ///< Of this entry VM.
     std::string availabilityZone; ///< Of this entry VM.
     double retryShare = 0.1; ///< Retries allowed per call, on average.
     double retrySlack = 10.0; ///< Further retries that this entry VM may make in each window.
     Duration retryWindow = std::chrono::seconds(10);
     double hedgeShare = 0.0; ///< Share of the idempotent calls that may get a second attempt while the first one is slow.
     double probesPerSecond = 100.0; ///< Limit on the probes of this entry VM to all upstreams.
+    std::size_t subsetSize = 0; ///< Least number of preferred upstreams in an availability zone. Zero: all are preferred alike.
+    double fullRefusalShare = 0.0; ///< Share of full upstreams from which calls that may not probe are refused. Zero: none are.
 };
 
 /** A call passed the filters. */
@@ -227,7 +230,7 @@
     TimePoint budgetRefilledAt;
     ProxyHedging hedging;
     std::set<ProxyCallId> waiting; ///< Calls without a running attempt.
-    double fullRate = 0.0; ///< Share of full upstreams among those probed.
+    Fullness fullness;
     CallRate callRate;
     FairShares shares; ///< Empty if no call belongs to a client account.
     double otherZoneAvailableRate = 1.0; ///< Share of available upstreams among those probed in other availability zones.
--- a/src/decision/subset.cpp
+++ b/src/decision/subset.cpp
@@ -18,9 +18,6 @@
 constexpr double VisitsPerCall = 2.0;
 /** Mean visits to a member in the idle time. At random times, one member in twenty then misses its visit. */
 constexpr double VisitsPerIdleTime = 3.0;
-/** Enough that usually a member is neither full nor slow. */
-constexpr std::size_t MinimumSubsetSize = 4;
-
 /** The next upstreams after the subset are those of a subset this many times as large. */
 constexpr std::size_t WideSubsetFactor = 2;
 
@@ -61,10 +58,10 @@
     return rate.perSecond * decay(now - rate.updatedAt);
 }
 
-std::size_t subsetSize(double callsPerSecond)
+std::size_t subsetSize(double callsPerSecond, std::size_t minimum)
 {
     const double visits = callsPerSecond * VisitsPerCall * toMilliseconds(ConnectionIdleTime) / 1000.0;
-    return std::max(MinimumSubsetSize, static_cast<std::size_t>(visits / VisitsPerIdleTime));
+    return std::max(minimum, static_cast<std::size_t>(visits / VisitsPerIdleTime));
 }
 
 void assignPreferences(UpstreamPool &pool, const std::string &entryVm)
--- a/src/decision/subset.h
+++ b/src/decision/subset.h
@@ -28,8 +28,8 @@
 /** Returns the rate at the time @p now. */
 double callsPerSecond(const CallRate &rate, TimePoint now);
 
-/** Returns the number of upstreams whose connections a rate of @p callsPerSecond keeps open. */
-std::size_t subsetSize(double callsPerSecond);
+/** Returns the number of upstreams whose connections a rate of @p callsPerSecond keeps open, and at least @p minimum. */
+std::size_t subsetSize(double callsPerSecond, std::size_t minimum);
 
 /** Sets the preference of the entry VM called @p entryVm for each upstream. */
 void assignPreferences(UpstreamPool &pool, const std::string &entryVm);
--- a/src/programs/plantainweirgatewayd.cpp
+++ b/src/programs/plantainweirgatewayd.cpp
@@ -34,6 +34,17 @@
     commandLine.addDuration("retry-window", "length of the window of --retry-slack");
     commandLine.addNumber(
         "hedge-share", "share of the calls that may be repeated which may get a second attempt while the first one is slow; 0 for none", 0.0, 1.0, 0.0);
+    commandLine.addInteger("subset-size",
+                           "least number of upstreams of a service that this entry VM prefers in an availability zone while its calls are few; 0: all alike",
+                           0,
+                           1 << 20,
+                           0);
+    commandLine.addNumber("full-refusal-share",
+                          "share of full upstreams from which calls that may not probe are refused, if upstreams have few slots or were seen not to answer; "
+                          "0: none are",
+                          0.0,
+                          1.0,
+                          0.0);
     commandLine.addNumber("probe-limit", "probes per second that the whole fleet may send to one upstream", 0.0, 1e6);
     commandLine.addOptionalDuration("quota-window", "window in which the calls of a client account are counted; 5s if empty");
     commandLine.addOptionalNumber("quota-over", "part by which a client account may exceed its quota in --quota-window; 0.1 if empty", 0.0, 10.0);
@@ -107,6 +118,8 @@
         .retrySlack = commandLine.number("retry-slack"),
         .retryWindow = commandLine.duration("retry-window"),
         .hedgeShare = commandLine.number("hedge-share"),
+        .subsetSize = static_cast<std::size_t>(commandLine.integer("subset-size")),
+        .fullRefusalShare = commandLine.number("full-refusal-share"),
         .probesPerSecondPerUpstream = commandLine.number("probe-limit"),
         .creditTolerance = creditTolerance(commandLine),
         .changeBound = std::min(commandLine.duration("change-bound"), commandLine.duration("drain-bound")),
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -178,7 +178,9 @@
                    .retryShare = settings.retryShare,
                    .retrySlack = fleetShare({.retrySlack = settings.retrySlack, .probesPerSecondPerUpstream = 0.0}, {}, 0).retrySlack,
                    .retryWindow = settings.retryWindow,
-                   .hedgeShare = settings.hedgeShare},
+                   .hedgeShare = settings.hedgeShare,
+                   .subsetSize = settings.subsetSize,
+                   .fullRefusalShare = settings.fullRefusalShare},
                   m_metrics,
                   settings.seed)
         , m_upstreamPort(codec, upstreamLimits(settings))
--- a/tests/fakes/proxyload.cpp
+++ b/tests/fakes/proxyload.cpp
@@ -46,11 +46,13 @@
         Entry &entry = m_entries[index];
         entry.zone = index % load.zones;
         entry.state.lastId = index * IdsPerEntry;
-        entry.state.settings = {.name = load.hasSubsets ? "entry-" + std::to_string(index) : std::string(),
+        entry.state.settings = {.name = "entry-" + std::to_string(index),
                                 .availabilityZone = zoneName(entry.zone),
                                 .retryShare = 0.2,
                                 .retrySlack = 319.0 / static_cast<double>(m_entries.size()),
-                                .probesPerSecond = 47.0};
+                                .probesPerSecond = 47.0,
+                                .subsetSize = load.subsetSize,
+                                .fullRefusalShare = load.fullRefusalShare};
         feed(index, UpstreamsReplaced{registered});
     }
 }
--- a/tests/fakes/proxyload.h
+++ b/tests/fakes/proxyload.h
@@ -37,7 +37,8 @@
     Duration timeout = std::chrono::milliseconds(800);
     Duration idleTime = std::chrono::milliseconds(8500); ///< Time after which an idle connection is closed.
     Duration duration = std::chrono::seconds(20);
-    bool hasSubsets = true;
+    std::size_t subsetSize = 4; ///< As in ProxySettings.
+    double fullRefusalShare = 0.5; ///< As in ProxySettings.
     std::vector<PlayedCalls> calls;
     std::uint64_t seed = 1;
 };
--- a/tests/subsettest.cpp
+++ b/tests/subsettest.cpp
@@ -79,14 +79,14 @@
 TEST(Subset, GrowsWithTheCallsThatKeepConnectionsOpen)
 {
     CallRate rate;
-    EXPECT_EQ(subsetSize(callsPerSecond(rate, Start)), 4U);
+    EXPECT_EQ(subsetSize(callsPerSecond(rate, Start), Size), 4U);
     for (int call = 0; call < 1200; ++call) {
         recordCall(rate, Start + call * std::chrono::milliseconds(50));
     }
     const TimePoint end = Start + std::chrono::seconds(60);
     EXPECT_NEAR(callsPerSecond(rate, end), 20.0, 1.0);
-    EXPECT_GT(subsetSize(callsPerSecond(rate, end)), 40U);
-    EXPECT_EQ(subsetSize(callsPerSecond(rate, end + std::chrono::minutes(1))), 4U);
+    EXPECT_GT(subsetSize(callsPerSecond(rate, end), Size), 40U);
+    EXPECT_EQ(subsetSize(callsPerSecond(rate, end + std::chrono::minutes(1)), Size), 4U);
 }
 
 /** Two calls a second at each of 200 entry VMs, in waves, for 100 upstreams with two slots and noisy neighbours. */
@@ -101,9 +101,9 @@
 TEST(SubsetLoad, CallsFindOpenConnectionsAndStayInTime)
 {
     PlayedLoad load = fewCallsAtManyEntryVms();
-    load.hasSubsets = false;
+    load.subsetSize = 0;
     const PlayedResult spread = ProxyLoadPlayer(load).play();
-    load.hasSubsets = true;
+    load.subsetSize = Size;
     const PlayedResult subsets = ProxyLoadPlayer(load).play();
     RecordProperty("connections_spread", spread.connections);
     RecordProperty("connections_subsets", subsets.connections);
