--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds ProbeTimeout{150};
 /** Capacity of the token bucket for probes, in seconds. The platform counts probes over much longer windows. */
 constexpr double ProbeBurstSeconds = 8.0;
+/** Parts of these probes that calls leave to others: those of accounts above their share, and less urgent ones while upstreams are full. */
+constexpr double ProbesLeftByExcess = 0.5;
+constexpr double ProbesLeftToUrgent = 0.125;
 constexpr std::chrono::milliseconds ProbeRoundInterval{20};
 /** A call waits for an available upstream for at most its target divided by this. */
 constexpr int QueueingTimeDivisor = 8;
@@ -371,11 +374,11 @@
     return true;
 }
 
-/** Returns whether less than half of the probes are left that may be sent at once. */
-bool areProbesScarce(const ProxyStepContext &context)
+/** Returns whether less than @p share of the probes are left that may be sent at once. */
+bool areProbesScarce(const ProxyStepContext &context, double share)
 {
     const ProxyState &state = context.state;
-    return state.probeTokens < state.settings.probesPerSecond * ProbeBurstSeconds / 2.0;
+    return state.probeTokens < state.settings.probesPerSecond * ProbeBurstSeconds * share;
 }
 
 void startProbes(ProxyStepContext &context, ProxyCallId id, const std::vector<PooledUpstream *> &candidates)
@@ -418,6 +421,14 @@
     }
 }
 
+/** Returns whether the call leaves scarce room to more urgent ones: upstreams are full, and none of both has a client account. */
+bool mustYield(const ProxyStepContext &context, const ProxyService &service, const ProxyCall &call)
+{
+    const double limit = context.state.settings.fullRefusalShare;
+    const bool isRoomScarce = limit > 0.0 && service.fullness.share >= limit;
+    return isRoomScarce && call.admitted.account.empty() && isLessUrgent(service.urgency, call.admitted.priority, context.now);
+}
+
 /**
  * Requests credit for a call to the best cold candidate, unless @p warm is at least as good. Returns whether it does.
  *
@@ -461,9 +472,12 @@
     if (call.nextRoundAt > context.now || call.openCredit) {
         return;
     }
-    // Calls of accounts that send beyond their share leave the last probes to others.
-    const bool mayProbe = !call.isAboveShare || !areProbesScarce(context);
-    if (mayProbe) {
+    // Calls of accounts that send beyond their share, and less urgent ones, leave the last probes to others.
+    const bool leavesToOthers = call.isAboveShare && areProbesScarce(context, ProbesLeftByExcess);
+    const bool leavesToUrgent = mustYield(context, service, call) && areProbesScarce(context, ProbesLeftToUrgent);
+    if (leavesToOthers || leavesToUrgent) {
+        call.isProbeLimited = true;
+    } else {
         startProbes(context, id, candidates);
     }
     if (call.openProbes > 0) {
@@ -725,6 +739,9 @@
         deposit(service.hedging.budget);
     }
     recordCall(service.callRate, context.now);
+    if (event.account.empty()) {
+        recordPriority(service.urgency, event.priority, context.now);
+    }
     ProxyCall call{.admitted = event};
     call.queueingDeadline = context.now + event.target / QueueingTimeDivisor;
     startRound(context, service, call);
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -10,6 +10,7 @@
 #include "decision/silence.h"
 #include "decision/subset.h"
 #include "decision/upstreampool.h"
+#include "decision/urgency.h"
 
 #include <map>
 #include <random>
@@ -244,6 +245,7 @@
     ProxyHedging hedging;
     std::set<ProxyCallId> waiting; ///< Calls without a running attempt.
     Fullness fullness;
+    Urgency urgency; ///< Of calls without a client account.
     LatencyEstimate latency; ///< Of all answered attempts, also of at-most-once calls. Kept if ProxySettings::silenceFactor is set.
     CallRate callRate;
     FairShares shares; ///< Empty if no call belongs to a client account.
--- a/tests/fakes/proxyload.cpp
+++ b/tests/fakes/proxyload.cpp
@@ -37,7 +37,7 @@
         m_upstreams[index].zone = index % load.zones;
         registered.push_back({.key = index,
                               .id = "upstream-" + std::to_string(index),
-                              .service = "desk",
+                              .service = load.services[index / load.zones % load.services.size()],
                               .availabilityZone = zoneName(m_upstreams[index].zone),
                               .slots = load.slots});
     }
@@ -98,7 +98,7 @@
         ++m_result.outcomes[kind].calls;
         feed(entry,
              ProxyCallAdmitted{.id = id,
-                               .service = "desk",
+                               .service = calls.service,
                                .repeatability = calls.repeatability,
                                .priority = calls.priority,
                                .account = calls.account,
--- a/tests/fakes/proxyload.h
+++ b/tests/fakes/proxyload.h
@@ -10,13 +10,14 @@
 #include <string>
 #include <vector>
 
-/** Plays a load for one service in virtual time: many entry VMs, each with a step() of its own, and upstreams with few slots. */
+/** Plays a load in virtual time: many entry VMs, each with a step() of its own, and upstreams with few slots. */
 namespace Plantainweir {
 
 /** Calls that arrive at random times, spread evenly over the entry VMs. */
 struct PlayedCalls {
     std::string account;
     std::uint32_t priority = 0;
+    std::string service = "desk"; ///< One of PlayedLoad::services.
     double weight = 1.0; ///< Of the account.
     double perSecond = 100.0;
     Repeatability repeatability = Repeatability::Idempotent;
@@ -26,6 +27,7 @@
     std::size_t zones = 4;
     std::size_t entriesPerZone = 50;
     std::size_t upstreamsPerZone = 25;
+    std::vector<std::string> services = {"desk"}; ///< They share the upstreams of each availability zone evenly.
     std::uint32_t slots = 2;
     std::uint32_t queuePlaces = 4;
     bool isSilentWhenFull = true; ///< Whether an upstream never answers a call that it cannot queue; otherwise it sheds it.
