--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -4,10 +4,13 @@
 #include "core/time.h"
 #include "core/work.h"
 #include "decision/fairshare.h"
+#include "decision/fullness.h"
 #include "decision/proxyhedging.h"
 #include "decision/retrybudget.h"
+#include "decision/silence.h"
 #include "decision/subset.h"
 #include "decision/upstreampool.h"
+#include "decision/urgency.h"
 
 #include <map>
 #include <random>
@@ -31,13 +34,16 @@
 using ColdCreditId = std::uint64_t;
 
 struct ProxySettings {
-    std::string name; ///< Of this entry VM. Without it, no subset of upstreams is preferred.
+    std::string name; ///< Of this entry VM.
     std::string availabilityZone; ///< Of this entry VM.
     double retryShare = 0.1; ///< Retries allowed per call, on average.
     double retrySlack = 10.0; ///< Further retries that this entry VM may make in each window.
     Duration retryWindow = std::chrono::seconds(10);
     double hedgeShare = 0.0; ///< Share of the idempotent calls that may get a second attempt while the first one is slow.
     double probesPerSecond = 100.0; ///< Limit on the probes of this entry VM to all upstreams.
+    std::size_t subsetSize = 0; ///< Least number of preferred upstreams in an availability zone. Zero: all are preferred alike.
+    double silenceFactor = 0.0; ///< Factor on the 95th percentile from which an attempt takes far longer than usual (silence.h). Zero: none is silent.
+    double fullRefusalShare = 0.0; ///< Share of full upstreams from which calls that may not probe are refused. Zero: none are.
 };
 
 /** A call passed the filters. */
@@ -149,6 +155,12 @@
 struct CancelProxyAttempt {
     ProxyAttemptId id = 0;
 };
+/** Reports that an upstream does not answer an attempt. If the attempt is given up, CancelProxyAttempt follows. */
+struct ReportSilence {
+    ProxyAttemptId id = 0;
+    Silence silence = Silence::None;
+    Duration age{}; ///< Of the attempt.
+};
 /** Requests credit for one call to a cold upstream. Exactly one ColdCreditDecided follows, unless the request is cancelled. */
 struct RequestColdCredit {
     ColdCreditId id = 0;
@@ -172,7 +184,8 @@
     UnknownReason unknown = UnknownReason::ConnectionLost;
     Duration retryAfter{}; ///< Time after which the caller should retry. Valid if not run.
 };
-using ProxyAction = std::variant<StartProbe, StartProxyAttempt, CancelProxyAttempt, RequestColdCredit, CancelColdCredit, ReturnColdCredit, EndProxyCall>;
+using ProxyAction
+    = std::variant<StartProbe, StartProxyAttempt, CancelProxyAttempt, ReportSilence, RequestColdCredit, CancelColdCredit, ReturnColdCredit, EndProxyCall>;
 
 /** The state of one call. */
 struct ProxyCall {
@@ -198,6 +211,7 @@
     bool isProbeLimited = false; ///< Whether the current round lacks a probe because of the rate limit.
     bool wasShedWithFreeSlot = false; ///< Whether the last upstream shed the call although it reported a free slot.
     bool isAboveShare = false; ///< Whether room is scarce and its account sends more than its share: the call does not wait for room.
+    bool wasSilent = false; ///< Whether an attempt was given up as silent: the next one goes only where there is room.
     bool mayHaveRun = false;
     bool isAbandoned = false;
     TimePoint nextRoundAt; ///< Start of the next probe round. The epoch during a round.
@@ -207,15 +221,17 @@
     ProxyCallId call = 0;
     std::string service;
     UpstreamKey upstream = 0;
-    TimePoint startedAt;
+    AwaitedAnswer awaited;
+    TimePoint judgedAt; ///< When to judge next whether the upstream is silent. The epoch if only other answers lead to it.
+    Silence silence = Silence::None; ///< Set once it counts as silent. It then holds no slot.
     bool isUnprobed = false; ///< Whether the load of the upstream was not known because of the limit on probes.
 };
 
 struct ProxyProbe {
-    ProxyCallId call = 0;
+    std::optional<ProxyCallId> call; ///< Empty if the probe checks whether an upstream is silent.
     std::string service;
     UpstreamKey upstream = 0;
-    TimePoint startedAt;
+    TimePoint sentAt;
     TimePoint deadline; ///< After an answer that is read later, the call may probe the upstream again.
 };
 
@@ -232,7 +248,9 @@
     TimePoint budgetRefilledAt;
     ProxyHedging hedging;
     std::set<ProxyCallId> waiting; ///< Calls without a running attempt.
-    double fullRate = 0.0; ///< Share of full upstreams among those probed.
+    Fullness fullness;
+    Urgency urgency; ///< Of calls without a client account.
+    LatencyEstimate latency; ///< Of all answered attempts, also of at-most-once calls. Kept if ProxySettings::silenceFactor is set.
     CallRate callRate;
     FairShares shares; ///< Empty if no call belongs to a client account.
     double otherZoneAvailableRate = 1.0; ///< Share of available upstreams among those probed in other availability zones.
--- a/tests/fakes/proxyload.h
+++ b/tests/fakes/proxyload.h
@@ -10,13 +10,14 @@
 #include <string>
 #include <vector>
 
-/** Plays a load for one service in virtual time: many entry VMs, each with a step() of its own, and upstreams with few slots. */
+/** Plays a load in virtual time: many entry VMs, each with a step() of its own, and upstreams with few slots. */
 namespace Plantainweir {
 
 /** Calls that arrive at random times, spread evenly over the entry VMs. */
 struct PlayedCalls {
     std::string account;
     std::uint32_t priority = 0;
+    std::string service = "desk"; ///< One of PlayedLoad::services.
     double weight = 1.0; ///< Of the account.
     double perSecond = 100.0;
     Repeatability repeatability = Repeatability::Idempotent;
@@ -26,6 +27,7 @@
     std::size_t zones = 4;
     std::size_t entriesPerZone = 50;
     std::size_t upstreamsPerZone = 25;
+    std::vector<std::string> services = {"desk"}; ///< They share the upstreams of each availability zone evenly.
     std::uint32_t slots = 2;
     std::uint32_t queuePlaces = 4;
     bool isSilentWhenFull = true; ///< Whether an upstream never answers a call that it cannot queue; otherwise it sheds it.
@@ -33,6 +35,8 @@
     double noisySlowdown = 5.0;
     double swing = 0.0; ///< Amplitude of the waves of the load, which reach the zones one after the other.
     Duration workTime = std::chrono::milliseconds(76);
+    double longShare = 0.0; ///< Share of the calls whose work takes @ref longFactor times as long.
+    double longFactor = 10.0;
     Duration target = std::chrono::milliseconds(250);
     Duration timeout = std::chrono::milliseconds(800);
     Duration idleTime = std::chrono::milliseconds(8500); ///< Time after which an idle connection is closed.
@@ -41,7 +45,9 @@
     Duration fullUntil{}; ///< Time after the start at which it ends.
     Duration countedFrom{}; ///< Calls that arrive earlier after the start are not part of the outcomes.
     double probesPerSecond = 47.0; ///< Limit of each entry VM.
-    bool hasSubsets = true;
+    std::size_t subsetSize = 4; ///< As in ProxySettings.
+    double fullRefusalShare = 0.5; ///< As in ProxySettings.
+    double silenceFactor = 0.0; ///< As in ProxySettings.
     std::vector<PlayedCalls> calls;
     std::uint64_t seed = 1;
 };
@@ -53,6 +59,7 @@
     int answered = 0;
     int refused = 0;
     int unknown = 0; ///< May have run, without an answer.
+    Duration unknownWait{}; ///< Time in which their callers waited, in total.
     double servedShare() const
     {
         return static_cast<double>(answered) / calls;
@@ -69,6 +76,8 @@
     int attempts = 0;
     int connections = 0; ///< Opened connections.
     int neverAnswered = 0; ///< Attempts that an upstream could not queue.
+    int silent = 0; ///< Attempts that counted as silent.
+    int wronglySilent = 0; ///< Those among them that the upstream had.
     std::vector<int> attemptsByUpstream;
 };
 
@@ -105,6 +114,7 @@
     void execute(std::size_t entry, const StartProbe &action);
     void execute(std::size_t entry, const StartProxyAttempt &action);
     void execute(std::size_t entry, const CancelProxyAttempt &action);
+    void execute(std::size_t entry, const ReportSilence &action);
     void execute(std::size_t entry, const RequestColdCredit &action);
     void execute(std::size_t entry, const CancelColdCredit &action);
     void execute(std::size_t entry, const ReturnColdCredit &action);
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -131,6 +131,7 @@
 TEST_F(ProxyingTest, AWaitingCallProbesBeyondTheSubsetInItsNextRounds)
 {
     state.settings.name = "entry";
+    state.settings.subsetSize = 4;
     std::vector<RegisteredUpstream> upstreams;
     for (UpstreamKey key = 1; key <= 60; ++key) {
         upstreams.push_back(makeUpstream(key, key <= 30 ? "a" : "b"));
@@ -139,7 +140,7 @@
     feed(ProxyCallAdmitted{
         .id = 1, .service = "desk", .maximumAttempts = 2, .target = std::chrono::milliseconds(1600), .deadline = now + std::chrono::seconds(2)});
     std::set<UpstreamKey> probed;
-    while (attempts.empty() && ends.empty()) {
+    while (attempts.empty() && ends.empty() && now < Start + std::chrono::seconds(2)) {
         // A round takes longer than its first reports stay fresh.
         advanceTime(std::chrono::milliseconds(8));
         for (const StartProbe &probe : std::exchange(probes, {})) {
