Take silent upstreams back, and note only calls that were never answered

A call whose deadline passes while its upstream answered others still makes the service one whose upstreams do not answer, for the refusal of calls that may not probe.

--- a/src/core/outcome.h
+++ b/src/core/outcome.h
@@ -111,10 +111,9 @@
     ConnectionLost, ///< Idempotent call; the connection closed before the complete response was received.
     UpstreamError, ///< Idempotent call; the upstream responded with a server error.
     Hedge, ///< Idempotent call; a second attempt in parallel with a slow first one.
-    UpstreamSilent, ///< Idempotent call; the upstream answers other requests, but not this one.
 };
 
-constexpr std::array<EnumName<RetryReason>, 6> enumNames(RetryReason)
+constexpr std::array<EnumName<RetryReason>, 5> enumNames(RetryReason)
 {
     return {{
         {RetryReason::UpstreamShed, "upstream_shed"},
@@ -122,7 +121,6 @@
         {RetryReason::ConnectionLost, "connection_lost"},
         {RetryReason::UpstreamError, "upstream_error"},
         {RetryReason::Hedge, "hedge"},
-        {RetryReason::UpstreamSilent, "upstream_silent"},
     }};
 }
 static_assert(isEnumTableOrdered<RetryReason>());
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -88,14 +88,6 @@
     }
 }
 
-/** Ends what the attempt holds at its upstream. */
-void releaseSlot(PooledUpstream &upstream, const ProxyAttempt &attempt)
-{
-    if (attempt.silence == Silence::None) {
-        --upstream.inFlight;
-    }
-}
-
 /** Removes the call. The results of its running probes and attempts still update the upstreams. */
 void removeCall(ProxyStepContext &context, ProxyCallId id)
 {
@@ -123,10 +115,10 @@
         }
         const auto attempt = context.state.attempts.find(**running);
         ProxyService &service = serviceOf(context, attempt->second.service);
-        const Duration age = context.now - attempt->second.awaited.sentAt;
+        const Duration age = context.now - attempt->second.startedAt;
         const bool isIdempotent = call.admitted.repeatability == Repeatability::Idempotent;
         if (PooledUpstream *upstream = findUpstream(service.pool, attempt->second.upstream)) {
-            releaseSlot(*upstream, attempt->second);
+            --upstream->inFlight;
             if (context.state.settings.hedgeShare > 0.0) {
                 // Otherwise upstreams that often lose against hedges would seem full.
                 recordEndWithoutLoadReport(*upstream);
@@ -206,21 +198,6 @@
     }
 }
 
-void scheduleSilenceCheck(ProxyStepContext &context, ProxyAttempt &attempt, std::optional<TimePoint> at)
-{
-    attempt.judgedAt = at.value_or(TimePoint{});
-    if (at) {
-        setTimer(context, attempt.call, *at);
-    }
-}
-
-/** Returns whether @p upstream has just reported a free slot. */
-bool hasReportedRoom(const PooledUpstream &upstream, TimePoint now)
-{
-    const LoadState loadState = loadStateOf(upstream, FreshLoadAge, now);
-    return loadState != LoadState::Full && loadState != LoadState::Unknown;
-}
-
 /** Sends the call to @p upstream: as a hedge if another attempt is running. */
 void startAttempt(ProxyStepContext &context, ProxyCallId id, PooledUpstream &upstream)
 {
@@ -228,13 +205,7 @@
     const bool isHedge = call.running.has_value();
     cancelCreditRequest(context, call);
     const ProxyAttemptId attempt = ++context.state.lastId;
-    const auto started = context.state.attempts.emplace(attempt,
-                                                        ProxyAttempt{.call = id,
-                                                                     .service = call.admitted.service,
-                                                                     .upstream = upstream.registration.key,
-                                                                     .awaited = {.sentAt = context.now, .hadRoom = hasReportedRoom(upstream, context.now)}});
-    const LatencyEstimate &latency = serviceOf(context, call.admitted.service).latency;
-    scheduleSilenceCheck(context, started.first->second, firstSilenceCheck(latency, context.state.settings.silenceFactor, context.now));
+    context.state.attempts.emplace(attempt, ProxyAttempt{id, call.admitted.service, upstream.registration.key, context.now});
     context.actions.emplace_back(StartProxyAttempt{
         .id = attempt,
         .call = id,
@@ -507,7 +478,7 @@
         endWithoutAnswer(context, id, RefusalReason::ShareExceeded, UnknownReason::ConnectionLost);
         return;
     }
-    const bool isRefused = call.wasSilent || refusesUnprobed(service.fullness, service.pool, context.state.settings.fullRefusalShare, context.now);
+    const bool isRefused = refusesUnprobed(service.fullness, service.pool, context.state.settings.fullRefusalShare, context.now);
     if (std::exchange(call.isProbeLimited, false) && !isRefused) {
         // Without probes, the choice is based on the calls that this entry VM has in flight. If most upstreams are full, the
         // upstream would probably queue the call beyond its target, or have no place for it in its queue.
@@ -588,127 +559,6 @@
     return true;
 }
 
-/** Cancels one of two running attempts of a call; the other one decides. */
-void cancelOneOfTwo(ProxyCall &call, ProxyAttemptId attempt)
-{
-    if (call.running == attempt) {
-        call.running = call.hedge;
-    }
-    call.hedge.reset();
-}
-
-/** Returns whether a call with a silent attempt may be sent to another upstream. At-most-once work waits on, since its answer may still come. */
-bool mayLeaveSilent(ProxyStepContext &context, const ProxyCall &call)
-{
-    if (call.hedge) {
-        return true;
-    }
-    const bool isRepeatable = call.admitted.repeatability == Repeatability::Idempotent && !call.isAbandoned;
-    const bool hasAttempts = call.attempts < call.admitted.maximumAttempts && context.now < call.admitted.deadline;
-    return isRepeatable && hasAttempts && serviceOf(context, call.admitted.service).retryBudget.tokens >= 1.0;
-}
-
-/** Gives up a silent attempt by closing its connection, and repeats the call. */
-void leaveSilent(ProxyStepContext &context, ProxyAttemptId id)
-{
-    const ProxyAttempt attempt = context.state.attempts.at(id);
-    context.state.attempts.erase(id);
-    context.actions.emplace_back(CancelProxyAttempt{id});
-    if (PooledUpstream *upstream = findUpstream(serviceOf(context, attempt.service).pool, attempt.upstream)) {
-        recordFailure(*upstream, context.now);
-    }
-    ProxyCall &call = context.state.calls.at(attempt.call);
-    call.mayHaveRun = true;
-    if (call.hedge) {
-        cancelOneOfTwo(call, id);
-        return;
-    }
-    call.running.reset();
-    call.wasSilent = true;
-    if (!retry(context, attempt.call, RetryReason::UpstreamSilent, true)) {
-        endWithoutAnswer(context, attempt.call, RefusalReason::ConnectFailed, UnknownReason::ConnectionLost);
-    }
-}
-
-/** Judges whether the attempt is silent, and gives it up if its call may be repeated. Returns whether it does. */
-bool judgeSilence(ProxyStepContext &context, ProxyAttemptId id)
-{
-    ProxyAttempt &attempt = context.state.attempts.at(id);
-    ProxyService &service = serviceOf(context, attempt.service);
-    const Silence silence = silenceOf(attempt.awaited, service.latency, context.state.settings.silenceFactor, context.now);
-    if (silence == Silence::None) {
-        return false;
-    }
-    if (attempt.silence == Silence::None) {
-        if (PooledUpstream *upstream = findUpstream(service.pool, attempt.upstream)) {
-            releaseSlot(*upstream, attempt);
-        }
-        attempt.silence = silence;
-        recordSilence(service.fullness, context.now);
-        context.actions.emplace_back(ReportSilence{.id = id, .silence = silence, .age = context.now - attempt.awaited.sentAt});
-    }
-    const auto call = context.state.calls.find(attempt.call);
-    if (call == context.state.calls.end() || !mayLeaveSilent(context, call->second)) {
-        return false;
-    }
-    leaveSilent(context, id);
-    return true;
-}
-
-/** Probes the upstream of the attempt if the rate limit allows. Returns whether it does. */
-bool startSilenceProbe(ProxyStepContext &context, const ProxyAttempt &attempt)
-{
-    const PooledUpstream *upstream = findUpstream(serviceOf(context, attempt.service).pool, attempt.upstream);
-    if (upstream == nullptr || !withdrawProbe(context)) {
-        return false;
-    }
-    const ProbeId probe = ++context.state.lastId;
-    context.state.probes.emplace(probe, ProxyProbe{std::nullopt, attempt.service, attempt.upstream, context.now});
-    context.actions.emplace_back(StartProbe{probe, upstream->registration, context.now + ProbeTimeout});
-    return true;
-}
-
-/** Judges the attempt if that is due; if it is not silent so far, asks its upstream. */
-void checkSilence(ProxyStepContext &context, ProxyAttemptId id)
-{
-    const auto found = context.state.attempts.find(id);
-    if (found == context.state.attempts.end() || found->second.judgedAt == TimePoint{} || context.now < found->second.judgedAt) {
-        return;
-    }
-    if (judgeSilence(context, id)) {
-        return;
-    }
-    ProxyAttempt &attempt = found->second;
-    const bool needsAnswer = attempt.silence == Silence::None;
-    const bool isLimited = needsAnswer && !startSilenceProbe(context, attempt);
-    scheduleSilenceCheck(context, attempt, isLimited ? context.now + ProbeRoundInterval : nextSilenceCheck(attempt.awaited, context.now));
-}
-
-/** Judges the attempts at an upstream that answered another request. */
-void recordAnswerOf(ProxyStepContext &context, const std::string &service, UpstreamKey upstream, const AnsweredRequest &answered)
-{
-    if (context.state.settings.silenceFactor <= 0.0) {
-        return;
-    }
-    std::vector<ProxyAttemptId> awaiting;
-    for (auto &[id, attempt] : context.state.attempts) {
-        if (attempt.upstream == upstream && attempt.service == service) {
-            recordOtherAnswer(attempt.awaited, answered, context.now);
-            awaiting.push_back(id);
-        }
-    }
-    for (const ProxyAttemptId id : awaiting) {
-        const auto found = context.state.attempts.find(id);
-        if (found == context.state.attempts.end() || judgeSilence(context, id)) {
-            continue;
-        }
-        ProxyAttempt &attempt = found->second;
-        if (attempt.judgedAt != TimePoint{} && attempt.awaited.uncountedAt == context.now) {
-            scheduleSilenceCheck(context, attempt, std::max(attempt.judgedAt, nextSilenceCheck(attempt.awaited, context.now)));
-        }
-    }
-}
-
 void startHedgeProbes(ProxyStepContext &context, ProxyCallId id, const std::vector<PooledUpstream *> &candidates)
 {
     std::uint32_t probes = 0;
@@ -778,6 +628,20 @@
     advance(context, event.id);
 }
 
+/** Takes into account that the running attempt of @p call was not answered before the deadline although its upstream answered others. */
+void recordUnanswered(ProxyStepContext &context, const ProxyCall &call)
+{
+    if (!call.running) {
+        return;
+    }
+    const ProxyAttempt &attempt = context.state.attempts.at(*call.running);
+    ProxyService &service = serviceOf(context, attempt.service);
+    const PooledUpstream *upstream = findUpstream(service.pool, attempt.upstream);
+    if (upstream != nullptr && upstream->loadReceivedAt > attempt.startedAt) {
+        recordSilence(service.fullness, context.now);
+    }
+}
+
 void handle(ProxyStepContext &context, const ProxyCallAbandoned &event)
 {
     const auto found = context.state.calls.find(event.id);
@@ -799,7 +663,7 @@
     switch (event.outcome) {
     case ProbeOutcome::Answered:
         recordLoadReport(upstream, event.load, now);
-        recordAnswer(upstream.coldStart, event.coldTime, probe.sentAt, now);
+        recordAnswer(upstream.coldStart, event.coldTime, probe.startedAt, now);
         return;
     case ProbeOutcome::Unhealthy:
         upstream.loadReceivedAt = {};
@@ -832,10 +696,7 @@
             recordOtherZoneAvailability(serviceOf(context, probe.service), *upstream, context.now);
         }
     }
-    if (event.outcome == ProbeOutcome::Answered) {
-        recordAnswerOf(context, probe.service, probe.upstream, {.sentAt = probe.sentAt, .load = event.load});
-    }
-    const auto call = probe.call ? context.state.calls.find(*probe.call) : context.state.calls.end();
+    const auto call = context.state.calls.find(probe.call);
     if (call == context.state.calls.end()) {
         return;
     }
@@ -845,18 +706,18 @@
         call->second.probed.erase(probe.upstream);
     }
     if (!call->second.running) {
-        advance(context, *probe.call);
+        advance(context, probe.call);
     } else if (call->second.isHedgeProbing) {
-        hedge(context, *probe.call);
+        hedge(context, probe.call);
     }
 }
 
-void recordAttemptResult(PooledUpstream &upstream, const ProxyAttempt &attempt, const ProxyAttemptEnded &event, TimePoint now)
+void recordAttemptResult(PooledUpstream &upstream, const ProxyAttemptEnded &event, TimePoint now)
 {
-    releaseSlot(upstream, attempt);
+    --upstream.inFlight;
     if (event.load) {
         recordLoadReport(upstream, *event.load, now);
-    } else if (attempt.silence == Silence::None) {
+    } else {
         recordEndWithoutLoadReport(upstream);
     }
     switch (event.outcome) {
@@ -931,7 +792,10 @@
 {
     ProxyCall &call = context.state.calls.at(id);
     const bool isHedge = call.hedge == attempt;
-    cancelOneOfTwo(call, attempt);
+    if (!isHedge) {
+        call.running = call.hedge;
+    }
+    call.hedge.reset();
     switch (outcome) {
     case ProxyAttemptOutcome::Succeeded:
         cancelRunning(context, call);
@@ -959,12 +823,6 @@
     }
 }
 
-/** Returns whether the upstream gave an answer. */
-bool isAnswer(ProxyAttemptOutcome outcome)
-{
-    return outcome == ProxyAttemptOutcome::Succeeded || outcome == ProxyAttemptOutcome::ServerError || outcome == ProxyAttemptOutcome::Shed;
-}
-
 void handle(ProxyStepContext &context, const ProxyAttemptEnded &event)
 {
     const auto found = context.state.attempts.find(event.id);
@@ -975,7 +833,7 @@
     context.state.attempts.erase(found);
     LoadState reported = LoadState::Unknown;
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, attempt.service).pool, attempt.upstream)) {
-        recordAttemptResult(*upstream, attempt, event, context.now);
+        recordAttemptResult(*upstream, event, context.now);
         recordNotice(serviceOf(context, attempt.service).pool, *upstream, event.notice, context.now);
         if (event.load) {
             reported = loadStateOf(*upstream, FreshLoadAge, context.now);
@@ -986,13 +844,10 @@
     if (event.load) {
         recordAvailability(hedging, hasFreeSlot);
     }
-    if (event.outcome == ProxyAttemptOutcome::Succeeded && context.state.settings.silenceFactor > 0.0) {
-        addSample(serviceOf(context, attempt.service).latency, context.now - attempt.awaited.sentAt);
-    }
     const auto call = context.state.calls.find(attempt.call);
     if (call != context.state.calls.end()) {
         if (event.outcome == ProxyAttemptOutcome::Succeeded && call->second.admitted.repeatability == Repeatability::Idempotent) {
-            recordLatency(hedging, context.now - attempt.awaited.sentAt);
+            recordLatency(hedging, context.now - attempt.startedAt);
         }
         if (attempt.isUnprobed && reported != LoadState::Unknown && event.outcome != ProxyAttemptOutcome::Shed) {
             recordRoom(context, call->second, reported == LoadState::Full ? Room::Scarce : Room::Available);
@@ -1007,9 +862,6 @@
             continueAfterAttempt(context, attempt.call, event.id, event.outcome);
         }
     }
-    if (isAnswer(event.outcome)) {
-        recordAnswerOf(context, attempt.service, attempt.upstream, {.sentAt = attempt.awaited.sentAt, .load = event.load});
-    }
     advanceWaiting(context, attempt.service);
 }
 
@@ -1022,18 +874,11 @@
     ProxyCall &call = found->second;
     if (context.now >= call.admitted.deadline) {
         call.mayHaveRun = call.mayHaveRun || call.running.has_value();
+        recordUnanswered(context, call);
         cancelRunning(context, call);
         endWithoutAnswer(context, id, RefusalReason::DeadlinePassed, UnknownReason::DeadlinePassed);
         return;
     }
-    for (const std::optional<ProxyAttemptId> &attempt : {call.running, call.hedge}) {
-        if (attempt) {
-            checkSilence(context, *attempt);
-        }
-    }
-    if (!context.state.calls.contains(id)) {
-        return;
-    }
     if (call.running && call.hedgeAt != TimePoint{} && context.now >= call.hedgeAt) {
         call.hedgeAt = {};
         hedge(context, id);
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -7,7 +7,6 @@
 #include "decision/fullness.h"
 #include "decision/proxyhedging.h"
 #include "decision/retrybudget.h"
-#include "decision/silence.h"
 #include "decision/subset.h"
 #include "decision/upstreampool.h"
 #include "decision/urgency.h"
@@ -42,7 +41,6 @@
     double hedgeShare = 0.0; ///< Share of the idempotent calls that may get a second attempt while the first one is slow.
     double probesPerSecond = 100.0; ///< Limit on the probes of this entry VM to all upstreams.
     std::size_t subsetSize = 0; ///< Least number of preferred upstreams in an availability zone. Zero: all are preferred alike.
-    double silenceFactor = 0.0; ///< Factor on the 95th percentile from which an attempt takes far longer than usual (silence.h). Zero: none is silent.
     double fullRefusalShare = 0.0; ///< Share of full upstreams from which calls that may not probe are refused. Zero: none are.
 };
 
@@ -155,12 +153,6 @@
 struct CancelProxyAttempt {
     ProxyAttemptId id = 0;
 };
-/** Reports that an upstream does not answer an attempt. If the attempt is given up, CancelProxyAttempt follows. */
-struct ReportSilence {
-    ProxyAttemptId id = 0;
-    Silence silence = Silence::None;
-    Duration age{}; ///< Of the attempt.
-};
 /** Requests credit for one call to a cold upstream. Exactly one ColdCreditDecided follows, unless the request is cancelled. */
 struct RequestColdCredit {
     ColdCreditId id = 0;
@@ -184,8 +176,7 @@
     UnknownReason unknown = UnknownReason::ConnectionLost;
     Duration retryAfter{}; ///< Time after which the caller should retry. Valid if not run.
 };
-using ProxyAction
-    = std::variant<StartProbe, StartProxyAttempt, CancelProxyAttempt, ReportSilence, RequestColdCredit, CancelColdCredit, ReturnColdCredit, EndProxyCall>;
+using ProxyAction = std::variant<StartProbe, StartProxyAttempt, CancelProxyAttempt, RequestColdCredit, CancelColdCredit, ReturnColdCredit, EndProxyCall>;
 
 /** The state of one call. */
 struct ProxyCall {
@@ -211,7 +202,6 @@
     bool isProbeLimited = false; ///< Whether the current round lacks a probe because of the rate limit.
     bool wasShedWithFreeSlot = false; ///< Whether the last upstream shed the call although it reported a free slot.
     bool isAboveShare = false; ///< Whether room is scarce and its account sends more than its share: the call does not wait for room.
-    bool wasSilent = false; ///< Whether an attempt was given up as silent: the next one goes only where there is room.
     bool mayHaveRun = false;
     bool isAbandoned = false;
     TimePoint nextRoundAt; ///< Start of the next probe round. The epoch during a round.
@@ -221,17 +211,15 @@
     ProxyCallId call = 0;
     std::string service;
     UpstreamKey upstream = 0;
-    AwaitedAnswer awaited;
-    TimePoint judgedAt; ///< When to judge next whether the upstream is silent. The epoch if only other answers lead to it.
-    Silence silence = Silence::None; ///< Set once it counts as silent. It then holds no slot.
+    TimePoint startedAt;
     bool isUnprobed = false; ///< Whether the load of the upstream was not known because of the limit on probes.
 };
 
 struct ProxyProbe {
-    std::optional<ProxyCallId> call; ///< Empty if the probe checks whether an upstream is silent.
+    ProxyCallId call = 0;
     std::string service;
     UpstreamKey upstream = 0;
-    TimePoint sentAt;
+    TimePoint startedAt;
     TimePoint deadline; ///< After an answer that is read later, the call may probe the upstream again.
 };
 
@@ -250,7 +238,6 @@
     std::set<ProxyCallId> waiting; ///< Calls without a running attempt.
     Fullness fullness;
     Urgency urgency; ///< Of calls without a client account.
-    LatencyEstimate latency; ///< Of all answered attempts, also of at-most-once calls. Kept if ProxySettings::silenceFactor is set.
     CallRate callRate;
     FairShares shares; ///< Empty if no call belongs to a client account.
     double otherZoneAvailableRate = 1.0; ///< Share of available upstreams among those probed in other availability zones.
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -61,7 +61,6 @@
     AttemptFailed = 1501,
     CallEnded = 1502,
     CallAbandoned = 1503,
-    AttemptSilent = 1504,
     RoutesInForce = 1510,
     UpstreamsChanged = 1511,
     ReadinessChanged = 1512,
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -194,7 +194,6 @@
                    .retryWindow = settings.retryWindow,
                    .hedgeShare = settings.hedgeShare,
                    .subsetSize = settings.subsetSize,
-                   .silenceFactor = settings.silenceFactor,
                    .fullRefusalShare = settings.fullRefusalShare},
                   m_metrics,
                   settings.seed)
--- a/src/tasks/gateway.h
+++ b/src/tasks/gateway.h
@@ -31,7 +31,6 @@
     Duration retryWindow{};
     double hedgeShare = 0.0; ///< Share of the calls that may be repeated of which slow ones get a second attempt.
     std::size_t subsetSize = 0; ///< Least number of preferred upstreams of a service in an availability zone; zero: all are preferred alike.
-    double silenceFactor = 0.0; ///< Factor on the 95th percentile of a service's latency from which its upstreams may count as silent; zero: never.
     double fullRefusalShare = 0.0; ///< Share of full upstreams from which calls that may not probe are refused; zero: none are.
     double probesPerSecondPerUpstream = 0.0; ///< Probes per second that the fleet may send to one upstream.
     CreditToleranceSettings creditTolerance; ///< By how much the fleet may exceed its limits on accounts and cold upstreams.
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -57,7 +57,6 @@
     HttpExchangeId call = 0;
     std::string upstream;
     bool isHedge = false;
-    bool isSilent = false; ///< Whether it was reported as silent.
 };
 
 /** Returns the name of the call's client account; empty if it belongs to none. */
@@ -315,24 +314,6 @@
         m_attempts.erase(attempt);
     }
 
-    void execute(const ReportSilence &action)
-    {
-        m_metrics.addToCounter("plantainweir_silent_attempts_total",
-                               "Attempts that an upstream does not answer although it answers others, by sign.",
-                               std::string(nameOf(action.silence)));
-        const auto attempt = m_attempts.find(action.id);
-        if (attempt == m_attempts.end()) {
-            return;
-        }
-        attempt->second.isSilent = true;
-        const auto call = m_calls.find(attempt->second.call);
-        logEvent(LogEvent::AttemptSilent,
-                 {{"id", call == m_calls.end() ? std::string() : call->second.incoming.call.requestId},
-                  {"upstream", attempt->second.upstream},
-                  {"sign", nameOf(action.silence)},
-                  {"ms", std::chrono::duration_cast<std::chrono::milliseconds>(action.age).count()}});
-    }
-
     void countHedge(const OpenAttempt &attempt, HedgeOutcome outcome)
     {
         if (attempt.isHedge) {
@@ -477,9 +458,6 @@
     {
         const auto attempt = m_attempts.find(result.ended.id);
         if (attempt != m_attempts.end()) {
-            if (attempt->second.isSilent && result.ended.outcome == ProxyAttemptOutcome::Succeeded) {
-                m_metrics.addToCounter("plantainweir_silent_attempts_answered_total", "Attempts that counted as silent and were answered after all.");
-            }
             const auto call = m_calls.find(attempt->second.call);
             if (call != m_calls.end()) {
                 call->second.lastUpstream = attempt->second.upstream;
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -152,6 +152,27 @@
     EXPECT_GT(probed.size(), 24U);
 }
 
+/** Answers upstreams that never answer what they cannot queue: calls without a probe are then refused while most of them are full. */
+TEST_F(ProxyingTest, AnUpstreamThatAnswersOnlyOthersWasSilent)
+{
+    setUpstreams({makeUpstream(1)});
+    admit(1);
+    answerIdle();
+    ASSERT_EQ(attempts.size(), 1U);
+    advanceTime(std::chrono::seconds(1));
+    admit(2);
+    answerIdle();
+    ASSERT_EQ(attempts.size(), 2U);
+    EXPECT_EQ(state.services["desk"].fullness.silenceSeenAt, TimePoint{});
+    advanceTime(std::chrono::seconds(1));
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(state.services["desk"].fullness.silenceSeenAt, now);
+    state.services["desk"].fullness.silenceSeenAt = {};
+    advanceTime(std::chrono::seconds(1));
+    ASSERT_EQ(ends.size(), 2U);
+    EXPECT_EQ(state.services["desk"].fullness.silenceSeenAt, TimePoint{}) << "the upstream answered nobody since";
+}
+
 TEST_F(ProxyingTest, ProbesOtherZonesRarelyWhileTheyAreFull)
 {
     setUpstreams({makeUpstream(1, "a"), makeUpstream(2, "b"), makeUpstream(3, "b"), makeUpstream(4, "c"), makeUpstream(5, "c")});
