Keep the largest size of the fleet as a sliding maximum

Only one size and its time were kept. When the size of a fleet that had shrunk nearly an hour before was forgotten, members reckoned only with those that were live then: the sides of a partition each took the whole limits, although all were live seconds before.

Falling sizes with rising times are kept.

--- a/src/controllers/creditdelegator.cpp
+++ b/src/controllers/creditdelegator.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <utility>
 
 namespace Plantainweir {
 namespace {
@@ -148,11 +149,39 @@
 
 void rememberFleetSize(FleetSizeMemory &memory, std::size_t size, TimePoint validUntil)
 {
-    if (size > MaximumFleetSize || size < memory.size) {
+    if (size > MaximumFleetSize || size == 0) {
         return;
     }
-    memory.validUntil = size > memory.size ? validUntil : std::max(memory.validUntil, validUntil);
-    memory.size = size;
+    if (size <= memory.size && validUntil <= memory.validUntil) {
+        return;
+    }
+    std::vector<SeenFleetSize> sizes = std::move(memory.next);
+    sizes.insert(sizes.begin(), {.size = memory.size, .validUntil = memory.validUntil});
+    const bool isCovered = std::any_of(sizes.begin(), sizes.end(), [&](const SeenFleetSize &seen) {
+        return seen.size >= size && seen.validUntil >= validUntil;
+    });
+    if (!isCovered) {
+        std::erase_if(sizes, [&](const SeenFleetSize &seen) {
+            return seen.size <= size && seen.validUntil <= validUntil;
+        });
+        const auto position = std::find_if(sizes.begin(), sizes.end(), [size](const SeenFleetSize &seen) {
+            return seen.size < size;
+        });
+        sizes.insert(position, {.size = size, .validUntil = validUntil});
+    }
+    memory = {.size = sizes.front().size, .validUntil = sizes.front().validUntil, .next = {sizes.begin() + 1, sizes.end()}};
+}
+
+void forgetFleetSizes(FleetSizeMemory &memory, TimePoint now)
+{
+    while (memory.validUntil <= now && !memory.next.empty()) {
+        memory.size = memory.next.front().size;
+        memory.validUntil = memory.next.front().validUntil;
+        memory.next.erase(memory.next.begin());
+    }
+    if (memory.validUntil <= now) {
+        memory = {};
+    }
 }
 
 void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now)
@@ -178,9 +207,7 @@
 
 std::vector<OutgoingDelegation> renew(CreditDelegator &delegator, std::size_t liveMembers, std::uint64_t &lastSequence, TimePoint now, std::mt19937_64 &random)
 {
-    if (delegator.fleetSize.validUntil <= now) {
-        delegator.fleetSize = {};
-    }
+    forgetFleetSizes(delegator.fleetSize, now);
     rememberFleetSize(delegator.fleetSize, liveMembers, now + FleetSizeValidity);
     const std::int64_t period = Duration(RenewalPeriod).count();
     delegator.nextRenewalAt = now + Duration(std::uniform_int_distribution<std::int64_t>(period * 9 / 10, period)(random));
--- a/src/controllers/creditdelegator.h
+++ b/src/controllers/creditdelegator.h
@@ -22,10 +22,17 @@
 /** Number of keepers, and of the parts of a share. */
 inline constexpr std::size_t KeeperCount = 2;
 
+/** A number of members that were live at once. */
+struct SeenFleetSize {
+    std::size_t size = 0;
+    TimePoint validUntil;
+};
+
 /** The largest number of members that were live at once, until it is too old to be reckoned with. */
 struct FleetSizeMemory {
     std::size_t size = 0;
     TimePoint validUntil;
+    std::vector<SeenFleetSize> next; ///< What counts after that: falling sizes with rising times.
 };
 
 /** One part of the member's share. */
@@ -66,6 +73,9 @@
 /** Reckons with @p size members at once, until @p validUntil at least. */
 void rememberFleetSize(FleetSizeMemory &memory, std::size_t size, TimePoint validUntil);
 
+/** Forgets the sizes that are too old at @p now. */
+void forgetFleetSizes(FleetSizeMemory &memory, TimePoint now);
+
 /** Takes the live members into account, and for an hour the largest number of them. */
 void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now);
 
--- a/tests/creditdelegatortest.cpp
+++ b/tests/creditdelegatortest.cpp
@@ -167,6 +167,24 @@
     EXPECT_EQ(renewNow()[0].delegation.share, 1.0 / (5.0 * KeeperCount));
 }
 
+TEST_F(CreditDelegatorTest, ASizeWithinTheLastHourCountsAfterALargerOneIsForgotten)
+{
+    run(5s);
+    members.erase("small-a");
+    members.erase("small-b");
+    run(60s);
+    changeMembers(delegator, members, FleetKnowledge::Converged, now);
+    run(3480s);
+    for (const std::string gone : {"small-c", "other-a", "other-b", "other-c"}) {
+        members.erase(gone);
+    }
+    changeMembers(delegator, members, FleetKnowledge::Converged, now);
+    run(100s);
+    EXPECT_EQ(renewNow()[0].delegation.share, 1.0 / (8.0 * KeeperCount)) << "ten are forgotten, eight were live two minutes ago";
+    run(3600s);
+    EXPECT_EQ(renewNow()[0].delegation.share, 1.0 / (4.0 * KeeperCount));
+}
+
 TEST(FleetSizeMemory, TheLargestSizeCounts)
 {
     FleetSizeMemory memory;
