Withdraw a part from the run of the keeper that holds it only

A part that was bound to an earlier run of a keeper was withdrawn from its later run, which released the part that it had just got, again in each renewal for up to 1.5 s.

--- a/src/controllers/creditdelegator.cpp
+++ b/src/controllers/creditdelegator.cpp
@@ -222,8 +222,8 @@
     for (DelegatedPart &part : delegator.parts) {
         if (isKeeper(delegator, part)) {
             outgoing.push_back(delegate(delegator, part, lastSequence, now));
-        } else if (part.boundUntil > now && isConfirmed(delegator, part.keeper, now)) {
-            // Withdraws the part, so that another keeper can have it before its end.
+        } else if (part.boundUntil > now && isConfirmed(delegator, part.keeper, now) && isAssignedTo(delegator, part, part.keeper)) {
+            // Withdraws the part, so that another keeper can have it before its end. A later run of the keeper cannot release it.
             outgoing.push_back(greeting(delegator, part.keeper, lastSequence));
         }
     }
--- a/tests/creditdelegatortest.cpp
+++ b/tests/creditdelegatortest.cpp
@@ -185,6 +185,25 @@
     EXPECT_EQ(renewNow()[0].delegation.share, 1.0 / (4.0 * KeeperCount));
 }
 
+TEST_F(CreditDelegatorTest, APartOfAnEarlierRunOfAKeeperIsNotWithdrawnFromTheNewRun)
+{
+    run(5s);
+    renewNow();
+    const std::string restarted = delegator.parts[1].keeper;
+    confirm(delegator.parts[0].keeper, std::numeric_limits<std::uint64_t>::max());
+    instances[restarted] = 99;
+    confirm(restarted);
+    ASSERT_GT(delegator.parts[1].boundUntil, now);
+    ASSERT_EQ(delegator.parts[0].keeper, restarted) << "the free part goes to the new run";
+    std::vector<double> shares;
+    for (const OutgoingDelegation &outgoing : renewNow()) {
+        if (outgoing.keeper == restarted) {
+            shares.push_back(outgoing.delegation.share);
+        }
+    }
+    EXPECT_EQ(shares, std::vector<double>{1.0 / (10.0 * KeeperCount)});
+}
+
 TEST(FleetSizeMemory, TheLargestSizeCounts)
 {
     FleetSizeMemory memory;
