--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -577,6 +577,8 @@
         for (const StoreObject &object : page.objects) {
             if (const auto *record = std::get_if<EntryVmRecord>(&object.value)) {
                 seeds.push_back(record->membershipEndpoint);
+            } else if (!object.isDeleted) {
+                logEvent(LogEvent::ObjectUnusable, {{"kind", nameOf(StoreObjectKind::EntryVms)}, {"name", object.name}, {"revision", object.revision}});
             }
         }
         m_membership.setSeeds(seeds);
--- a/tests/decoderfuzztest.cpp
+++ b/tests/decoderfuzztest.cpp
@@ -138,6 +138,28 @@
     }
 }
 
+TEST_F(DecoderFuzz, AnyDamagedBytesAmongTheUpstreamsHideNoOther)
+{
+    for (std::size_t count = messageCount(); count > 0; --count) {
+        const bool isWatch = below(2) == 0;
+        const auto entry = [isWatch](const std::string &object) {
+            return isWatch ? R"({"object":)" + object + "}" : object;
+        };
+        const std::string odd = damaged(entry(item("i-odd", ValidSpec)));
+        const std::string body = std::string(isWatch ? R"({"events":[)" : R"({"items":[)") + entry(item("i-1", ValidSpec)) + "," + odd + ","
+                                 + entry(item("i-2", ValidSpec)) + R"(],"storeRevision":9})";
+        StorePage page;
+        ASSERT_EQ(Platform::decodePage(StoreObjectKind::Upstreams, answerOf(body), isWatch, page), StoreReadOutcome::Page) << odd;
+        ASSERT_EQ(page.revision, 9U) << odd;
+        for (const char *name : {"i-1", "i-2"}) {
+            const bool isKept = std::any_of(page.objects.begin(), page.objects.end(), [name](const StoreObject &object) {
+                return object.name == name && std::holds_alternative<UpstreamRecord>(object.value);
+            });
+            ASSERT_TRUE(isKept) << name << " beside " << odd;
+        }
+    }
+}
+
 TEST_F(DecoderFuzz, DamagedPagesNameNoUnusableUpstream)
 {
     const std::string body = R"({"items":[)" + item("i-1", ValidSpec) + "," + item("i-2", ValidSpec) + R"(],"hasMore":true,"storeRevision":9})";
@@ -391,5 +413,25 @@
     EXPECT_GT(decoded, 0U);
 }
 
+TEST_F(DecoderFuzz, DamagedFeedRequestsAreRejectedOrMeanTheSameWhenEncodedAgain)
+{
+    const FeedRequest request{.sender = "e1", .configurationRevision = 5, .upstreamsRevision = 6, .evacuationsRevision = 7, .sentAt = Now};
+    const std::string bytes = toMessage(request).SerializeAsString();
+    std::size_t decoded = 0;
+    for (std::size_t count = messageCount(); count > 0; --count) {
+        StoreProtocol::FollowRequest message;
+        const auto first = message.ParseFromString(damaged(bytes)) ? fromMessage(message) : std::nullopt;
+        if (!first) {
+            continue;
+        }
+        ++decoded;
+        ASSERT_FALSE(first->sender.empty());
+        const auto second = fromMessage(toMessage(*first));
+        ASSERT_TRUE(second);
+        ASSERT_EQ(toMessage(*second).SerializeAsString(), toMessage(*first).SerializeAsString());
+    }
+    EXPECT_GT(decoded, 0U);
+}
+
 }
 }
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -268,6 +268,94 @@
     }
 }
 
+// Guards against a page that is lost, with all its other entries, because one entry is cut short or has a bracket or a quote too many.
+TEST(PlatformStore, AnEntryWhoseQuotesOrBracketsDoNotMatchDoesNotHideTheOthers)
+{
+    const std::string start = R"({"metadata":{"name":"i-odd","revision":6},"spec":)";
+    std::string deep;
+    std::string deepObjects;
+    for (int depth = 0; depth < 100'000; ++depth) {
+        deep += R"({"a":[)";
+        deepObjects += R"([1,{"metadata":)";
+    }
+    const std::vector<std::string> odd{
+        start + "{",
+        start + "{}",
+        start + "{}}}",
+        start + "{}]}",
+        start + "[}",
+        start + "\"text}",
+        start + R"({"service":"desk)",
+        start + R"({"service":"de"sk"}})",
+        start + R"({"service":"desk\"}})",
+        start + R"({"slots":[1,2})",
+        start + R"({},"x":[1})",
+        start + "{}}]}",
+        start + "{}}],\"storeRevision\":99}",
+        start + deep,
+        start + deepObjects,
+        start + std::string(100'000, '['),
+        start + "\"" + std::string(1'000'000, 'x'),
+    };
+    for (const bool isWatch : {false, true}) {
+        for (const std::string &object : odd) {
+            SCOPED_TRACE(object.substr(0, 100));
+            std::vector<std::string> all;
+            EXPECT_EQ(validNamesAround(isWatch ? R"({"object":)" + object + "}" : object, isWatch, all), (std::vector<std::string>{"i-1", "i-2"}));
+            EXPECT_EQ(all, (std::vector<std::string>{"i-1", "i-odd", "i-2"})) << "an earlier version of the entry must not stay in use";
+        }
+        for (const char *unnamed : {"\"", "}", "]", "{", "[", "\"i-odd", "]}", R"({"metadata":{"name)", R"(}],"storeRevision":1,"items":[)"}) {
+            SCOPED_TRACE(unnamed);
+            std::vector<std::string> all;
+            EXPECT_EQ(validNamesAround(unnamed, isWatch, all), (std::vector<std::string>{"i-1", "i-2"}));
+        }
+    }
+}
+
+TEST(PlatformStore, APageOfNothingButOddEntriesIsAPage)
+{
+    for (const std::string odd : {"{", "\"", R"({"metadata":{"name":"main"},"spec":{"version":7,"resources":[)"}) {
+        SCOPED_TRACE(odd);
+        const std::string body = R"({"hasMore":false,"items":[)" + odd + R"(], "storeRevision":9})";
+        const HttpRequestResult result{.outcome = HttpRequestOutcome::Answered, .response = {.status = 200, .fields = {}, .body = body}};
+        for (const StoreObjectKind kind : {StoreObjectKind::Upstreams, StoreObjectKind::Configuration, StoreObjectKind::EntryVms}) {
+            StorePage page;
+            ASSERT_EQ(decodePage(kind, result, false, page), StoreReadOutcome::Page);
+            EXPECT_EQ(page.revision, 9U);
+            EXPECT_EQ(page.objects.size() + page.ignoredObjects, 1U);
+            EXPECT_TRUE(page.objects.empty() || std::holds_alternative<std::monostate>(page.objects.front().value));
+        }
+    }
+    const std::string mixed = R"({"items":[{"metadata":{"name":"a"},"spec":{},{"metadata":{"name":"regina","revision":5},"spec":{}}],"storeRevision":9})";
+    StorePage page;
+    const HttpRequestResult result{.outcome = HttpRequestOutcome::Answered, .response = {.status = 200, .fields = {}, .body = mixed}};
+    ASSERT_EQ(decodePage(StoreObjectKind::Evacuations, result, false, page), StoreReadOutcome::Page);
+    ASSERT_EQ(page.objects.size(), 2U);
+    EXPECT_EQ(page.objects[0].value, (decltype(page.objects[0].value)(EvacuationRecord{"a"})));
+    EXPECT_EQ(page.objects[1].value, (decltype(page.objects[1].value)(EvacuationRecord{"regina"})));
+}
+
+TEST(PlatformStore, ManyOddEntriesHideNoOther)
+{
+    std::string body = R"({"items":[)";
+    for (int entry = 0; entry < 400; ++entry) {
+        const std::string name = "i-" + std::to_string(entry);
+        body += (entry == 0 ? "" : ",") + std::string(R"({"metadata":{"name":")") + name + R"(","revision":5},"spec":)" + upstreamSpec
+                + (entry % 4 == 1 ? "" : "}");
+        body += entry % 4 == 3 ? R"(,{"metadata":{"name":"i-odd"},"spec":"x)" : "";
+    }
+    const HttpRequestResult result{.outcome = HttpRequestOutcome::Answered,
+                                   .response = {.status = 200, .fields = {}, .body = body + R"(],"storeRevision":9})"}};
+    StorePage page;
+    ASSERT_EQ(decodePage(StoreObjectKind::Upstreams, result, false, page), StoreReadOutcome::Page);
+    EXPECT_EQ(std::count_if(page.objects.begin(),
+                            page.objects.end(),
+                            [](const StoreObject &object) {
+                                return std::holds_alternative<UpstreamRecord>(object.value);
+                            }),
+              300);
+}
+
 TEST(PlatformStore, AListContinuesAfterAPageThatEndsWithAnOddEntry)
 {
     const std::string oddNames[]{"7", "null", '"' + std::string(1'000'000, 'x') + '"'};
