Ask the store before a VM that starts serves with older objects of others

A VM that started took its objects from a reader that had lost the store, and served with them at once, although the store could have told it of later changes: a key that had been withdrawn, or an upstream that had left, came back with the restart until the first check.

Objects of others are now used at the start only if they are current, or not older than the process, or once a check of the store has failed.

--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -314,6 +314,7 @@
     include(source.startedAt + SettlingTime);
     include(source.startedAt + source.settings.firstReadDelay);
     include(source.startDeadline);
+    include(source.startDeadline + ReaderSilence);
     if (source.confirmedAt) {
         include(*source.confirmedAt + source.settings.maximumAge);
     }
@@ -337,6 +338,15 @@
     return source.hasObjects && source.confirmedAt && now - *source.confirmedAt < source.settings.maximumAge;
 }
 
+bool mayServe(const StoreSource &source, TimePoint now)
+{
+    if (!source.hasObjects || !source.confirmedAt) {
+        return false;
+    }
+    const bool isStoreSilent = source.failedChecks > 0 || now >= source.startDeadline + ReaderSilence;
+    return isCurrent(source, now) || *source.confirmedAt >= source.startedAt || isStoreSilent;
+}
+
 std::vector<FeedMember> chooseReaders(std::vector<FeedMember> members, std::size_t count)
 {
     const bool canAnyRead = std::any_of(members.begin(), members.end(), [](const FeedMember &member) {
--- a/src/controllers/storesource.h
+++ b/src/controllers/storesource.h
@@ -139,6 +139,12 @@
 /** Returns whether the objects are complete and their age is within the limit. */
 bool isCurrent(const StoreSource &source, TimePoint now);
 
+/**
+ * Returns whether this member may use its objects for the first time. They are current, or not older than this process, so that
+ * they contain all that an earlier process of this VM knew; or the store, which may know of later changes, does not answer.
+ */
+bool mayServe(const StoreSource &source, TimePoint now);
+
 /** Returns the members that read the store for their availability zone: the most capable ones that can reach it. */
 std::vector<FeedMember> chooseReaders(std::vector<FeedMember> members, std::size_t count);
 
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -268,6 +268,9 @@
                 },
                 action);
         }
+        if (confirmedAt() && mayServe(m_source, now)) {
+            reportListed();
+        }
         updatePace();
         reportCurrency(now);
         TimePoint deadline = nextDeadline(m_source, now);
@@ -419,9 +422,6 @@
     {
         std::optional<TimePoint> &known = kind(confirmed).confirmedAt;
         known = std::max(known, std::optional(at));
-        if (confirmedAt()) {
-            reportListed();
-        }
     }
 
     void reportListed()
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -179,6 +179,80 @@
     }));
 }
 
+/** What a member knew when it began to serve, and what it got from a reader that had lost the store before the last changes. */
+class OlderReaderTest : public testing::Test
+{
+protected:
+    OlderReaderTest()
+    {
+        for (FakeStore *store : {&lostStore, &currentStore}) {
+            store->put("config", "main", configuration(3));
+            store->put("servers", "i-1", registration());
+        }
+        reader.source().setMembers({reader.member("reader", 500)}, true);
+        EXPECT_TRUE(waitUntil([this] {
+            return reader.isCurrent;
+        }));
+        lostStore.setFaults({.isUnresponsive = true});
+        EXPECT_TRUE(waitUntil([this] {
+            return !reader.isCurrent;
+        }));
+        // A key is withdrawn, and an upstream leaves.
+        currentStore.put("config", "main", configuration(4));
+        currentStore.remove("servers", "i-1");
+    }
+
+    void startMember()
+    {
+        member = std::make_unique<Entry>("restarted", currentStore.endpoint());
+        QObject::connect(&member->source(), &StoreSourceTask::listed, &member->source(), [this] {
+            listedAt = Clock::now();
+            versionWhenListed = member->version;
+            upstreamWhenListed = member->upstreams["i-1"];
+        });
+        startedAt = Clock::now();
+        member->source().setMembers({reader.member("reader", 500), member->member("restarted", 100)}, true);
+    }
+
+    bool isListed()
+    {
+        return waitUntil([this] {
+            return listedAt.has_value();
+        });
+    }
+
+    FakeStore lostStore;
+    FakeStore currentStore;
+    Entry reader{"reader", lostStore.endpoint()};
+    std::unique_ptr<Entry> member;
+    TimePoint startedAt;
+    std::optional<TimePoint> listedAt;
+    std::uint64_t versionWhenListed = 0;
+    std::string upstreamWhenListed;
+};
+
+TEST_F(OlderReaderTest, AMemberThatStartsServesWithTheStoresKnowledgeAndNotWithAnOlderOne)
+{
+    startMember();
+    ASSERT_TRUE(isListed());
+    EXPECT_EQ(versionWhenListed, 4U) << "a withdrawn key is in use again";
+    EXPECT_NE(upstreamWhenListed, "ready") << "an upstream that left is in use again";
+    EXPECT_LT(*listedAt - startedAt, 3s);
+}
+
+TEST_F(OlderReaderTest, WithoutTheStoreAMemberThatStartsTakesWhatOthersKnow)
+{
+    currentStore.setFaults({.isUnresponsive = true});
+    startMember();
+    ASSERT_TRUE(isListed());
+    EXPECT_EQ(versionWhenListed, 3U);
+    EXPECT_FALSE(member->isCurrent);
+    currentStore.setFaults({});
+    EXPECT_TRUE(waitUntil([this] {
+        return member->version == 4 && member->upstreams["i-1"] == "gone" && member->isCurrent;
+    }));
+}
+
 TEST_F(StoreSourceTaskTest, ReadersPassNoReportOfAnOutageBackToEachOther)
 {
     Entry one("one", store.endpoint(), 2);
--- a/tests/storesourcetest.cpp
+++ b/tests/storesourcetest.cpp
@@ -164,6 +164,41 @@
     EXPECT_EQ(count<ReadFirstObjects>(), 0U) << "a feed has delivered them";
 }
 
+TEST_F(StoreSourceTest, AMemberThatStartsServesWithOlderKnowledgeOnlyIfTheStoreDoesNotAnswer)
+{
+    const auto startWith = [this](Duration age) {
+        make("e1");
+        source.settings.firstReadDelay = 250ms;
+        feed(FeedMembersChanged{zone, true});
+        feed(FeedReceived{.member = "e7", .hasObjects = true, .confirmedAt = now - age, .senderConfirmedAt = now - age});
+    };
+    startWith(1s);
+    EXPECT_TRUE(mayServe(source, now));
+    startWith(3s);
+    EXPECT_FALSE(mayServe(source, now)) << "a key may have been withdrawn, or an upstream may have left since";
+    EXPECT_EQ(count<CheckStore>(), 1U) << "it does not wait for the readers";
+    now += 10ms;
+    feed(StoreChecked{.isPassed = true});
+    EXPECT_EQ(count<StartReading>(), 1U);
+    EXPECT_FALSE(mayServe(source, now));
+    feed(StoreConfirmed{now});
+    EXPECT_TRUE(mayServe(source, now));
+    startWith(3s);
+    now += 800ms;
+    feed(StoreChecked{.isPassed = false});
+    EXPECT_TRUE(mayServe(source, now)) << "nobody can know of later changes";
+    // The store passes checks, and answers no read.
+    startWith(3s);
+    feed(StoreChecked{.isPassed = true});
+    advance(3900ms);
+    EXPECT_TRUE(mayServe(source, now));
+    // Knowledge that is not older than this process contains all that an earlier one knew.
+    startWith(0s);
+    advance(2500ms);
+    EXPECT_FALSE(isCurrent(source, now));
+    EXPECT_TRUE(mayServe(source, now));
+}
+
 TEST_F(StoreSourceTest, KnowledgeThatIsTooOldIsReadFromTheStoreItself)
 {
     make("e1");
