Test that calls which wait for credit during a planned stop are answered

The keeper of the credit vanishes without notice, calls wait for credit, and the entry VM is asked to stop: each call gets its refusal as not run.

--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -242,6 +242,19 @@
         EXPECT_TRUE(waitUntilReady());
     }
 
+    /** Returns the settings of another entry VM of the same fleet. */
+    GatewaySettings settingsOfAnother(const std::string &name) const
+    {
+        GatewaySettings other = settings;
+        other.name = name;
+        for (Endpoint *port :
+             {&other.callerPort, &other.readinessPort, &other.directoryPort, &other.membershipPort, &other.exchangePort, &other.operatorsPort}) {
+            *port = freeEndpoint();
+        }
+        other.seeds = {settings.membershipPort};
+        return other;
+    }
+
     HttpRequestId send(const std::string &target, const std::string &body = "ticket", std::chrono::milliseconds timeLeft = std::chrono::seconds(2))
     {
         const HttpRequest request{.method = "POST",
@@ -254,6 +267,11 @@
     }
 
     HttpRequestResult callWithKey(const std::string &target, const std::string &key)
+    {
+        return waitFor(sendWithKey(settings.callerPort, target, key));
+    }
+
+    HttpRequestId sendWithKey(const Endpoint &port, const std::string &target, const std::string &key)
     {
         const HttpRequest request{.method = "POST",
                                   .target = target,
@@ -262,7 +280,7 @@
                                              {"X-Plantainweir-Tenant", "forged"},
                                              {"Authorization", "Token " + key}},
                                   .body = "ticket"};
-        return waitFor(client.send(settings.callerPort, request, Clock::now() + std::chrono::seconds(10)));
+        return client.send(port, request, Clock::now() + std::chrono::seconds(10));
     }
 
     HttpRequestResult waitFor(HttpRequestId id)
@@ -446,17 +464,7 @@
     EXPECT_TRUE(upstream.calls.empty());
     EXPECT_EQ(statusOf("/open/x"), 200) << "a call without an account needs no credit";
 
-    GatewaySettings otherSettings = settings;
-    otherSettings.name = "e2";
-    for (Endpoint *port : {&otherSettings.callerPort,
-                           &otherSettings.readinessPort,
-                           &otherSettings.directoryPort,
-                           &otherSettings.membershipPort,
-                           &otherSettings.exchangePort,
-                           &otherSettings.operatorsPort}) {
-        *port = freeEndpoint();
-    }
-    otherSettings.seeds = {settings.membershipPort};
+    const GatewaySettings otherSettings = settingsOfAnother("e2");
     Gateway other(otherSettings, Platform::platformCodec());
     ASSERT_TRUE(other.start());
     EXPECT_TRUE(waitUntil([this] {
@@ -658,6 +666,44 @@
     }));
 }
 
+TEST_F(GatewayTest, CallsThatWaitForCreditDuringAPlannedStopAreAnsweredTruthfully)
+{
+    store.put("config", "main", configurationWithAccount(4, {"secret-1"}, {{"ratePerS", 500}, {"burst", 500}}));
+    start();
+    auto other = std::make_unique<Gateway>(settingsOfAnother("e2"), Platform::platformCodec());
+    ASSERT_TRUE(other->start());
+    EXPECT_TRUE(waitUntil([this] {
+        return callWithKey("/a/x", "secret-1").response.status == 200;
+    }));
+    // Credit that is left from earlier calls expires, and the entry VM that grants it is gone without notice.
+    other.reset();
+    const TimePoint expired = Clock::now() + 2 * CreditValidity;
+    EXPECT_TRUE(waitUntil([expired] {
+        return Clock::now() >= expired;
+    }));
+    upstream.calls.clear();
+    std::vector<HttpRequestId> calls;
+    for (int call = 0; call < 10; ++call) {
+        calls.push_back(sendWithKey(settings.callerPort, "/a/x", "secret-1"));
+    }
+    const TimePoint arrived = Clock::now() + std::chrono::milliseconds(20);
+    EXPECT_TRUE(waitUntil([arrived] {
+        return Clock::now() >= arrived;
+    }));
+    gateway->leave();
+    std::size_t answered = 0;
+    for (const HttpRequestId call : calls) {
+        const HttpRequestResult result = waitFor(call);
+        EXPECT_EQ(result.outcome, HttpRequestOutcome::Answered) << "cut off without an answer";
+        EXPECT_TRUE(result.response.status == 200 || result.response.status == 503) << result.response.status;
+        answered += result.response.status == 200 ? 1 : 0;
+    }
+    EXPECT_EQ(upstream.calls.size(), answered) << "a call that was told as not run has run, or the other way round";
+    EXPECT_TRUE(waitUntil([this] {
+        return isStopped;
+    }));
+}
+
 // Guards against resident memory of several times the limit, by strings that double and are copied as they grow.
 TEST_F(GatewayTest, ChunksWithoutEndTakeLittleMoreResidentMemoryThanTheirLimit)
 {
