Add odd upstreams, datagram faults, vanishing callers and credit to the soak

A generator of its own selects them, so that the other faults of a seed stay the same. The history checks that no call reaches an upstream of which its entry VM has passed on that it leaves, whatever the store says. Calls need credit, and slow ones are hedged, so that these parts run under faults as well.

--- a/tests/soak/loopbackproxy.cpp
+++ b/tests/soak/loopbackproxy.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds ForwardingDelay{120};
+constexpr std::chrono::milliseconds EndlessInterval{5};
+constexpr std::size_t EndlessPartBytes = 65536;
 
 /** One connection through the proxy. */
 struct Link {
@@ -19,6 +21,7 @@
     TcpStream *server = nullptr;
     bool isForwardDropped = false;
     bool isBackwardDropped = false;
+    bool isEndless = false; ///< Whether bytes without end take the place of the responses.
 };
 
 }
@@ -49,7 +52,7 @@
             forward(link->isForwardDropped, link->server, bytes);
         });
         connect(link->server, &TcpStream::received, this, [this, link](const std::string &bytes) {
-            forward(link->isBackwardDropped, link->caller, bytes);
+            forwardResponse(*link, bytes);
         });
         for (TcpStream *stream : {link->caller, link->server}) {
             connect(stream, &TcpStream::ended, this, [this, link] {
@@ -75,6 +78,26 @@
             to->write(bytes);
             return;
         }
+        writeLater(to, bytes);
+    }
+
+    void forwardResponse(Link &link, const std::string &bytes)
+    {
+        // Answers to probes stay, so that calls are still sent.
+        const bool isAnswer = bytes.find("X-Plantainweir-Response-Stamp") != std::string::npos;
+        const bool isEndless = m_fault == LinkFault::EndlessBody || m_fault == LinkFault::EndlessHead;
+        if (isEndless && isAnswer && !link.isBackwardDropped) {
+            startEndless(link);
+            return;
+        }
+        forward(link.isBackwardDropped, link.caller, bytes);
+        if (m_fault == LinkFault::Repeat && !link.isBackwardDropped) {
+            writeLater(link.caller, bytes);
+        }
+    }
+
+    void writeLater(TcpStream *to, const std::string &bytes)
+    {
         QTimer::singleShot(ForwardingDelay, this, [stream = QPointer<TcpStream>(to), bytes] {
             if (stream != nullptr && stream->isOpen()) {
                 stream->write(bytes);
@@ -82,10 +105,25 @@
         });
     }
 
+    /** Sends bytes to the caller of @p link until it closes the connection. */
+    void startEndless(Link &link)
+    {
+        link.isEndless = true;
+        link.isBackwardDropped = true;
+        link.caller->write(m_fault == LinkFault::EndlessBody ? "HTTP/1.1 200 OK\r\nX-Plantainweir-Response-Stamp: s\r\n\r\n" : "HTTP/1.1 200 OK\r\nX-Long: ");
+        auto *timer = new QTimer(link.caller);
+        connect(timer, &QTimer::timeout, link.caller, [stream = link.caller] {
+            if (stream->isOpen() && stream->unsentBytes() < EndlessPartBytes) {
+                stream->write(std::string(EndlessPartBytes, 'x'));
+            }
+        });
+        timer->start(EndlessInterval);
+    }
+
     void handleEnded(Link *link)
     {
         const bool isBlackholed = link->isForwardDropped || link->isBackwardDropped;
-        if (!isBlackholed) {
+        if (!isBlackholed || link->isEndless) {
             remove(link);
         }
     }
--- a/tests/soak/loopbackproxy.h
+++ b/tests/soak/loopbackproxy.h
@@ -17,9 +17,12 @@
     Blackhole, ///< No data is forwarded in either direction; connections that exist during the fault never recover.
     OneWay, ///< Requests are forwarded and responses dropped; connections that exist during the fault never recover.
     Reset, ///< Existing connections are closed, and new ones as soon as they are accepted.
+    Repeat, ///< Responses are forwarded once more, late; their connections may have carried other requests since.
+    EndlessBody, ///< A body without end takes the place of each response of a call that ran.
+    EndlessHead, ///< The same with a header without end.
 };
 
-constexpr std::array<EnumName<LinkFault>, 5> enumNames(LinkFault)
+constexpr std::array<EnumName<LinkFault>, 8> enumNames(LinkFault)
 {
     return {{
         {LinkFault::None, "none"},
@@ -27,6 +30,9 @@
         {LinkFault::Blackhole, "silence"},
         {LinkFault::OneWay, "one_way"},
         {LinkFault::Reset, "reset"},
+        {LinkFault::Repeat, "second_copy"},
+        {LinkFault::EndlessBody, "endless_body"},
+        {LinkFault::EndlessHead, "endless_head"},
     }};
 }
 static_assert(isEnumTableOrdered<LinkFault>());
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -3,11 +3,13 @@
 #include "fakes/crowd.h"
 #include "fakes/fakestore.h"
 #include "http/httpclient.h"
+#include "soak/datagramfaults.h"
 #include "soak/loopbackproxy.h"
 #include "soak/soakupstream.h"
 
 #include <QCoreApplication>
 #include <QEventLoop>
+#include <QFile>
 #include <QJsonArray>
 #include <QProcess>
 #include <QTimer>
@@ -33,6 +35,8 @@
 
 constexpr milliseconds CallTimeout{4000};
 constexpr milliseconds RestartDelay{300};
+/** Shorter than most calls run. */
+constexpr milliseconds VanishTime{30};
 constexpr milliseconds StartTimeout{60'000};
 /** Each entry VM must serve again within this time after all faults have ended ("recover" in the users' requirements). */
 constexpr milliseconds RecoveryTimeout{15'000};
@@ -45,6 +49,45 @@
 constexpr std::size_t CrowdConnections = 60;
 constexpr std::array CrowdPorts{CallerPort, std::uint16_t{8081}, std::uint16_t{8082}};
 
+struct SoakAccount {
+    const char *name = nullptr;
+    const char *key = nullptr;
+    double callsPerSecond = 0.0; ///< More than the soak sends, so that the entry VMs need credit of each other; 0 for no limit.
+};
+
+constexpr std::array Accounts{SoakAccount{.name = "shop", .key = "key-1", .callsPerSecond = 400.0}, SoakAccount{.name = "till", .key = "key-2"}};
+
+/** Odd behaviour of an upstream, or of all datagrams, that comes beside the other faults. */
+enum class SoakOddity {
+    Silent, ///< See UpstreamOddity.
+    Quiet,
+    Leaving,
+    SecondCopy, ///< See LinkFault.
+    EndlessBody,
+    EndlessHead,
+    Datagrams, ///< Datagrams between the entry VMs are lost, repeated and delayed.
+    CallersVanish, ///< Callers close their connections before they are answered.
+};
+
+constexpr std::array<EnumName<SoakOddity>, 8> enumNames(SoakOddity)
+{
+    return {{
+        {SoakOddity::Silent, "silent"},
+        {SoakOddity::Quiet, "quiet"},
+        {SoakOddity::Leaving, "leaving"},
+        {SoakOddity::SecondCopy, "second_copy"},
+        {SoakOddity::EndlessBody, "endless_body"},
+        {SoakOddity::EndlessHead, "endless_head"},
+        {SoakOddity::Datagrams, "datagrams"},
+        {SoakOddity::CallersVanish, "callers_vanish"},
+    }};
+}
+static_assert(isEnumTableOrdered<SoakOddity>());
+
+/** Faults of links that SoakFault draws; the others belong to SoakOddity. */
+constexpr std::array DrawnLinkFaults{LinkFault::Delay, LinkFault::Blackhole, LinkFault::OneWay, LinkFault::Reset};
+constexpr DatagramFaults OddDatagrams{.lostPercent = 15, .repeatedPercent = 20, .delayedPercent = 20, .delayMs = 150};
+
 /** One entry VM of the soak. */
 struct SoakEntry {
     std::string name;
@@ -75,9 +118,11 @@
         , m_random(settings.seed)
         , m_callRandom(settings.seed + 1)
         , m_crowdRandom(settings.seed + 2)
+        , m_oddRandom(settings.seed + 3)
         , m_client(HttpLimits{})
     {
         m_history.isTimingChecked = settings.isTimingChecked;
+        setDatagramFaults({});
         connect(&m_client, &HttpClient::finished, this, &Private::finishCall);
         for (std::size_t index = 0; index < settings.upstreams; ++index) {
             for (const char *service : Services) {
@@ -162,6 +207,11 @@
         for (const auto &other : m_entries) {
             seeds << QString::fromStdString(other->address) + ":7401";
         }
+        recordStart(m_history, entry.name);
+        QProcessEnvironment environment = QProcessEnvironment::systemEnvironment();
+        environment.insert("LD_PRELOAD", PLANTAINWEIR_BIN_DIR "/libplantainweir_datagramfaults.so");
+        environment.insert(DatagramFaultsVariable, datagramFaultsFile());
+        entry.process->setProcessEnvironment(environment);
         connect(entry.process.get(), &QProcess::finished, this, [this, &entry](int code, QProcess::ExitStatus status) {
             handleProcessEnd(entry, code, status);
         });
@@ -196,10 +246,26 @@
                               "100",
                               "--evacuation-bound",
                               "5s",
+                              "--hedge-share",
+                              "0.1",
                               "--stop-time",
                               "6s"});
     }
 
+    QString datagramFaultsFile() const
+    {
+        return QString::fromStdString(m_settings.directory) + "/datagramfaults";
+    }
+
+    /** Overwrites the file in place, because the entry VMs have mapped it. */
+    void setDatagramFaults(const DatagramFaults &faults) const
+    {
+        QFile file(datagramFaultsFile());
+        if (file.open(QIODevice::ReadWrite)) {
+            file.write(reinterpret_cast<const char *>(&faults), sizeof(faults));
+        }
+    }
+
     void handleProcessEnd(SoakEntry &entry, int code, QProcess::ExitStatus status)
     {
         const bool isUnexpectedEnd = !entry.isEndExpected;
@@ -222,8 +288,13 @@
         SoakUpstream &added = *upstream;
         connect(&added, &SoakUpstream::started, this, [this, &added](const std::string &requestId) {
             if (requestId.starts_with("c-")) {
-                recordExecution(
-                    m_history, requestId, {.upstream = added.id(), .service = added.service(), .availabilityZone = added.availabilityZone()}, Clock::now());
+                recordExecution(m_history,
+                                requestId,
+                                {.upstream = added.id(),
+                                 .service = added.service(),
+                                 .availabilityZone = added.availabilityZone(),
+                                 .isLeaving = added.oddity() == UpstreamOddity::Leaving},
+                                Clock::now());
             }
         });
         m_store.put("servers", added.id(), added.registration("ready"));
@@ -249,6 +320,11 @@
                                          {"metadata", QJsonObject{{"name", name}}},
                                          {"spec", QJsonObject{{"healthPath", "/health"}, {"maxConnections", 300}}}});
         }
+        for (const auto &[name, key, callsPerSecond] : Accounts) {
+            resources.append(QJsonObject{{"resourceKind", "tenants"},
+                                         {"metadata", QJsonObject{{"name", name}}},
+                                         {"spec", QJsonObject{{"apiKeys", QJsonArray{key}}, {"ratePerS", callsPerSecond}, {"burst", callsPerSecond}}}});
+        }
         m_store.put("config", "main", {{"version", ++m_version}, {"resources", resources}});
         recordRouteChange(m_history, service, Clock::now());
     }
@@ -263,11 +339,21 @@
                     .entry = m_entries[entry]->name,
                     .sentAt = Clock::now(),
                     .executedBy = {}});
-        const HttpRequest request{.method = isAtMostOnce ? "POST" : "GET",
-                                  .target = isAtMostOnce ? "/book/x" : "/look/x",
-                                  .fields = {{"Host", CallerHost}, {"X-Plantainweir-Request-Id", id}, {"X-Plantainweir-Deadline-Ms", "3000"}},
-                                  .body = isAtMostOnce ? "work" : ""};
-        m_openCalls.emplace(m_client.send(m_entries[entry]->callerEndpoint(), request, Clock::now() + CallTimeout), OpenCall{.id = id, .entry = entry});
+        const std::string credential = std::string("Token ") + Accounts[m_lastCall % Accounts.size()].key;
+        const HttpRequest request{
+            .method = isAtMostOnce ? "POST" : "GET",
+            .target = isAtMostOnce ? "/book/x" : "/look/x",
+            .fields = {{"Host", CallerHost}, {"X-Plantainweir-Request-Id", id}, {"X-Plantainweir-Deadline-Ms", "3000"}, {"Authorization", credential}},
+            .body = isAtMostOnce ? "work" : ""};
+        const HttpRequestId send = m_client.send(m_entries[entry]->callerEndpoint(), request, Clock::now() + CallTimeout);
+        m_openCalls.emplace(send, OpenCall{.id = id, .entry = entry});
+        if (m_areCallersVanishing && m_oddRandom() % 2 == 0) {
+            runAfter(VanishTime, [this, send] {
+                if (m_openCalls.erase(send) != 0) {
+                    m_client.cancel(send);
+                }
+            });
+        }
     }
 
     void finishCall(HttpRequestId send, const HttpRequestResult &result)
@@ -275,7 +361,7 @@
         const OpenCall call = m_openCalls.extract(send).mapped();
         switch (result.outcome) {
         case HttpRequestOutcome::Answered:
-            recordAnswer(m_history, call.id, result.response.status, result.response.body);
+            recordAnswer(m_history, call.id, result.response.status, result.response.body, Clock::now());
             if (result.response.status == 200) {
                 m_servingEntries.insert(call.entry);
             }
@@ -316,11 +402,14 @@
             if (phase % 2 != 0 && m_crowd == nullptr) {
                 injectCrowd();
             }
+            if (phase % 2 != 0 && m_activeOddities == 0) {
+                injectOddity();
+            }
             injectFault(static_cast<SoakFault>(phase % 2 == 0 ? FirstPlannedFault + randomIndex(enumCount<SoakFault>() - FirstPlannedFault)
                                                               : randomIndex(enumCount<SoakFault>())));
             runEventLoopFor(randomTime(100, 700));
         }
-        while (m_activeFaults + m_activeCrowds > 0) {
+        while (activeFaults() > 0) {
             runEventLoopFor(milliseconds(50));
         }
     }
@@ -333,7 +422,79 @@
         runAfter(randomTime(200, 4000), [this, end] {
             end();
             --m_activeFaults;
-            recordFault(m_history, m_activeFaults + m_activeCrowds == 0, Clock::now());
+            recordFault(m_history, activeFaults() == 0, Clock::now());
+        });
+    }
+
+    std::size_t activeFaults() const
+    {
+        return m_activeFaults + m_activeCrowds + m_activeOddities;
+    }
+
+    void injectOddity()
+    {
+        const auto oddity = static_cast<SoakOddity>(m_oddRandom() % enumCount<SoakOddity>());
+        SoakUpstream &upstream = *m_upstreams[m_upstreams.size() - 1 - m_oddRandom() % m_settings.upstreams];
+        switch (oddity) {
+        case SoakOddity::Silent:
+            return setOddity(upstream, UpstreamOddity::Silent);
+        case SoakOddity::Quiet:
+            return setOddity(upstream, UpstreamOddity::Quiet);
+        case SoakOddity::Leaving:
+            return setOddity(upstream, UpstreamOddity::Leaving);
+        case SoakOddity::SecondCopy:
+            return setLinkOddity(upstream, LinkFault::Repeat);
+        case SoakOddity::EndlessBody:
+            return setLinkOddity(upstream, LinkFault::EndlessBody);
+        case SoakOddity::EndlessHead:
+            return setLinkOddity(upstream, LinkFault::EndlessHead);
+        case SoakOddity::Datagrams:
+            setDatagramFaults(OddDatagrams);
+            return scheduleOddityEnd([this] {
+                setDatagramFaults({});
+            });
+        case SoakOddity::CallersVanish:
+            m_areCallersVanishing = true;
+            return scheduleOddityEnd([this] {
+                m_areCallersVanishing = false;
+            });
+        }
+    }
+
+    /** An upstream that says it leaves is replaced, and stays ready in the store until it is removed. */
+    void setOddity(SoakUpstream &upstream, UpstreamOddity oddity)
+    {
+        upstream.setOddity(oddity);
+        if (oddity != UpstreamOddity::Leaving) {
+            return scheduleOddityEnd([&upstream] {
+                upstream.setOddity(UpstreamOddity::None);
+            });
+        }
+        addUpstream(upstream.service(), upstream.availabilityZone());
+        scheduleOddityEnd([this, &upstream] {
+            if (!m_history.leavingSince.contains(upstream.id())) {
+                m_store.remove("servers", upstream.id());
+                recordLeaving(m_history, upstream.id(), Clock::now());
+            }
+        });
+    }
+
+    void setLinkOddity(SoakUpstream &upstream, LinkFault fault)
+    {
+        upstream.proxy().setFault(fault);
+        scheduleOddityEnd([&upstream] {
+            upstream.proxy().setFault(LinkFault::None);
+        });
+    }
+
+    void scheduleOddityEnd(const std::function<void()> &end)
+    {
+        ++m_activeOddities;
+        recordFault(m_history, false, Clock::now());
+        runAfter(milliseconds(1000 + m_oddRandom() % 5000), [this, end] {
+            end();
+            --m_activeOddities;
+            recordFault(m_history, activeFaults() == 0, Clock::now());
         });
     }
 
@@ -349,13 +510,13 @@
         runAfter(milliseconds(1000 + m_crowdRandom() % 3000), [this] {
             m_crowd.reset();
             --m_activeCrowds;
-            recordFault(m_history, m_activeFaults + m_activeCrowds == 0, Clock::now());
+            recordFault(m_history, activeFaults() == 0, Clock::now());
         });
     }
 
     LinkFault randomLinkFault()
     {
-        return static_cast<LinkFault>(1 + randomIndex(enumCount<LinkFault>() - 1));
+        return DrawnLinkFaults[randomIndex(DrawnLinkFaults.size())];
     }
 
     void injectFault(SoakFault fault)
@@ -507,6 +668,7 @@
     std::mt19937_64 m_random; ///< For the faults. Calls use m_callRandom, because their number differs between runs with the same seed.
     std::mt19937_64 m_callRandom;
     std::mt19937_64 m_crowdRandom; ///< Crowds come beside the faults, so that the faults of a seed stay the same.
+    std::mt19937_64 m_oddRandom; ///< The same for odd upstreams, datagrams and callers.
     std::unique_ptr<Crowd> m_crowd;
     SoakHistory m_history;
     FakeStore m_store;
@@ -517,6 +679,8 @@
     std::set<std::size_t> m_servingEntries;
     std::size_t m_activeFaults = 0;
     std::size_t m_activeCrowds = 0;
+    std::size_t m_activeOddities = 0;
+    bool m_areCallersVanishing = false;
     int m_version = 0;
     std::uint64_t m_lastCall = 0;
     std::uint64_t m_lastUpstream = 0;
--- a/tests/soak/soakhistory.cpp
+++ b/tests/soak/soakhistory.cpp
@@ -24,6 +24,20 @@
     return history.faultsEndedAt != TimePoint::max() && history.faultsEndedAt + StabilisationPeriod <= since;
 }
 
+/** Checks that @p call does not reach an upstream of which its entry VM has passed on that it leaves, whatever the store says. */
+void checkFarewell(SoakHistory &history, const std::string &id, const SoakCall &call, const std::string &upstream)
+{
+    const auto farewell = history.farewells.find({call.entry, upstream});
+    if (farewell != history.farewells.end() && call.sentAt > farewell->second + DrainLimit) {
+        history.violations.push_back(
+            fmt::format("call {} was sent {:.0f} ms after entry VM {} passed on an answer in which {} said that it leaves, and reached it",
+                        id,
+                        toMilliseconds(call.sentAt - farewell->second),
+                        call.entry,
+                        upstream));
+    }
+}
+
 bool reportsNotRun(int status)
 {
     return status == StatusTooManyRequests || status == StatusUnavailable;
@@ -53,13 +67,15 @@
 
 void recordExecution(SoakHistory &history, const std::string &id, const SoakExecutor &executor, TimePoint now)
 {
-    const auto &[upstream, service, availabilityZone] = executor;
+    const auto &[upstream, service, availabilityZone, isLeaving] = executor;
     const auto call = history.calls.find(id);
     if (call == history.calls.end()) {
         history.violations.push_back(fmt::format("upstream {} executed call {}, which was never sent", upstream, id));
         return;
     }
     call->second.executedBy.push_back(upstream);
+    call->second.isFarewell = isLeaving;
+    checkFarewell(history, id, call->second, upstream);
     if (!history.isTimingChecked || !isStableSince(history, call->second.sentAt)) {
         return;
     }
@@ -84,7 +100,7 @@
     }
 }
 
-void recordAnswer(SoakHistory &history, const std::string &id, int status, const std::string &answeredId)
+void recordAnswer(SoakHistory &history, const std::string &id, int status, const std::string &answeredId, TimePoint now)
 {
     SoakCall &call = history.calls.at(id);
     const bool isSuccess = status >= 200 && status < 300;
@@ -92,6 +108,10 @@
         history.violations.push_back(fmt::format("call {} received the answer to call \"{}\"", id, answeredId));
     }
     call.isReportedNotRun = reportsNotRun(status);
+    // An idempotent call may have run at several upstreams, of which only one answered.
+    if (isSuccess && call.executedBy.size() == 1 && call.isFarewell) {
+        history.farewells.emplace(std::pair(call.entry, call.executedBy.front()), now);
+    }
     ++(isSuccess ? history.answered : history.refused);
 }
 
@@ -107,6 +127,13 @@
     }
 }
 
+void recordStart(SoakHistory &history, const std::string &entry)
+{
+    std::erase_if(history.farewells, [&entry](const auto &farewell) {
+        return farewell.first.first == entry;
+    });
+}
+
 void recordLeaving(SoakHistory &history, const std::string &upstream, TimePoint now)
 {
     history.leavingSince.emplace(upstream, now);
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -41,6 +41,9 @@
     {
         const std::string load = fmt::format("{},{},{},100", std::min(m_running, Slots), m_running - std::min(m_running, Slots), Slots);
         HttpResponse response{.status = 200, .fields = {{"X-Plantainweir-Backend-Load", load}, {"X-Plantainweir-Instance-Id", m_id}}, .body = "ok"};
+        if (m_oddity == UpstreamOddity::Leaving) {
+            response.fields.push_back({.name = "Server-Leaving", .value = "1"});
+        }
         if (request.target == "/health") {
             m_server.respond(exchange, response);
             return;
@@ -52,7 +55,10 @@
             m_server.respond(exchange, response);
             return;
         }
-        if (m_running >= Slots + QueueLength) {
+        if (m_oddity == UpstreamOddity::Quiet) {
+            response.fields.push_back({.name = "Retry-After", .value = "1.2"});
+        }
+        if (m_running >= Slots + QueueLength || m_oddity == UpstreamOddity::Quiet) {
             response.status = 503;
             response.fields.push_back({.name = "X-Plantainweir-Not-Executed", .value = "full"});
             m_server.respond(exchange, response);
@@ -68,9 +74,12 @@
         response.fields.push_back({.name = "X-Plantainweir-Response-Stamp", .value = "soak." + requestId});
         response.body = requestId;
         const std::chrono::milliseconds work{std::uniform_int_distribution<int>(ShortestRunMs, LongestRunMs)(m_random)};
-        QTimer::singleShot(work, q, [this, exchange, response = std::move(response)] {
+        const bool isAnswered = m_oddity != UpstreamOddity::Silent;
+        QTimer::singleShot(work, q, [this, exchange, isAnswered, response = std::move(response)] {
             --m_running;
-            m_server.respond(exchange, response);
+            if (isAnswered) {
+                m_server.respond(exchange, response);
+            }
         });
     }
 
@@ -82,6 +91,7 @@
     HttpServer m_server;
     std::unique_ptr<LoopbackProxy> m_proxy;
     std::uint32_t m_running = 0;
+    UpstreamOddity m_oddity = UpstreamOddity::None;
 };
 
 SoakUpstream::SoakUpstream(const std::string &id, const std::string &service, const std::string &availabilityZone, std::uint64_t seed)
@@ -111,6 +121,16 @@
     return *d->m_proxy;
 }
 
+UpstreamOddity SoakUpstream::oddity() const
+{
+    return d->m_oddity;
+}
+
+void SoakUpstream::setOddity(UpstreamOddity oddity)
+{
+    d->m_oddity = oddity;
+}
+
 QJsonObject SoakUpstream::registration(const QString &state) const
 {
     return {{"service", QString::fromStdString(d->m_service)},
