Give each kind of trouble a test of the project's own

- After an acknowledgement, a VM that starts knows the configuration although stale reads do not show it (fails if the first read is stale).
- A configuration of the largest size reaches followers.
- Calls beyond the slots of their zone go to other zones, and at once if the upstreams of their own are lost.
- The soak signals a change of the settings to all processes every 1.5 s.

FakeStore can answer late, and its stale lists can be frozen like its stale watches.

--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -57,7 +57,7 @@
             return;
         }
         if (m_faults.isBusy || parts.size() < 3) {
-            m_server.respond(exchange, jsonResponse(503, {}));
+            respond(exchange, jsonResponse(503, {}));
             return;
         }
         const std::string kind = parts.at(2).toStdString();
@@ -68,24 +68,36 @@
                 endWait(exchange);
             });
         } else if (request.method == "GET" && name.empty()) {
-            m_server.respond(exchange, listResponse(kind));
+            respond(exchange, listResponse(kind, query.hasQueryItem("serializable")));
         } else if (request.method == "GET") {
-            m_server.respond(exchange, jsonResponse(m_objects[kind].contains(name) ? 200 : 404, {}));
+            respond(exchange, jsonResponse(m_objects[kind].contains(name) ? 200 : 404, {}));
         } else if (request.method == "DELETE") {
             remove(kind, name);
-            m_server.respond(exchange, jsonResponse(200, {}));
+            respond(exchange, jsonResponse(200, {}));
         } else {
             write(exchange, kind, request);
         }
     }
 
-    HttpResponse listResponse(const std::string &kind)
+    void respond(HttpExchangeId exchange, const HttpResponse &response)
     {
+        if (m_faults.answerDelay == std::chrono::milliseconds::zero()) {
+            m_server.respond(exchange, response);
+            return;
+        }
+        QTimer::singleShot(m_faults.answerDelay, this, [this, exchange, response] {
+            m_server.respond(exchange, response);
+        });
+    }
+
+    HttpResponse listResponse(const std::string &kind, bool isStale)
+    {
+        const bool isFrozen = isStale && m_faults.isStaleReadFrozen;
         QJsonArray items;
-        for (const auto &[name, object] : m_objects[kind]) {
+        for (const auto &[name, object] : (isFrozen ? m_frozenObjects : m_objects)[kind]) {
             items.append(object);
         }
-        return jsonResponse(200, {{"items", items}, {"hasMore", false}, {"storeRevision", static_cast<qint64>(m_revision)}});
+        return jsonResponse(200, {{"items", items}, {"hasMore", false}, {"storeRevision", static_cast<qint64>(isFrozen ? m_frozenRevision : m_revision)}});
     }
 
     void write(HttpExchangeId exchange, const std::string &kind, const HttpRequest &request)
@@ -93,17 +105,17 @@
         const QJsonObject object = QJsonDocument::fromJson(QByteArray::fromStdString(request.body)).object();
         const std::string name = object["metadata"].toObject()["name"].toString().toStdString();
         if (request.method == "POST" && m_objects[kind].contains(name)) {
-            m_server.respond(exchange, jsonResponse(409, m_objects[kind][name]));
+            respond(exchange, jsonResponse(409, m_objects[kind][name]));
             return;
         }
         put(kind, name, object["spec"].toObject());
-        m_server.respond(exchange, jsonResponse(200, m_objects[kind][name]));
+        respond(exchange, jsonResponse(200, m_objects[kind][name]));
     }
 
     void watch(const PendingWatch &watch)
     {
         if (watch.revision < m_oldestRevision) {
-            m_server.respond(watch.exchange, jsonResponse(410, {}));
+            respond(watch.exchange, jsonResponse(410, {}));
             return;
         }
         m_watches.push_back(watch);
@@ -158,7 +170,7 @@
     void answerWatch(const PendingWatch &watch, const QJsonArray &events)
     {
         if (!m_faults.isLosingAnswers) {
-            m_server.respond(watch.exchange, jsonResponse(200, {{"events", events}, {"storeRevision", static_cast<qint64>(shownRevision(watch))}}));
+            respond(watch.exchange, jsonResponse(200, {{"events", events}, {"storeRevision", static_cast<qint64>(shownRevision(watch))}}));
         }
     }
 
@@ -194,6 +206,7 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_oldestRevision = 0;
     std::uint64_t m_frozenRevision = 0;
+    std::map<std::string, std::map<std::string, QJsonObject>> m_frozenObjects;
     int m_callCount = 0;
     std::map<std::string, int> m_callCounts; ///< By kind.
 };
@@ -215,6 +228,7 @@
 {
     if (!d->m_faults.isStaleReadFrozen) {
         d->m_frozenRevision = d->m_revision;
+        d->m_frozenObjects = d->m_objects;
     }
     d->m_faults = faults;
 }
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -4,6 +4,7 @@
 
 #include <QJsonObject>
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,7 +17,8 @@
     bool isBusy = false; ///< Each request is answered with status 503.
     bool isWatchStalled = false; ///< Watches receive no events.
     bool isLosingAnswers = false; ///< Answers are lost, and the connections on which they are due stay silent.
-    bool isStaleReadFrozen = false; ///< Stale watches show the objects as they were when the fault began.
+    bool isStaleReadFrozen = false; ///< Stale lists and watches show the objects as they were when the fault began.
+    std::chrono::milliseconds answerDelay{0}; ///< All answers come this much later.
 };
 
 /**
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -125,6 +125,48 @@
     }
 }
 
+// Callers move from one zone to another, and with them more calls come than the upstreams of the zone have slots for.
+TEST_F(ProxyingTest, CallsBeyondTheSlotsOfTheZoneGoToOtherZones)
+{
+    setUpstreams({makeUpstream(1, "a"), makeUpstream(2, "b"), makeUpstream(3, "c")});
+    for (ProxyCallId id = 1; id <= 9; ++id) {
+        admit(id);
+        for (int round = 0; round < 4 && attempts.size() < id; ++round) {
+            answerProbes([this](const RegisteredUpstream &upstream) {
+                const auto running = static_cast<std::uint32_t>(std::count_if(attempts.begin(), attempts.end(), [&upstream](const StartProxyAttempt &attempt) {
+                    return attempt.upstream.key == upstream.key;
+                }));
+                return UpstreamLoad{.running = running, .waiting = 0, .slots = 3, .workTimeFactor = 1.0};
+            });
+            advanceTime(std::chrono::milliseconds(10));
+        }
+    }
+    ASSERT_EQ(attempts.size(), 9U) << "each call finds a free slot";
+    std::map<std::string, int> perZone;
+    for (const StartProxyAttempt &attempt : attempts) {
+        ++perZone[attempt.upstream.availabilityZone];
+    }
+    EXPECT_EQ(perZone, (std::map<std::string, int>{{"a", 3}, {"b", 3}, {"c", 3}}));
+}
+
+TEST_F(ProxyingTest, CallsGoToOtherZonesAtOnceWhenTheUpstreamsOfTheirOwnAreLost)
+{
+    setUpstreams({makeUpstream(1, "a"), makeUpstream(2, "a"), makeUpstream(3, "b"), makeUpstream(4, "b")});
+    admit(1);
+    const TimePoint admittedAt = now;
+    while (attempts.empty() && !probes.empty()) {
+        const StartProbe probe = probes.front();
+        probes.pop_front();
+        const bool isLost = probe.upstream.availabilityZone == "a";
+        feed(ProbeEnded{.id = probe.id,
+                        .outcome = isLost ? ProbeOutcome::Unreachable : ProbeOutcome::Answered,
+                        .load = UpstreamLoad{.running = 0, .waiting = 0, .slots = 3, .workTimeFactor = 1.0}});
+    }
+    ASSERT_EQ(attempts.size(), 1U);
+    EXPECT_EQ(attempts[0].upstream.availabilityZone, "b");
+    EXPECT_EQ(now, admittedAt) << "without a wait for another round of probes";
+}
+
 TEST_F(ProxyingTest, ProbesOtherZonesRarelyWhileTheyAreFull)
 {
     setUpstreams({makeUpstream(1, "a"), makeUpstream(2, "b"), makeUpstream(3, "b"), makeUpstream(4, "c"), makeUpstream(5, "c")});
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -35,6 +35,7 @@
 
 constexpr milliseconds CallTimeout{4000};
 constexpr milliseconds RestartDelay{300};
+constexpr milliseconds SettingsChangeInterval{1500};
 /** Shorter than most calls run. */
 constexpr milliseconds VanishTime{30};
 constexpr milliseconds StartTimeout{60'000};
@@ -96,6 +97,7 @@
     std::unique_ptr<QProcess> process;
     bool isEndExpected = false;
     bool isPaused = false;
+    bool hasAnswered = false; ///< Since its start; from then on it watches signals.
 
     Endpoint callerEndpoint() const
     {
@@ -196,6 +198,7 @@
     void startEntry(SoakEntry &entry)
     {
         entry.isEndExpected = false;
+        entry.hasAnswered = false;
         entry.process = std::make_unique<QProcess>();
         const QString log = QString::fromStdString(fmt::format("{}/{}-{}.log", m_settings.directory, entry.name, ++m_lastProcess));
         entry.process->setStandardOutputFile(log);
@@ -364,6 +367,7 @@
             recordAnswer(m_history, call.id, result.response.status, result.response.body, Clock::now());
             if (result.response.status == 200) {
                 m_servingEntries.insert(call.entry);
+                m_entries[call.entry]->hasAnswered = true;
             }
             return;
         case HttpRequestOutcome::NotSent:
@@ -396,6 +400,9 @@
             sendCall(m_callRandom() % m_entries.size());
         });
         calls.start(milliseconds(static_cast<int>(1000.0 / (m_settings.callsPerSecond * static_cast<double>(m_entries.size())))));
+        QTimer settingsChanges;
+        connect(&settingsChanges, &QTimer::timeout, this, &Private::signalSettingsChange);
+        settingsChanges.start(SettingsChangeInterval);
         const TimePoint start = Clock::now();
         while (Clock::now() < start + m_settings.duration) {
             const auto phase = (Clock::now() - start) / PhaseDuration;
@@ -414,6 +421,16 @@
         }
     }
 
+    /** Tells all running processes that their settings have changed, which must not disturb any call. */
+    void signalSettingsChange() const
+    {
+        for (const auto &entry : m_entries) {
+            if (entry->hasAnswered && entry->process->state() == QProcess::Running) {
+                ::kill(static_cast<pid_t>(entry->process->processId()), SIGHUP);
+            }
+        }
+    }
+
     /** Counts a fault as active and calls @p end, which undoes the fault, after a random time. */
     void scheduleFaultEnd(const std::function<void()> &end)
     {
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -35,10 +35,14 @@
 class Entry
 {
 public:
-    Entry(const std::string &name, const Endpoint &store, std::size_t readersPerZone = 1, std::optional<Duration> evacuationBound = std::nullopt)
+    Entry(const std::string &name,
+          const Endpoint &store,
+          std::size_t readersPerZone = 1,
+          std::optional<Duration> evacuationBound = std::nullopt,
+          Duration firstReadDelay = 1s)
         : m_source({.name = name,
                     .store = store,
-                    .source = {.maximumAge = 1000ms, .startDelay = 1s, .readersPerZone = readersPerZone, .minimumMembers = 2},
+                    .source = {.maximumAge = 1000ms, .startDelay = 1s, .firstReadDelay = firstReadDelay, .readersPerZone = readersPerZone, .minimumMembers = 2},
                     .evacuationBound = evacuationBound,
                     .seed = 1},
                    Platform::platformCodec(),
@@ -57,6 +61,7 @@
                 }
                 if (const auto *table = std::get_if<RouteTable>(&object.value)) {
                     version = table->version;
+                    routes = table->routes.size();
                 }
                 const auto *upstream = std::get_if<UpstreamRecord>(&object.value);
                 upstreams[object.name] = object.isDeleted ? "gone" : upstream != nullptr && upstream->isDraining ? "draining" : "ready";
@@ -95,6 +100,7 @@
     }
 
     std::uint64_t version = 0;
+    std::size_t routes = 0;
     std::map<std::string, std::string> upstreams;
     std::set<std::string> evacuated;
     bool isCurrent = false;
@@ -179,6 +185,78 @@
     }));
 }
 
+// All entry VMs may lose their processes right after the store acknowledged a change.
+TEST(StoreSourceTask, AMemberThatStartsAfterAnAcknowledgementKnowsTheConfigurationThatWasAcknowledged)
+{
+    FakeStore store;
+    store.put("config", "main", configuration(3));
+    store.put("servers", "i-1", registration());
+    store.setFaults({.isStaleReadFrozen = true});
+    store.put("config", "main", configuration(4));
+    Entry restarted("restarted", store.endpoint(), 1, std::nullopt, 50ms);
+    std::uint64_t versionWhenListed = 0;
+    QObject::connect(&restarted.source(), &StoreSourceTask::listed, &restarted.source(), [&] {
+        versionWhenListed = restarted.version;
+    });
+    restarted.source().setMembers({restarted.member("restarted", 100)}, true);
+    EXPECT_TRUE(waitUntil([&] {
+        return restarted.source().isListed();
+    }));
+    EXPECT_EQ(versionWhenListed, 4U) << "a stale read does not show the last change yet";
+}
+
+TEST_F(StoreSourceTaskTest, KnowledgeStaysCurrentWhileTheStoreIsSlow)
+{
+    EXPECT_TRUE(waitUntil([this] {
+        return reader.isCurrent && follower.isCurrent;
+    }));
+    store.setFaults({.answerDelay = 300ms});
+    int losses = 0;
+    for (Entry *entry : {&reader, &follower}) {
+        QObject::connect(&entry->source(), &StoreSourceTask::currentChanged, &entry->source(), [&losses](bool isCurrent) {
+            losses += isCurrent ? 0 : 1;
+        });
+    }
+    const TimePoint end = Clock::now() + 4s;
+    EXPECT_TRUE(waitUntil([end] {
+        return Clock::now() >= end;
+    }));
+    EXPECT_EQ(losses, 0);
+    const TimePoint changedAt = Clock::now();
+    store.put("config", "main", configuration(5));
+    EXPECT_TRUE(waitUntil([this] {
+        return follower.version == 5;
+    }));
+    EXPECT_LT(Clock::now() - changedAt, 2s);
+}
+
+TEST_F(StoreSourceTaskTest, AConfigurationOfTheLargestSizeReachesFollowers)
+{
+    constexpr int Routes = 3600; // About one megabyte, the largest object of the store.
+    QJsonArray resources;
+    for (int route = 0; route < Routes; ++route) {
+        const QJsonObject spec{{"host", "rink.example"},
+                               {"pathPrefix", QStringLiteral("/area/%1/").arg(route)},
+                               {"kind", "unsafe"},
+                               {"timeout", "2s"},
+                               {"targetLatency", "400ms"},
+                               {"service", "desk"},
+                               {"maxAttempts", 2},
+                               {"priority", 1},
+                               {"notes", QString(40, 'x')}};
+        resources.append(QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", QStringLiteral("r%1").arg(route)}}}, {"spec", spec}});
+    }
+    EXPECT_TRUE(waitUntil([this] {
+        return follower.isCurrent;
+    }));
+    store.put("config", "main", {{"version", 6}, {"resources", resources}});
+    EXPECT_TRUE(waitUntil([this] {
+        return follower.version == 6;
+    }));
+    EXPECT_EQ(follower.routes, static_cast<std::size_t>(Routes));
+    EXPECT_TRUE(follower.isCurrent);
+}
+
 /** What a member knew when it began to serve, and what it got from a reader that had lost the store before the last changes. */
 class OlderReaderTest : public testing::Test
 {
