Let scarcity end while no call looks for room

Refused calls keep the number of sent calls high, the fair share follows what is answered, and only calls that pass find out that there is room again.

What a call found now counts less after half a second without another one.

--- a/src/decision/fairshare.cpp
+++ b/src/decision/fairshare.cpp
@@ -12,6 +12,9 @@
 constexpr std::chrono::seconds CountTimeConstant{10};
 /** Weight of the newest call in the scarcity. */
 constexpr double ScarcityWeight = 0.1;
+/** Time after which what the last call found counts less, and the time constant from then on. */
+constexpr std::chrono::milliseconds ScarcityValidity{500};
+constexpr std::chrono::seconds ScarcityTimeConstant{2};
 /** Below this scarcity, waiting is enough; from the second value on, no account gets more than its share. */
 constexpr double MinimumScarcity = 0.02;
 constexpr double FullScarcity = 0.1;
@@ -26,6 +29,12 @@
     return recent.count * std::exp(-toMilliseconds(now - recent.updatedAt) / toMilliseconds(CountTimeConstant));
 }
 
+double scarcityAt(const RankUse &rank, TimePoint now)
+{
+    const Duration outdated = std::max(Duration(0), Duration(now - rank.scarcityAt - ScarcityValidity));
+    return rank.scarcity * std::exp(-toMilliseconds(outdated) / toMilliseconds(ScarcityTimeConstant));
+}
+
 void add(RecentCount &recent, TimePoint now)
 {
     recent.count = countAt(recent, now) + 1.0;
@@ -80,10 +89,12 @@
     add(use.sent, now);
 }
 
-void recordRoom(FairShares &shares, std::uint32_t priority, Room room)
+void recordRoom(FairShares &shares, std::uint32_t priority, Room room, TimePoint now)
 {
     RankUse &rank = shares.ranks[priority];
-    rank.scarcity += ScarcityWeight * ((room == Room::Available ? 0.0 : 1.0) - rank.scarcity);
+    const double before = scarcityAt(rank, now);
+    rank.scarcity = before + ScarcityWeight * ((room == Room::Available ? 0.0 : 1.0) - before);
+    rank.scarcityAt = now;
 }
 
 void recordServed(FairShares &shares, std::uint32_t priority, TimePoint now)
@@ -94,7 +105,8 @@
 double refusedShare(const FairShares &shares, const AccountCall &call, TimePoint now)
 {
     const auto rank = shares.ranks.find(call.priority);
-    if (rank == shares.ranks.end() || rank->second.scarcity <= MinimumScarcity) {
+    const double scarcity = rank == shares.ranks.end() ? 0.0 : scarcityAt(rank->second, now);
+    if (scarcity <= MinimumScarcity) {
         return 0.0;
     }
     const auto use = rank->second.accounts.find(call.account);
@@ -111,7 +123,7 @@
     if (sent <= fairCalls + ToleratedExcess) {
         return 0.0;
     }
-    const double urgency = std::min(1.0, (rank->second.scarcity - MinimumScarcity) / (FullScarcity - MinimumScarcity));
+    const double urgency = std::min(1.0, (scarcity - MinimumScarcity) / (FullScarcity - MinimumScarcity));
     return urgency * (1.0 - fairCalls / sent);
 }
 
--- a/src/decision/fairshare.h
+++ b/src/decision/fairshare.h
@@ -40,7 +40,8 @@
 struct RankUse {
     std::map<std::string, AccountUse> accounts;
     RecentCount served; ///< Calls of all accounts that were answered.
-    double scarcity = 0.0; ///< Exponentially weighted share of the calls that found no available upstream.
+    double scarcity = 0.0; ///< Exponentially weighted share of the calls that found no available upstream, at scarcityAt.
+    TimePoint scarcityAt;
 };
 
 /** The use of one service at one entry VM. */
@@ -58,8 +59,11 @@
 /** Counts a call that was sent by a caller. Calls without an account are not counted. */
 void recordSent(FairShares &shares, const AccountCall &call, TimePoint now);
 
-/** Counts the room that a call of @p priority found. */
-void recordRoom(FairShares &shares, std::uint32_t priority, Room room);
+/**
+ * Counts the room that a call of @p priority found. What earlier calls found counts less with time: while all calls are refused,
+ * none finds out that there is room again.
+ */
+void recordRoom(FairShares &shares, std::uint32_t priority, Room room, TimePoint now);
 
 /** Counts a call of @p priority that was answered. */
 void recordServed(FairShares &shares, std::uint32_t priority, TimePoint now);
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -383,10 +383,10 @@
     return {.priority = call.priority, .account = call.account, .weight = call.accountWeight};
 }
 
-void recordRoom(ProxyService &service, const ProxyCall &call, Room room)
+void recordRoom(ProxyService &service, const ProxyCall &call, Room room, TimePoint now)
 {
     if (!call.admitted.account.empty()) {
-        recordRoom(service.shares, call.admitted.priority, room);
+        recordRoom(service.shares, call.admitted.priority, room, now);
     }
 }
 
@@ -433,7 +433,7 @@
     ProxyService &service = serviceOf(context, call.admitted.service);
     const std::vector<PooledUpstream *> candidates = candidatesOf(context, service, call);
     if (PooledUpstream *available = bestCandidate(context, candidates, LoadState::Available, FreshLoadAge)) {
-        recordRoom(service, call, Room::Available);
+        recordRoom(service, call, Room::Available, context.now);
         startAttempt(context, id, *available);
         return;
     }
@@ -456,7 +456,7 @@
         // Without probes, the choice is based on the calls that this entry VM has in flight. If most upstreams are full, the
         // upstream would probably queue the call beyond its target, or have no place for it in its queue.
         if (PooledUpstream *upstream = leastLoadedCandidate(context, candidates)) {
-            recordRoom(service, call, Room::Scarce);
+            recordRoom(service, call, Room::Scarce, context.now);
             startAttempt(context, id, *upstream);
             return;
         }
@@ -475,11 +475,11 @@
         return;
     }
     if (upstream != nullptr) {
-        recordRoom(service, call, Room::Scarce);
+        recordRoom(service, call, Room::Scarce, context.now);
         startAttempt(context, id, *upstream);
         return;
     }
-    recordRoom(service, call, Room::None);
+    recordRoom(service, call, Room::None, context.now);
     endWithoutAnswer(context, id, candidates.empty() ? RefusalReason::NoUpstream : RefusalReason::QueueFull, UnknownReason::ConnectionLost);
 }
 
@@ -710,7 +710,7 @@
         return;
     case ProxyAttemptOutcome::Shed:
     case ProxyAttemptOutcome::Replaced:
-        recordRoom(serviceOf(context, call.admitted.service), call, Room::None);
+        recordRoom(serviceOf(context, call.admitted.service), call, Room::None, context.now);
         if (!retry(context, id, RetryReason::UpstreamShed, true)) {
             endWithoutAnswer(context, id, RefusalReason::UpstreamShed, UnknownReason::ConnectionLost);
         }
--- a/tests/fairsharetest.cpp
+++ b/tests/fairsharetest.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 namespace Plantainweir {
 namespace {
 
@@ -19,7 +21,7 @@
         }
     }
     for (int call = 0; call < 100; ++call) {
-        recordRoom(shares, 0, otherwise);
+        recordRoom(shares, 0, otherwise, Start);
     }
     shares.ranks.at(0).served = {.count = static_cast<double>(served), .updatedAt = Start};
     return shares;
@@ -49,6 +51,45 @@
     EXPECT_LT(relativeUse(shares, {.account = "heavy"}, Start), relativeUse(shares, {.account = "other"}, Start));
 }
 
+// Guards against an entry VM that refuses nearly all calls for good: after many calls came at once, those that it refused kept
+// the number of sent calls high, and none of them found out that there was room again.
+TEST(FairShare, AfterABurstCallsPassAgainWhileTheirRateStays)
+{
+    std::mt19937_64 random{5};
+    std::uniform_real_distribution<double> lot(0.0, 1.0);
+    FairShares shares = makeShares({{"shop", 40}, {"till", 40}}, 3, Room::None);
+    int passed = 0;
+    constexpr int Calls = 150; // 10 a second for 15 s, the time in which an entry VM must have recovered.
+    TimePoint now = Start;
+    for (int call = 0; call < Calls; ++call) {
+        now += std::chrono::milliseconds(100);
+        const AccountCall incoming{.account = call % 2 == 0 ? "shop" : "till"};
+        recordSent(shares, incoming, now);
+        if (lot(random) < refusedShare(shares, incoming, now)) {
+            continue;
+        }
+        recordRoom(shares, 0, Room::Available, now);
+        recordServed(shares, 0, now);
+        passed += call >= Calls * 2 / 3 ? 1 : 0;
+    }
+    EXPECT_GT(passed, Calls / 4) << "of the calls of the last 5 s";
+}
+
+TEST(FairShare, ScarcityStaysWhileFewCallsFindNoRoom)
+{
+    FairShares shares;
+    TimePoint now = Start;
+    for (int second = 0; second < 30; ++second) {
+        now += std::chrono::seconds(1);
+        for (int call = 0; call < 5; ++call) {
+            recordSent(shares, {.account = "heavy"}, now);
+        }
+        recordRoom(shares, 0, Room::None, now);
+        recordServed(shares, 0, now);
+    }
+    EXPECT_GT(refusedShare(shares, {.account = "heavy"}, now), 0.5);
+}
+
 TEST(FairShare, OtherRanksDoNotCount)
 {
     const FairShares shares = makeShares({{"heavy", 100}}, 50, Room::None);
