--- a/tests/processsoaktest.cpp
+++ b/tests/processsoaktest.cpp
@@ -37,5 +37,11 @@
     expectNoViolations(302);
 }
 
+/** Guards against an entry VM that refuses nearly all calls of client accounts after many came at once, also in seeds 5106 and 5132 to 5143. */
+TEST_F(SoakTest, Seed5133ServesAfterABurst)
+{
+    expectNoViolations(5133);
+}
+
 }
 }
