Let only the store's own answers end the first read

The first read was over once all kinds were known and the configuration had any confirmation. A feed of a reader that lost the store could supply both while the first read was under way, so that a VM that starts served with a withdrawn key or with upstreams that had left.

The test delivers the old feed first and the two answers in both orders; it failed in both before.

--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -35,6 +35,7 @@
     std::optional<TimePoint> confirmedAt; ///< Time at which the mirror was known to be complete.
     std::optional<TimePoint> storeConfirmedAt; ///< The same, from the answers of the store to this entry VM only.
     std::optional<TimePoint> verifiedAt; ///< The same, from its consistent answers only.
+    bool isFirstRead = false; ///< Whether the first read has answered for this kind.
     Duration extraAge{}; ///< How much older than StoreSourceSettings::maximumAge the knowledge may become.
 };
 
@@ -163,20 +164,8 @@
 
     void connectFirstRead()
     {
-        connect(&m_firstConfiguration, &StoreListTask::listed, this, [this](const StoreDelta &delta, TimePoint sentAt) {
-            adoptDelta(delta);
-            confirm(delta.kind, sentAt);
-            endFirstRead();
-        });
-        connect(&m_firstUpstreams, &StoreListTask::listed, this, [this](const StoreDelta &delta, TimePoint) {
-            adoptDelta(delta);
-            endFirstRead();
-        });
-        connect(&m_firstEvacuations, &StoreListTask::listed, this, [this](const StoreDelta &delta, TimePoint) {
-            adoptDelta(delta);
-            endFirstRead();
-        });
         for (StoreListTask *list : {&m_firstConfiguration, &m_firstUpstreams, &m_firstEvacuations}) {
+            connect(list, &StoreListTask::listed, this, &Private::handleFirstList);
             connect(list, &StoreListTask::failed, this, [] {
                 logEvent(LogEvent::FirstReadFailed);
             });
@@ -353,10 +342,21 @@
         }
     }
 
-    /** The objects can be used once the configuration was read consistently and the other kinds are known. */
-    void endFirstRead()
+    /**
+     * The objects can be used once the store has answered for all kinds, for the configuration consistently. What feeds delivered
+     * meanwhile may be older than an earlier process of this VM, and is no substitute.
+     */
+    void handleFirstList(const StoreDelta &delta, TimePoint sentAt)
     {
-        if (hasAllKinds() && kind(StoreObjectKind::Configuration).confirmedAt) {
+        adoptDelta(delta);
+        if (delta.kind == StoreObjectKind::Configuration) {
+            confirm(delta.kind, sentAt);
+        }
+        kind(delta.kind).isFirstRead = true;
+        const bool isAnswered = std::all_of(m_kinds.begin(), m_kinds.end(), [](const KindState &state) {
+            return state.isFirstRead;
+        });
+        if (isAnswered && hasAllKinds()) {
             reportListed();
         }
         handleEvent(SourceTimerFired{});
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -68,7 +68,9 @@
                 endWait(exchange);
             });
         } else if (request.method == "GET" && name.empty()) {
-            respond(exchange, listResponse(kind, query.hasQueryItem("serializable")));
+            const auto delay = m_faults.listDelays.find(kind);
+            const HttpResponse response = listResponse(kind, query.hasQueryItem("serializable"));
+            respondAfter(delay == m_faults.listDelays.end() ? m_faults.answerDelay : delay->second, exchange, response);
         } else if (request.method == "GET") {
             respond(exchange, jsonResponse(m_objects[kind].contains(name) ? 200 : 404, {}));
         } else if (request.method == "DELETE") {
@@ -81,11 +83,16 @@
 
     void respond(HttpExchangeId exchange, const HttpResponse &response)
     {
-        if (m_faults.answerDelay == std::chrono::milliseconds::zero()) {
+        respondAfter(m_faults.answerDelay, exchange, response);
+    }
+
+    void respondAfter(std::chrono::milliseconds delay, HttpExchangeId exchange, const HttpResponse &response)
+    {
+        if (delay == std::chrono::milliseconds::zero()) {
             m_server.respond(exchange, response);
             return;
         }
-        QTimer::singleShot(m_faults.answerDelay, this, [this, exchange, response] {
+        QTimer::singleShot(delay, this, [this, exchange, response] {
             m_server.respond(exchange, response);
         });
     }
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -19,6 +19,7 @@
     bool isLosingAnswers = false; ///< Answers are lost, and the connections on which they are due stay silent.
     bool isStaleReadFrozen = false; ///< Stale lists and watches show the objects as they were when the fault began.
     std::chrono::milliseconds answerDelay{0}; ///< All answers come this much later.
+    std::map<std::string, std::chrono::milliseconds> listDelays; ///< By kind: lists come this much later instead.
 };
 
 /**
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -280,15 +280,21 @@
         currentStore.remove("servers", "i-1");
     }
 
-    void startMember()
+    void startMember(Duration firstReadDelay = 1s, int callsBefore = 0)
     {
-        member = std::make_unique<Entry>("restarted", currentStore.endpoint());
+        member = std::make_unique<Entry>("restarted", currentStore.endpoint(), 1, std::nullopt, firstReadDelay);
         QObject::connect(&member->source(), &StoreSourceTask::listed, &member->source(), [this] {
             listedAt = Clock::now();
             versionWhenListed = member->version;
             upstreamWhenListed = member->upstreams["i-1"];
         });
         startedAt = Clock::now();
+        if (firstReadDelay < 1s) {
+            // The feed begins only after the first read has begun.
+            EXPECT_TRUE(waitUntil([this, callsBefore] {
+                return currentStore.callCountOf("config") > callsBefore;
+            }));
+        }
         member->source().setMembers({reader.member("reader", 500), member->member("restarted", 100)}, true);
     }
 
@@ -318,6 +324,23 @@
     EXPECT_LT(*listedAt - startedAt, 3s);
 }
 
+// Between the two answers of the first read, the older objects of the feed stand in for the one that is missing.
+TEST_F(OlderReaderTest, AMemberThatStartsServesOnlyAfterTheStoreHasAnsweredItsWholeFirstRead)
+{
+    for (const char *late : {"config", "servers"}) {
+        SCOPED_TRACE(late);
+        FakeStoreFaults faults{.listDelays = {{"config", 200ms}, {"servers", 200ms}}};
+        faults.listDelays[late] = 400ms;
+        currentStore.setFaults(faults);
+        const int callsBefore = currentStore.callCountOf("config");
+        listedAt.reset();
+        startMember(10ms, callsBefore);
+        ASSERT_TRUE(isListed());
+        EXPECT_EQ(versionWhenListed, 4U) << "a withdrawn key is in use again";
+        EXPECT_NE(upstreamWhenListed, "ready") << "an upstream that left is in use again";
+    }
+}
+
 TEST_F(OlderReaderTest, WithoutTheStoreAMemberThatStartsTakesWhatOthersKnow)
 {
     currentStore.setFaults({.isUnresponsive = true});
