List evacuations again after a change that cannot be read

The name of an evacuation tells the wish, whatever else its object holds. A change can also withdraw it; one that could not be read counted as the wish, so that a withdrawn evacuation came back until the next list. Such a change now only lets the evacuations be listed again.

--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -195,6 +195,22 @@
     return R"({"metadata":{"name":")" + name + R"(","revision":5},"spec":)" + upstreamSpec + "}";
 }
 
+// Its name alone does not tell whether the evacuation was wished for or withdrawn.
+TEST(PlatformStore, AChangeOfAnEvacuationThatCannotBeReadLetsTheObjectsBeListedAgain)
+{
+    const std::string start = R"({"deleted":true,"object":{"metadata":{"name":"regina","revision":10)";
+    for (const std::string &odd : {start, start + R"(},"spec":NaN}})", start + R"(},"spec":"\x"}})", start + R"(},"spec":{)"}) {
+        SCOPED_TRACE(odd);
+        StorePage changes;
+        const std::string other = R"({"object":{"metadata":{"name":"winnipeg","revision":9}}},)";
+        const std::string body = R"({"events":[)" + other + odd + R"(],"storeRevision":10})";
+        ASSERT_EQ(decodePage(StoreObjectKind::Evacuations, answerOf(body), true, changes), StoreReadOutcome::Page);
+        EXPECT_TRUE(changes.isIncomplete);
+        ASSERT_EQ(changes.objects.size(), 1U);
+        EXPECT_EQ(changes.objects[0].name, "winnipeg");
+    }
+}
+
 /** An entry of a store that returns the entries behind a name. */
 struct StoredEntry {
     std::string name;
