Make the test of odd upstreams independent of the machine's speed

More than 300 of 600 answered calls could not be promised on a busy machine, where calls reach their deadlines. Instead, no call may lose its answer (502) unless an upstream was odd to it, and once no upstream is odd all calls must be answered again.

--- a/tests/oddupstreamstest.cpp
+++ b/tests/oddupstreamstest.cpp
@@ -13,6 +13,7 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <set>
@@ -100,6 +101,7 @@
 
     double oddShare = 0.0; ///< Of all calls.
     std::map<std::string, int> runs; ///< By request id.
+    std::set<std::string> odd; ///< Request ids of the calls that were not just answered.
 
 private:
     void receive(QTcpSocket *socket)
@@ -121,6 +123,9 @@
         const std::string id(fieldValue(request.fields, RequestIdField));
         const bool isOdd = std::uniform_real_distribution<double>(0.0, 1.0)(m_random) < oddShare;
         const auto oddity = isOdd ? static_cast<Oddity>(m_random() % enumCount<Oddity>()) : Oddity::Answer;
+        if (oddity != Oddity::Answer) {
+            odd.insert(id);
+        }
         const std::string refusal = encode(503, id, "busy", {{"X-Plantainweir-Not-Executed", "full"}});
         if (oddity == Oddity::Refuse || oddity == Oddity::RefuseTwice) {
             write(socket, refusal);
@@ -326,10 +331,19 @@
         } else {
             ++tally.unknown;
             EXPECT_TRUE(result.response.status == 502 || result.response.status == 504) << result.response.status;
+            // A call may also reach its deadline because the machine is busy; a connection is not lost for that.
+            EXPECT_TRUE(result.response.status == 504 || hasMetOddity(id)) << "an answer was lost without a fault of an upstream";
         }
         EXPECT_LE(runsOf(id), isAtMostOnce ? 1 : 2);
     }
 
+    bool hasMetOddity(const std::string &id) const
+    {
+        return std::any_of(upstreams.begin(), upstreams.end(), [&id](const auto &upstream) {
+            return upstream->odd.contains(id);
+        });
+    }
+
     FakeStore store;
     std::vector<std::unique_ptr<OddUpstream>> upstreams;
     GatewaySettings settings;
@@ -349,9 +363,15 @@
         upstream->oddShare = 0.5;
     }
     const Tally tally = play(600);
-    EXPECT_GT(tally.answered, 300);
+    EXPECT_GT(tally.answered, 0);
     EXPECT_GT(tally.unknown, 0);
     EXPECT_EQ(tally.answered + tally.refused + tally.unknown, 600);
+    for (const auto &upstream : upstreams) {
+        upstream->oddShare = 0.0;
+    }
+    EXPECT_TRUE(waitUntil([this] {
+        return play(20).answered == 20;
+    })) << "upstreams that are no longer odd answer all calls again";
     const HttpRequestId query = client.send(settings.operatorsPort, {.method = "GET", .target = "/metrics", .fields = {}, .body = {}}, Clock::now() + 5s);
     EXPECT_TRUE(waitUntil([this, query] {
         return results.contains(query);
