--- a/src/decision/fairshare.h
+++ b/src/decision/fairshare.h
@@ -40,7 +40,8 @@
 struct RankUse {
     std::map<std::string, AccountUse> accounts;
     RecentCount served; ///< Calls of all accounts that were answered.
-    RecentCount scarcity; ///< Exponentially weighted share of the calls that found no available upstream, which decays like the counts.
+    double scarcity = 0.0; ///< Exponentially weighted share of the calls that found no available upstream, at scarcityAt.
+    TimePoint scarcityAt;
 };
 
 /** The use of one service at one entry VM. */
@@ -58,7 +59,10 @@
 /** Counts a call that was sent by a caller. Calls without an account are not counted. */
 void recordSent(FairShares &shares, const AccountCall &call, TimePoint now);
 
-/** Counts the room that a call of @p priority found. */
+/**
+ * Counts the room that a call of @p priority found. What earlier calls found counts less with time: while all calls are refused,
+ * none finds out that there is room again.
+ */
 void recordRoom(FairShares &shares, std::uint32_t priority, Room room, TimePoint now);
 
 /** Counts a call of @p priority that was answered. */
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -68,10 +68,14 @@
 class Entry
 {
 public:
-    Entry(const std::string &name, const Endpoint &store, std::size_t readersPerZone = 1, std::optional<Duration> evacuationBound = std::nullopt)
+    Entry(const std::string &name,
+          const Endpoint &store,
+          std::size_t readersPerZone = 1,
+          std::optional<Duration> evacuationBound = std::nullopt,
+          Duration firstReadDelay = 1s)
         : m_source({.name = name,
                     .store = store,
-                    .source = {.maximumAge = 1000ms, .startDelay = 1s, .readersPerZone = readersPerZone, .minimumMembers = 2},
+                    .source = {.maximumAge = 1000ms, .startDelay = 1s, .firstReadDelay = firstReadDelay, .readersPerZone = readersPerZone, .minimumMembers = 2},
                     .evacuationBound = evacuationBound,
                     .seed = 1},
                    Platform::platformCodec(),
@@ -90,6 +94,7 @@
                 }
                 if (const auto *table = std::get_if<RouteTable>(&object.value)) {
                     version = table->version;
+                    routes = table->routes.size();
                 }
                 const auto *upstream = std::get_if<UpstreamRecord>(&object.value);
                 upstreams[object.name] = object.isDeleted ? "gone" : upstream != nullptr && upstream->isDraining ? "draining" : "ready";
@@ -133,6 +138,7 @@
     }
 
     std::uint64_t version = 0;
+    std::size_t routes = 0;
     std::map<std::string, std::string> upstreams;
     std::set<std::string> evacuated;
     bool isCurrent = false;
@@ -357,6 +363,175 @@
     }));
 }
 
+// All entry VMs may lose their processes right after the store acknowledged a change.
+TEST(StoreSourceTask, AMemberThatStartsAfterAnAcknowledgementKnowsTheConfigurationThatWasAcknowledged)
+{
+    FakeStore store;
+    store.put("config", "main", configuration(3));
+    store.put("servers", "i-1", registration());
+    store.setFaults({.isStaleReadFrozen = true});
+    store.put("config", "main", configuration(4));
+    Entry restarted("restarted", store.endpoint(), 1, std::nullopt, 50ms);
+    std::uint64_t versionWhenListed = 0;
+    QObject::connect(&restarted.source(), &StoreSourceTask::listed, &restarted.source(), [&] {
+        versionWhenListed = restarted.version;
+    });
+    restarted.source().setMembers({restarted.member("restarted", 100)}, true);
+    EXPECT_TRUE(waitUntil([&] {
+        return restarted.source().isListed();
+    }));
+    EXPECT_EQ(versionWhenListed, 4U) << "a stale read does not show the last change yet";
+}
+
+TEST_F(StoreSourceTaskTest, KnowledgeStaysCurrentWhileTheStoreIsSlow)
+{
+    EXPECT_TRUE(waitUntil([this] {
+        return reader.isCurrent && follower.isCurrent;
+    }));
+    store.setFaults({.answerDelay = 300ms});
+    int losses = 0;
+    for (Entry *entry : {&reader, &follower}) {
+        QObject::connect(&entry->source(), &StoreSourceTask::currentChanged, &entry->source(), [&losses](bool isCurrent) {
+            losses += isCurrent ? 0 : 1;
+        });
+    }
+    const TimePoint end = Clock::now() + 4s;
+    EXPECT_TRUE(waitUntil([end] {
+        return Clock::now() >= end;
+    }));
+    EXPECT_EQ(losses, 0);
+    const TimePoint changedAt = Clock::now();
+    store.put("config", "main", configuration(5));
+    EXPECT_TRUE(waitUntil([this] {
+        return follower.version == 5;
+    }));
+    EXPECT_LT(Clock::now() - changedAt, 2s);
+}
+
+TEST_F(StoreSourceTaskTest, AConfigurationOfTheLargestSizeReachesFollowers)
+{
+    constexpr int Routes = 3600; // About one megabyte, the largest object of the store.
+    QJsonArray resources;
+    for (int route = 0; route < Routes; ++route) {
+        const QJsonObject spec{{"host", "rink.example"},
+                               {"pathPrefix", QStringLiteral("/area/%1/").arg(route)},
+                               {"kind", "unsafe"},
+                               {"timeout", "2s"},
+                               {"targetLatency", "400ms"},
+                               {"service", "desk"},
+                               {"maxAttempts", 2},
+                               {"priority", 1},
+                               {"notes", QString(40, 'x')}};
+        resources.append(QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", QStringLiteral("r%1").arg(route)}}}, {"spec", spec}});
+    }
+    EXPECT_TRUE(waitUntil([this] {
+        return follower.isCurrent;
+    }));
+    store.put("config", "main", {{"version", 6}, {"resources", resources}});
+    EXPECT_TRUE(waitUntil([this] {
+        return follower.version == 6;
+    }));
+    EXPECT_EQ(follower.routes, static_cast<std::size_t>(Routes));
+    EXPECT_TRUE(follower.isCurrent);
+}
+
+/** What a member knew when it began to serve, and what it got from a reader that had lost the store before the last changes. */
+class OlderReaderTest : public testing::Test
+{
+protected:
+    OlderReaderTest()
+    {
+        for (FakeStore *store : {&lostStore, &currentStore}) {
+            store->put("config", "main", configuration(3));
+            store->put("servers", "i-1", registration());
+        }
+        reader.source().setMembers({reader.member("reader", 500)}, true);
+        EXPECT_TRUE(waitUntil([this] {
+            return reader.isCurrent;
+        }));
+        lostStore.setFaults({.isUnresponsive = true});
+        EXPECT_TRUE(waitUntil([this] {
+            return !reader.isCurrent;
+        }));
+        // A key is withdrawn, and an upstream leaves.
+        currentStore.put("config", "main", configuration(4));
+        currentStore.remove("servers", "i-1");
+    }
+
+    void startMember(Duration firstReadDelay = 1s, int callsBefore = 0)
+    {
+        member = std::make_unique<Entry>("restarted", currentStore.endpoint(), 1, std::nullopt, firstReadDelay);
+        QObject::connect(&member->source(), &StoreSourceTask::listed, &member->source(), [this] {
+            listedAt = Clock::now();
+            versionWhenListed = member->version;
+            upstreamWhenListed = member->upstreams["i-1"];
+        });
+        startedAt = Clock::now();
+        if (firstReadDelay < 1s) {
+            // The feed begins only after the first read has begun.
+            EXPECT_TRUE(waitUntil([this, callsBefore] {
+                return currentStore.callCountOf("config") > callsBefore;
+            }));
+        }
+        member->source().setMembers({reader.member("reader", 500), member->member("restarted", 100)}, true);
+    }
+
+    bool isListed()
+    {
+        return waitUntil([this] {
+            return listedAt.has_value();
+        });
+    }
+
+    FakeStore lostStore;
+    FakeStore currentStore;
+    Entry reader{"reader", lostStore.endpoint()};
+    std::unique_ptr<Entry> member;
+    TimePoint startedAt;
+    std::optional<TimePoint> listedAt;
+    std::uint64_t versionWhenListed = 0;
+    std::string upstreamWhenListed;
+};
+
+TEST_F(OlderReaderTest, AMemberThatStartsServesWithTheStoresKnowledgeAndNotWithAnOlderOne)
+{
+    startMember();
+    ASSERT_TRUE(isListed());
+    EXPECT_EQ(versionWhenListed, 4U) << "a withdrawn key is in use again";
+    EXPECT_NE(upstreamWhenListed, "ready") << "an upstream that left is in use again";
+    EXPECT_LT(*listedAt - startedAt, 3s);
+}
+
+// Between the two answers of the first read, the older objects of the feed stand in for the one that is missing.
+TEST_F(OlderReaderTest, AMemberThatStartsServesOnlyAfterTheStoreHasAnsweredItsWholeFirstRead)
+{
+    for (const char *late : {"config", "servers"}) {
+        SCOPED_TRACE(late);
+        FakeStoreFaults faults{.listDelays = {{"config", 200ms}, {"servers", 200ms}}};
+        faults.listDelays[late] = 400ms;
+        currentStore.setFaults(faults);
+        const int callsBefore = currentStore.callCountOf("config");
+        listedAt.reset();
+        startMember(10ms, callsBefore);
+        ASSERT_TRUE(isListed());
+        EXPECT_EQ(versionWhenListed, 4U) << "a withdrawn key is in use again";
+        EXPECT_NE(upstreamWhenListed, "ready") << "an upstream that left is in use again";
+    }
+}
+
+TEST_F(OlderReaderTest, WithoutTheStoreAMemberThatStartsTakesWhatOthersKnow)
+{
+    currentStore.setFaults({.isUnresponsive = true});
+    startMember();
+    ASSERT_TRUE(isListed());
+    EXPECT_EQ(versionWhenListed, 3U);
+    EXPECT_FALSE(member->isCurrent);
+    currentStore.setFaults({});
+    EXPECT_TRUE(waitUntil([this] {
+        return member->version == 4 && member->upstreams["i-1"] == "gone" && member->isCurrent;
+    }));
+}
+
 TEST_F(StoreSourceTaskTest, ReadersPassNoReportOfAnOutageBackToEachOther)
 {
     Entry one("one", store.endpoint(), 2);
