--- a/tests/decoderfuzztest.cpp
+++ b/tests/decoderfuzztest.cpp
@@ -152,7 +152,7 @@
     const std::string last = item("i-z", ValidSpec);
     for (std::size_t count = messageCount(); count > 0; --count) {
         const std::string odd = damaged(item("i-odd", ValidSpec));
-        std::string items = item("i-1", ValidSpec) + "," + odd + "," + last;
+        std::string items = fmt::format("{},{},{}", item("i-1", ValidSpec), odd, last);
         StorePage page;
         StoreReadOutcome outcome = Platform::decodePage(StoreObjectKind::Upstreams, answerOf(R"({"items":[)" + items + R"(],"storeRevision":9})"), false, page);
         ASSERT_EQ(outcome, StoreReadOutcome::Page) << odd;
@@ -161,7 +161,7 @@
             const std::string after = page.lastName;
             ASSERT_NE(after, "i-z") << odd;
             page = {};
-            items = after == "i-1" ? odd + "," + last : last;
+            items = after == "i-1" ? fmt::format("{},{}", odd, last) : last;
             outcome = Platform::decodePage(StoreObjectKind::Upstreams, answerOf(R"({"items":[)" + items + R"(],"storeRevision":9})"), false, page);
             if (page.hasMore && page.lastName <= after) {
                 // The damage gave it the name of another entry; a list that does not proceed fails.
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -203,7 +203,7 @@
         SCOPED_TRACE(odd);
         StorePage changes;
         const std::string other = R"({"object":{"metadata":{"name":"winnipeg","revision":9}}},)";
-        const std::string body = R"({"events":[)" + other + odd + R"(],"storeRevision":10})";
+        const std::string body = fmt::format(R"({{"events":[{}{}],"storeRevision":10}})", other, odd);
         ASSERT_EQ(decodePage(StoreObjectKind::Evacuations, answerOf(body), true, changes), StoreReadOutcome::Page);
         EXPECT_TRUE(changes.isIncomplete);
         ASSERT_EQ(changes.objects.size(), 1U);
@@ -397,10 +397,11 @@
 {
     const std::string nested = R"({"metadata":{"name":"a"},"spec":)" + std::string(upstreamSpec) + "}";
     for (const std::string &name : {std::string(R"("i-900")"), std::string("7")}) {
-        for (const std::string &inside : {R"({"h":[0,)" + nested + ",0", R"({"h":[)" + nested + "," + nested, std::string(R"({"metadata":{"name":"a")")}) {
-            SCOPED_TRACE(name + inside);
+        for (const std::string &inside :
+             {R"({"h":[0,)" + nested + ",0", fmt::format(R"({{"h":[{},{})", nested, nested), std::string(R"({"metadata":{"name":"a")")}) {
+            SCOPED_TRACE(inside);
             const std::string body
-                = R"({"items":[)" + namedItem("i-1") + R"(,{"metadata":{"name":)" + name + R"(},"spec":)" + inside + R"(],"hasMore":true,"storeRevision":9})";
+                = fmt::format(R"({{"items":[{},{{"metadata":{{"name":{}}},"spec":{}],"hasMore":true,"storeRevision":9}})", namedItem("i-1"), name, inside);
             StorePage page;
             ASSERT_EQ(decodePage(StoreObjectKind::Upstreams, answerOf(body), false, page), StoreReadOutcome::Page);
             EXPECT_EQ(page.lastName, name == "7" ? "i-1" : "i-900");
@@ -416,7 +417,7 @@
 {
     std::string nested = "\"" + std::string(30'000, 'x') + "\"";
     for (int depth = 0; depth < 40; ++depth) {
-        nested = R"([0,{"a":)" + nested + "},0]";
+        nested = fmt::format(R"([0,{{"a":{}}},0])", nested);
     }
     std::string empty = "[0";
     for (int count = 0; count < 350'000; ++count) {
