--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -693,8 +693,10 @@
         return Clock::now() >= expired;
     }));
     upstream.calls.clear();
+    constexpr std::size_t Calls = 10;
     std::vector<HttpRequestId> calls;
-    for (int call = 0; call < 10; ++call) {
+    calls.reserve(Calls);
+    for (std::size_t call = 0; call < Calls; ++call) {
         calls.push_back(sendWithKey(settings.callerPort, "/a/x", "secret-1"));
     }
     const TimePoint arrived = Clock::now() + std::chrono::milliseconds(20);
--- a/tests/httpservertest.cpp
+++ b/tests/httpservertest.cpp
@@ -242,8 +242,10 @@
     start({.totalBytes = 400'000});
     SilentClient &kept = addClient();
     pass(std::chrono::milliseconds(1500));
+    constexpr std::size_t Holders = 3;
     std::vector<SilentClient *> holders;
-    for (int index = 0; index < 3; ++index) {
+    holders.reserve(Holders);
+    for (std::size_t index = 0; index < Holders; ++index) {
         holders.push_back(&addClient(part));
     }
     pass(std::chrono::milliseconds(500));
--- a/tests/processcrowdtest.cpp
+++ b/tests/processcrowdtest.cpp
@@ -121,7 +121,7 @@
 {
     QJsonObject object = configuration();
     QJsonArray all = object["resources"].toArray();
-    for (const QJsonValue &resource : resources) {
+    for (const auto &resource : resources) {
         all.append(resource);
     }
     object["resources"] = all;
