Share the decayed count, and drop what only tests used

The call rate of subsets and the counts of fair shares were the same decayed count written twice; both use RecentCount now. Terms of credit are derived in one way, from the limits in force. The sum of a keeper's shares that only tests ask for lives in their fleet. An attempt that was not answered is noted by one function for both ways in which its deadline can pass. No test's bound changed.

--- a/src/controllers/creditkeeper.cpp
+++ b/src/controllers/creditkeeper.cpp
@@ -235,13 +235,4 @@
     return receipts;
 }
 
-double heldShare(const CreditKeeper &keeper, TimePoint now)
-{
-    double sum = 0.0;
-    for (const auto &[instance, share] : keeper.shares) {
-        sum += share.deadline > now ? share.share : 0.0;
-    }
-    return sum;
-}
-
 }
--- a/src/controllers/creditkeeper.h
+++ b/src/controllers/creditkeeper.h
@@ -87,7 +87,4 @@
 /** Releases all shares, and takes none from now on. */
 std::vector<LeavingReceipt> leave(CreditKeeper &keeper, const CreditLimits &limits, TimePoint now);
 
-/** Returns the sum of the shares that @p keeper holds at @p now. */
-double heldShare(const CreditKeeper &keeper, TimePoint now);
-
 }
--- a/src/controllers/creditterms.cpp
+++ b/src/controllers/creditterms.cpp
@@ -45,21 +45,6 @@
 
 }
 
-std::optional<CreditTerms> termsOf(const RouteTable &table, const CreditLine &line, const CreditToleranceSettings &tolerance)
-{
-    switch (line.kind) {
-    case CreditKind::Account: {
-        const auto account = table.accounts.find(line.scope);
-        return account == table.accounts.end() ? std::nullopt : accountTerms(account->second, tolerance);
-    }
-    case CreditKind::ColdUpstream: {
-        const auto service = table.services.find(line.scope);
-        return service == table.services.end() ? std::nullopt : coldTerms(service->second, tolerance);
-    }
-    }
-    return std::nullopt;
-}
-
 CreditLimits creditLimits(const RouteTable &table, const CreditToleranceSettings &tolerance)
 {
     CreditLimits limits;
--- a/src/controllers/creditterms.h
+++ b/src/controllers/creditterms.h
@@ -31,15 +31,12 @@
 };
 
 /**
- * Returns the terms of @p line, or nothing if the configuration does not limit it.
+ * Returns the terms of all client accounts and services that @p table limits.
  *
  * In each window W, credit for at most `perSecond * (W + CreditValidity) + burst` calls is used. The terms keep this below
  * `(callsPerSecond * W + burst) * (1 + quotaOver) + quotaSlack` in the quota window, and below
  * `coldCallsPerSecond * coldOver + coldSlack` in a second.
  */
-std::optional<CreditTerms> termsOf(const RouteTable &table, const CreditLine &line, const CreditToleranceSettings &tolerance);
-
-/** Returns the terms of all client accounts and services that @p table limits. */
 CreditLimits creditLimits(const RouteTable &table, const CreditToleranceSettings &tolerance);
 
 /** Returns the terms of @p line, or nothing if it has no limit. */
--- a/src/decision/fairshare.cpp
+++ b/src/decision/fairshare.cpp
@@ -24,23 +24,12 @@
 constexpr double ForgottenCount = 0.01;
 constexpr std::size_t MaximumAccounts = 1024;
 
-double countAt(const RecentCount &recent, TimePoint now)
-{
-    return recent.count * std::exp(-toMilliseconds(now - recent.updatedAt) / toMilliseconds(CountTimeConstant));
-}
-
 double scarcityAt(const RankUse &rank, TimePoint now)
 {
     const Duration outdated = std::max(Duration(0), Duration(now - rank.scarcityAt - ScarcityValidity));
     return rank.scarcity * std::exp(-toMilliseconds(outdated) / toMilliseconds(ScarcityTimeConstant));
 }
 
-void add(RecentCount &recent, TimePoint now)
-{
-    recent.count = countAt(recent, now) + 1.0;
-    recent.updatedAt = now;
-}
-
 void forgetIdleAccounts(RankUse &rank, TimePoint now)
 {
     std::erase_if(rank.accounts, [now](const auto &row) {
--- a/src/decision/fairshare.h
+++ b/src/decision/fairshare.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "decision/recentcount.h"
 
 #include <cstdint>
 #include <map>
@@ -24,12 +25,6 @@
     None, ///< No upstream; the call was refused.
 };
 
-/** A count of recent events, which decays exponentially. */
-struct RecentCount {
-    double count = 0.0;
-    TimePoint updatedAt;
-};
-
 /** The recent calls of one client account. */
 struct AccountUse {
     double weight = 1.0;
--- a/src/decision/fullness.cpp
+++ b/src/decision/fullness.cpp
@@ -19,6 +19,13 @@
     return slots <= FewSlots * static_cast<double>(pool.upstreams.size());
 }
 
+/** Returns whether the upstreams of @p pool lose more by calls without a probe than others. */
+bool isUnprobedCostly(const Fullness &fullness, const UpstreamPool &pool, TimePoint now)
+{
+    const bool wasSilent = fullness.silenceSeenAt != TimePoint{} && now - fullness.silenceSeenAt < SilenceMemory;
+    return wasSilent || haveFewSlots(pool);
+}
+
 }
 
 void recordProbed(Fullness &fullness, bool isFull, TimePoint now)
@@ -32,12 +39,6 @@
     fullness.silenceSeenAt = now;
 }
 
-bool isUnprobedCostly(const Fullness &fullness, const UpstreamPool &pool, TimePoint now)
-{
-    const bool wasSilent = fullness.silenceSeenAt != TimePoint{} && now - fullness.silenceSeenAt < SilenceMemory;
-    return wasSilent || haveFewSlots(pool);
-}
-
 bool refusesUnprobed(const Fullness &fullness, const UpstreamPool &pool, double limit, TimePoint now)
 {
     return limit > 0.0 && fullness.share >= limit && isUnprobedCostly(fullness, pool, now);
--- a/src/decision/fullness.h
+++ b/src/decision/fullness.h
@@ -24,12 +24,6 @@
 /** Records that an upstream did not answer a call although it answers others. */
 void recordSilence(Fullness &fullness, TimePoint now);
 
-/**
- * Returns whether the upstreams of @p pool lose more by calls without a probe than others: they registered few slots, or were seen lately not
- * to answer.
- */
-bool isUnprobedCostly(const Fullness &fullness, const UpstreamPool &pool, TimePoint now);
-
 /** Returns whether calls that may not probe are refused. @param limit share of full upstreams from which they are; zero for never. */
 bool refusesUnprobed(const Fullness &fullness, const UpstreamPool &pool, double limit, TimePoint now);
 
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -250,7 +250,7 @@
         return isSameZone(context, *upstream);
     });
     if (context.state.settings.subsetSize > 0 && call.probeRounds <= 1) {
-        const std::size_t size = subsetSize(callsPerSecond(service.callRate, context.now), context.state.settings.subsetSize);
+        const std::size_t size = subsetSize(perSecondAt(service.calls, context.now), context.state.settings.subsetSize);
         moveSubsetToFront({candidates.begin(), otherZones}, size, context.now);
         moveSubsetToFront({otherZones, candidates.end()}, size, context.now);
     }
@@ -614,7 +614,7 @@
         service.hedging.budget.tokensPerCall = context.state.settings.hedgeShare;
         deposit(service.hedging.budget);
     }
-    recordCall(service.callRate, context.now);
+    add(service.calls, context.now);
     if (event.account.empty()) {
         recordPriority(service.urgency, event.priority, context.now);
     }
@@ -634,13 +634,9 @@
     advance(context, event.id);
 }
 
-/** Takes into account that the running attempt of @p call was not answered before the deadline although its upstream answered others. */
-void recordUnanswered(ProxyStepContext &context, const ProxyCall &call)
+/** Takes into account that @p attempt was not answered before the deadline of its call, although its upstream may have answered others. */
+void recordUnanswered(ProxyStepContext &context, const ProxyAttempt &attempt)
 {
-    if (!call.running) {
-        return;
-    }
-    const ProxyAttempt &attempt = context.state.attempts.at(*call.running);
     ProxyService &service = serviceOf(context, attempt.service);
     const PooledUpstream *upstream = findUpstream(service.pool, attempt.upstream);
     if (upstream != nullptr && upstream->loadReceivedAt > attempt.startedAt) {
@@ -837,11 +833,11 @@
     }
     const ProxyAttempt attempt = found->second;
     context.state.attempts.erase(found);
+    if (event.outcome == ProxyAttemptOutcome::DeadlinePassed) {
+        recordUnanswered(context, attempt);
+    }
     LoadState reported = LoadState::Unknown;
     if (PooledUpstream *upstream = findUpstream(serviceOf(context, attempt.service).pool, attempt.upstream)) {
-        if (event.outcome == ProxyAttemptOutcome::DeadlinePassed && upstream->loadReceivedAt > attempt.startedAt) {
-            recordSilence(serviceOf(context, attempt.service).fullness, context.now);
-        }
         recordAttemptResult(*upstream, event, context.now);
         recordNotice(serviceOf(context, attempt.service).pool, *upstream, event.notice, context.now);
         if (event.load) {
@@ -884,7 +880,9 @@
     ProxyCall &call = found->second;
     if (context.now >= call.admitted.deadline) {
         call.mayHaveRun = call.mayHaveRun || call.running.has_value();
-        recordUnanswered(context, call);
+        if (call.running) {
+            recordUnanswered(context, context.state.attempts.at(*call.running));
+        }
         cancelRunning(context, call);
         endWithoutAnswer(context, id, RefusalReason::DeadlinePassed, UnknownReason::DeadlinePassed);
         return;
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -238,7 +238,7 @@
     std::set<ProxyCallId> waiting; ///< Calls without a running attempt.
     Fullness fullness;
     Urgency urgency; ///< Of calls without a client account.
-    CallRate callRate;
+    RecentCount calls; ///< That were admitted.
     FairShares shares; ///< Empty if no call belongs to a client account.
     double otherZoneAvailableRate = 1.0; ///< Share of available upstreams among those probed in other availability zones.
 };
--- a/src/decision/subset.cpp
+++ b/src/decision/subset.cpp
@@ -3,15 +3,12 @@
 #include "decision/ownership.h"
 
 #include <algorithm>
-#include <cmath>
 #include <functional>
 #include <vector>
 
 namespace Plantainweir {
 namespace {
 
-/** Time constant of the call rate. */
-constexpr std::chrono::seconds RateTimeConstant{10};
 /** Shorter than most servers keep an idle connection open. */
 constexpr std::chrono::seconds ConnectionIdleTime{4};
 /** Upstreams that a call visits on average: it probes two at a time and usually finds one of them available. */
@@ -21,11 +18,6 @@
 /** The next upstreams after the subset are those of a subset this many times as large. */
 constexpr std::size_t WideSubsetFactor = 2;
 
-double decay(Duration elapsed)
-{
-    return std::exp(-toMilliseconds(elapsed) / toMilliseconds(RateTimeConstant));
-}
-
 void movePreferredToFront(std::span<PooledUpstream *> candidates, std::size_t size, TimePoint now)
 {
     std::vector<std::uint64_t> preferences;
@@ -47,17 +39,6 @@
 
 }
 
-void recordCall(CallRate &rate, TimePoint now)
-{
-    rate.perSecond = callsPerSecond(rate, now) + 1000.0 / toMilliseconds(RateTimeConstant);
-    rate.updatedAt = now;
-}
-
-double callsPerSecond(const CallRate &rate, TimePoint now)
-{
-    return rate.perSecond * decay(now - rate.updatedAt);
-}
-
 std::size_t subsetSize(double callsPerSecond, std::size_t minimum)
 {
     const double visits = callsPerSecond * VisitsPerCall * toMilliseconds(ConnectionIdleTime) / 1000.0;
--- a/src/decision/subset.h
+++ b/src/decision/subset.h
@@ -17,17 +17,6 @@
  */
 namespace Plantainweir {
 
-/** The rate of the calls to one service at one entry VM, as an exponentially weighted average. */
-struct CallRate {
-    double perSecond = 0.0;
-    TimePoint updatedAt;
-};
-
-void recordCall(CallRate &rate, TimePoint now);
-
-/** Returns the rate at the time @p now. */
-double callsPerSecond(const CallRate &rate, TimePoint now);
-
 /** Returns the number of upstreams whose connections a rate of @p callsPerSecond keeps open, and at least @p minimum. */
 std::size_t subsetSize(double callsPerSecond, std::size_t minimum);
 
--- a/tests/creditfleet.h
+++ b/tests/creditfleet.h
@@ -282,6 +282,16 @@
         return TimePoint(vm.offset + fromMilliseconds(toMilliseconds(m_now.time_since_epoch()) * vm.pace));
     }
 
+    /** Returns the sum of the shares that @p keeper holds at @p now, without the sum that it keeps itself. */
+    static double heldShare(const CreditKeeper &keeper, TimePoint now)
+    {
+        double sum = 0.0;
+        for (const auto &[instance, share] : keeper.shares) {
+            sum += share.deadline > now ? share.share : 0.0;
+        }
+        return sum;
+    }
+
     double shareOf(std::size_t index) const
     {
         return heldShare(m_vms[index].credit.keeper, localNow(m_vms[index]));
--- a/tests/creditkeepertest.cpp
+++ b/tests/creditkeepertest.cpp
@@ -192,11 +192,11 @@
             RouteTable table;
             table.accounts["a"] = {.name = "a", .callsPerSecond = perSecond, .burst = burst};
             table.services["desk"] = {.name = "desk", .coldCallsPerSecond = perSecond};
-            const CreditTerms account = *termsOf(table, s_line, tolerance);
+            const CreditTerms account = *termsOf(creditLimits(table, tolerance), s_line);
             EXPECT_LE(account.perSecond * 5.25 + account.burst, (perSecond * 5.0 + burst) * 1.1 + 20.0);
             EXPECT_GE(account.perSecond, perSecond * 0.99);
             EXPECT_GE(account.burst, burst);
-            const CreditTerms cold = *termsOf(table, {.kind = CreditKind::ColdUpstream, .scope = "desk", .upstream = "i"}, tolerance);
+            const CreditTerms cold = *termsOf(creditLimits(table, tolerance), {.kind = CreditKind::ColdUpstream, .scope = "desk", .upstream = "i"});
             const double usable = perSecond * 1.5 + 8.0;
             EXPECT_LE(cold.perSecond * 1.25 + cold.burst, usable);
             EXPECT_GE(cold.burst, usable * 0.1);
@@ -209,7 +209,7 @@
     RouteTable table;
     table.accounts["a"] = {.name = "a", .burst = 3.0};
     table.services["desk"] = {.name = "desk"};
-    EXPECT_FALSE(termsOf(table, s_line, {}));
+    EXPECT_FALSE(termsOf(creditLimits(table, {}), s_line));
     EXPECT_TRUE(isEmpty(creditLimits(table, {})));
 }
 
--- a/tests/fleetcreditexplorationtest.cpp
+++ b/tests/fleetcreditexplorationtest.cpp
@@ -205,7 +205,7 @@
         const std::vector<std::pair<CreditLine, std::size_t>> lines{
             {accountLine("large"), 0}, {accountLine("small"), 1}, {accountLine("calm"), 2}, {s_coldLine, 3}};
         for (const auto &[line, demand] : lines) {
-            const CreditTerms terms = *termsOf(m_table, line, Tolerance);
+            const CreditTerms terms = *termsOf(creditLimits(m_table, Tolerance), line);
             const Duration counted = line.kind == CreditKind::Account ? Tolerance.quotaWindow : Duration(1s);
             for (const Duration window : {Duration(200ms), Duration(1s), Duration(5s), Duration(15s)}) {
                 const auto used = static_cast<double>(largestInWindow(m_fleet.useOf(demand).used, window));
@@ -228,7 +228,7 @@
         const std::vector<TimePoint> &used = m_fleet.useOf(0).used;
         const auto recent = static_cast<double>(used.end() - std::lower_bound(used.begin(), used.end(), m_calmFrom));
         const double seconds = std::chrono::duration<double>(m_fleet.now() - m_calmFrom).count();
-        const double granted = termsOf(m_table, accountLine("large"), Tolerance)->perSecond * seconds * expected;
+        const double granted = termsOf(creditLimits(m_table, Tolerance), accountLine("large"))->perSecond * seconds * expected;
         if (!m_failure && recent < 0.85 * granted) {
             m_failure = "only " + std::to_string(recent) + " credits were used after the faults, expected are " + std::to_string(granted);
         }
@@ -269,7 +269,7 @@
     const std::vector<std::string> names{"large", "small"};
     for (std::size_t demand = 0; demand < names.size(); ++demand) {
         const auto used = static_cast<double>(largestInWindow(fleet.useOf(demand).used, Tolerance.quotaWindow, inForce));
-        if (used > allowedIn(*termsOf(after, accountLine(names[demand]), Tolerance), Tolerance.quotaWindow)) {
+        if (used > allowedIn(*termsOf(creditLimits(after, Tolerance), accountLine(names[demand])), Tolerance.quotaWindow)) {
             return names[demand] + ": " + std::to_string(used) + " in a window after the change";
         }
     }
--- a/tests/subsettest.cpp
+++ b/tests/subsettest.cpp
@@ -1,5 +1,7 @@
 #include "decision/subset.h"
 
+#include "decision/recentcount.h"
+
 #include "fakes/proxyload.h"
 
 #include <gtest/gtest.h>
@@ -78,15 +80,15 @@
 
 TEST(Subset, GrowsWithTheCallsThatKeepConnectionsOpen)
 {
-    CallRate rate;
-    EXPECT_EQ(subsetSize(callsPerSecond(rate, Start), Size), 4U);
+    RecentCount rate;
+    EXPECT_EQ(subsetSize(perSecondAt(rate, Start), Size), 4U);
     for (int call = 0; call < 1200; ++call) {
-        recordCall(rate, Start + call * std::chrono::milliseconds(50));
+        add(rate, Start + call * std::chrono::milliseconds(50));
     }
     const TimePoint end = Start + std::chrono::seconds(60);
-    EXPECT_NEAR(callsPerSecond(rate, end), 20.0, 1.0);
-    EXPECT_GT(subsetSize(callsPerSecond(rate, end), Size), 40U);
-    EXPECT_EQ(subsetSize(callsPerSecond(rate, end + std::chrono::minutes(1)), Size), 4U);
+    EXPECT_NEAR(perSecondAt(rate, end), 20.0, 1.0);
+    EXPECT_GT(subsetSize(perSecondAt(rate, end), Size), 40U);
+    EXPECT_EQ(subsetSize(perSecondAt(rate, end + std::chrono::minutes(1)), Size), 4U);
 }
 
 /** Two calls a second at each of 200 entry VMs, in waves, for 100 upstreams with two slots and noisy neighbours. */
