Refuse calls that may not probe only after an upstream did not answer

Upstreams with two slots or fewer brought the refusal to every deployment that has such upstreams, also where they refuse what they cannot queue. The number of slots is a setting now (--full-refusal-slots, 0 by default), which deploy/system.toml does not set. The tests in virtual time keep their bounds with two slots set. withdrawHedge() no longer checks what canHedge() has checked.

--- a/src/decision/fullness.cpp
+++ b/src/decision/fullness.cpp
@@ -5,25 +5,16 @@
 
 /** Weight of the newest probe in the share of full upstreams. */
 constexpr double ShareWeight = 0.05;
-/** With so few slots on average, one call of another entry VM takes half of an upstream. */
-constexpr double FewSlots = 2.0;
 /** Long enough that the refusals, which prevent further silence, do not end and begin by turns. */
 constexpr std::chrono::minutes SilenceMemory{10};
 
-bool haveFewSlots(const UpstreamPool &pool)
+bool haveFewSlots(const UpstreamPool &pool, double limit)
 {
     double slots = 0.0;
     for (const auto &[key, upstream] : pool.upstreams) {
         slots += upstream.registration.slots;
     }
-    return slots <= FewSlots * static_cast<double>(pool.upstreams.size());
-}
-
-/** Returns whether the upstreams of @p pool lose more by calls without a probe than others. */
-bool isUnprobedCostly(const Fullness &fullness, const UpstreamPool &pool, TimePoint now)
-{
-    const bool wasSilent = fullness.silenceSeenAt != TimePoint{} && now - fullness.silenceSeenAt < SilenceMemory;
-    return wasSilent || haveFewSlots(pool);
+    return slots <= limit * static_cast<double>(pool.upstreams.size());
 }
 
 }
@@ -39,9 +30,11 @@
     fullness.silenceSeenAt = now;
 }
 
-bool refusesUnprobed(const Fullness &fullness, const UpstreamPool &pool, double limit, TimePoint now)
+bool refusesUnprobed(const Fullness &fullness, const UpstreamPool &pool, const FullRefusalSettings &settings, TimePoint now)
 {
-    return limit > 0.0 && fullness.share >= limit && isUnprobedCostly(fullness, pool, now);
+    const bool areFull = settings.share > 0.0 && fullness.share >= settings.share;
+    const bool wasSilent = fullness.silenceSeenAt != TimePoint{} && now - fullness.silenceSeenAt < SilenceMemory;
+    return areFull && (wasSilent || haveFewSlots(pool, settings.slots));
 }
 
 }
--- a/src/decision/fullness.h
+++ b/src/decision/fullness.h
@@ -11,6 +11,12 @@
  */
 namespace Plantainweir {
 
+/** When calls that may not probe are refused. */
+struct FullRefusalSettings {
+    double share = 0.0; ///< Share of full upstreams from which they are. Zero: never.
+    double slots = 0.0; ///< They are if upstreams registered at most so many slots on average, even if all upstreams answered so far.
+};
+
 /** What one entry VM saw of the full upstreams of a service. */
 struct Fullness {
     double share = 0.0; ///< Share of full upstreams among those probed, exponentially weighted.
@@ -24,7 +30,7 @@
 /** Records that an upstream did not answer a call although it answers others. */
 void recordSilence(Fullness &fullness, TimePoint now);
 
-/** Returns whether calls that may not probe are refused. @param limit share of full upstreams from which they are; zero for never. */
-bool refusesUnprobed(const Fullness &fullness, const UpstreamPool &pool, double limit, TimePoint now);
+/** Returns whether calls that may not probe are refused. */
+bool refusesUnprobed(const Fullness &fullness, const UpstreamPool &pool, const FullRefusalSettings &settings, TimePoint now);
 
 }
--- a/src/decision/proxyhedging.cpp
+++ b/src/decision/proxyhedging.cpp
@@ -65,9 +65,10 @@
     return isHedgeable(hedging, call) && isWorthwhile(hedging, call, now) && !isScarce && hasToken(hedging.budget) && hasToken(limits.retries);
 }
 
-bool withdrawHedge(ProxyHedging &hedging, RetryBudget &retries)
+void withdrawHedge(ProxyHedging &hedging, RetryBudget &retries)
 {
-    return hasToken(hedging.budget) && hasToken(retries) && withdraw(hedging.budget) && withdraw(retries);
+    withdraw(hedging.budget);
+    withdraw(retries);
 }
 
 void returnHedge(ProxyHedging &hedging, RetryBudget &retries)
--- a/src/decision/proxyhedging.h
+++ b/src/decision/proxyhedging.h
@@ -74,8 +74,8 @@
 /** Returns whether the call may be hedged now, provided that an upstream is available. */
 bool canHedge(const ProxyHedging &hedging, const HedgedCall &call, const HedgeLimits &limits, TimePoint now);
 
-/** Takes one hedge from both budgets. Returns false, and takes nothing, if either is used up. */
-bool withdrawHedge(ProxyHedging &hedging, RetryBudget &retries);
+/** Takes one hedge from both budgets. To be called only if canHedge(). */
+void withdrawHedge(ProxyHedging &hedging, RetryBudget &retries);
 
 /** Gives back what withdrawHedge() took for a hedge of which nothing was sent. */
 void returnHedge(ProxyHedging &hedging, RetryBudget &retries);
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -422,7 +422,7 @@
 bool mustYield(const ProxyStepContext &context, const ProxyService &service, const ProxyCall &call)
 {
     const bool isKnown = context.now - service.fullness.probedAt < FullnessValidity;
-    const bool isRoomScarce = isKnown && refusesUnprobed(service.fullness, service.pool, context.state.settings.fullRefusalShare, context.now);
+    const bool isRoomScarce = isKnown && refusesUnprobed(service.fullness, service.pool, context.state.settings.fullRefusal, context.now);
     return isRoomScarce && call.admitted.account.empty() && isLessUrgent(service.urgency, call.admitted.priority, context.now);
 }
 
@@ -484,7 +484,7 @@
         endWithoutAnswer(context, id, RefusalReason::ShareExceeded, UnknownReason::ConnectionLost);
         return;
     }
-    const bool isRefused = refusesUnprobed(service.fullness, service.pool, context.state.settings.fullRefusalShare, context.now);
+    const bool isRefused = refusesUnprobed(service.fullness, service.pool, context.state.settings.fullRefusal, context.now);
     if (std::exchange(call.isProbeLimited, false) && !isRefused) {
         // Without probes, the choice is based on the calls that this entry VM has in flight. If most upstreams are full, the
         // upstream would probably queue the call beyond its target, or have no place for it in its queue.
@@ -595,9 +595,8 @@
         return upstream->registration.coldUntil > context.now;
     });
     if (PooledUpstream *available = bestCandidate(context, candidates, LoadState::Available, FreshLoadAge)) {
-        if (withdrawHedge(service.hedging, service.retryBudget)) {
-            startAttempt(context, id, *available);
-        }
+        withdrawHedge(service.hedging, service.retryBudget);
+        startAttempt(context, id, *available);
         return;
     }
     if (!hasProbed) {
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -41,7 +41,7 @@
     double hedgeShare = 0.0; ///< Share of the idempotent calls that may get a second attempt while the first one is slow.
     double probesPerSecond = 100.0; ///< Limit on the probes of this entry VM to all upstreams.
     std::size_t subsetSize = 0; ///< Least number of preferred upstreams in an availability zone. Zero: all are preferred alike.
-    double fullRefusalShare = 0.0; ///< Share of full upstreams from which calls that may not probe are refused. Zero: none are.
+    FullRefusalSettings fullRefusal; ///< When calls that may not probe are refused.
 };
 
 /** A call passed the filters. */
--- a/src/programs/plantainweirgatewayd.cpp
+++ b/src/programs/plantainweirgatewayd.cpp
@@ -40,11 +40,12 @@
                            1 << 20,
                            0);
     commandLine.addNumber("full-refusal-share",
-                          "share of full upstreams from which calls that may not probe are refused, if upstreams have few slots or were seen not to answer; "
-                          "0: none are",
+                          "share of full upstreams from which calls that may not probe are refused, if an upstream was seen not to answer; 0: none are",
                           0.0,
                           1.0,
                           0.0);
+    commandLine.addNumber(
+        "full-refusal-slots", "with --full-refusal-share, calls are also refused if upstreams registered at most so many slots on average", 0.0, 1000.0, 0.0);
     commandLine.addNumber("probe-limit", "probes per second that the whole fleet may send to one upstream", 0.0, 1e6);
     commandLine.addOptionalDuration("quota-window", "window in which the calls of a client account are counted; 5s if empty");
     commandLine.addOptionalNumber("quota-over", "part by which a client account may exceed its quota in --quota-window; 0.1 if empty", 0.0, 10.0);
@@ -122,7 +123,7 @@
         .retryWindow = commandLine.duration("retry-window"),
         .hedgeShare = commandLine.number("hedge-share"),
         .subsetSize = static_cast<std::size_t>(commandLine.integer("subset-size")),
-        .fullRefusalShare = commandLine.number("full-refusal-share"),
+        .fullRefusal = {.share = commandLine.number("full-refusal-share"), .slots = commandLine.number("full-refusal-slots")},
         .probesPerSecondPerUpstream = commandLine.number("probe-limit"),
         .creditTolerance = creditTolerance(commandLine),
         .changeBound = std::min(commandLine.duration("change-bound"), commandLine.duration("drain-bound")),
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -194,7 +194,7 @@
                    .retryWindow = settings.retryWindow,
                    .hedgeShare = settings.hedgeShare,
                    .subsetSize = settings.subsetSize,
-                   .fullRefusalShare = settings.fullRefusalShare},
+                   .fullRefusal = settings.fullRefusal},
                   m_metrics,
                   settings.seed)
         , m_upstreamPort(codec, upstreamLimits(settings))
--- a/src/tasks/gateway.h
+++ b/src/tasks/gateway.h
@@ -3,6 +3,7 @@
 #include "controllers/creditterms.h"
 #include "core/endpoint.h"
 #include "core/time.h"
+#include "decision/fullness.h"
 #include "tasks/gatewaycodec.h"
 
 #include <QObject>
@@ -31,7 +32,7 @@
     Duration retryWindow{};
     double hedgeShare = 0.0; ///< Share of the calls that may be repeated of which slow ones get a second attempt.
     std::size_t subsetSize = 0; ///< Least number of preferred upstreams of a service in an availability zone; zero: all are preferred alike.
-    double fullRefusalShare = 0.0; ///< Share of full upstreams from which calls that may not probe are refused; zero: none are.
+    FullRefusalSettings fullRefusal; ///< When calls that may not probe are refused.
     double probesPerSecondPerUpstream = 0.0; ///< Probes per second that the fleet may send to one upstream.
     CreditToleranceSettings creditTolerance; ///< By how much the fleet may exceed its limits on accounts and cold upstreams.
     Duration changeBound = std::chrono::seconds(2); ///< Time in which an acknowledged change must be in force.
