--- a/src/decision/fairshare.cpp
+++ b/src/decision/fairshare.cpp
@@ -8,8 +8,6 @@
 namespace Plantainweir {
 namespace {
 
-/** Time constant of all recent counts. */
-constexpr std::chrono::seconds CountTimeConstant{10};
 /** Weight of the newest call in the scarcity. */
 constexpr double ScarcityWeight = 0.1;
 /** Time after which what the last call found counts less, and the time constant from then on. */
