--- a/src/tasks/exchangeclient.cpp
+++ b/src/tasks/exchangeclient.cpp
@@ -8,21 +8,36 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <future>
+#include <map>
+
 namespace Plantainweir {
 namespace {
 
 constexpr std::chrono::seconds CallTimeout{3};
 constexpr int MaximumReplyBytes = 4 * 1024 * 1024;
 
+/** Lets calls of all types be kept together. */
+struct OpenCall {
+    virtual ~OpenCall() = default;
+};
+
 /** A call and the objects that gRPC uses until it ends. */
 template<typename Request, typename Reply>
-struct Call {
+struct Call : OpenCall {
     std::unique_ptr<MembershipProtocol::Exchange::Stub> stub;
     grpc::ClientContext context;
     Request request;
     Reply reply;
 };
 
+/** Only the client owns a call: a gRPC thread that released it would destroy the channel whose queue it serves. */
+struct StartedCall {
+    std::unique_ptr<OpenCall> call;
+    grpc::ClientContext *context = nullptr; ///< Of the call.
+    std::shared_ptr<std::promise<void>> done; ///< Fulfilled when gRPC is done with the call.
+};
+
 std::unique_ptr<MembershipProtocol::Exchange::Stub> connectTo(const Endpoint &peer)
 {
     grpc::ChannelArguments arguments;
@@ -44,6 +59,16 @@
     {
     }
 
+    ~Private()
+    {
+        for (const auto &[id, open] : m_calls) {
+            open.context->TryCancel();
+        }
+        for (const auto &[id, open] : m_calls) {
+            open.done->get_future().wait();
+        }
+    }
+
     /**
      * Starts a call: @p start passes it to the stub, and @p finish receives the reply, or null after a failure, in the
      * event loop.
@@ -51,17 +76,23 @@
     template<typename Request, typename Reply, typename Start, typename Finish>
     void run(const Endpoint &peer, const Request &request, Start start, Finish finish)
     {
-        auto call = std::make_shared<Call<Request, Reply>>();
+        auto owned = std::make_unique<Call<Request, Reply>>();
+        Call<Request, Reply> *call = owned.get();
         call->stub = connectTo(peer);
         call->context.set_deadline(std::chrono::system_clock::now() + CallTimeout);
         call->request = request;
         countBytes("sent", request.ByteSizeLong());
         m_metrics.addToCounter("plantainweir_exchange_calls_total", "Exchanges asked of other members.");
-        start(*call, [this, call, finish, mailbox = m_mailbox](const grpc::Status &status) {
-            mailbox.post([this, call, finish, isOk = status.ok()] {
+        const std::uint64_t id = ++m_lastCall;
+        const auto done = std::make_shared<std::promise<void>>();
+        m_calls.emplace(id, StartedCall{.call = std::move(owned), .context = &call->context, .done = done});
+        start(*call, [this, call, id, done, finish, mailbox = m_mailbox](const grpc::Status &status) {
+            mailbox.post([this, call, id, finish, isOk = status.ok()] {
+                const auto ended = m_calls.extract(id);
                 countBytes("received", isOk ? call->reply.ByteSizeLong() : 0);
                 finish(isOk ? &call->reply : nullptr);
             });
+            done->set_value();
         });
     }
 
@@ -73,6 +104,8 @@
 
     Mailbox m_mailbox;
     Metrics &m_metrics;
+    std::uint64_t m_lastCall = 0;
+    std::map<std::uint64_t, StartedCall> m_calls; ///< Until gRPC has reported their end.
 };
 
 ExchangeClient::ExchangeClient(Metrics &metrics, QObject *parent)
--- a/tests/processcrowdtest.cpp
+++ b/tests/processcrowdtest.cpp
@@ -2,9 +2,12 @@
 #include "fakes/eventloop.h"
 #include "fakes/fakestore.h"
 #include "fakes/freeendpoint.h"
+#include "fakes/peercrowd.h"
 #include "fakes/residentmemory.h"
 #include "http/httpclient.h"
 #include "http/httpserver.h"
+#include "observability/metrics.h"
+#include "tasks/exchangeclient.h"
 
 #include <gtest/gtest.h>
 
@@ -15,11 +18,13 @@
 #include <QProcess>
 #include <QTemporaryFile>
 #include <QTimer>
+#include <QUdpSocket>
 
 #include <fmt/core.h>
 
 #include <algorithm>
 #include <map>
+#include <random>
 
 #include <sys/resource.h>
 
@@ -166,7 +171,7 @@
                                     argument("readiness-port", m_readiness),
                                     argument("directory-port", m_directory),
                                     argument("membership-port", m_membership),
-                                    argument("exchange-port", freeEndpoint()),
+                                    argument("exchange-port", m_exchange),
                                     argument("operators-port", m_operators),
                                     argument("store", m_store.endpoint()),
                                     argument("seeds", m_membership),
@@ -252,6 +257,11 @@
         m_crowds.push_back(std::make_unique<Crowd>(m_callers, plan, connections));
     }
 
+    void startCrowd(PeerCrowdKind kind, std::size_t connections)
+    {
+        m_crowds.push_back(std::make_unique<Crowd>(m_exchange, peerCrowdPlan(kind), connections));
+    }
+
     /** Sends @p request to the callers' port and returns the status of the answer, or zero if there is none. */
     int statusOf(const HttpRequest &request)
     {
@@ -343,6 +353,8 @@
     HttpClient m_client{HttpLimits{}};
     std::map<HttpRequestId, HttpRequestResult> m_results;
     QProcess m_gateway;
+    Endpoint m_membership = freeEndpoint();
+    Endpoint m_exchange = freeEndpoint();
 
 private:
     QTemporaryFile m_log;
@@ -350,28 +362,19 @@
     Endpoint m_readiness = freeEndpoint();
     Endpoint m_directory = freeEndpoint();
     Endpoint m_operators = freeEndpoint();
-    Endpoint m_membership = freeEndpoint();
     CrowdUpstream m_upstream;
     std::vector<std::unique_ptr<Crowd>> m_crowds;
     qsizetype m_mostDescriptors = 0;
 };
 
-std::vector<CrowdKind> allKinds()
+template<typename Value>
+std::vector<Value> allOf()
 {
-    std::vector<CrowdKind> kinds;
-    for (const auto &row : enumNames(CrowdKind{})) {
-        kinds.push_back(row.value);
+    std::vector<Value> values;
+    for (const auto &row : enumNames(Value{})) {
+        values.push_back(row.value);
     }
-    return kinds;
-}
-
-std::vector<CrowdPlace> allPlaces()
-{
-    std::vector<CrowdPlace> places;
-    for (const auto &row : enumNames(CrowdPlace{})) {
-        places.push_back(row.value);
-    }
-    return places;
+    return values;
 }
 
 class CrowdTest : public CrowdFixture, public testing::WithParamInterface<std::tuple<CrowdKind, CrowdPlace>>
@@ -393,7 +396,7 @@
     return name;
 }
 
-INSTANTIATE_TEST_SUITE_P(Crowds, CrowdTest, testing::Combine(testing::ValuesIn(allKinds()), testing::ValuesIn(allPlaces())), caseName);
+INSTANTIATE_TEST_SUITE_P(Crowds, CrowdTest, testing::Combine(testing::ValuesIn(allOf<CrowdKind>()), testing::ValuesIn(allOf<CrowdPlace>())), caseName);
 
 /** Starts gatewayd with settings of each test. */
 class CrowdSettingsTest : public CrowdFixture
@@ -421,6 +424,35 @@
 #endif
         RecordProperty("peak_mb", std::to_string(peakBytes() / MebiByte));
     }
+
+    /** Adds a route of its own to upstreams that answer calls late. */
+    void addSlowUpstreams(std::size_t count)
+    {
+        constexpr std::chrono::milliseconds AnswerTime{1500};
+        const QJsonObject route{
+            {"host", Host}, {"pathPrefix", "/slow/"}, {"kind", "safe"}, {"timeout", "2s"}, {"targetLatency", "2s"}, {"service", "slow"}, {"maxAttempts", 2}};
+        m_store.put("config",
+                    "main",
+                    configurationWith({QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", "r2"}}}, {"spec", route}},
+                                       QJsonObject{{"resourceKind", "services"},
+                                                   {"metadata", QJsonObject{{"name", "slow"}}},
+                                                   {"spec", QJsonObject{{"healthPath", "/health"}, {"maxConnections", 10'000}}}}}));
+        for (std::size_t index = 0; index < count; ++index) {
+            const std::string id = fmt::format("s-{}", index);
+            m_slowUpstreams.push_back(std::make_unique<CrowdUpstream>(id, AnswerTime));
+            m_store.put("servers", id.c_str(), m_slowUpstreams.back()->registration("slow"));
+        }
+    }
+
+    static CrowdPlan completeBodyPlan(const char *target)
+    {
+        CrowdPlan plan = crowdPlan(CrowdKind::WholeBody, Host, target);
+        plan.start += 'x';
+        return plan;
+    }
+
+private:
+    std::vector<std::unique_ptr<CrowdUpstream>> m_slowUpstreams;
 };
 
 TEST_F(CrowdSettingsTest, ALargeRequestIsServedWith112Mb)
@@ -445,33 +477,129 @@
 TEST_F(CrowdSettingsTest, CallsToManySlowUpstreams)
 {
     constexpr std::size_t SlowUpstreams = 24;
-    constexpr std::chrono::milliseconds AnswerTime{1500};
-    const QJsonObject route{
-        {"host", Host}, {"pathPrefix", "/slow/"}, {"kind", "safe"}, {"timeout", "2s"}, {"targetLatency", "2s"}, {"service", "slow"}, {"maxAttempts", 2}};
-    m_store.put("config",
-                "main",
-                configurationWith({QJsonObject{{"resourceKind", "routes"}, {"metadata", QJsonObject{{"name", "r2"}}}, {"spec", route}},
-                                   QJsonObject{{"resourceKind", "services"},
-                                               {"metadata", QJsonObject{{"name", "slow"}}},
-                                               {"spec", QJsonObject{{"healthPath", "/health"}, {"maxConnections", 10'000}}}}}));
-    std::vector<std::unique_ptr<CrowdUpstream>> upstreams;
-    for (std::size_t index = 0; index < SlowUpstreams; ++index) {
-        const std::string id = fmt::format("s-{}", index);
-        upstreams.push_back(std::make_unique<CrowdUpstream>(id, AnswerTime));
-        m_store.put("servers", id.c_str(), upstreams.back()->registration("slow"));
-    }
+    addSlowUpstreams(SlowUpstreams);
     startGateway(memoryMb());
     startCrowd(crowdPlan(CrowdKind::RequestsAhead, Host, "/slow/x"), crowdConnections(CrowdKind::RequestsAhead));
     waitUntilCrowdsAreSettled();
     expectUnharmed(CrowdPlace::Route);
 }
 
+/** Whole bodies, whose calls wait for an upstream. */
+TEST_F(CrowdSettingsTest, CompleteBodiesToASlowUpstream)
+{
+    addSlowUpstreams(1);
+    startGateway(memoryMb());
+    startCrowd(completeBodyPlan("/slow/x"), crowdConnections(CrowdKind::WholeBody));
+    waitUntilCrowdsAreSettled();
+    expectUnharmed(CrowdPlace::Route);
+}
+
+TEST_F(CrowdSettingsTest, CompleteBodiesWithoutARoute)
+{
+    startGateway(memoryMb());
+    startCrowd(completeBodyPlan("/none/x"), crowdConnections(CrowdKind::WholeBody) / 2);
+    startCrowd(completeBodyPlan("/v1/ready"), crowdConnections(CrowdKind::WholeBody) / 2);
+    waitUntilCrowdsAreSettled();
+    expectUnharmed(CrowdPlace::Route);
+}
+
+/** Clients at the ports for other VMs. */
+class PeerCrowdFixture : public CrowdFixture
+{
+protected:
+    PeerCrowdFixture()
+    {
+        QObject::connect(&m_peer, &ExchangeClient::membersCompared, &m_peer, [this](const Endpoint &, const auto &records) {
+            m_isCompared = records.has_value();
+            m_isCompareOpen = false;
+        });
+    }
+
+    static std::size_t connectionsOf(PeerCrowdKind kind)
+    {
+        return crowdConnections(kind == PeerCrowdKind::Idle ? CrowdKind::Idle : CrowdKind::WholeBody);
+    }
+
+    /** Returns whether another VM can compare its members. It repeats a comparison that fails. */
+    bool isPeerAnswered()
+    {
+        return waitUntil([this] {
+            if (!m_isCompareOpen && !m_isCompared) {
+                m_isCompareOpen = true;
+                m_peer.compareMembers(m_exchange, {}, {});
+            }
+            return m_isCompared;
+        });
+    }
+
+    void expectPeersUnharmed()
+    {
+        waitUntilCrowdsAreSettled();
+        EXPECT_TRUE(isPeerAnswered()) << "another VM";
+        expectUnharmed(CrowdPlace::Route);
+    }
+
+private:
+    Metrics m_metrics;
+    ExchangeClient m_peer{m_metrics};
+    bool m_isCompareOpen = false;
+    bool m_isCompared = false;
+};
+
+class PeerCrowdTest : public PeerCrowdFixture, public testing::WithParamInterface<PeerCrowdKind>
+{
+};
+
+TEST_P(PeerCrowdTest, CostsOnlyItself)
+{
+    startCrowd(GetParam(), connectionsOf(GetParam()));
+    expectPeersUnharmed();
+}
+
+std::string peerCaseName(const testing::TestParamInfo<PeerCrowdKind> &info)
+{
+    std::string name(nameOf(info.param));
+    std::replace(name.begin(), name.end(), '-', '_');
+    return name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Crowds, PeerCrowdTest, testing::ValuesIn(allOf<PeerCrowdKind>()), peerCaseName);
+
+TEST_F(PeerCrowdFixture, AllPeerKindsAtOnce)
+{
+    constexpr std::size_t CrowdDivisor = 4;
+    for (const PeerCrowdKind kind : allOf<PeerCrowdKind>()) {
+        startCrowd(kind, connectionsOf(kind) / CrowdDivisor);
+    }
+    expectPeersUnharmed();
+}
+
+/** Datagrams that no VM sends, at the ports for membership and credit. */
+TEST_F(PeerCrowdFixture, Datagrams)
+{
+    constexpr int Rounds = 2000;
+    std::mt19937_64 random(1);
+    QUdpSocket socket;
+    for (int round = 0; round < Rounds; ++round) {
+        for (const int size : {0, 1, 20, 1200, 1500, 60'000}) {
+            QByteArray bytes(size, Qt::Uninitialized);
+            std::generate(bytes.begin(), bytes.end(), [&random] {
+                return static_cast<char>(random());
+            });
+            for (const Endpoint &endpoint : {m_membership, m_exchange}) {
+                socket.writeDatagram(bytes, QHostAddress(QString::fromStdString(endpoint.address)), endpoint.port);
+            }
+        }
+    }
+    expectPeersUnharmed();
+}
+
 /** Clients of each kind at each place, all at once. */
 TEST_F(CrowdFixture, AllKindsAtOnce)
 {
     constexpr std::size_t CrowdDivisor = 25;
-    for (const CrowdKind kind : allKinds()) {
-        for (const CrowdPlace place : allPlaces()) {
+    for (const CrowdKind kind : allOf<CrowdKind>()) {
+        for (const CrowdPlace place : allOf<CrowdPlace>()) {
             startCrowd(kind, place, crowdConnections(kind) / CrowdDivisor);
         }
     }
