Judge each other availability zone for itself

Cause: calls below the highest priority judged all other zones by one share of available upstreams. Below 15% they sent one probe there in a tenth of the rounds, and only those probes changed the share. With demand that reaches the zones in turn, calls of a full zone were refused while another zone was idle.

The decision is in otherzones.h; the played load counts what crosses zones.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -282,11 +282,12 @@
 /**
  * Returns how many upstreams of other availability zones a round may probe.
  *
- * Calls of the highest priority always get the full limit.
+ * Calls of the highest priority always get the full limit, and so do all if each zone is known for itself (isZoneLeftOut()).
  */
 std::uint32_t drawOtherZoneProbeLimit(ProxyStepContext &context, const ProxyService &service, const ProxyCall &call)
 {
-    if (call.admitted.priority == 0 || service.otherZoneAvailableRate >= MinimumOtherZoneAvailableRate) {
+    const bool areZonesKnown = context.state.settings.zoneMemory > Duration(0);
+    if (areZonesKnown || call.admitted.priority == 0 || service.otherZoneAvailableRate >= MinimumOtherZoneAvailableRate) {
         return MaximumOtherZoneProbes;
     }
     return std::bernoulli_distribution(OtherZoneTrialProbability)(context.random) ? 1 : 0;
@@ -302,10 +303,23 @@
     call.otherZoneProbeLimit = drawOtherZoneProbeLimit(context, service, call);
 }
 
-/** Updates the share of available upstreams in other availability zones. */
-void recordOtherZoneAvailability(ProxyService &service, const PooledUpstream &upstream, TimePoint now)
+/** Returns whether the call sends no probes to the availability zone of @p upstream because it was full lately. */
+bool isZoneLeftOut(const ProxyStepContext &context, const ProxyService &service, const ProxyCall &call, const PooledUpstream &upstream)
 {
-    const bool isAvailable = loadStateOf(upstream, FreshLoadAge, now) == LoadState::Available;
+    const Duration memory = context.state.settings.zoneMemory;
+    if (memory == Duration(0) || call.admitted.priority == 0 || isSameZone(context, upstream)) {
+        return false;
+    }
+    return isProbablyFull(service.otherZones, upstream.registration.availabilityZone, memory, context.now);
+}
+
+/** Updates the shares of available upstreams in other availability zones. */
+void recordOtherZoneAvailability(const ProxyStepContext &context, ProxyService &service, const PooledUpstream &upstream)
+{
+    const bool isAvailable = loadStateOf(upstream, FreshLoadAge, context.now) == LoadState::Available;
+    if (const Duration memory = context.state.settings.zoneMemory; memory > Duration(0)) {
+        recordProbed(service.otherZones, upstream.registration.availabilityZone, isAvailable, memory, context.now);
+    }
     service.otherZoneAvailableRate += OtherZoneAvailableWeight * ((isAvailable ? 1.0 : 0.0) - service.otherZoneAvailableRate);
 }
 
@@ -378,11 +392,12 @@
 void startProbes(ProxyStepContext &context, ProxyCallId id, const std::vector<PooledUpstream *> &candidates)
 {
     ProxyCall &call = context.state.calls.at(id);
+    const ProxyService &service = serviceOf(context, call.admitted.service);
     for (const PooledUpstream *upstream : candidates) {
         const bool isKnown = loadStateOf(*upstream, FreshLoadAge, context.now) != LoadState::Unknown;
         const bool isLimitReached
             = isSameZone(context, *upstream) ? call.sameZoneProbes >= MaximumSameZoneProbes : call.otherZoneProbes >= call.otherZoneProbeLimit;
-        if (isKnown || isLimitReached || call.probed.contains(upstream->registration.key)) {
+        if (isKnown || isLimitReached || call.probed.contains(upstream->registration.key) || isZoneLeftOut(context, service, call, *upstream)) {
             continue;
         }
         if (call.openProbes >= MaximumConcurrentProbes) {
@@ -694,7 +709,7 @@
             recordProbed(serviceOf(context, probe.service).fullness, loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Full, context.now);
         }
         if (!isSameZone(context, *upstream)) {
-            recordOtherZoneAvailability(serviceOf(context, probe.service), *upstream, context.now);
+            recordOtherZoneAvailability(context, serviceOf(context, probe.service), *upstream);
         }
     }
     const auto call = context.state.calls.find(probe.call);
--- a/src/decision/proxying.h
+++ b/src/decision/proxying.h
@@ -5,6 +5,7 @@
 #include "core/work.h"
 #include "decision/fairshare.h"
 #include "decision/fullness.h"
+#include "decision/otherzones.h"
 #include "decision/proxyhedging.h"
 #include "decision/retrybudget.h"
 #include "decision/subset.h"
@@ -42,6 +43,7 @@
     double probesPerSecond = 100.0; ///< Limit on the probes of this entry VM to all upstreams.
     std::size_t subsetSize = 0; ///< Least number of preferred upstreams in an availability zone. Zero: all are preferred alike.
     FullRefusalSettings fullRefusal; ///< When calls that may not probe are refused.
+    Duration zoneMemory{}; ///< Time for which it remembers that another availability zone was full. Zero: one share for all of them.
 };
 
 /** A call passed the filters. */
@@ -241,6 +243,7 @@
     RecentCount calls; ///< That were admitted.
     FairShares shares; ///< Empty if no call belongs to a client account.
     double otherZoneAvailableRate = 1.0; ///< Share of available upstreams among those probed in other availability zones.
+    OtherZones otherZones; ///< Empty without ProxySettings::zoneMemory.
 };
 
 struct ProxyState {
--- a/src/programs/plantainweirgatewayd.cpp
+++ b/src/programs/plantainweirgatewayd.cpp
@@ -46,6 +46,7 @@
                           0.0);
     commandLine.addNumber(
         "full-refusal-slots", "with --full-refusal-share, calls are also refused if upstreams registered at most so many slots on average", 0.0, 1000.0, 0.0);
+    commandLine.addDuration("zone-memory", "time for which another availability zone that was full gets fewer probes; 0s: all zones are judged together", "0s");
     commandLine.addNumber("probe-limit", "probes per second that the whole fleet may send to one upstream", 0.0, 1e6);
     commandLine.addOptionalDuration("quota-window", "window in which the calls of a client account are counted; 5s if empty");
     commandLine.addOptionalNumber("quota-over", "part by which a client account may exceed its quota in --quota-window; 0.1 if empty", 0.0, 10.0);
@@ -124,6 +125,7 @@
         .hedgeShare = commandLine.number("hedge-share"),
         .subsetSize = static_cast<std::size_t>(commandLine.integer("subset-size")),
         .fullRefusal = {.share = commandLine.number("full-refusal-share"), .slots = commandLine.number("full-refusal-slots")},
+        .zoneMemory = commandLine.duration("zone-memory"),
         .probesPerSecondPerUpstream = commandLine.number("probe-limit"),
         .creditTolerance = creditTolerance(commandLine),
         .changeBound = std::min(commandLine.duration("change-bound"), commandLine.duration("drain-bound")),
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -194,7 +194,8 @@
                    .retryWindow = settings.retryWindow,
                    .hedgeShare = settings.hedgeShare,
                    .subsetSize = settings.subsetSize,
-                   .fullRefusal = settings.fullRefusal},
+                   .fullRefusal = settings.fullRefusal,
+                   .zoneMemory = settings.zoneMemory},
                   m_metrics,
                   settings.seed)
         , m_upstreamPort(codec, upstreamLimits(settings))
--- a/src/tasks/gateway.h
+++ b/src/tasks/gateway.h
@@ -33,6 +33,7 @@
     double hedgeShare = 0.0; ///< Share of the calls that may be repeated of which slow ones get a second attempt.
     std::size_t subsetSize = 0; ///< Least number of preferred upstreams of a service in an availability zone; zero: all are preferred alike.
     FullRefusalSettings fullRefusal; ///< When calls that may not probe are refused.
+    Duration zoneMemory{}; ///< Time for which another availability zone that was full gets fewer probes; zero: all zones are judged together.
     double probesPerSecondPerUpstream = 0.0; ///< Probes per second that the fleet may send to one upstream.
     CreditToleranceSettings creditTolerance; ///< By how much the fleet may exceed its limits on accounts and cold upstreams.
     Duration changeBound = std::chrono::seconds(2); ///< Time in which an acknowledged change must be in force.
--- a/tests/fakes/proxyload.cpp
+++ b/tests/fakes/proxyload.cpp
@@ -55,7 +55,8 @@
                                 .retrySlack = 319.0 / static_cast<double>(m_entries.size()),
                                 .probesPerSecond = load.probesPerSecond,
                                 .subsetSize = load.subsetSize,
-                                .fullRefusal = load.fullRefusal};
+                                .fullRefusal = load.fullRefusal,
+                                .zoneMemory = load.zoneMemory};
         feed(index, UpstreamsReplaced{registered});
     }
 }
@@ -135,8 +136,9 @@
 
 void ProxyLoadPlayer::execute(std::size_t entry, const StartProbe &action)
 {
-    ++m_result.probes;
     const std::size_t upstream = action.upstream.key;
+    ++m_result.probes;
+    m_result.otherZoneProbes += isSameZone(entry, upstream) ? 0 : 1;
     schedule(m_now + connect(entry, upstream), [this, entry, upstream, id = action.id] {
         const ProbeEnded ended{.id = id, .outcome = ProbeOutcome::Answered, .load = loadOf(upstream), .notice = {}};
         schedule(m_now + delay(entry, upstream), [this, entry, upstream, ended] {
@@ -148,8 +150,9 @@
 
 void ProxyLoadPlayer::execute(std::size_t entry, const StartProxyAttempt &action)
 {
-    ++m_result.attempts;
     const std::size_t upstream = action.upstream.key;
+    ++m_result.attempts;
+    m_result.otherZoneAttempts += isSameZone(entry, upstream) ? 0 : 1;
     ++m_result.attemptsByUpstream[upstream];
     m_attempts.emplace(action.id, upstream);
     const Work work{.entry = entry, .attempt = action.id};
@@ -220,7 +223,12 @@
 
 Duration ProxyLoadPlayer::delay(std::size_t entry, std::size_t upstream) const
 {
-    return m_entries[entry].zone == m_upstreams[upstream].zone ? DelayInZone : DelayBetweenZones;
+    return isSameZone(entry, upstream) ? DelayInZone : DelayBetweenZones;
+}
+
+bool ProxyLoadPlayer::isSameZone(std::size_t entry, std::size_t upstream) const
+{
+    return m_entries[entry].zone == m_upstreams[upstream].zone;
 }
 
 void ProxyLoadPlayer::keepConnection(std::size_t entry, std::size_t upstream)
--- a/tests/fakes/proxyload.h
+++ b/tests/fakes/proxyload.h
@@ -45,6 +45,7 @@
     double probesPerSecond = 47.0; ///< Limit of each entry VM.
     std::size_t subsetSize = 4; ///< As in ProxySettings.
     FullRefusalSettings fullRefusal{.share = 0.5, .slots = 2.0};
+    Duration zoneMemory{}; ///< As in ProxySettings.
     std::vector<PlayedCalls> calls;
     std::uint64_t seed = 1;
 };
@@ -70,6 +71,8 @@
     std::vector<PlayedOutcome> outcomes; ///< In the order of PlayedLoad::calls.
     int probes = 0;
     int attempts = 0;
+    int otherZoneProbes = 0; ///< Probes of upstreams in another availability zone than the entry VM.
+    int otherZoneAttempts = 0; ///< Attempts at upstreams in another availability zone than the entry VM.
     int connections = 0; ///< Opened connections.
     int neverAnswered = 0; ///< Attempts that an upstream could not queue.
     std::vector<int> attemptsByUpstream;
@@ -115,6 +118,7 @@
     /** Returns the delay until a request of @p entry reaches @p upstream, on an idle or a new connection. */
     Duration connect(std::size_t entry, std::size_t upstream);
     Duration delay(std::size_t entry, std::size_t upstream) const;
+    bool isSameZone(std::size_t entry, std::size_t upstream) const;
     void keepConnection(std::size_t entry, std::size_t upstream);
     void receive(std::size_t upstream, const Work &work);
     void run(std::size_t upstream, const Work &work);
--- a/tests/proxyingtest.cpp
+++ b/tests/proxyingtest.cpp
@@ -242,6 +242,45 @@
     EXPECT_GT(urgent, 3 * after);
 }
 
+/** Answers waves of demand that reach the zones in turn. */
+TEST_F(ProxyingTest, WithAZoneMemoryAFullZoneGetsFewProbesAndAnIdleOneTheCall)
+{
+    state.settings.zoneMemory = std::chrono::seconds(10);
+    setUpstreams({makeUpstream(1, "a"), makeUpstream(2, "b"), makeUpstream(3, "b"), makeUpstream(4, "c"), makeUpstream(5, "c")});
+    std::map<std::string, std::size_t> zoneProbes;
+    std::string idleZone;
+    const auto load = [&](const RegisteredUpstream &upstream) {
+        ++zoneProbes[upstream.availabilityZone];
+        const bool isIdle = upstream.availabilityZone == idleZone;
+        return UpstreamLoad{.running = isIdle ? 0U : 3U, .waiting = isIdle ? 0U : 2U, .slots = 3, .workTimeFactor = 1.0};
+    };
+    const auto runCalls = [&](ProxyCallId first, ProxyCallId count, std::uint32_t priority) {
+        zoneProbes.clear();
+        attempts.clear();
+        for (ProxyCallId id = first; id < first + count; ++id) {
+            admit(id, Repeatability::AtMostOnce, priority);
+            for (int round = 0; round < 10; ++round) {
+                answerProbes(load);
+                advanceTime(std::chrono::milliseconds(10));
+            }
+        }
+    };
+    runCalls(1, 50, 0);
+    const std::size_t urgent = zoneProbes["b"] + zoneProbes["c"];
+    runCalls(51, 50, 1);
+    EXPECT_GT(zoneProbes["b"], 0U);
+    EXPECT_GT(zoneProbes["c"], 0U);
+    EXPECT_LT(zoneProbes["b"] + zoneProbes["c"], urgent / 4);
+    EXPECT_TRUE(attempts.empty());
+    advanceTime(std::chrono::seconds(2));
+    idleZone = "c";
+    runCalls(101, 4, 1);
+    EXPECT_EQ(attempts.size(), 4U);
+    for (const StartProxyAttempt &attempt : attempts) {
+        EXPECT_EQ(attempt.upstream.availabilityZone, "c");
+    }
+}
+
 TEST_F(ProxyingTest, ARecentLoadReportReplacesAProbe)
 {
     setUpstreams({makeUpstream(1)});
