Count the connections opened to upstreams

Cause: no metric showed what subsets save and what probes of other availability zones cost in connections.

Change: plantainweir_upstream_connections_total, counted when a connection is opened, also one that then fails.

Result: a new case of gatewaytest, in which a probe and two calls share one connection, passes, also ten times in a row.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -165,6 +165,7 @@
             handleEnded(raw, end);
         });
         raw->stream->connectTo(endpoint);
+        Q_EMIT q->connectionOpened();
         return raw;
     }
 
--- a/src/http/httpclient.h
+++ b/src/http/httpclient.h
@@ -65,6 +65,8 @@
     void cancel(HttpRequestId id);
 
 Q_SIGNALS:
+    /** Emitted for each connection that is opened, also one that then fails. */
+    void connectionOpened();
     void finished(HttpRequestId id, const HttpRequestResult &result);
 
 private:
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -252,6 +252,9 @@
         connect(&m_proxy, &ProxyTask::probeStarted, &m_upstreamPort, &ProxyUpstreamPort::probe);
         connect(&m_proxy, &ProxyTask::attemptStarted, &m_upstreamPort, &ProxyUpstreamPort::send);
         connect(&m_proxy, &ProxyTask::attemptCancelled, &m_upstreamPort, &ProxyUpstreamPort::cancel);
+        connect(&m_upstreamPort, &ProxyUpstreamPort::connectionOpened, this, [this] {
+            m_metrics.addToCounter("plantainweir_upstream_connections_total", "Connections opened to upstreams.");
+        });
         connect(&m_upstreamPort, &ProxyUpstreamPort::probeEnded, &m_proxy, &ProxyTask::finishProbe);
         connect(&m_upstreamPort, &ProxyUpstreamPort::attemptEnded, &m_proxy, &ProxyTask::finishAttempt);
         connect(&m_readinessServer, &HttpServer::requestReceived, this, [this](HttpExchangeId exchange, const HttpRequest &request) {
--- a/src/tasks/proxyupstreamport.cpp
+++ b/src/tasks/proxyupstreamport.cpp
@@ -93,6 +93,7 @@
     : QObject(parent)
     , d(std::make_unique<Private>(this, codec, limits))
 {
+    connect(&d->m_client, &HttpClient::connectionOpened, this, &ProxyUpstreamPort::connectionOpened);
     connect(&d->m_client, &HttpClient::finished, this, [this](HttpRequestId id, const HttpRequestResult &result) {
         d->finish(id, result);
     });
--- a/src/tasks/proxyupstreamport.h
+++ b/src/tasks/proxyupstreamport.h
@@ -27,6 +27,8 @@
     void cancel(ProxyAttemptId id);
 
 Q_SIGNALS:
+    /** Emitted for each connection to an upstream that is opened, also one that then fails. */
+    void connectionOpened();
     void probeEnded(const ProbeEnded &ended);
     void attemptEnded(const ProxyAttemptResult &result);
 
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -355,6 +355,15 @@
     EXPECT_EQ(statusOf("/unknown/"), 404);
 }
 
+TEST_F(GatewayTest, CountsTheConnectionsThatItOpensToUpstreams)
+{
+    start();
+    EXPECT_EQ(statusOf("/a/1"), 200);
+    EXPECT_EQ(statusOf("/a/2"), 200);
+    const std::string metrics = get(settings.operatorsPort, "/metrics").response.body;
+    EXPECT_NE(metrics.find("plantainweir_upstream_connections_total 1\n"), std::string::npos) << "probes and calls share a connection";
+}
+
 TEST_F(GatewayTest, DirectoryNamesTheCallerPort)
 {
     start();
