Let what was read of a list count if an odd entry cuts it off

An entry whose quotes or brackets do not match and that has no readable name leaves no name to continue the list after, and so do names of more than 512 bytes at the end of a page.

A list now ends there as a partial one. What was read adds and changes objects and deletes none. The watch continues from the revision that was known before, whose changes tell the deletions; if they are gone or cannot be read, those that were read before the damage are applied, and the objects are partial. Partial objects are fed to others as such, so that these delete nothing that they do not name. They are listed again with the first change after 10 s; what this adds is sent to all followers. A first read that is cut off does not replace the reading if feeds have delivered older objects.

OddEntryTest and AMemberThatStartsServesWithTheEntriesThatCanBeRead fail without it; so does AMemberThatStartsUsesNoUpstreamThatLeftIfAnOddEntryCutsTheListOff without the rule for the first read.

--- a/src/controllers/storewatch.cpp
+++ b/src/controllers/storewatch.cpp
@@ -10,6 +10,8 @@
 /** Backoff limit afterwards. It is longer, because the last state remains usable and each call to the store costs money. */
 constexpr std::chrono::milliseconds MaximumBackoff{1000};
 constexpr std::uint32_t MaximumDoublings = 5;
+/** Time after a partial list from which on the next answer to a watch is followed by another list. */
+constexpr std::chrono::seconds PartialListInterval{10};
 
 void pause(StoreWatch &watch, Duration time, TimePoint now)
 {
@@ -63,6 +65,21 @@
     }
 }
 
+/** Adopts what was read of a list that cannot continue, and watches the changes. */
+void endPartialList(StoreWatch &watch, std::uint64_t pageRevision, std::vector<StoreWatchAction> &actions, TimePoint now)
+{
+    if (watch.afterName.empty()) {
+        watch.listRevision = pageRevision;
+    }
+    watch.afterName.clear();
+    watch.isListed = true;
+    watch.listedAt = now;
+    const bool isResumed = watch.knownRevision > watch.unusableRevision && watch.knownRevision <= watch.listRevision;
+    watch.revision = isResumed ? watch.knownRevision : watch.listRevision;
+    actions.emplace_back(AdoptPartialList{.revision = watch.revision, .isResumed = isResumed});
+    sendNextRequest(watch, actions);
+}
+
 void handlePage(StoreWatch &watch, const StorePageReceived &page, std::vector<StoreWatchAction> &actions, TimePoint now)
 {
     if (watch.afterName.empty()) {
@@ -91,11 +108,17 @@
             sendNextRequest(watch, actions);
         }
     } else if (const auto *page = std::get_if<StorePageReceived>(&event)) {
-        if (page->hasMore && page->lastName <= watch.afterName) {
+        const bool isStuck = page->hasMore && page->lastName <= watch.afterName;
+        if (isStuck && !page->isIncomplete) {
             // The same pages would come again.
             handleFailure(watch, now, random);
             return actions;
         }
+        if (isStuck) {
+            recordAnswer(watch, actions, now);
+            endPartialList(watch, page->revision, actions, now);
+            return actions;
+        }
         if (!page->hasMore) {
             // A list that always fails at a later page must not start again without a growing pause.
             recordAnswer(watch, actions, now);
@@ -103,8 +126,11 @@
         handlePage(watch, *page, actions, now);
     } else if (const auto *changes = std::get_if<StoreChangesReceived>(&event)) {
         recordAnswer(watch, actions, now);
-        watch.revision = std::max(watch.revision, changes->revision);
         if (changes->isIncomplete) {
+            watch.unusableRevision = std::max(watch.unusableRevision, watch.revision);
+        }
+        watch.revision = std::max(watch.revision, changes->revision);
+        if (changes->isIncomplete || (watch.isPartial && now >= watch.listedAt + PartialListInterval)) {
             listAgain(watch, actions, now);
         } else if (changes->isEmpty) {
             sendNextRequest(watch, actions);
@@ -113,6 +139,7 @@
         }
     } else if (std::holds_alternative<StoreHistoryCompacted>(event)) {
         recordAnswer(watch, actions, now);
+        watch.unusableRevision = std::max(watch.unusableRevision, watch.revision);
         watch.revision = 0;
         sendNextRequest(watch, actions);
     } else if (std::holds_alternative<StoreChangesMissed>(event)) {
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -127,6 +127,11 @@
                 confirmByStore(delta.kind, confirmedAt, ReadConsistency::Consistent);
                 publishConfirmation();
             });
+            connect(watch, &StoreWatchTask::partReceived, this, [this](const StoreDelta &part) {
+                adoptDelta(part);
+                handleEvent(SourceTimerFired{});
+                m_feedServer.publish();
+            });
             // Without this check, the objects would not count as confirmed until the next regular one.
             connect(
                 watch,
@@ -348,6 +353,10 @@
      */
     void handleFirstList(const StoreDelta &delta, TimePoint sentAt)
     {
+        if (delta.isPartial && kind(delta.kind).mirror.revision != 0) {
+            // It does not show what has gone since the objects that feeds delivered; reading the store will.
+            return;
+        }
         adoptDelta(delta);
         if (delta.kind == StoreObjectKind::Configuration) {
             confirm(delta.kind, sentAt);
@@ -364,7 +373,7 @@
 
     void execute(const OpenFeed &action)
     {
-        m_feedClient.open(action.member, action.endpoint, revisions());
+        m_feedClient.open(action.member, action.endpoint, completeRevisions());
     }
 
     void execute(const CloseFeed &action)
@@ -409,9 +418,30 @@
                 .evacuationsRevision = isRead(StoreObjectKind::Evacuations) ? kind(StoreObjectKind::Evacuations).mirror.revision : 0};
     }
 
+    /** Returns the revisions up to which this entry VM lacks nothing. */
+    FeedRequest completeRevisions()
+    {
+        FeedRequest known = revisions();
+        for (const KindState &state : m_kinds) {
+            if (state.mirror.isPartial) {
+                setRevision(known, state.mirror.kind, 0);
+            }
+        }
+        return known;
+    }
+
     void adoptDelta(const StoreDelta &delta)
     {
-        const std::vector<StoreObject> changed = adopt(kind(delta.kind).mirror, delta);
+        StoreMirror &mirror = kind(delta.kind).mirror;
+        const bool wasPartial = mirror.isPartial;
+        const std::uint64_t revisionBefore = mirror.revision;
+        const std::vector<StoreObject> changed = adopt(mirror, delta);
+        watchOf(delta.kind).setKnown(mirror.revision, mirror.isPartial);
+        // What a list adds to a partial mirror need not be newer than what the followers have.
+        const bool hasFilledIn = !changed.empty() && mirror.revision == revisionBefore;
+        if (wasPartial && (hasFilledIn || !mirror.isPartial)) {
+            m_feedServer.sendAgain(delta.kind);
+        }
         m_cached = {};
         if (!changed.empty()) {
             Q_EMIT q->objectsChanged(delta.kind, changed);
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -1,11 +1,12 @@
 #include "fakes/fakestore.h"
 
-#include <QJsonArray>
 #include <QJsonDocument>
 #include <QTimer>
 #include <QUrl>
 #include <QUrlQuery>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <deque>
 
@@ -15,7 +16,7 @@
 struct Change {
     std::uint64_t revision = 0;
     std::string kind;
-    QJsonObject object;
+    std::string object; ///< Its JSON.
     bool isDeleted = false;
 };
 
@@ -26,9 +27,23 @@
     bool isStale = false;
 };
 
-HttpResponse jsonResponse(int status, const QJsonObject &body)
+std::string toJson(const QJsonObject &object)
+{
+    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+HttpResponse jsonResponse(int status, const std::string &body)
+{
+    return {.status = status, .fields = {{"Content-Type", "application/json"}}, .body = body};
+}
+
+std::string joined(const std::vector<std::string> &values)
 {
-    return {.status = status, .fields = {{"Content-Type", "application/json"}}, .body = QJsonDocument(body).toJson(QJsonDocument::Compact).toStdString()};
+    std::string list;
+    for (const std::string &value : values) {
+        list += (list.empty() ? "" : ",") + value;
+    }
+    return list;
 }
 
 }
@@ -57,7 +72,7 @@
             return;
         }
         if (m_faults.isBusy || parts.size() < 3) {
-            respond(exchange, jsonResponse(503, {}));
+            respond(exchange, jsonResponse(503, "{}"));
             return;
         }
         const std::string kind = parts.at(2).toStdString();
@@ -69,13 +84,14 @@
             });
         } else if (request.method == "GET" && name.empty()) {
             const auto delay = m_faults.listDelays.find(kind);
-            const HttpResponse response = listResponse(kind, query.hasQueryItem("serializable"));
+            const HttpResponse response
+                = listResponse(kind, query.queryItemValue("after", QUrl::FullyDecoded).toStdString(), query.hasQueryItem("serializable"));
             respondAfter(delay == m_faults.listDelays.end() ? m_faults.answerDelay : delay->second, exchange, response);
         } else if (request.method == "GET") {
-            respond(exchange, jsonResponse(m_objects[kind].contains(name) ? 200 : 404, {}));
+            respond(exchange, jsonResponse(m_objects[kind].contains(name) ? 200 : 404, "{}"));
         } else if (request.method == "DELETE") {
             remove(kind, name);
-            respond(exchange, jsonResponse(200, {}));
+            respond(exchange, jsonResponse(200, "{}"));
         } else {
             write(exchange, kind, request);
         }
@@ -97,14 +113,16 @@
         });
     }
 
-    HttpResponse listResponse(const std::string &kind, bool isStale)
+    HttpResponse listResponse(const std::string &kind, const std::string &after, bool isStale)
     {
         const bool isFrozen = isStale && m_faults.isStaleReadFrozen;
-        QJsonArray items;
-        for (const auto &[name, object] : (isFrozen ? m_frozenObjects : m_objects)[kind]) {
-            items.append(object);
+        const auto &objects = (isFrozen ? m_frozenObjects : m_objects)[kind];
+        std::vector<std::string> items;
+        for (auto object = objects.upper_bound(after); object != objects.end(); ++object) {
+            items.push_back(object->second);
         }
-        return jsonResponse(200, {{"items", items}, {"hasMore", false}, {"storeRevision", static_cast<qint64>(isFrozen ? m_frozenRevision : m_revision)}});
+        return jsonResponse(200,
+                            fmt::format(R"({{"items":[{}],"hasMore":false,"storeRevision":{}}})", joined(items), isFrozen ? m_frozenRevision : m_revision));
     }
 
     void write(HttpExchangeId exchange, const std::string &kind, const HttpRequest &request)
@@ -122,7 +140,7 @@
     void watch(const PendingWatch &watch)
     {
         if (watch.revision < m_oldestRevision) {
-            respond(watch.exchange, jsonResponse(410, {}));
+            respond(watch.exchange, jsonResponse(410, "{}"));
             return;
         }
         m_watches.push_back(watch);
@@ -131,9 +149,14 @@
 
     void put(const std::string &kind, const std::string &name, const QJsonObject &spec)
     {
-        const QJsonObject metadata{{"name", QString::fromStdString(name)}, {"revision", static_cast<qint64>(++m_revision)}};
-        m_objects[kind][name] = {{"metadata", metadata}, {"spec", spec}};
-        m_history.push_back({m_revision, kind, m_objects[kind][name], false});
+        const QJsonObject metadata{{"name", QString::fromStdString(name)}, {"revision", static_cast<qint64>(m_revision + 1)}};
+        putText(kind, name, toJson({{"metadata", metadata}, {"spec", spec}}));
+    }
+
+    void putText(const std::string &kind, const std::string &name, const std::string &text)
+    {
+        m_objects[kind][name] = text;
+        m_history.push_back({++m_revision, kind, text, false});
         answerWatches();
     }
 
@@ -150,11 +173,11 @@
             return;
         }
         std::erase_if(m_watches, [this](const PendingWatch &watch) {
-            const QJsonArray events = eventsFor(watch);
-            if (!events.isEmpty()) {
+            const std::vector<std::string> events = eventsFor(watch);
+            if (!events.empty()) {
                 answerWatch(watch, events);
             }
-            return !events.isEmpty();
+            return !events.empty();
         });
     }
 
@@ -163,21 +186,21 @@
         return watch.isStale && m_faults.isStaleReadFrozen ? m_frozenRevision : m_revision;
     }
 
-    QJsonArray eventsFor(const PendingWatch &watch) const
+    std::vector<std::string> eventsFor(const PendingWatch &watch) const
     {
-        QJsonArray events;
+        std::vector<std::string> events;
         for (const Change &change : m_history) {
             if (change.kind == watch.kind && change.revision > watch.revision && change.revision <= shownRevision(watch)) {
-                events.append(QJsonObject{{"object", change.object}, {"deleted", change.isDeleted}});
+                events.push_back(fmt::format(R"({{"object":{},"deleted":{}}})", change.object, change.isDeleted));
             }
         }
         return events;
     }
 
-    void answerWatch(const PendingWatch &watch, const QJsonArray &events)
+    void answerWatch(const PendingWatch &watch, const std::vector<std::string> &events)
     {
         if (!m_faults.isLosingAnswers) {
-            respond(watch.exchange, jsonResponse(200, {{"events", events}, {"storeRevision", static_cast<qint64>(shownRevision(watch))}}));
+            respond(watch.exchange, jsonResponse(200, fmt::format(R"({{"events":[{}],"storeRevision":{}}})", joined(events), shownRevision(watch))));
         }
     }
 
@@ -207,13 +230,13 @@
 
     HttpServer m_server;
     FakeStoreFaults m_faults;
-    std::map<std::string, std::map<std::string, QJsonObject>> m_objects;
+    std::map<std::string, std::map<std::string, std::string>> m_objects; ///< JSON by kind and name.
     std::deque<Change> m_history;
     std::vector<PendingWatch> m_watches;
     std::uint64_t m_revision = 1;
     std::uint64_t m_oldestRevision = 0;
     std::uint64_t m_frozenRevision = 0;
-    std::map<std::string, std::map<std::string, QJsonObject>> m_frozenObjects;
+    std::map<std::string, std::map<std::string, std::string>> m_frozenObjects;
     int m_callCount = 0;
     std::map<std::string, int> m_callCounts; ///< By kind.
 };
@@ -245,6 +268,11 @@
     d->put(kind, name, spec);
 }
 
+void FakeStore::putText(const std::string &kind, const std::string &name, const std::string &text)
+{
+    d->putText(kind, name, text);
+}
+
 void FakeStore::remove(const std::string &kind, const std::string &name)
 {
     d->remove(kind, name);
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -435,6 +435,120 @@
     EXPECT_TRUE(follower.isCurrent);
 }
 
+/** An entry in the middle of the upstreams that cuts a page short and has no readable name. */
+class OddEntryTest : public StoreSourceTaskTest
+{
+protected:
+    OddEntryTest()
+    {
+        store.put("servers", "i-9", registration());
+        EXPECT_TRUE(waitUntil([this] {
+            return reader.isCurrent && follower.isCurrent && follower.upstreams["i-9"] == "ready";
+        }));
+        for (Entry *entry : {&reader, &follower}) {
+            QObject::connect(&entry->source(), &StoreSourceTask::currentChanged, &entry->source(), [this](bool isCurrent) {
+                losses += isCurrent ? 0 : 1;
+            });
+            QObject::connect(&entry->source(), &StoreSourceTask::reachabilityChanged, &entry->source(), [this](bool isUnreachable) {
+                reports += isUnreachable ? 1 : 0;
+            });
+        }
+    }
+
+    void putOddEntry()
+    {
+        store.putText("servers", "i-5", R"({"metadata":{"na)");
+    }
+
+    bool bothKnow(const std::string &upstream, const std::string &state)
+    {
+        return waitUntil([&] {
+            return reader.upstreams[upstream] == state && follower.upstreams[upstream] == state;
+        });
+    }
+
+    int losses = 0; ///< How often a member's configuration was no longer current.
+    int reports = 0; ///< How often a member reported that it cannot reach the store.
+};
+
+// Guards against an entry that stops all upstreams from coming and going, and lets readers take turns.
+TEST_F(OddEntryTest, UpstreamsComeAndGoWhileItExists)
+{
+    putOddEntry();
+    store.put("servers", "i-2", registration());
+    EXPECT_TRUE(bothKnow("i-2", "ready"));
+    // Behind the odd entry, only the change itself tells of it.
+    store.put("servers", "i-7", registration());
+    EXPECT_TRUE(bothKnow("i-7", "ready"));
+    store.remove("servers", "i-1");
+    EXPECT_TRUE(bothKnow("i-1", "gone"));
+    EXPECT_EQ(reader.upstreams["i-9"], "ready") << "what was not read still exists";
+    EXPECT_EQ(follower.upstreams["i-9"], "ready");
+    const int before = store.callCountOf("servers");
+    wait(5s);
+    EXPECT_LE(store.callCountOf("servers") - before, 25) << "checks only";
+    EXPECT_EQ(losses, 0);
+    EXPECT_EQ(reports, 0);
+    store.remove("servers", "i-9");
+    EXPECT_TRUE(bothKnow("i-9", "gone"));
+}
+
+TEST_F(OddEntryTest, AnUpstreamThatLeftDuringAnInterruptionIsKnownToBeGone)
+{
+    putOddEntry();
+    store.put("servers", "i-2", registration());
+    EXPECT_TRUE(bothKnow("i-2", "ready"));
+    store.setFaults({.isUnresponsive = true});
+    EXPECT_TRUE(waitUntil([this] {
+        return !reader.isCurrent && !follower.isCurrent;
+    }));
+    store.remove("servers", "i-9");
+    store.put("servers", "i-3", registration());
+    store.setFaults({});
+    EXPECT_TRUE(bothKnow("i-3", "ready"));
+    EXPECT_TRUE(bothKnow("i-9", "gone"));
+    EXPECT_EQ(reader.upstreams["i-1"], "ready");
+}
+
+TEST_F(OddEntryTest, ALongNameAtTheEndOfAPageStopsNothing)
+{
+    store.putText("servers", "i-95", R"({"metadata":{"name":")" + std::string(600, 'x') + R"("},"spec":{)");
+    store.put("servers", "i-2", registration());
+    EXPECT_TRUE(bothKnow("i-2", "ready"));
+    store.remove("servers", "i-1");
+    EXPECT_TRUE(bothKnow("i-1", "gone"));
+    wait(4s);
+    EXPECT_EQ(losses, 0);
+    EXPECT_EQ(reports, 0);
+}
+
+// All entry VMs may start while the entry exists.
+TEST(StoreSourceTask, AMemberThatStartsServesWithTheEntriesThatCanBeRead)
+{
+    FakeStore store;
+    store.put("config", "main", configuration(3));
+    store.put("servers", "i-1", registration());
+    store.putText("servers", "i-5", R"({"metadata":{"na)");
+    store.put("servers", "i-9", registration());
+    Entry reader("reader", store.endpoint(), 1, std::nullopt, 50ms);
+    Entry follower("follower", store.endpoint(), 1, std::nullopt, 50ms);
+    const std::vector<FeedMember> members{reader.member("reader", 500), follower.member("follower", 100)};
+    reader.source().setMembers(members, true);
+    follower.source().setMembers(members, true);
+    EXPECT_TRUE(waitUntil([&] {
+        return reader.source().isListed() && follower.source().isListed() && reader.isCurrent && follower.isCurrent;
+    }));
+    EXPECT_EQ(reader.upstreams["i-1"], "ready");
+    EXPECT_EQ(follower.upstreams["i-1"], "ready");
+    // The list is read again once the entry is gone, at the latest after its interval.
+    store.remove("servers", "i-5");
+    wait(10s);
+    store.put("servers", "i-2", registration());
+    EXPECT_TRUE(waitUntil([&] {
+        return reader.upstreams["i-9"] == "ready" && follower.upstreams["i-9"] == "ready";
+    }));
+}
+
 /** What a member knew when it began to serve, and what it got from a reader that had lost the store before the last changes. */
 class OlderReaderTest : public testing::Test
 {
@@ -532,6 +646,23 @@
     }));
 }
 
+// What the list of the store cannot show comes with the changes, as far as they can be read.
+TEST_F(OlderReaderTest, AMemberThatStartsUsesNoUpstreamThatLeftIfAnOddEntryCutsTheListOff)
+{
+    currentStore.putText("servers", "i-0", R"({"metadata":{"na)");
+    currentStore.put("servers", "i-2", registration());
+    currentStore.setFaults({.listDelays = {{"config", 200ms}, {"servers", 400ms}}});
+    startMember(10ms);
+    ASSERT_TRUE(isListed());
+    EXPECT_EQ(versionWhenListed, 4U) << "a withdrawn key is in use again";
+    EXPECT_NE(upstreamWhenListed, "ready") << "an upstream that left is in use again";
+    EXPECT_LT(*listedAt - startedAt, 5s);
+    currentStore.put("servers", "i-3", registration());
+    EXPECT_TRUE(waitUntil([this] {
+        return member->upstreams["i-3"] == "ready";
+    }));
+}
+
 TEST_F(StoreSourceTaskTest, ReadersPassNoReportOfAnOutageBackToEachOther)
 {
     Entry one("one", store.endpoint(), 2);
