Pace the lists that follow lost changes

After the store had dropped its history, or a check had found a missed change, the objects were listed without a pause. In virtual time, with answers after 5 ms, these were 6,000 lists in a minute of a store that answers each watch with 410.

The first such list is still sent at once. Each further one waits for half to the whole of the interval in which changes are fetched with one call, at random, which keeps the bound of changes as these batches do. A list at revision zero, after which nothing can be watched, fails and is repeated with the growing pause.

--- a/src/controllers/storewatch.cpp
+++ b/src/controllers/storewatch.cpp
@@ -65,6 +65,21 @@
     }
 }
 
+/** Lists at once, unless such a list came a short while ago. Changes are known as soon as with batches of them. */
+void listEarly(StoreWatch &watch, std::vector<StoreWatchAction> &actions, TimePoint now, std::mt19937_64 &random)
+{
+    // The members of a fleet must not list at the same times.
+    std::uniform_real_distribution<double> jitter(0.5, 1.0);
+    const TimePoint listAt = std::max(now, watch.nextEarlyListAt);
+    watch.nextEarlyListAt = listAt + fromMilliseconds(toMilliseconds(watch.changeBatchInterval) * jitter(random));
+    watch.revision = 0;
+    if (listAt > now) {
+        pause(watch, listAt - now, now);
+    } else {
+        sendNextRequest(watch, actions);
+    }
+}
+
 /** Adopts what was read of a list that cannot continue, and watches the changes. */
 void endPartialList(StoreWatch &watch, std::uint64_t pageRevision, std::vector<StoreWatchAction> &actions, TimePoint now)
 {
@@ -109,8 +124,9 @@
         }
     } else if (const auto *page = std::get_if<StorePageReceived>(&event)) {
         const bool isStuck = page->hasMore && page->lastName <= watch.afterName;
-        if (isStuck && !page->isIncomplete) {
-            // The same pages would come again.
+        const std::uint64_t listRevision = watch.afterName.empty() ? page->revision : watch.listRevision;
+        if ((isStuck && !page->isIncomplete) || listRevision == 0) {
+            // The same pages would come again, and changes cannot be watched without a revision.
             handleFailure(watch, now, random);
             return actions;
         }
@@ -140,12 +156,10 @@
     } else if (std::holds_alternative<StoreHistoryCompacted>(event)) {
         recordAnswer(watch, actions, now);
         watch.unusableRevision = std::max(watch.unusableRevision, watch.revision);
-        watch.revision = 0;
-        sendNextRequest(watch, actions);
+        listEarly(watch, actions, now, random);
     } else if (std::holds_alternative<StoreChangesMissed>(event)) {
         // The store answers, so there is nothing to wait for.
-        watch.revision = 0;
-        sendNextRequest(watch, actions);
+        listEarly(watch, actions, now, random);
     } else {
         handleFailure(watch, now, random);
     }
--- a/src/controllers/storewatch.h
+++ b/src/controllers/storewatch.h
@@ -46,6 +46,7 @@
     TimePoint resumeAt; ///< Time of the next call in phase Pausing.
     std::uint32_t failures = 0; ///< Consecutive failed calls.
     TimePoint failingSince; ///< Time of the first consecutive failure.
+    TimePoint nextEarlyListAt; ///< From when on changes that are lost or gone let the objects be listed at once.
     TimePoint listedAt; ///< When the last complete list was received.
     bool isListed = false; ///< Whether a list has been received at least once.
     std::uint64_t knownRevision = 0; ///< Set by the owner: all changes up to this one are known, from whomever; zero if none are.
--- a/tests/storewatchtest.cpp
+++ b/tests/storewatchtest.cpp
@@ -72,6 +72,63 @@
     EXPECT_EQ(watch.failures, 0U);
 }
 
+/** Answers each call after 5 ms for @p time, lists completely and watches with @p watchAnswer; returns the times of the lists. */
+std::vector<TimePoint> listsWith(StoreWatch &watch, const StoreWatchEvent &watchAnswer, Duration time)
+{
+    std::mt19937_64 random{3};
+    TimePoint now = Start;
+    const TimePoint end = now + time;
+    std::vector<TimePoint> lists;
+    while (now < end) {
+        if (watch.phase == StoreWatchPhase::Pausing) {
+            now = std::max(now, watch.resumeAt);
+            step(watch, StoreTimerFired{}, now, random);
+            continue;
+        }
+        now += std::chrono::milliseconds(5);
+        if (watch.phase == StoreWatchPhase::Listing) {
+            lists.push_back(now);
+            step(watch, StorePageReceived{.revision = 7, .lastName = "z", .hasMore = false}, now, random);
+        } else {
+            step(watch, watchAnswer, now, random);
+        }
+    }
+    return lists;
+}
+
+// Guards against a loop of lists without a pause while the store drops its history, or while changes come whose answers are lost.
+TEST_F(StoreWatchTest, ListsThatFollowEachOtherArePacedWithinTheIntervalOfChanges)
+{
+    for (const StoreWatchEvent &answer : {StoreWatchEvent(StoreHistoryCompacted{}), StoreWatchEvent(StoreChangesMissed{})}) {
+        watch = {};
+        const auto lists = listsWith(watch, answer, std::chrono::seconds(60));
+        EXPECT_LE(lists.size(), 95U);
+        EXPECT_GE(lists.size(), 46U) << "changes must be known within the bound";
+        std::set<Duration> intervals;
+        for (std::size_t index = 1; index < lists.size(); ++index) {
+            intervals.insert(lists[index] - lists[index - 1]);
+            EXPECT_LE(lists[index] - lists[index - 1], watch.changeBatchInterval + std::chrono::milliseconds(10));
+        }
+        EXPECT_GT(intervals.size(), 10U) << "without jitter, the members of a fleet list at the same times";
+    }
+}
+
+TEST_F(StoreWatchTest, ListsOfAStoreWithoutARevisionArePaced)
+{
+    int lists = 0;
+    const TimePoint end = now + std::chrono::seconds(60);
+    while (now < end && lists < 1000) {
+        if (watch.phase == StoreWatchPhase::Pausing) {
+            fireTimer();
+            continue;
+        }
+        ++lists;
+        now += std::chrono::milliseconds(5);
+        feed(StorePageReceived{.revision = 0, .lastName = "", .hasMore = false});
+    }
+    EXPECT_LE(lists, 250);
+}
+
 TEST_F(StoreWatchTest, PausesIfAListDoesNotProceed)
 {
     for (const char *lastName : {"m", "a"}) {
