Serve from unconfirmed objects if the store is silent

A VM that started while the store was down got objects from readers that had stopped reading and confirmed nothing. It waited for a confirmation, which came only when a reader tried again, after about 20 s, or when the store returned. It now uses these objects after the wait that objects with an old confirmation have. They are not current, so that unknown routes and keys are answered with 503, and objects of the store replace them by their revision.

--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -355,11 +355,9 @@
 
 bool mayServe(const StoreSource &source, TimePoint now)
 {
-    if (!source.hasObjects || !source.confirmedAt) {
-        return false;
-    }
     const bool isStoreSilent = source.failedChecks > 0 || now >= source.startDeadline + ReaderSilence;
-    return isCurrent(source, now) || *source.confirmedAt >= source.startedAt || isStoreSilent;
+    const bool isNewerThanProcess = source.confirmedAt && *source.confirmedAt >= source.startedAt;
+    return source.hasObjects && (isCurrent(source, now) || isNewerThanProcess || isStoreSilent);
 }
 
 std::vector<FeedMember> chooseReaders(std::vector<FeedMember> members, std::size_t count)
--- a/src/controllers/storesource.h
+++ b/src/controllers/storesource.h
@@ -142,7 +142,8 @@
 
 /**
  * Returns whether this member may use its objects for the first time. They are current, or not older than this process, so that
- * they contain all that an earlier process of this VM knew; or the store, which may know of later changes, does not answer.
+ * they contain all that an earlier process of this VM knew; or the store, which may know of later changes, does not answer. Then
+ * they are used even if nobody has confirmed them.
  */
 bool mayServe(const StoreSource &source, TimePoint now);
 
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -262,7 +262,7 @@
                 },
                 action);
         }
-        if (confirmedAt() && mayServe(m_source, now)) {
+        if (hasAllKinds() && mayServe(m_source, now)) {
             reportListed();
         }
         updatePace();
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -663,6 +663,24 @@
     }));
 }
 
+// The readers have objects, and no confirmation of their own that they could pass on, since they stopped reading.
+TEST_F(OlderReaderTest, WithoutTheStoreAMemberThatStartsTakesWhatOthersKnowEvenIfNobodyConfirmsIt)
+{
+    FeedMember former = reader.member("reader", 500);
+    former.isStoreUnreachable = true;
+    reader.source().setMembers({former, {.name = "other", .feedEndpoint = freeEndpoint(), .capacity = 100}}, true);
+    currentStore.setFaults({.isUnresponsive = true});
+    startMember();
+    ASSERT_TRUE(isListed());
+    EXPECT_LT(*listedAt - startedAt, 6s);
+    EXPECT_EQ(versionWhenListed, 3U);
+    EXPECT_FALSE(member->isCurrent);
+    currentStore.setFaults({});
+    EXPECT_TRUE(waitUntil([this] {
+        return member->version == 4 && member->upstreams["i-1"] == "gone" && member->isCurrent;
+    }));
+}
+
 TEST_F(StoreSourceTaskTest, ReadersPassNoReportOfAnOutageBackToEachOther)
 {
     Entry one("one", store.endpoint(), 2);
--- a/tests/storesourcetest.cpp
+++ b/tests/storesourcetest.cpp
@@ -221,6 +221,22 @@
     EXPECT_TRUE(mayServe(source, now));
 }
 
+// Guards against a member that serves nothing during an outage of the store, although the others have all objects.
+TEST_F(StoreSourceTest, AMemberThatStartsServesWithUnconfirmedObjectsIfTheStoreIsSilent)
+{
+    make("e1");
+    feed(FeedMembersChanged{zone, true});
+    bool mayServeEarly = false;
+    while (now < Start + 8s && !mayServe(source, now)) {
+        advance(50ms);
+        feed(FeedReceived{.member = "e7", .hasObjects = true, .confirmedAt = std::nullopt, .senderConfirmedAt = std::nullopt});
+        mayServeEarly = mayServeEarly || (mayServe(source, now) && now < source.startDeadline + 3s);
+    }
+    EXPECT_FALSE(mayServeEarly) << "the store may answer yet";
+    EXPECT_LT(now, Start + 4200ms);
+    EXPECT_FALSE(isCurrent(source, now));
+}
+
 TEST_F(StoreSourceTest, KnowledgeThatIsTooOldIsReadFromTheStoreItself)
 {
     make("e1");
