Count as current only after the first list of a reading

A VM whose knowledge was too old counted as current from the start of its reading until the first list failed, up to 1 s, and answered 404 for routes that had been added. Reading now counts once the configuration has been listed, or a check has shown that a resumed watch lacks nothing. Until then only the age of the knowledge does.

--- a/src/controllers/storewatch.cpp
+++ b/src/controllers/storewatch.cpp
@@ -87,9 +87,10 @@
         watch.listRevision = pageRevision;
     }
     watch.afterName.clear();
-    watch.isListed = true;
     watch.listedAt = now;
     const bool isResumed = watch.knownRevision > watch.unusableRevision && watch.knownRevision <= watch.listRevision;
+    // A list that is resumed lacks changes until the watch has answered.
+    watch.isListed = watch.isListed || !isResumed;
     watch.revision = isResumed ? watch.knownRevision : watch.listRevision;
     actions.emplace_back(AdoptPartialList{.revision = watch.revision, .isResumed = isResumed});
     sendNextRequest(watch, actions);
@@ -145,6 +146,7 @@
         if (changes->isIncomplete) {
             watch.unusableRevision = std::max(watch.unusableRevision, watch.revision);
         }
+        watch.isListed = watch.isListed || !changes->isIncomplete;
         watch.revision = std::max(watch.revision, changes->revision);
         if (changes->isIncomplete || (watch.isPartial && now >= watch.listedAt + PartialListInterval)) {
             listAgain(watch, actions, now);
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -300,7 +300,7 @@
 
     void reportCurrency(TimePoint now)
     {
-        const bool isReadingCurrent = m_source.isReading && !m_configurationWatch.isFailing();
+        const bool isReadingCurrent = m_source.isReading && m_configurationWatch.isFollowing();
         const std::optional<TimePoint> confirmed = kind(StoreObjectKind::Configuration).confirmedAt;
         const bool isYoung = confirmed && now - *confirmed < m_source.settings.maximumAge;
         const bool isCurrentNow = m_isListed && (isReadingCurrent || isYoung);
@@ -478,6 +478,8 @@
     {
         if (const auto confirmed = confirmedAt()) {
             handleEvent(StoreConfirmed{*confirmed});
+        } else {
+            handleEvent(SourceTimerFired{});
         }
         m_feedServer.publish();
     }
--- a/src/tasks/storewatchtask.cpp
+++ b/src/tasks/storewatchtask.cpp
@@ -256,6 +256,8 @@
 void StoreWatchTask::setCompleteUntil(std::uint64_t revision)
 {
     d->m_completeUntil = std::max(d->m_completeUntil, revision);
+    // A list that was cut off lacks nothing then.
+    d->m_watch.isListed = true;
 }
 
 std::optional<WaitingWatch> StoreWatchTask::waitingWatch() const
@@ -266,9 +268,9 @@
     return WaitingWatch{.kind = d->m_kind, .revision = d->m_watch.revision, .completeUntil = d->m_completeUntil, .since = d->m_sentAt};
 }
 
-bool StoreWatchTask::isFailing() const
+bool StoreWatchTask::isFollowing() const
 {
-    return d->m_watch.failures > 0;
+    return d->m_watch.isListed && d->m_watch.failures == 0;
 }
 
 }
--- a/src/tasks/storewatchtask.h
+++ b/src/tasks/storewatchtask.h
@@ -43,8 +43,8 @@
     void setCompleteUntil(std::uint64_t revision);
     /** Returns the watch that waits for changes, or nothing if none does. */
     std::optional<WaitingWatch> waitingWatch() const;
-    /** Returns whether the last call failed. */
-    bool isFailing() const;
+    /** Returns whether a list has been received since start(), and the last call did not fail. */
+    bool isFollowing() const;
 
 Q_SIGNALS:
     /** A list or changes were received. @p confirmedAt is a time as of which nothing that can be read is missing. */
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -681,6 +681,27 @@
     }));
 }
 
+// Guards against a refusal of calls to a route that was added while the member did not follow.
+TEST_F(StoreSourceTaskTest, AMemberThatBeginsToReadIsCurrentOnlyOnceTheStoreHasAnswered)
+{
+    EXPECT_TRUE(waitUntil([this] {
+        return follower.isCurrent;
+    }));
+    std::vector<std::uint64_t> versions;
+    QObject::connect(&follower.source(), &StoreSourceTask::currentChanged, &follower.source(), [&](bool isCurrent) {
+        if (isCurrent) {
+            versions.push_back(follower.version);
+        }
+    });
+    store.setFaults({.listDelays = {{"config", 900ms}}});
+    reader.stopFeeding();
+    store.put("config", "main", configuration(7));
+    EXPECT_TRUE(waitUntil([this] {
+        return follower.version == 7 && follower.isCurrent;
+    }));
+    EXPECT_EQ(versions, std::vector<std::uint64_t>{7});
+}
+
 TEST_F(StoreSourceTaskTest, ReadersPassNoReportOfAnOutageBackToEachOther)
 {
     Entry one("one", store.endpoint(), 2);
