Let a reader that cannot read one kind of object report it

A reader's confirmations were counted over all kinds, with those that feeds of other readers had brought. One whose reads of the configuration succeeded and whose other reads failed stayed a reader. The silence of the store is now measured by its own answers for all kinds; what feeds confirm only keeps the objects current.

--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -250,6 +250,12 @@
     }
 }
 
+void handle(StepContext &context, const ObjectsConfirmed &event)
+{
+    context.source.hasObjects = context.source.hasObjects || event.confirmedAt;
+    context.source.confirmedAt = std::max(context.source.confirmedAt, event.confirmedAt);
+}
+
 void handle(StepContext &context, const StoreConfirmed &event)
 {
     StoreSource &source = context.source;
--- a/src/controllers/storesource.h
+++ b/src/controllers/storesource.h
@@ -65,7 +65,7 @@
     std::optional<TimePoint> confirmedAt; ///< Time at which the objects were known to be complete.
     std::optional<TimePoint> followableSince; ///< Since when feeds have kept the knowledge current, if they do.
     std::optional<TimePoint> feedConfirmedAt; ///< The newest confirmation by a member that reads the store.
-    TimePoint storeConfirmedAt; ///< The newest confirmation to this member itself.
+    TimePoint storeConfirmedAt; ///< The newest confirmation of all kinds by the store to this member itself.
     TimePoint startedAt;
     TimePoint startDeadline; ///< When the store is read if no feed has delivered objects that are known to be current.
     bool hasReadFirst = false; ///< Whether ReadFirstObjects has been returned.
@@ -96,7 +96,12 @@
 struct FeedEnded {
     std::string member;
 };
-/** The store confirmed to this member that its objects are complete as of @c confirmedAt. */
+/** The store's confirmation of a kind of object to this member, and others' confirmations of the other kinds, show that its objects
+ * are complete as of @c confirmedAt; not set if some kinds are unconfirmed. */
+struct ObjectsConfirmed {
+    std::optional<TimePoint> confirmedAt;
+};
+/** The store itself confirmed all kinds to this member: its objects are complete as of @c confirmedAt. */
 struct StoreConfirmed {
     TimePoint confirmedAt;
 };
@@ -104,7 +109,7 @@
 struct StoreChecked {
     bool isPassed = false;
 };
-using StoreSourceEvent = std::variant<SourceTimerFired, FeedMembersChanged, FeedReceived, FeedEnded, StoreConfirmed, StoreChecked>;
+using StoreSourceEvent = std::variant<SourceTimerFired, FeedMembersChanged, FeedReceived, FeedEnded, ObjectsConfirmed, StoreConfirmed, StoreChecked>;
 
 struct StartReading {
 };
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -228,27 +228,25 @@
         });
     }
 
-    /** Returns the time as of which all kinds are known to be complete, later for those that may be older. */
+    /** Returns the oldest of the times that @p member holds for the kinds, later for those that may be older; nothing if one has none. */
+    std::optional<TimePoint> oldestConfirmation(std::optional<TimePoint> KindState::*member) const
+    {
+        const auto oldest = std::min_element(m_kinds.begin(), m_kinds.end(), [member](const KindState &left, const KindState &right) {
+            return withExtraAge(left.*member, left) < withExtraAge(right.*member, right);
+        });
+        return withExtraAge(*oldest.*member, *oldest);
+    }
+
+    /** Returns the time as of which all kinds are known to be complete. */
     std::optional<TimePoint> confirmedAt() const
     {
-        std::optional<TimePoint> oldest;
-        for (const KindState &state : m_kinds) {
-            if (!state.confirmedAt || state.mirror.revision == 0) {
-                return std::nullopt;
-            }
-            const auto confirmed = withExtraAge(state.confirmedAt, state);
-            oldest = oldest ? std::min(oldest, confirmed) : confirmed;
-        }
-        return oldest;
+        return hasAllKinds() ? oldestConfirmation(&KindState::confirmedAt) : std::nullopt;
     }
 
     /** Returns the time as of which consistent answers have confirmed all kinds. */
     std::optional<TimePoint> verifiedAt() const
     {
-        const auto oldest = std::min_element(m_kinds.begin(), m_kinds.end(), [](const KindState &left, const KindState &right) {
-            return withExtraAge(left.verifiedAt, left) < withExtraAge(right.verifiedAt, right);
-        });
-        return withExtraAge(oldest->verifiedAt, *oldest);
+        return oldestConfirmation(&KindState::verifiedAt);
     }
 
     void handleEvent(const StoreSourceEvent &event)
@@ -476,10 +474,11 @@
     /** Reports a confirmation by the store to the decision and to the followers. */
     void publishConfirmation()
     {
-        if (const auto confirmed = confirmedAt()) {
-            handleEvent(StoreConfirmed{*confirmed});
-        } else {
-            handleEvent(SourceTimerFired{});
+        handleEvent(ObjectsConfirmed{confirmedAt()});
+        // What feeds confirm does not show that this entry VM can read the store.
+        const auto confirmedByStore = oldestConfirmation(&KindState::storeConfirmedAt);
+        if (confirmedByStore > m_source.storeConfirmedAt) {
+            handleEvent(StoreConfirmed{*confirmedByStore});
         }
         m_feedServer.publish();
     }
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -65,7 +65,7 @@
         const QStringList parts = url.path().split(QLatin1Char('/'), Qt::SkipEmptyParts);
         m_callCount += query.hasQueryItem("serializable") ? 0 : 1;
         ++m_callCounts[parts.value(2).toStdString()];
-        if (m_faults.isUnresponsive) {
+        if (m_faults.isUnresponsive || (!m_faults.unansweredKind.empty() && parts.value(2).toStdString() == m_faults.unansweredKind)) {
             return;
         }
         if (m_faults.isLosingAnswers && !query.hasQueryItem("watch")) {
@@ -199,7 +199,7 @@
 
     void answerWatch(const PendingWatch &watch, const std::vector<std::string> &events)
     {
-        if (!m_faults.isLosingAnswers) {
+        if (!m_faults.isLosingAnswers && (m_faults.unansweredKind.empty() || watch.kind != m_faults.unansweredKind)) {
             respond(watch.exchange, jsonResponse(200, fmt::format(R"({{"events":[{}],"storeRevision":{}}})", joined(events), shownRevision(watch))));
         }
     }
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -20,6 +20,7 @@
     bool isStaleReadFrozen = false; ///< Stale lists and watches show the objects as they were when the fault began.
     std::chrono::milliseconds answerDelay{0}; ///< All answers come this much later.
     std::map<std::string, std::chrono::milliseconds> listDelays; ///< By kind: lists come this much later instead.
+    std::string unansweredKind; ///< Requests for objects of this kind are never answered.
 };
 
 /**
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -702,6 +702,41 @@
     EXPECT_EQ(versions, std::vector<std::uint64_t>{7});
 }
 
+/** The second reader has a store of its own, which answers no request for upstreams, while the first one keeps both informed. */
+TEST(StoreSourceTask, AReaderThatCannotReadOneKindReportsIt)
+{
+    FakeStore store;
+    FakeStore halfStore;
+    for (FakeStore *each : {&store, &halfStore}) {
+        each->put("config", "main", configuration(3));
+        each->put("servers", "i-1", registration());
+    }
+    Entry one("one", store.endpoint(), 2);
+    Entry two("two", halfStore.endpoint(), 2);
+    Entry follower("follower", store.endpoint(), 2);
+    int reports = 0;
+    QObject::connect(&two.source(), &StoreSourceTask::reachabilityChanged, &two.source(), [&reports](bool isUnreachable) {
+        reports += isUnreachable ? 1 : 0;
+    });
+    const std::vector<FeedMember> members{one.member("one", 500), two.member("two", 500), follower.member("follower", 100)};
+    for (Entry *entry : {&one, &two, &follower}) {
+        entry->source().setMembers(members, true);
+    }
+    EXPECT_TRUE(waitUntil([&] {
+        return one.isCurrent && two.isCurrent && follower.isCurrent;
+    }));
+    wait(4s);
+    EXPECT_EQ(reports, 0);
+    halfStore.setFaults({.unansweredKind = "servers"});
+    // Without a change of the store, the answers about the configuration show that the upstreams have not changed either.
+    for (FakeStore *each : {&store, &halfStore}) {
+        each->put("config", "main", configuration(4));
+    }
+    wait(6s);
+    EXPECT_EQ(reports, 1);
+    EXPECT_TRUE(two.isCurrent) << "the other reader feeds it";
+}
+
 TEST_F(StoreSourceTaskTest, ReadersPassNoReportOfAnOutageBackToEachOther)
 {
     Entry one("one", store.endpoint(), 2);
