--- a/src/controllers/storewatch.cpp
+++ b/src/controllers/storewatch.cpp
@@ -63,6 +63,21 @@
     }
 }
 
+/** Lists at once, unless such a list came a short while ago. Changes are known as soon as with batches of them. */
+void listEarly(StoreWatch &watch, std::vector<StoreWatchAction> &actions, TimePoint now, std::mt19937_64 &random)
+{
+    // The members of a fleet must not list at the same times.
+    std::uniform_real_distribution<double> jitter(0.5, 1.0);
+    const TimePoint listAt = std::max(now, watch.nextEarlyListAt);
+    watch.nextEarlyListAt = listAt + fromMilliseconds(toMilliseconds(watch.changeBatchInterval) * jitter(random));
+    watch.revision = 0;
+    if (listAt > now) {
+        pause(watch, listAt - now, now);
+    } else {
+        sendNextRequest(watch, actions);
+    }
+}
+
 void handlePage(StoreWatch &watch, const StorePageReceived &page, std::vector<StoreWatchAction> &actions, TimePoint now)
 {
     if (watch.afterName.empty()) {
@@ -91,8 +106,10 @@
             sendNextRequest(watch, actions);
         }
     } else if (const auto *page = std::get_if<StorePageReceived>(&event)) {
-        if (page->hasMore && page->lastName <= watch.afterName) {
-            // The same pages would come again.
+        const bool isStuck = page->hasMore && page->lastName <= watch.afterName;
+        const std::uint64_t listRevision = watch.afterName.empty() ? page->revision : watch.listRevision;
+        if (isStuck || listRevision == 0) {
+            // The same pages would come again, and changes cannot be watched without a revision.
             handleFailure(watch, now, random);
             return actions;
         }
@@ -113,12 +130,10 @@
         }
     } else if (std::holds_alternative<StoreHistoryCompacted>(event)) {
         recordAnswer(watch, actions, now);
-        watch.revision = 0;
-        sendNextRequest(watch, actions);
+        listEarly(watch, actions, now, random);
     } else if (std::holds_alternative<StoreChangesMissed>(event)) {
         // The store answers, so there is nothing to wait for.
-        watch.revision = 0;
-        sendNextRequest(watch, actions);
+        listEarly(watch, actions, now, random);
     } else {
         handleFailure(watch, now, random);
     }
--- a/src/controllers/storewatch.h
+++ b/src/controllers/storewatch.h
@@ -45,6 +45,7 @@
     TimePoint resumeAt; ///< Time of the next call in phase Pausing.
     std::uint32_t failures = 0; ///< Consecutive failed calls.
     TimePoint failingSince; ///< Time of the first consecutive failure.
+    TimePoint nextEarlyListAt; ///< From when on changes that are lost or gone let the objects be listed at once.
     TimePoint listedAt; ///< When the last complete list was received.
     bool isListed = false; ///< Whether a complete list has been received at least once.
 };
--- a/src/tasks/storewatchtask.cpp
+++ b/src/tasks/storewatchtask.cpp
@@ -233,9 +233,9 @@
     return WaitingWatch{.kind = d->m_kind, .revision = d->m_watch.revision, .completeUntil = d->m_completeUntil, .since = d->m_sentAt};
 }
 
-bool StoreWatchTask::isFailing() const
+bool StoreWatchTask::isFollowing() const
 {
-    return d->m_watch.failures > 0;
+    return d->m_watch.isListed && d->m_watch.failures == 0;
 }
 
 }
