Probe again for a hedge whose probes were not answered

Cause: gatewaytest failed twice beside load. SlowCallsThatMayBeRepeatedAreHedged got no hedge for two seconds: the load report of the other upstream was older than 20 ms, so that it was probed, and a hedge probed only once; on a VM without processor time the answer of the probe comes too late.

Change: a hedge whose probes were not answered is tried again 0.15 s and the 95th percentile later; upstreams that answered that they are not available are not asked again, as before.

That lost probes were the cause in gatewaytest is inferred from its log, which does not show probes.

--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -13,7 +13,7 @@
 /** An upstream that reported that it is full is assumed to be full for this time if it cannot be probed. */
 constexpr std::chrono::seconds FullLoadAge{4};
 constexpr std::uint32_t MaximumConcurrentProbes = 2;
-/** A hedge is given up after so many probes, since the first attempt is running meanwhile. */
+/** A hedge probes so many upstreams at a time: the first attempt is running meanwhile. */
 constexpr std::uint32_t MaximumHedgeProbes = 2;
 /** Limits on the probes of one round, in the availability zone of the entry VM and in others. */
 constexpr std::uint32_t MaximumSameZoneProbes = 6;
@@ -189,11 +189,12 @@
     return {.retries = service.retryBudget, .hasQueuedCalls = hasQueuedCalls};
 }
 
-void scheduleHedge(ProxyStepContext &context, ProxyCallId id)
+/** Hedges the call once an attempt that started at @p startedAt takes longer than usual. */
+void scheduleHedge(ProxyStepContext &context, ProxyCallId id, TimePoint startedAt)
 {
     ProxyCall &call = context.state.calls.at(id);
     const ProxyService &service = serviceOf(context, call.admitted.service);
-    call.hedgeAt = hedgeTime(service.hedging, hedgedCall(call), context.now).value_or(TimePoint{});
+    call.hedgeAt = hedgeTime(service.hedging, hedgedCall(call), startedAt).value_or(TimePoint{});
     call.isHedgeProbing = false;
     if (call.hedgeAt != TimePoint{}) {
         setTimer(context, id, call.hedgeAt);
@@ -224,7 +225,7 @@
     ++call.attempts;
     serviceOf(context, call.admitted.service).waiting.erase(id);
     if (!isHedge) {
-        scheduleHedge(context, id);
+        scheduleHedge(context, id, context.now);
     }
 }
 
@@ -596,7 +597,10 @@
     }
 }
 
-/** Hedges the running attempt if that is allowed and an upstream is known to be available; otherwise probes a few, once. */
+/**
+ * Hedges the running attempt if that is allowed and an upstream is known to be available; otherwise probes a few. If none of them
+ * answers, it tries again after a while.
+ */
 void hedge(ProxyStepContext &context, ProxyCallId id)
 {
     ProxyCall &call = context.state.calls.at(id);
@@ -618,6 +622,13 @@
         startHedgeProbes(context, id, candidates);
     }
     call.isHedgeProbing = call.openProbes > 0;
+    const bool isLoadUnknown = std::all_of(candidates.begin(), candidates.end(), [&context](const PooledUpstream *upstream) {
+        return loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Unknown;
+    });
+    if (!call.isHedgeProbing && isLoadUnknown && !candidates.empty()) {
+        // The probes were lost, or there was none to spare. Upstreams that answered are not asked again.
+        scheduleHedge(context, id, context.now + ProbeTimeout);
+    }
 }
 
 void handle(ProxyStepContext &context, const ProxyCallAdmitted &event)
--- a/tests/proxyhedgingtest.cpp
+++ b/tests/proxyhedgingtest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 /** Plays loads with slow upstreams against the decisions about hedges, in virtual time and without a network. */
 namespace Plantainweir {
@@ -251,6 +252,24 @@
     EXPECT_EQ(attempts.size(), 1U);
 }
 
+// An entry VM without processor time reads the answers to its probes too late.
+TEST_F(ProxyHedgingTest, AHedgeWhoseProbesAreLostIsTriedAgain)
+{
+    prepare();
+    admit(1);
+    advanceTime(2 * UsualTime);
+    ASSERT_FALSE(probes.empty());
+    for (const StartProbe &probe : std::exchange(probes, {})) {
+        feed(ProbeEnded{.id = probe.id, .outcome = ProbeOutcome::Unhealthy, .load = {}});
+    }
+    EXPECT_TRUE(probes.empty()) << "not at once";
+    advanceTime(std::chrono::seconds(1));
+    ASSERT_FALSE(probes.empty());
+    answerProbes({.slots = Slots});
+    ASSERT_EQ(attempts.size(), 2U);
+    EXPECT_EQ(attempts[1].retry, RetryReason::Hedge);
+}
+
 TEST_F(ProxyHedgingTest, ASlotThatBecomesFreeGoesToACallThatWaitsBeforeAHedge)
 {
     prepare();
