--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -250,6 +250,12 @@
     }
 }
 
+void handle(StepContext &context, const ObjectsConfirmed &event)
+{
+    context.source.hasObjects = context.source.hasObjects || event.confirmedAt;
+    context.source.confirmedAt = std::max(context.source.confirmedAt, event.confirmedAt);
+}
+
 void handle(StepContext &context, const StoreConfirmed &event)
 {
     StoreSource &source = context.source;
@@ -355,11 +361,9 @@
 
 bool mayServe(const StoreSource &source, TimePoint now)
 {
-    if (!source.hasObjects || !source.confirmedAt) {
-        return false;
-    }
     const bool isStoreSilent = source.failedChecks > 0 || now >= source.startDeadline + ReaderSilence;
-    return isCurrent(source, now) || *source.confirmedAt >= source.startedAt || isStoreSilent;
+    const bool isNewerThanProcess = source.confirmedAt && *source.confirmedAt >= source.startedAt;
+    return source.hasObjects && (isCurrent(source, now) || isNewerThanProcess || isStoreSilent);
 }
 
 std::vector<FeedMember> chooseReaders(std::vector<FeedMember> members, std::size_t count)
--- a/src/decision/proxying.cpp
+++ b/src/decision/proxying.cpp
@@ -13,7 +13,7 @@
 /** An upstream that reported that it is full is assumed to be full for this time if it cannot be probed. */
 constexpr std::chrono::seconds FullLoadAge{4};
 constexpr std::uint32_t MaximumConcurrentProbes = 2;
-/** A hedge is given up after so many probes, since the first attempt is running meanwhile. */
+/** A hedge probes so many upstreams at a time: the first attempt is running meanwhile. */
 constexpr std::uint32_t MaximumHedgeProbes = 2;
 /** Limits on the probes of one round, in the availability zone of the entry VM and in others. */
 constexpr std::uint32_t MaximumSameZoneProbes = 6;
@@ -189,11 +189,12 @@
     return {.retries = service.retryBudget, .hasQueuedCalls = hasQueuedCalls};
 }
 
-void scheduleHedge(ProxyStepContext &context, ProxyCallId id)
+/** Hedges the call once an attempt that started at @p startedAt takes longer than usual. */
+void scheduleHedge(ProxyStepContext &context, ProxyCallId id, TimePoint startedAt)
 {
     ProxyCall &call = context.state.calls.at(id);
     const ProxyService &service = serviceOf(context, call.admitted.service);
-    call.hedgeAt = hedgeTime(service.hedging, hedgedCall(call), context.now).value_or(TimePoint{});
+    call.hedgeAt = hedgeTime(service.hedging, hedgedCall(call), startedAt).value_or(TimePoint{});
     call.isHedgeProbing = false;
     if (call.hedgeAt != TimePoint{}) {
         setTimer(context, id, call.hedgeAt);
@@ -224,7 +225,7 @@
     ++call.attempts;
     serviceOf(context, call.admitted.service).waiting.erase(id);
     if (!isHedge) {
-        scheduleHedge(context, id);
+        scheduleHedge(context, id, context.now);
     }
 }
 
@@ -282,11 +283,12 @@
 /**
  * Returns how many upstreams of other availability zones a round may probe.
  *
- * Calls of the highest priority always get the full limit.
+ * Calls of the highest priority always get the full limit, and so do all if each zone is known for itself (isZoneLeftOut()).
  */
 std::uint32_t drawOtherZoneProbeLimit(ProxyStepContext &context, const ProxyService &service, const ProxyCall &call)
 {
-    if (call.admitted.priority == 0 || service.otherZoneAvailableRate >= MinimumOtherZoneAvailableRate) {
+    const bool areZonesKnown = context.state.settings.zoneMemory > Duration(0);
+    if (areZonesKnown || call.admitted.priority == 0 || service.otherZoneAvailableRate >= MinimumOtherZoneAvailableRate) {
         return MaximumOtherZoneProbes;
     }
     return std::bernoulli_distribution(OtherZoneTrialProbability)(context.random) ? 1 : 0;
@@ -302,10 +304,23 @@
     call.otherZoneProbeLimit = drawOtherZoneProbeLimit(context, service, call);
 }
 
-/** Updates the share of available upstreams in other availability zones. */
-void recordOtherZoneAvailability(ProxyService &service, const PooledUpstream &upstream, TimePoint now)
+/** Returns whether the call sends no probes to the availability zone of @p upstream because it was full lately. */
+bool isZoneLeftOut(const ProxyStepContext &context, const ProxyService &service, const ProxyCall &call, const PooledUpstream &upstream)
 {
-    const bool isAvailable = loadStateOf(upstream, FreshLoadAge, now) == LoadState::Available;
+    const Duration memory = context.state.settings.zoneMemory;
+    if (memory == Duration(0) || call.admitted.priority == 0 || isSameZone(context, upstream)) {
+        return false;
+    }
+    return isProbablyFull(service.otherZones, upstream.registration.availabilityZone, memory, context.now);
+}
+
+/** Updates the shares of available upstreams in other availability zones. */
+void recordOtherZoneAvailability(const ProxyStepContext &context, ProxyService &service, const PooledUpstream &upstream)
+{
+    const bool isAvailable = loadStateOf(upstream, FreshLoadAge, context.now) == LoadState::Available;
+    if (const Duration memory = context.state.settings.zoneMemory; memory > Duration(0)) {
+        recordProbed(service.otherZones, upstream.registration.availabilityZone, isAvailable, memory, context.now);
+    }
     service.otherZoneAvailableRate += OtherZoneAvailableWeight * ((isAvailable ? 1.0 : 0.0) - service.otherZoneAvailableRate);
 }
 
@@ -378,11 +393,12 @@
 void startProbes(ProxyStepContext &context, ProxyCallId id, const std::vector<PooledUpstream *> &candidates)
 {
     ProxyCall &call = context.state.calls.at(id);
+    const ProxyService &service = serviceOf(context, call.admitted.service);
     for (const PooledUpstream *upstream : candidates) {
         const bool isKnown = loadStateOf(*upstream, FreshLoadAge, context.now) != LoadState::Unknown;
         const bool isLimitReached
             = isSameZone(context, *upstream) ? call.sameZoneProbes >= MaximumSameZoneProbes : call.otherZoneProbes >= call.otherZoneProbeLimit;
-        if (isKnown || isLimitReached || call.probed.contains(upstream->registration.key)) {
+        if (isKnown || isLimitReached || call.probed.contains(upstream->registration.key) || isZoneLeftOut(context, service, call, *upstream)) {
             continue;
         }
         if (call.openProbes >= MaximumConcurrentProbes) {
@@ -581,7 +597,10 @@
     }
 }
 
-/** Hedges the running attempt if that is allowed and an upstream is known to be available; otherwise probes a few, once. */
+/**
+ * Hedges the running attempt if that is allowed and an upstream is known to be available; otherwise probes a few. If none of them
+ * answers, it tries again after a while.
+ */
 void hedge(ProxyStepContext &context, ProxyCallId id)
 {
     ProxyCall &call = context.state.calls.at(id);
@@ -603,6 +622,13 @@
         startHedgeProbes(context, id, candidates);
     }
     call.isHedgeProbing = call.openProbes > 0;
+    const bool isLoadUnknown = std::all_of(candidates.begin(), candidates.end(), [&context](const PooledUpstream *upstream) {
+        return loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Unknown;
+    });
+    if (!call.isHedgeProbing && isLoadUnknown && !candidates.empty()) {
+        // The probes were lost, or there was none to spare. Upstreams that answered are not asked again.
+        scheduleHedge(context, id, context.now + ProbeTimeout);
+    }
 }
 
 void handle(ProxyStepContext &context, const ProxyCallAdmitted &event)
@@ -694,7 +720,7 @@
             recordProbed(serviceOf(context, probe.service).fullness, loadStateOf(*upstream, FreshLoadAge, context.now) == LoadState::Full, context.now);
         }
         if (!isSameZone(context, *upstream)) {
-            recordOtherZoneAvailability(serviceOf(context, probe.service), *upstream, context.now);
+            recordOtherZoneAvailability(context, serviceOf(context, probe.service), *upstream);
         }
     }
     const auto call = context.state.calls.find(probe.call);
