--- a/src/tasks/exchangeserver.cpp
+++ b/src/tasks/exchangeserver.cpp
@@ -2,7 +2,6 @@
 
 #include "observability/metrics.h"
 #include "rpc/membershipmessages.h"
-#include "tasks/peeracceptor.h"
 
 #include "membership.grpc.pb.h"
 
@@ -36,14 +35,10 @@
 class ExchangeServer::Private : public QObject, public MembershipProtocol::Exchange::CallbackService
 {
 public:
-    Private(ExchangeServer *server, Metrics &metrics, std::size_t connectionLimit)
+    Private(ExchangeServer *server, Metrics &metrics)
         : q(server)
         , m_metrics(metrics)
-        , m_acceptor(connectionLimit)
     {
-        connect(&m_acceptor, &PeerAcceptor::connectionReplaced, this, [this] {
-            m_metrics.addToCounter("plantainweir_peer_replacements_total", "Connections of other VMs closed because there were too many.");
-        });
     }
 
     ~Private() override
@@ -52,7 +47,6 @@
             return;
         }
         m_isClosing = true;
-        m_acceptor.close();
         QCoreApplication::sendPostedEvents(this);
         for (const auto &[id, call] : m_calls) {
             call.reactor->Finish(unavailable());
@@ -151,7 +145,6 @@
 
     ExchangeServer *q;
     Metrics &m_metrics;
-    PeerAcceptor m_acceptor;
     std::atomic<bool> m_isClosing = false; ///< Read on gRPC threads.
     ExchangeCallId m_lastCall = 0;
     std::map<ExchangeCallId, PendingCall> m_calls;
@@ -159,9 +152,9 @@
     std::unique_ptr<grpc::Server> m_server;
 };
 
-ExchangeServer::ExchangeServer(Metrics &metrics, std::size_t connectionLimit, QObject *parent)
+ExchangeServer::ExchangeServer(Metrics &metrics, QObject *parent)
     : QObject(parent)
-    , d(std::make_unique<Private>(this, metrics, connectionLimit))
+    , d(std::make_unique<Private>(this, metrics))
 {
 }
 
@@ -174,17 +167,19 @@
 
 bool ExchangeServer::listen(const Endpoint &endpoint)
 {
+    int port = 0;
     grpc::ServerBuilder builder;
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddListeningPort(toString(endpoint), grpc::InsecureServerCredentials(), &port);
     builder.SetMaxReceiveMessageSize(MaximumRequestBytes);
     builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, MaximumCallsPerConnection);
     builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, static_cast<int>(HandshakeTimeout.count()));
-    d->m_acceptor.attachTo(builder);
     builder.RegisterService(d.get());
     for (grpc::Service *service : d->m_furtherServices) {
         builder.RegisterService(service);
     }
     d->m_server = builder.BuildAndStart();
-    return d->m_server != nullptr && d->m_acceptor.listen(endpoint);
+    return d->m_server != nullptr && port != 0;
 }
 
 void ExchangeServer::replyWithMembers(ExchangeCallId call, const std::vector<MemberRecord> &records)
--- a/src/tasks/exchangeserver.h
+++ b/src/tasks/exchangeserver.h
@@ -24,10 +24,7 @@
     Q_OBJECT
 
 public:
-    static constexpr std::size_t DefaultConnectionLimit = 1024;
-
-    /** At most @p connectionLimit other members are connected at a time; a further one replaces that which sent nothing for longest. */
-    explicit ExchangeServer(Metrics &metrics, std::size_t connectionLimit = DefaultConnectionLimit, QObject *parent = nullptr);
+    explicit ExchangeServer(Metrics &metrics, QObject *parent = nullptr);
     ~ExchangeServer() override;
 
     /** Serves @p service on the same port; to be called before listen(). The service must outlive the server. */
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -43,7 +43,6 @@
 constexpr PortShare DirectoryShare{.connections = 1000, .percent = 10};
 constexpr PortShare OperatorsShare{.connections = 64, .percent = 2};
 constexpr PortShare UpstreamShare{.connections = 3000, .percent = 15}; ///< Towards all upstreams.
-constexpr PortShare ExchangeShare{.connections = 1024, .percent = 4}; ///< Of other VMs. Each takes two descriptors.
 /** All that the clients of these ports make the process hold, as parts of the memory. They need no bodies. */
 constexpr std::size_t QueryMemoryDivisor = 64;
 constexpr int ConflictStatus = 409;
@@ -209,7 +208,7 @@
                           })
         , m_membership(memberRecord(settings), MembershipSettings{}, m_metrics)
         , m_storeSource(storeSourceSettings(settings), codec, m_metrics)
-        , m_exchangeServer(m_metrics, connectionsOf(ExchangeShare, settings))
+        , m_exchangeServer(m_metrics)
         , m_exchangeClient(m_metrics)
         , m_credit({.name = settings.name,
                     .availabilityZone = settings.availabilityZone,
