--- a/src/tasks/exchangeserver.cpp
+++ b/src/tasks/exchangeserver.cpp
@@ -17,6 +17,12 @@
 namespace {
 
 constexpr std::size_t MaximumPendingCalls = 256;
+/** Largest request; one for objects has at most 32 keys. */
+constexpr int MaximumRequestBytes = 16 * 1024;
+/** Members have one call open on a connection. */
+constexpr int MaximumCallsPerConnection = 64;
+/** Time in which a connection must have sent its preface and settings (RFC 9113, section 3.4). */
+constexpr std::chrono::milliseconds HandshakeTimeout{5000};
 
 /** A request that waits for its answer: the reply to be filled in and the reactor to be finished. */
 struct PendingCall {
@@ -165,6 +171,9 @@
     grpc::ServerBuilder builder;
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddListeningPort(toString(endpoint), grpc::InsecureServerCredentials(), &port);
+    builder.SetMaxReceiveMessageSize(MaximumRequestBytes);
+    builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, MaximumCallsPerConnection);
+    builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, static_cast<int>(HandshakeTimeout.count()));
     builder.RegisterService(d.get());
     for (grpc::Service *service : d->m_furtherServices) {
         builder.RegisterService(service);
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -314,6 +314,13 @@
         connect(&m_exchangeServer, &ExchangeServer::membersRequested, this, [this](ExchangeCallId call, const BucketDigests &digests, const std::string &zone) {
             m_exchangeServer.replyWithMembers(call, recordsInDifferingBuckets(m_membership.membership(), digests, zone));
         });
+        // Entry VMs exchange members only; a call for objects gets an empty answer, so that it does not stay open.
+        connect(&m_exchangeServer, &ExchangeServer::versionsRequested, this, [this](ExchangeCallId call) {
+            m_exchangeServer.replyWithVersions(call, {});
+        });
+        connect(&m_exchangeServer, &ExchangeServer::objectsRequested, this, [this](ExchangeCallId call) {
+            m_exchangeServer.replyWithObjects(call, {});
+        });
         connect(&m_exchangeClient, &ExchangeClient::membersCompared, this, [this](const Endpoint &, const std::optional<std::vector<MemberRecord>> &records) {
             if (records) {
                 m_membership.mergeRecords(*records);
