Bring credit back sooner after all VMs have lost power

Nothing is delegated before an earlier run's delegations have certainly ended and no member was found for a second; then all buckets start empty at half of the rate, and a keeper without shares sent callers away for one second whatever was expected.

Change: a delegation counts for 1 s instead of 1.5 s and is renewed every 0.36 to 0.4 s. A delegation says which part of the share nobody held before, and for how long; the keeper's buckets gain what that part would have gained, at most its part of the burst, so the invariant holds without using any tolerance. A keeper with few shares names when it expects the first credit, and callers come back spread over 0.5 s. A keeper with a quarter of the limits whose buckets have granted nothing no longer calls a limit used up.

Tests of the keeper and the delegator waited for times that were written for 1.5 s; they wait for DelegationTime now, or renew, and expect the same credit.

--- a/src/controllers/creditdelegator.cpp
+++ b/src/controllers/creditdelegator.cpp
@@ -11,16 +11,16 @@
 
 /** Time for which a part is bound after it was delegated. The margin covers clocks whose pace differs by 200 ppm and more. */
 constexpr Duration BoundTime = DelegationTime + std::chrono::milliseconds(5);
-constexpr std::chrono::milliseconds RenewalPeriod{500};
+constexpr std::chrono::milliseconds RenewalPeriod{400};
 /** A keeper that has sent no receipt for this time counts as silent. */
-constexpr std::chrono::milliseconds ConfirmationTime{1250};
+constexpr std::chrono::milliseconds ConfirmationTime{950};
 /** Interval between attempts to reach a silent candidate. */
 constexpr std::chrono::milliseconds GreetingPeriod{2000};
 /** Unconfirmed candidates that are asked for a receipt at once. */
 constexpr std::size_t MaximumGreetings = KeeperCount + 2;
 /** Part of its share that a member delegates while it may still find as many members as it knows. */
 constexpr double SettledPart = 0.5;
-/** A member that has not found the others expects them after this time. */
+/** A member that has found no other one expects them to have found each other after this time. */
 constexpr std::chrono::seconds ConvergenceTime{1};
 
 bool isConfirmed(const CreditDelegator &delegator, const std::string &name, TimePoint now)
@@ -80,7 +80,7 @@
         if (isKeeper(delegator, part) || part.boundUntil > now) {
             continue;
         }
-        part = {};
+        part = {.idleSince = part.boundUntil};
         const auto keeper = std::find_if(delegator.keepers.begin(), delegator.keepers.end(), [&](const std::string &name) {
             return !isAssigned(delegator, name);
         });
@@ -108,7 +108,13 @@
     OutgoingDelegation outgoing = greeting(delegator, part.keeper, lastSequence);
     if (delegator.knowledge != FleetKnowledge::Unknown && now >= delegator.quarantinedUntil) {
         const double usedPart = delegator.knowledge == FleetKnowledge::Converged ? 1.0 : SettledPart;
-        outgoing.delegation.share = usedPart / static_cast<double>(KeeperCount * std::max<std::size_t>(1, largestFleetSize(delegator.fleetSize).size));
+        const double whole = 1.0 / static_cast<double>(KeeperCount * std::max<std::size_t>(1, largestFleetSize(delegator.fleetSize).size));
+        outgoing.delegation.share = usedPart * whole;
+        if (usedPart > part.delegated) {
+            outgoing.delegation.idleShare = (usedPart - part.delegated) * whole;
+            outgoing.delegation.idleTime = now - std::max(part.idleSince, delegator.quarantinedUntil);
+        }
+        part.delegated = usedPart;
         part.boundUntil = now + BoundTime;
     }
     part.sequence = outgoing.delegation.sequence;
@@ -173,7 +179,11 @@
     });
 }
 
-void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now)
+void changeMembers(CreditDelegator &delegator,
+                   const std::map<std::string, CreditMember> &members,
+                   FleetKnowledge knowledge,
+                   TimePoint knowledgeExpectedAt,
+                   TimePoint now)
 {
     rememberFleetSize(delegator.fleetSize, members.size(), now + FleetSizeValidity);
     if (knowledge > delegator.knowledge) {
@@ -181,6 +191,7 @@
         delegator.nextRenewalAt = std::min(delegator.nextRenewalAt, now);
     }
     delegator.knowledge = knowledge;
+    delegator.knowledgeExpectedAt = knowledgeExpectedAt;
     delegator.candidates = orderCandidates(members);
     std::erase_if(delegator.contacts, [&](const auto &entry) {
         return !members.contains(entry.first);
@@ -265,20 +276,24 @@
     return outgoing;
 }
 
-TimePoint keepersExpectedAt(const CreditDelegator &delegator, TimePoint now)
+TimePoint sharesExpectedAt(const CreditDelegator &delegator, TimePoint now)
 {
-    TimePoint expected = std::max(delegator.nextRenewalAt, now);
+    // All members renew within this time, and take a free part to another keeper when they do.
+    TimePoint expected = std::max(delegator.nextRenewalAt, now + RenewalPeriod);
     if (delegator.knowledge == FleetKnowledge::Unknown) {
-        return std::max(expected, now + ConvergenceTime);
+        const bool isKnown = delegator.knowledgeExpectedAt != TimePoint::max();
+        expected = isKnown ? std::max(now, delegator.knowledgeExpectedAt) : now + ConvergenceTime;
+    } else if (delegator.quarantinedUntil > now) {
+        expected = now;
     }
-    if (delegator.quarantinedUntil != TimePoint::max()) {
-        expected = std::max(expected, delegator.quarantinedUntil);
+    if (delegator.quarantinedUntil > now) {
+        return std::max(expected, delegator.quarantinedUntil == TimePoint::max() ? now + BoundTime : delegator.quarantinedUntil);
     }
     TimePoint firstFree = TimePoint::max();
     for (const DelegatedPart &part : delegator.parts) {
         firstFree = std::min(firstFree, part.boundUntil);
     }
-    return std::max(expected, firstFree);
+    return delegator.keepers.empty() ? std::max(expected, firstFree) : expected;
 }
 
 }
--- a/src/controllers/creditdelegator.h
+++ b/src/controllers/creditdelegator.h
@@ -42,6 +42,8 @@
     ProcessInstance instance = 0; ///< Of the keeper.
     std::uint64_t sequence = 0; ///< Of the newest delegation.
     TimePoint boundUntil; ///< When the keeper certainly holds it no longer.
+    double delegated = 0.0; ///< How much of it the keeper may hold.
+    TimePoint idleSince; ///< Since when no keeper has held the rest.
 };
 
 /** What is known about a member that may be a keeper. */
@@ -61,6 +63,7 @@
     std::map<std::string, KeeperContact> contacts;
     FleetSizeMemory fleetSize;
     FleetKnowledge knowledge = FleetKnowledge::Unknown;
+    TimePoint knowledgeExpectedAt = TimePoint::max(); ///< When @ref knowledge rises if no further member is found.
     TimePoint quarantinedUntil = TimePoint::max(); ///< Nothing is delegated before; set by the first receipt of another member.
     TimePoint nextRenewalAt;
 };
@@ -77,8 +80,12 @@
 /** Forgets the sizes that are too old at @p now. */
 void forgetFleetSizes(FleetSizeMemory &memory, TimePoint now);
 
-/** Takes the live members into account, and for an hour the largest number of them. */
-void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now);
+/** Takes the live members into account, and for an hour the largest number of them. @p knowledgeExpectedAt is the field of that name. */
+void changeMembers(CreditDelegator &delegator,
+                   const std::map<std::string, CreditMember> &members,
+                   FleetKnowledge knowledge,
+                   TimePoint knowledgeExpectedAt,
+                   TimePoint now);
 
 /** Renews the delegations, and finds keepers in place of those that do not answer. To be called at nextRenewalAt. */
 std::vector<OutgoingDelegation> renew(CreditDelegator &delegator, std::size_t liveMembers, std::uint64_t &lastSequence, TimePoint now, std::mt19937_64 &random);
@@ -91,7 +98,7 @@
                                         std::uint64_t &lastSequence,
                                         TimePoint now);
 
-/** Returns when a member without keepers can expect to have one again. */
-TimePoint keepersExpectedAt(const CreditDelegator &delegator, TimePoint now);
+/** Returns when a member without keepers, or whose keepers hold no shares, can expect shares to be delegated. */
+TimePoint sharesExpectedAt(const CreditDelegator &delegator, TimePoint now);
 
 }
--- a/src/controllers/creditkeeper.h
+++ b/src/controllers/creditkeeper.h
@@ -20,7 +20,7 @@
 namespace Plantainweir {
 
 /** Time for which a share is delegated, counted by the keeper from the receipt that the delegation echoes. */
-inline constexpr std::chrono::milliseconds DelegationTime{1500};
+inline constexpr std::chrono::milliseconds DelegationTime{1000};
 
 /** The part of one member's share that a keeper holds. */
 struct HeldShare {
@@ -34,6 +34,7 @@
 struct CreditBucket {
     double tokens = 0.0;
     double filledAt = 0.0; ///< Value of CreditKeeper::fill up to which the bucket is filled.
+    bool hasGiven = false; ///< Whether credit of the line was granted.
 };
 
 /** Credit that was granted to a question. */
@@ -71,8 +72,12 @@
                                     const ShareDelegation &delegation,
                                     TimePoint now);
 
-/** Grants or refuses credit. A repeated question is answered as before. */
-CreditAnswer answer(CreditKeeper &keeper, const CreditLimits &limits, ProcessInstance borrower, const CreditQuestion &question, TimePoint now);
+/**
+ * Grants or refuses credit. A repeated question is answered as before. A keeper that holds few shares expects more at
+ * @p sharesExpectedAt.
+ */
+CreditAnswer
+answer(CreditKeeper &keeper, const CreditLimits &limits, ProcessInstance borrower, const CreditQuestion &question, TimePoint sharesExpectedAt, TimePoint now);
 
 /** Takes back credit that was granted within CreditValidity. */
 void takeBack(CreditKeeper &keeper, const CreditLimits &limits, ProcessInstance borrower, const CreditReturn &credit);
--- a/src/controllers/fleetcredit.cpp
+++ b/src/controllers/fleetcredit.cpp
@@ -5,6 +5,9 @@
 namespace Plantainweir {
 namespace {
 
+/** Calls that are refused for lack of shares are to come back within this time, and not all at once. */
+constexpr std::chrono::milliseconds ReturnSpread{500};
+
 struct CreditStepContext {
     FleetCredit &credit;
     TimePoint now;
@@ -55,7 +58,12 @@
     for (const OutgoingBorrowing &outgoing : actions.messages) {
         sendToMember(context, outgoing.keeper, outgoing.body);
     }
-    std::move(actions.decisions.begin(), actions.decisions.end(), std::back_inserter(context.actions.decisions));
+    for (DecidedRequest &decided : actions.decisions) {
+        if (decided.decision.outcome == CreditOutcome::Unavailable) {
+            decided.decision.retryAt += Duration(std::uniform_int_distribution<std::int64_t>(0, Duration(ReturnSpread).count())(context.random));
+        }
+        context.actions.decisions.push_back(decided);
+    }
 }
 
 /** Returns the keepers in the order in which to ask them: those of the own availability zone first, the others shuffled. */
@@ -76,7 +84,7 @@
 {
     const std::vector<std::string> keepers = keepersToAsk(context);
     const BorrowerEnvironment environment{.keepers = keepers,
-                                          .keepersExpectedAt = keepersExpectedAt(context.credit.delegator, context.now),
+                                          .keepersExpectedAt = sharesExpectedAt(context.credit.delegator, context.now),
                                           .lastSequence = context.credit.lastSequence,
                                           .now = context.now};
     carryOut(context, function(context.credit.borrower, environment));
@@ -107,7 +115,8 @@
 void handleBody(CreditStepContext &context, const CreditMessageReceived &event, const CreditQuestion &question)
 {
     FleetCredit &credit = context.credit;
-    sendTo(context, event.message.sender, event.from, answer(credit.keeper, credit.limits, event.message.instance, question, context.now));
+    const TimePoint expectedAt = sharesExpectedAt(credit.delegator, context.now);
+    sendTo(context, event.message.sender, event.from, answer(credit.keeper, credit.limits, event.message.instance, question, expectedAt, context.now));
 }
 
 void handleBody(CreditStepContext &context, const CreditMessageReceived &event, const CreditAnswer &answer)
@@ -154,7 +163,7 @@
     for (const CreditMember &member : event.members) {
         credit.members.emplace(member.name, member);
     }
-    changeMembers(credit.delegator, credit.members, event.knowledge, context.now);
+    changeMembers(credit.delegator, credit.members, event.knowledge, event.knowledgeExpectedAt, context.now);
 }
 
 void handle(CreditStepContext &context, const CreditRequested &event)
--- a/tests/creditdelegatortest.cpp
+++ b/tests/creditdelegatortest.cpp
@@ -22,7 +22,7 @@
         }
         members["self"] = {.name = "self", .availabilityZone = "a", .capacity = 10};
         delegator.self = "self";
-        changeMembers(delegator, members, FleetKnowledge::Converged, now);
+        changeMembers(delegator, members, FleetKnowledge::Converged, TimePoint::max(), now);
     }
 
     std::vector<OutgoingDelegation> renewNow()
@@ -82,14 +82,64 @@
 
 TEST_F(CreditDelegatorTest, DelegatesNothingSoonAfterTheStartOrBeforeTheMembersHaveFoundEachOther)
 {
-    run(1s);
-    EXPECT_EQ(delegatedParts(renewNow()), 0U);
-    run(1s);
+    const TimePoint firstReceiptAt = now;
+    while (now < firstReceiptAt + DelegationTime) {
+        EXPECT_EQ(delegatedParts(renewNow()), 0U);
+        confirm("big-a");
+        confirm("big-b");
+        now += 10ms;
+    }
+    now += 10ms;
     EXPECT_EQ(delegatedParts(renewNow()), KeeperCount);
-    changeMembers(delegator, members, FleetKnowledge::Unknown, now);
+    changeMembers(delegator, members, FleetKnowledge::Unknown, TimePoint::max(), now);
     EXPECT_EQ(delegatedParts(renewNow()), 0U);
 }
 
+TEST_F(CreditDelegatorTest, DelegatesWithTheTimeInWhichNobodyHeldTheShare)
+{
+    changeMembers(delegator, members, FleetKnowledge::Unknown, TimePoint::max(), now);
+    run(3s);
+    const TimePoint idleSince = delegator.quarantinedUntil;
+    const double whole = 1.0 / (10.0 * KeeperCount);
+    changeMembers(delegator, members, FleetKnowledge::Settled, TimePoint::max(), now);
+    const auto idleOf = [](const std::vector<OutgoingDelegation> &outgoing) {
+        return std::make_pair(outgoing.at(0).delegation.idleShare, outgoing.at(0).delegation.idleTime);
+    };
+    EXPECT_EQ(idleOf(renewNow()), std::make_pair(0.5 * whole, Duration(now - idleSince)));
+    EXPECT_EQ(idleOf(renewNow()).first, 0.0) << "it counts once";
+    run(2s);
+    changeMembers(delegator, members, FleetKnowledge::Converged, TimePoint::max(), now);
+    EXPECT_EQ(idleOf(renewNow()), std::make_pair(0.5 * whole, Duration(now - idleSince)));
+    EXPECT_EQ(idleOf(renewNow()).first, 0.0);
+}
+
+TEST_F(CreditDelegatorTest, AShareIsNotIdleWhileItsEarlierKeeperMayHoldIt)
+{
+    run(5s);
+    const std::string silent = delegator.keepers[0];
+    const DelegatedPart &part = delegator.parts[0].keeper == silent ? delegator.parts[0] : delegator.parts[1];
+    while (part.keeper == silent) {
+        const TimePoint boundUntil = part.boundUntil;
+        for (const OutgoingDelegation &outgoing : renewNow()) {
+            EXPECT_LE(outgoing.delegation.idleTime, std::max(Duration(0), Duration(now - boundUntil)));
+            if (outgoing.keeper != silent) {
+                confirm(outgoing.keeper);
+            }
+        }
+        now += 10ms;
+    }
+}
+
+TEST_F(CreditDelegatorTest, NamesWhenSharesAreExpectedAfterTheStart)
+{
+    changeMembers(delegator, members, FleetKnowledge::Unknown, now + 1700ms, now);
+    EXPECT_EQ(sharesExpectedAt(delegator, now), now + 1700ms);
+    confirm("big-a");
+    changeMembers(delegator, members, FleetKnowledge::Settled, TimePoint::max(), now);
+    EXPECT_EQ(sharesExpectedAt(delegator, now), delegator.quarantinedUntil);
+    EXPECT_LE(delegator.quarantinedUntil, now + DelegationTime + 10ms);
+}
+
 TEST_F(CreditDelegatorTest, ASilentKeeperIsReplacedOnceItsPartIsNotBoundAnyMore)
 {
     run(5s);
@@ -160,7 +210,7 @@
     for (const std::string gone : {"small-a", "small-b", "small-c", "other-a", "other-b"}) {
         members.erase(gone);
     }
-    changeMembers(delegator, members, FleetKnowledge::Converged, now);
+    changeMembers(delegator, members, FleetKnowledge::Converged, TimePoint::max(), now);
     run(3599s);
     EXPECT_EQ(renewNow()[0].delegation.share, 1.0 / (10.0 * KeeperCount));
     run(2s);
@@ -173,12 +223,12 @@
     members.erase("small-a");
     members.erase("small-b");
     run(60s);
-    changeMembers(delegator, members, FleetKnowledge::Converged, now);
+    changeMembers(delegator, members, FleetKnowledge::Converged, TimePoint::max(), now);
     run(3480s);
     for (const std::string gone : {"small-c", "other-a", "other-b", "other-c"}) {
         members.erase(gone);
     }
-    changeMembers(delegator, members, FleetKnowledge::Converged, now);
+    changeMembers(delegator, members, FleetKnowledge::Converged, TimePoint::max(), now);
     run(100s);
     EXPECT_EQ(renewNow()[0].delegation.share, 1.0 / (8.0 * KeeperCount)) << "ten are forgotten, eight were live two minutes ago";
     run(3600s);
--- a/tests/creditfleet.h
+++ b/tests/creditfleet.h
@@ -71,12 +71,13 @@
         vm.open.clear();
         publishView(index);
         feed(index, CreditLimitsChanged{m_limits});
-        schedule(m_now + fromMilliseconds(number(50, 1500)), [this, index, run = vm.run] {
+        const double searchTime = toMilliseconds(longestSearch);
+        schedule(m_now + fromMilliseconds(number(50, searchTime)), [this, index, run = vm.run] {
             if (m_vms[index].run == run) {
                 learnAll(index);
             }
         });
-        announce(index, 0.0, 1500.0);
+        announce(index, 0.0, searchTime);
     }
 
     /** Kills the process; the others notice after some seconds. */
@@ -87,6 +88,22 @@
         announce(index, 4000.0, 9000.0);
     }
 
+    /** All running VMs lose power, and are started within 0.3 s once it is back. */
+    void losePower(Duration duration)
+    {
+        for (std::size_t index = 0; index < m_vms.size(); ++index) {
+            if (!m_vms[index].isRunning) {
+                continue;
+            }
+            kill(index);
+            schedule(m_now + duration + fromMilliseconds(number(0.0, 300.0)), [this, index, run = m_vms[index].run] {
+                if (m_vms[index].run == run) {
+                    start(index);
+                }
+            });
+        }
+    }
+
     /** Stops the process as planned. */
     void leave(std::size_t index)
     {
@@ -223,6 +240,7 @@
     }
 
     CreditNetwork network;
+    Duration longestSearch = std::chrono::milliseconds(1500); ///< Time within which a VM that starts finds the others, and they find it.
 
 private:
     struct Vm {
@@ -368,7 +386,9 @@
         for (const std::size_t member : vm.view) {
             members.push_back(memberOf(member));
         }
-        feed(index, CreditMembersChanged{members, vm.knowledge});
+        const bool isSettling = vm.knowledge == FleetKnowledge::Unknown && vm.view.size() > 1;
+        const TimePoint settlesAt = localNow(vm) + (vm.convergesAt - std::chrono::seconds(2) - m_now);
+        feed(index, CreditMembersChanged{members, vm.knowledge, isSettling ? settlesAt : TimePoint::max()});
     }
 
     void feed(std::size_t index, const CreditEvent &event)
