Settle the number of members by what the keepers pass on

Cause: after a loss of power each VM waited until it had found no member for a second.

Change: the second, and the three seconds for the whole share, also count from when the known number of members grew last. That number alone decides how large a share is. What was settled stays so, as before.

--- a/src/controllers/creditdelegator.cpp
+++ b/src/controllers/creditdelegator.cpp
@@ -20,8 +20,29 @@
 constexpr std::size_t MaximumGreetings = KeeperCount + 2;
 /** Part of its share that a member delegates while it may still find as many members as it knows. */
 constexpr double SettledPart = 0.5;
-/** A member that has found no other one expects them to have found each other after this time. */
-constexpr std::chrono::seconds ConvergenceTime{1};
+/**
+ * The number of members counts as settled once it has not grown for this time. All members hear of the largest number from
+ * their keepers at each renewal, long before each of them has found all others.
+ */
+constexpr std::chrono::seconds SettlingTime{1};
+/** The members have found each other once their number has not grown for this time. */
+constexpr std::chrono::seconds ConvergenceTime{3};
+
+/** Raises what is known about the number of members, which other members may have seen before this one. */
+void updateKnowledge(CreditDelegator &delegator, TimePoint now)
+{
+    const std::size_t size = largestFleetSize(delegator.fleetSize).size;
+    if (size > std::max<std::size_t>(1, delegator.largestSize)) {
+        delegator.largestSize = size;
+        delegator.settlesAt = now + SettlingTime;
+        delegator.convergesAt = now + ConvergenceTime;
+    }
+    if (now >= delegator.convergesAt) {
+        delegator.knowledge = FleetKnowledge::Converged;
+    } else if (now >= delegator.settlesAt) {
+        delegator.knowledge = std::max(delegator.knowledge, FleetKnowledge::Settled);
+    }
+}
 
 bool isConfirmed(const CreditDelegator &delegator, const std::string &name, TimePoint now)
 {
@@ -179,19 +200,21 @@
     });
 }
 
-void changeMembers(CreditDelegator &delegator,
-                   const std::map<std::string, CreditMember> &members,
-                   FleetKnowledge knowledge,
-                   TimePoint knowledgeExpectedAt,
-                   TimePoint now)
+void hearFleetSize(CreditDelegator &delegator, std::size_t size, TimePoint validUntil, TimePoint now)
+{
+    rememberFleetSize(delegator.fleetSize, size, validUntil);
+    updateKnowledge(delegator, now);
+}
+
+void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now)
 {
     rememberFleetSize(delegator.fleetSize, members.size(), now + FleetSizeValidity);
     if (knowledge > delegator.knowledge) {
         // More of the share may be delegated now.
         delegator.nextRenewalAt = std::min(delegator.nextRenewalAt, now);
     }
-    delegator.knowledge = knowledge;
-    delegator.knowledgeExpectedAt = knowledgeExpectedAt;
+    delegator.knowledge = std::max(delegator.knowledge, knowledge);
+    updateKnowledge(delegator, now);
     delegator.candidates = orderCandidates(members);
     std::erase_if(delegator.contacts, [&](const auto &entry) {
         return !members.contains(entry.first);
@@ -209,10 +232,13 @@
 {
     forgetFleetSizes(delegator.fleetSize, now);
     rememberFleetSize(delegator.fleetSize, liveMembers, now + FleetSizeValidity);
+    updateKnowledge(delegator, now);
     const std::int64_t period = Duration(RenewalPeriod).count();
     delegator.nextRenewalAt = now + Duration(std::uniform_int_distribution<std::int64_t>(period * 9 / 10, period)(random));
-    if (delegator.quarantinedUntil > now) {
-        delegator.nextRenewalAt = std::min(delegator.nextRenewalAt, delegator.quarantinedUntil);
+    for (const TimePoint moreAt : {delegator.quarantinedUntil, delegator.settlesAt, delegator.convergesAt}) {
+        if (moreAt > now) {
+            delegator.nextRenewalAt = std::min(delegator.nextRenewalAt, moreAt);
+        }
     }
 
     std::vector<OutgoingDelegation> outgoing;
@@ -281,8 +307,7 @@
     // All members renew within this time, and take a free part to another keeper when they do.
     TimePoint expected = std::max(delegator.nextRenewalAt, now + RenewalPeriod);
     if (delegator.knowledge == FleetKnowledge::Unknown) {
-        const bool isKnown = delegator.knowledgeExpectedAt != TimePoint::max();
-        expected = isKnown ? std::max(now, delegator.knowledgeExpectedAt) : now + ConvergenceTime;
+        expected = delegator.settlesAt == TimePoint::max() ? now + SettlingTime : std::max(now, delegator.settlesAt);
     } else if (delegator.quarantinedUntil > now) {
         expected = now;
     }
--- a/src/controllers/creditdelegator.h
+++ b/src/controllers/creditdelegator.h
@@ -62,8 +62,10 @@
     std::vector<std::string> keepers; ///< Confirmed keepers in order of preference, at most @ref KeeperCount.
     std::map<std::string, KeeperContact> contacts;
     FleetSizeMemory fleetSize;
-    FleetKnowledge knowledge = FleetKnowledge::Unknown;
-    TimePoint knowledgeExpectedAt = TimePoint::max(); ///< When @ref knowledge rises if no further member is found.
+    FleetKnowledge knowledge = FleetKnowledge::Unknown; ///< Rises only.
+    std::size_t largestSize = 0; ///< Largest number of members that was ever known.
+    TimePoint settlesAt = TimePoint::max(); ///< When that number counts as settled, unless it grows before.
+    TimePoint convergesAt = TimePoint::max(); ///< When the members count as having found each other, unless that number grows before.
     TimePoint quarantinedUntil = TimePoint::max(); ///< Nothing is delegated before; set by the first receipt of another member.
     TimePoint nextRenewalAt;
 };
@@ -80,12 +82,11 @@
 /** Forgets the sizes that are too old at @p now. */
 void forgetFleetSizes(FleetSizeMemory &memory, TimePoint now);
 
-/** Takes the live members into account, and for an hour the largest number of them. @p knowledgeExpectedAt is the field of that name. */
-void changeMembers(CreditDelegator &delegator,
-                   const std::map<std::string, CreditMember> &members,
-                   FleetKnowledge knowledge,
-                   TimePoint knowledgeExpectedAt,
-                   TimePoint now);
+/** Takes into account how many members another member has seen. */
+void hearFleetSize(CreditDelegator &delegator, std::size_t size, TimePoint validUntil, TimePoint now);
+
+/** Takes the live members into account, and for an hour the largest number of them. */
+void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now);
 
 /** Renews the delegations, and finds keepers in place of those that do not answer. To be called at nextRenewalAt. */
 std::vector<OutgoingDelegation> renew(CreditDelegator &delegator, std::size_t liveMembers, std::uint64_t &lastSequence, TimePoint now, std::mt19937_64 &random);
--- a/src/controllers/fleetcredit.cpp
+++ b/src/controllers/fleetcredit.cpp
@@ -138,7 +138,7 @@
     if (isEmpty(context.credit.limits)) {
         return;
     }
-    rememberFleetSize(context.credit.delegator.fleetSize, event.message.fleetSize, context.now + event.message.fleetSizeValidity);
+    hearFleetSize(context.credit.delegator, event.message.fleetSize, context.now + event.message.fleetSizeValidity, context.now);
     std::visit(
         [&](const auto &body) {
             handleBody(context, event, body);
@@ -163,7 +163,7 @@
     for (const CreditMember &member : event.members) {
         credit.members.emplace(member.name, member);
     }
-    changeMembers(credit.delegator, credit.members, event.knowledge, event.knowledgeExpectedAt, context.now);
+    changeMembers(credit.delegator, credit.members, event.knowledge, context.now);
 }
 
 void handle(CreditStepContext &context, const CreditRequested &event)
--- a/src/controllers/fleetcredit.h
+++ b/src/controllers/fleetcredit.h
@@ -28,7 +28,6 @@
 struct CreditMembersChanged {
     std::vector<CreditMember> members; ///< Includes this member itself.
     FleetKnowledge knowledge = FleetKnowledge::Unknown;
-    TimePoint knowledgeExpectedAt = TimePoint::max(); ///< When @ref knowledge rises if no further member is found.
 };
 struct CreditMessageReceived {
     Endpoint from;
--- a/src/tasks/credittask.cpp
+++ b/src/tasks/credittask.cpp
@@ -175,9 +175,9 @@
     }
 }
 
-void CreditTask::setMembers(const std::vector<CreditMember> &members, FleetKnowledge knowledge, TimePoint knowledgeExpectedAt)
+void CreditTask::setMembers(const std::vector<CreditMember> &members, FleetKnowledge knowledge)
 {
-    d->handleEvent(CreditMembersChanged{members, knowledge, knowledgeExpectedAt});
+    d->handleEvent(CreditMembersChanged{members, knowledge});
 }
 
 bool CreditTask::isLimited(const CreditLine &line) const
--- a/src/tasks/credittask.h
+++ b/src/tasks/credittask.h
@@ -45,11 +45,8 @@
     bool listen();
     /** Sets the limits in force. */
     void setTable(const RouteTable &table);
-    /**
-     * Sets the live members, including this one, whether they have found each other (see FleetSizeEstimate), and when that
-     * changes unless more are found, in the time of suspendAwareNow().
-     */
-    void setMembers(const std::vector<CreditMember> &members, FleetKnowledge knowledge, TimePoint knowledgeExpectedAt = TimePoint::max());
+    /** Sets the live members, including this one, and whether they have found each other (see FleetSizeEstimate). */
+    void setMembers(const std::vector<CreditMember> &members, FleetKnowledge knowledge);
 
     /** Returns whether calls need credit of @p line. If not, it must not be requested. */
     bool isLimited(const CreditLine &line) const;
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -2,7 +2,6 @@
 
 #include "controllers/fleetshare.h"
 #include "controllers/upstreamregistry.h"
-#include "core/suspendawareclock.h"
 #include "http/httpserver.h"
 #include "http/operatorsport.h"
 #include "observability/logevents.h"
@@ -338,10 +337,7 @@
 
     void updateCreditMembers()
     {
-        const TimePoint now = Clock::now();
-        const auto settling = nextSettling(m_fleetSize, now);
-        const TimePoint expectedAt = settling ? suspendAwareNow() + (*settling - now) : TimePoint::max();
-        m_credit.setMembers(creditMembers(m_membership.membership()), knowledgeOf(m_fleetSize), expectedAt);
+        m_credit.setMembers(creditMembers(m_membership.membership()), knowledgeOf(m_fleetSize));
     }
 
     bool start()
--- a/tests/creditdelegatortest.cpp
+++ b/tests/creditdelegatortest.cpp
@@ -22,7 +22,30 @@
         }
         members["self"] = {.name = "self", .availabilityZone = "a", .capacity = 10};
         delegator.self = "self";
-        changeMembers(delegator, members, FleetKnowledge::Converged, TimePoint::max(), now);
+        changeMembers(delegator, members, FleetKnowledge::Converged, now);
+    }
+
+    /** Makes the member one that has just started and has found the others. */
+    void startAnew()
+    {
+        delegator = {};
+        delegator.self = "self";
+        changeMembers(delegator, members, FleetKnowledge::Unknown, now);
+    }
+
+    /** Lets the known number of members grow to 24 within 4.5 s, and checks that nothing is delegated until it has settled. */
+    void growTo24()
+    {
+        for (std::size_t size = 20; size < 25; ++size) {
+            hearFleetSize(delegator, size, now + 1h, now);
+            const TimePoint end = now + 900ms;
+            for (; now < end; now += 10ms) {
+                EXPECT_EQ(delegatedParts(renewNow()), 0U);
+                confirm("big-a");
+                confirm("big-b");
+            }
+        }
+        now = delegator.settlesAt;
     }
 
     std::vector<OutgoingDelegation> renewNow()
@@ -91,24 +114,35 @@
     }
     now += 10ms;
     EXPECT_EQ(delegatedParts(renewNow()), KeeperCount);
-    changeMembers(delegator, members, FleetKnowledge::Unknown, TimePoint::max(), now);
-    EXPECT_EQ(delegatedParts(renewNow()), 0U);
+}
+
+TEST_F(CreditDelegatorTest, DelegatesNothingWhileTheKnownNumberOfMembersGrows)
+{
+    startAnew();
+    growTo24();
+    EXPECT_EQ(renewNow().at(0).delegation.share, 0.5 / (24.0 * KeeperCount));
+    hearFleetSize(delegator, 25, now + 1h, now);
+    EXPECT_EQ(renewNow().at(0).delegation.share, 0.5 / (25.0 * KeeperCount)) << "what was known once is not forgotten";
 }
 
 TEST_F(CreditDelegatorTest, DelegatesWithTheTimeInWhichNobodyHeldTheShare)
 {
-    changeMembers(delegator, members, FleetKnowledge::Unknown, TimePoint::max(), now);
-    run(3s);
+    startAnew();
+    growTo24();
     const TimePoint idleSince = delegator.quarantinedUntil;
-    const double whole = 1.0 / (10.0 * KeeperCount);
-    changeMembers(delegator, members, FleetKnowledge::Settled, TimePoint::max(), now);
+    ASSERT_LT(idleSince, now - 2s);
+    const double whole = 1.0 / (24.0 * KeeperCount);
     const auto idleOf = [](const std::vector<OutgoingDelegation> &outgoing) {
         return std::make_pair(outgoing.at(0).delegation.idleShare, outgoing.at(0).delegation.idleTime);
     };
     EXPECT_EQ(idleOf(renewNow()), std::make_pair(0.5 * whole, Duration(now - idleSince)));
     EXPECT_EQ(idleOf(renewNow()).first, 0.0) << "it counts once";
-    run(2s);
-    changeMembers(delegator, members, FleetKnowledge::Converged, TimePoint::max(), now);
+    while (now < delegator.convergesAt) {
+        EXPECT_EQ(idleOf(renewNow()).first, 0.0);
+        confirm("big-a");
+        confirm("big-b");
+        now += 10ms;
+    }
     EXPECT_EQ(idleOf(renewNow()), std::make_pair(0.5 * whole, Duration(now - idleSince)));
     EXPECT_EQ(idleOf(renewNow()).first, 0.0);
 }
@@ -132,10 +166,12 @@
 
 TEST_F(CreditDelegatorTest, NamesWhenSharesAreExpectedAfterTheStart)
 {
-    changeMembers(delegator, members, FleetKnowledge::Unknown, now + 1700ms, now);
-    EXPECT_EQ(sharesExpectedAt(delegator, now), now + 1700ms);
+    startAnew();
     confirm("big-a");
-    changeMembers(delegator, members, FleetKnowledge::Settled, TimePoint::max(), now);
+    now += 500ms;
+    hearFleetSize(delegator, 20, now + 1h, now);
+    EXPECT_EQ(sharesExpectedAt(delegator, now), now + 1s);
+    changeMembers(delegator, members, FleetKnowledge::Settled, now);
     EXPECT_EQ(sharesExpectedAt(delegator, now), delegator.quarantinedUntil);
     EXPECT_LE(delegator.quarantinedUntil, now + DelegationTime + 10ms);
 }
@@ -210,7 +246,7 @@
     for (const std::string gone : {"small-a", "small-b", "small-c", "other-a", "other-b"}) {
         members.erase(gone);
     }
-    changeMembers(delegator, members, FleetKnowledge::Converged, TimePoint::max(), now);
+    changeMembers(delegator, members, FleetKnowledge::Converged, now);
     run(3599s);
     EXPECT_EQ(renewNow()[0].delegation.share, 1.0 / (10.0 * KeeperCount));
     run(2s);
@@ -223,12 +259,12 @@
     members.erase("small-a");
     members.erase("small-b");
     run(60s);
-    changeMembers(delegator, members, FleetKnowledge::Converged, TimePoint::max(), now);
+    changeMembers(delegator, members, FleetKnowledge::Converged, now);
     run(3480s);
     for (const std::string gone : {"small-c", "other-a", "other-b", "other-c"}) {
         members.erase(gone);
     }
-    changeMembers(delegator, members, FleetKnowledge::Converged, TimePoint::max(), now);
+    changeMembers(delegator, members, FleetKnowledge::Converged, now);
     run(100s);
     EXPECT_EQ(renewNow()[0].delegation.share, 1.0 / (8.0 * KeeperCount)) << "ten are forgotten, eight were live two minutes ago";
     run(3600s);
--- a/tests/creditfleet.h
+++ b/tests/creditfleet.h
@@ -386,9 +386,7 @@
         for (const std::size_t member : vm.view) {
             members.push_back(memberOf(member));
         }
-        const bool isSettling = vm.knowledge == FleetKnowledge::Unknown && vm.view.size() > 1;
-        const TimePoint settlesAt = localNow(vm) + (vm.convergesAt - std::chrono::seconds(2) - m_now);
-        feed(index, CreditMembersChanged{members, vm.knowledge, isSettling ? settlesAt : TimePoint::max()});
+        feed(index, CreditMembersChanged{members, vm.knowledge});
     }
 
     void feed(std::size_t index, const CreditEvent &event)
