Count the idle time of a released share from its release

Cause: a part whose keeper had released it lost its end when no other keeper was known yet. The next attempt to assign it counted the idle time from the first second of the process, and the new keeper gained up to a whole burst again. A VM that was keeper for the second time also called a limit used up because of what it had granted the first time.

Change: the end of a part is kept until it is delegated again. A keeper that holds nothing forgets whether it has granted anything.

--- a/src/controllers/creditdelegator.cpp
+++ b/src/controllers/creditdelegator.cpp
@@ -101,7 +101,8 @@
         if (isKeeper(delegator, part) || part.boundUntil > now) {
             continue;
         }
-        part = {.idleSince = part.boundUntil};
+        // The end is kept: without a keeper, the idle time is counted from it again at the next attempt.
+        part = {.boundUntil = part.boundUntil, .idleSince = part.boundUntil};
         const auto keeper = std::find_if(delegator.keepers.begin(), delegator.keepers.end(), [&](const std::string &name) {
             return !isAssigned(delegator, name);
         });
--- a/src/controllers/creditkeeper.cpp
+++ b/src/controllers/creditkeeper.cpp
@@ -65,6 +65,12 @@
     keeper.held = held;
     keeper.heldSince = keeper.fill;
     fillBuckets(keeper, limits);
+    if (held == 0.0) {
+        // A VM that becomes keeper again starts with empty buckets, like a new one.
+        for (auto &[line, bucket] : keeper.buckets) {
+            bucket.hasGiven = false;
+        }
+    }
 }
 
 /** Gives all lines what the share @p share would have gained in the time in which no keeper held it. */
--- a/src/controllers/creditkeeper.h
+++ b/src/controllers/creditkeeper.h
@@ -34,7 +34,7 @@
 struct CreditBucket {
     double tokens = 0.0;
     double filledAt = 0.0; ///< Value of CreditKeeper::fill up to which the bucket is filled.
-    bool hasGiven = false; ///< Whether credit of the line was granted.
+    bool hasGiven = false; ///< Whether credit of the line was granted since the keeper held nothing.
 };
 
 /** Credit that was granted to a question. */
--- a/tests/creditdelegatortest.cpp
+++ b/tests/creditdelegatortest.cpp
@@ -164,6 +164,28 @@
     }
 }
 
+TEST_F(CreditDelegatorTest, AReleasedShareIsIdleFromTheReleaseWhenItsNextKeeperIsFoundLater)
+{
+    run(5s);
+    renewNow();
+    const std::string leaving = delegator.keepers[0];
+    const std::string staying = delegator.keepers[1];
+    const TimePoint releasedAt = now;
+    confirm(leaving, std::numeric_limits<std::uint64_t>::max());
+    now += 100ms;
+    confirm(staying);
+    std::string next;
+    for (const OutgoingDelegation &outgoing : renewNow()) {
+        EXPECT_TRUE(outgoing.keeper == staying || outgoing.delegation.share == 0.0) << "no other keeper is known yet";
+        next = outgoing.keeper != staying && outgoing.keeper != leaving && next.empty() ? outgoing.keeper : next;
+    }
+    now += 20ms;
+    const std::vector<OutgoingDelegation> outgoing = confirm(next);
+    ASSERT_EQ(delegatedParts(outgoing), 1U);
+    EXPECT_GT(outgoing[0].delegation.idleTime, Duration(0));
+    EXPECT_LE(outgoing[0].delegation.idleTime, Duration(now - releasedAt));
+}
+
 TEST_F(CreditDelegatorTest, NamesWhenSharesAreExpectedAfterTheStart)
 {
     startAnew();
--- a/tests/creditkeepertest.cpp
+++ b/tests/creditkeepertest.cpp
@@ -98,6 +98,20 @@
     EXPECT_FALSE(ask(1).isShort) << "the credit so far is used";
 }
 
+TEST_F(CreditKeeperTest, AKeeperForTheSecondTimeDoesNotCallALimitUsedUp)
+{
+    delegate(1, 0.25, now);
+    wait(500ms);
+    ASSERT_EQ(ask(1).granted, 1U);
+    wait(DelegationTime);
+    ASSERT_EQ(keeper.held, 0.0);
+    delegate(1, 0.25, now);
+    EXPECT_TRUE(ask(1).isShort);
+    wait(500ms);
+    EXPECT_EQ(ask(1).granted, 1U);
+    EXPECT_FALSE(ask(1).isShort);
+}
+
 /** A keeper to which a share of 0.5 was delegated after 0.2 of all limits had been idle for a time. */
 class CreditKeeperIdleShareTest : public CreditKeeperTest
 {
--- a/tests/fleetcreditexplorationtest.cpp
+++ b/tests/fleetcreditexplorationtest.cpp
@@ -282,6 +282,43 @@
     EXPECT_TRUE(failures.empty()) << failures.size() << " of " << Interleavings << ", first: " << failures.front();
 }
 
+/** Stops both keepers as planned around the time at which an account that has filled its bucket begins to ask for too much. */
+std::optional<std::string> stopKeepersOfFullAccount(std::uint64_t seed)
+{
+    RouteTable table;
+    table.accounts["idle"] = {.name = "idle", .callsPerSecond = 8.0, .burst = 40.0};
+    CreditFleet fleet(seed, 40, creditLimits(table, Tolerance));
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        fleet.start(index);
+    }
+    // The bucket is full 5 s after the shares are held.
+    fleet.advanceBy(20s);
+    const auto stopKeeper = [&fleet](const std::vector<std::size_t> &keepers, std::size_t index) {
+        if (index < keepers.size() && fleet.isRunning(keepers[index])) {
+            fleet.leave(keepers[index]);
+        }
+    };
+    const std::vector<std::size_t> keepers = fleet.keepers();
+    fleet.addDemand({.line = accountLine("idle"), .callsPerSecond = 100.0});
+    fleet.advanceBy(fromMilliseconds(fleet.number(100, 2000)));
+    stopKeeper(keepers, 0);
+    fleet.advanceBy(fromMilliseconds(fleet.number(100, 2000)));
+    stopKeeper(keepers, 1);
+    fleet.advanceBy(15s);
+    const CreditTerms terms = *termsOf(creditLimits(table, Tolerance), accountLine("idle"));
+    const auto used = static_cast<double>(largestInWindow(fleet.useOf(0).used, 5s));
+    if (used > allowedIn(terms, 5s)) {
+        return std::to_string(used) + " in 5 s, allowed are " + std::to_string(allowedIn(terms, 5s));
+    }
+    return std::nullopt;
+}
+
+TEST(FleetCreditExploration, AFullAccountGetsNoMoreWhenBothKeepersStop)
+{
+    const auto failures = explore("stops of keepers", Interleavings, stopKeepersOfFullAccount);
+    EXPECT_TRUE(failures.empty()) << failures.size() << " of " << Interleavings << ", first: " << failures.front();
+}
+
 /** Lowers all limits to a quarter while the fleet is loaded. */
 std::optional<std::string> lowerLimits(std::uint64_t seed)
 {
@@ -411,6 +448,7 @@
             mean.small += served.small / static_cast<double>(AvailabilityRuns);
         }
         std::cout << "served after " << losses << " losses of power: " << mean.large << " of the large account, " << mean.small << " of the small ones\n";
+        // These tell the mechanism from its absence (0.50 and 0.35 without it). They are no target.
         EXPECT_GT(mean.large, 0.53);
         EXPECT_GT(mean.small, 0.43);
     }
