--- a/tests/storemirrortest.cpp
+++ b/tests/storemirrortest.cpp
@@ -98,6 +98,159 @@
     }
 }
 
+/** Upstreams come, change and go while some lists are cut off; a reader passes on what it knows. Names are not used again. */
+class PartialLists
+{
+public:
+    explicit PartialLists(std::uint64_t seed)
+        : m_random(seed)
+    {
+        changeStore();
+        readList();
+        feed();
+    }
+
+    void runStep()
+    {
+        switch (number(0, 7)) {
+        case 0:
+            readWatch();
+            break;
+        case 1:
+            readPart();
+            break;
+        case 2:
+            feed();
+            break;
+        case 3:
+            restartReader();
+            break;
+        default:
+            changeStore();
+        }
+    }
+
+    void readList()
+    {
+        adoptAtReader(completeDelta(m_revision, objects("~")));
+    }
+
+    /** Lets the follower adopt what it lacks; no upstream that still exists may go. */
+    void feed()
+    {
+        const auto before = contentOf(m_follower);
+        adopt(m_follower, deltaSince(m_reader, m_known));
+        m_known = m_reader.revision;
+        const auto after = contentOf(m_follower);
+        for (const auto &[name, revision] : before) {
+            ASSERT_TRUE(after.contains(name) || !m_store.contains(name)) << name;
+        }
+    }
+
+    void expectFollowerIsComplete() const
+    {
+        EXPECT_EQ(contentOf(m_follower), m_store);
+    }
+
+private:
+    std::uint64_t number(std::uint64_t minimum, std::uint64_t maximum)
+    {
+        return std::uniform_int_distribution<std::uint64_t>(minimum, maximum)(m_random);
+    }
+
+    void changeStore()
+    {
+        ++m_revision;
+        if (m_store.empty() || number(0, 2) == 0) {
+            // The order of the names is not the order of their revisions.
+            const std::string name = "u" + std::to_string(number(0, 99)) + "-" + std::to_string(m_revision);
+            m_store[name] = m_revision;
+            m_changes.push_back(name);
+            return;
+        }
+        const auto chosen = std::next(m_store.begin(), static_cast<std::ptrdiff_t>(number(0, m_store.size() - 1)));
+        m_changes.push_back(chosen->first);
+        if (number(0, 1) == 0) {
+            m_store.erase(chosen);
+        } else {
+            chosen->second = m_revision;
+        }
+    }
+
+    /** Returns the objects up to the name @p last. */
+    std::vector<StoreObject> objects(const std::string &last) const
+    {
+        std::vector<StoreObject> found;
+        for (const auto &[name, revision] : m_store) {
+            if (name <= last) {
+                found.push_back(makeUpstreamObject(name, revision));
+            }
+        }
+        return found;
+    }
+
+    void readPart()
+    {
+        adoptAtReader(part(m_revision, objects("u" + std::to_string(number(0, 99)))));
+    }
+
+    /** The reader loses its objects, and the follower opens its feed again. */
+    void restartReader()
+    {
+        m_reader = {.kind = StoreObjectKind::Upstreams};
+        m_known = m_follower.isPartial ? 0 : m_follower.revision;
+        readPart();
+    }
+
+    /** Reads the changes since the revision that the reader has. */
+    void readWatch()
+    {
+        std::vector<StoreObject> changed;
+        for (std::size_t revision = m_reader.revision + 1; revision <= m_revision; ++revision) {
+            const std::string &name = m_changes.at(revision - 1);
+            const auto found = m_store.find(name);
+            changed.push_back(found == m_store.end() ? deleted(name, revision) : makeUpstreamObject(name, found->second));
+        }
+        adoptAtReader(changes(m_revision, std::move(changed)));
+    }
+
+    void adoptAtReader(const StoreDelta &delta)
+    {
+        const bool wasPartial = m_reader.isPartial;
+        adopt(m_reader, delta);
+        if (wasPartial && !m_reader.isPartial) {
+            m_known = 0;
+        }
+    }
+
+    std::mt19937_64 m_random;
+    std::uint64_t m_revision = 0;
+    std::map<std::string, std::uint64_t> m_store;
+    std::vector<std::string> m_changes; ///< The name that changed, by revision from one.
+    StoreMirror m_reader{.kind = StoreObjectKind::Upstreams};
+    StoreMirror m_follower{.kind = StoreObjectKind::Upstreams};
+    std::uint64_t m_known = 0;
+};
+
+TEST(StoreMirror, PartialListsTakeNoUpstreamAndACompleteOneMendsAll)
+{
+    constexpr std::uint64_t Seeds = 2000;
+    constexpr int Steps = 60;
+    for (std::uint64_t seed = 0; seed < Seeds; ++seed) {
+        SCOPED_TRACE(seed);
+        PartialLists lists(seed);
+        for (int count = 0; count < Steps; ++count) {
+            lists.runStep();
+        }
+        lists.readList();
+        lists.feed();
+        lists.expectFollowerIsComplete();
+        if (testing::Test::HasFailure()) {
+            return;
+        }
+    }
+}
+
 TEST(StoreMirror, ReportsOnlyWhatChanged)
 {
     StoreMirror mirror{.kind = StoreObjectKind::Upstreams};
