--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -41,22 +41,28 @@
         print(text)
 
 
-def draw_address():
-    """Returns a random loopback address on which the fixed metrics port of the deploy file is free."""
-    while True:
-        address = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
-        with socket.socket() as probe:
-            try:
-                probe.bind((address, 9464))
-                return address
-            except OSError:
-                continue
+# The ports are the same on all machines of a fleet. The metrics port stands in the deploy file.
+FIRST_PORT = random.randint(2000, 2900) * 10
+PORTS = {name: FIRST_PORT + index for index, name in enumerate(("front", "ready", "control", "directory", "members", "exchange"))}
+METRICS_PORT = 9464
 
 
-def free_port(address, kind=socket.SOCK_STREAM):
+def is_free(address, port, kind):
     with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
+        try:
+            probe.bind((address, port))
+            return True
+        except OSError:
+            return False
+
+
+def draw_address():
+    """Returns a random loopback address on which the ports of a machine are free."""
+    while True:
+        address = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
+        ports = [*PORTS.values(), METRICS_PORT]
+        if all(is_free(address, port, kind) for port in ports for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM)):
+            return address
 
 
 async def read_head(reader):
@@ -295,21 +301,20 @@
         self.record = record
         self.name = name
         self.address = address or draw_address()
-        ports = {key: free_port(self.address) for key in ("front", "ready", "control", "directory", "m", "x")}
         self.settings = {
             "node": name,
             "zone": zone,
             "ip": self.address,
-            "listen": {key: f"{self.address}:{ports[key]}" for key in ("front", "ready", "control", "directory")},
-            "internalPortRange": [ports["m"], ports["x"]],
+            "listen": {key: f"{self.address}:{PORTS[key]}" for key in ("front", "ready", "control", "directory")},
+            "internalPortRange": [PORTS["members"], PORTS["exchange"]],
             "bootstrap": False,
             **settings,
         }
-        self.front = (self.address, ports["front"])
-        self.ready = (self.address, ports["ready"])
-        self.directory = (self.address, ports["directory"])
+        self.front = (self.address, PORTS["front"])
+        self.ready = (self.address, PORTS["ready"])
+        self.directory = (self.address, PORTS["directory"])
         self.control = self.settings["listen"]["control"]
-        self.settings["seeds"] = self.settings["seeds"] or [self.control]
+        self.settings["seeds"] = self.settings.get("seeds") or [self.control]
         self.process = None
 
     def fill(self, text):
