--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -294,6 +294,29 @@
         }
 
 
+class DownloadServer(Server):
+    """Answers requests for paths that end in /all with answer_bytes bytes, and others as Server does."""
+
+    def __init__(self, record, name, service, zone, answer_bytes, work_s):
+        super().__init__(record, name, service, zone, work_s=work_s)
+        self.answer_bytes = answer_bytes
+
+    async def run(self, writer, method, target, fields, body):
+        if not target.endswith("/all"):
+            await super().run(writer, method, target, fields, body)
+            return
+        request = fields["x-plantainweir-request-id"]
+        self.note_run(request, method, target, body)
+        await asyncio.sleep(self.work_s)
+        text = b"s" * self.answer_bytes
+        writer.write(message("HTTP/1.1 200 OK", self.answer_fields(request, len(text)), text))
+        await writer.drain()
+        self.record("server", self.name, "has sent its whole answer", request)
+
+    def has_run(self, request):
+        return any(run[1] == request for run in self.runs)
+
+
 class Gateway:
     """One gatewayd process, started with the command and the environment of the deploy file."""
 
@@ -403,6 +426,85 @@
         writer.close()
 
 
+class Line:
+    """A client's access line to one machine: requests pass at once, answers at the pace of the line. Its segments are those of a
+    network; the loopback device has segments of 64 KiB."""
+
+    SEGMENT_BYTES = 1_400
+    BUFFER_BYTES = 16_384
+    PART_BYTES = 4_096
+
+    def __init__(self, gateway, bytes_per_s):
+        self.gateway = gateway
+        self.bytes_per_s = bytes_per_s
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, draw_address(), 0)
+        self.endpoint = self.server.sockets[0].getsockname()[:2]
+
+    async def connect(self):
+        line = socket.socket()
+        line.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, self.SEGMENT_BYTES)
+        line.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.BUFFER_BYTES)
+        line.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(line, self.gateway.front)
+        return await asyncio.open_connection(sock=line, limit=self.PART_BYTES)
+
+    async def serve(self, reader, writer):
+        far_reader, far_writer = await self.connect()
+
+        async def forward_requests():
+            while data := await reader.read(65536):
+                far_writer.write(data)
+
+        requests = asyncio.create_task(forward_requests())
+        try:
+            await self.forward_answers(far_reader, writer)
+        except ConnectionError:
+            pass
+        finally:
+            requests.cancel()
+            writer.close()
+            far_writer.close()
+
+    async def forward_answers(self, far_reader, writer):
+        start, passed = time.monotonic(), 0
+        while data := await far_reader.read(self.PART_BYTES):
+            writer.write(data)
+            await writer.drain()
+            passed += len(data)
+            await asyncio.sleep(max(0.0, start + passed / self.bytes_per_s - time.monotonic()))
+
+
+async def download(record, endpoint, host, targets, request, deadline_ms):
+    """Fetches a small answer and then a large one on the same connection; returns the large one's status, its length and the
+    received bytes of its body."""
+    reader, writer = await asyncio.open_connection(*endpoint, limit=1 << 20)
+    fields = {"Host": host, PREFIX + "Request-Id": request_id(), PREFIX + "Deadline-Ms": deadline_ms}
+    writer.write(message(f"GET {targets[0]} HTTP/1.1", fields))
+    first = await read_answer(reader)
+    if first is None or first[0] != 200:
+        record("client got no first answer", request)
+        return -1, 0, 0
+    fields[PREFIX + "Request-Id"] = request
+    writer.write(message(f"GET {targets[1]} HTTP/1.1", fields))
+    record("client sends", request, "GET", targets[1], "on the same connection")
+    head = await read_head(reader)
+    if head is None:
+        record("client got", request, "nothing")
+        return 0, 0, 0
+    line, fields = head
+    length, received = int(fields["content-length"]), 0
+    try:
+        while received < length and (data := await reader.read(65536)):
+            received += len(data)
+    except ConnectionError:
+        pass
+    writer.close()
+    record("client got", request, line, f"{received} of {length} bytes;", "connection:", fields.get("connection", "kept"))
+    return int(line.split(" ")[1]), length, received
+
+
 def request_id():
     return f"{random.getrandbits(64):016x}"
 
