--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -99,6 +99,17 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
+class Unreadable(bytes):
+    """A spec whose bytes another writer stored. The store passes them on as they are."""
+
+
+def encode_object(item):
+    spec = item["spec"]
+    text = bytes(spec) if isinstance(spec, Unreadable) else json.dumps(spec).encode()
+    metadata = json.dumps(item["metadata"]).encode()
+    return b'{"metadata":' + metadata + b',"spec":' + text + b',"status":null}'
+
+
 class Store:
     """The platform's object store: lists, watches, writes and revisions, with linearizable answers."""
 
@@ -137,7 +148,8 @@
             self.note(kind, item, True)
 
     def note(self, kind, item, is_deleted):
-        self.events.append((self.revision, kind, {"deleted": is_deleted, "object": json.loads(json.dumps(item))}))
+        event = b'{"deleted":' + (b"true" if is_deleted else b"false") + b',"object":' + encode_object(item) + b"}"
+        self.events.append((self.revision, kind, event))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -155,7 +167,7 @@
                 else:
                     await asyncio.sleep(0.004)
                     status, answer = await self.answer(method, target, body)
-                text = json.dumps(answer).encode()
+                text = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
                 writer.write(
                     message(f"HTTP/1.1 {status} X", {"Content-Type": "application/json", "Content-Length": len(text)}, text)
                 )
@@ -176,24 +188,25 @@
             return self.list(kind, query.get("after", ""))
         known = self.objects.get(kind, {}).get(name)
         if method == "GET":
-            return (200, known) if known else (404, {})
+            return (200, encode_object(known)) if known else (404, {})
         if method == "DELETE":
             self.remove(kind, name)
             return 200, {}
         sent = json.loads(body)
         name = name or sent["metadata"]["name"]
         if method == "POST" and name in self.objects.get(kind, {}):
-            return 409, self.objects[kind][name]
+            return 409, encode_object(self.objects[kind][name])
         if method == "PUT" and known is None:
             return 404, {}
         if known is not None and known["spec"] == sent.get("spec"):
-            return 200, known
-        return 200, self.put(kind, name, sent.get("spec"))
+            return 200, encode_object(known)
+        return 200, encode_object(self.put(kind, name, sent.get("spec")))
 
     def list(self, kind, after):
         names = sorted(name for name in self.objects.get(kind, {}) if name > after)
-        items = [self.objects[kind][name] for name in names[:500]]
-        return 200, {"items": items, "hasMore": len(names) > 500, "storeRevision": self.revision}
+        items = b",".join(encode_object(self.objects[kind][name]) for name in names[:500])
+        has_more = b"true" if len(names) > 500 else b"false"
+        return 200, b'{"items":[' + items + b'],"hasMore":' + has_more + b',"storeRevision":%d}' % self.revision
 
     async def watch(self, kind, since, wait_ms):
         end = time.monotonic() + wait_ms / 1000
@@ -201,7 +214,7 @@
             events = [event for revision, event_kind, event in self.events if event_kind == kind and revision > since]
             left = end - time.monotonic()
             if events or left <= 0:
-                return 200, {"events": events, "storeRevision": self.revision}
+                return 200, b'{"events":[' + b",".join(events) + b'],"storeRevision":%d}' % self.revision
             changed = self.changed
             try:
                 await asyncio.wait_for(changed.wait(), left)
