Test every reader of answers with answers that are already refused

Cause: nothing showed what callers get when an upstream's answer has a blank or a control byte in the name of a field, or ends in the middle of its head; the decoder had tests for some of it, the doors had none. The decoder gets each answer in one piece and byte by byte, and a sound one cut at every byte.

--- a/tests/fakes/rawserver.cpp
+++ b/tests/fakes/rawserver.cpp
@@ -3,6 +3,7 @@
 #include <QPointer>
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <QTimer>
 
 #include <sys/socket.h>
 
@@ -12,17 +13,36 @@
 class SocketConnection : public RawConnection
 {
 public:
-    explicit SocketConnection(QTcpSocket *socket)
+    SocketConnection(QTcpSocket *socket, int index, std::string request)
         : m_socket(socket)
+        , m_index(index)
+        , m_request(std::move(request))
     {
     }
 
+    int index() const override
+    {
+        return m_index;
+    }
+
+    std::string request() const override
+    {
+        return m_request;
+    }
+
     void write(const std::string &bytes) override
     {
         m_socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
         m_socket->flush();
     }
 
+    void writeAfter(std::chrono::milliseconds delay, const std::string &bytes) override
+    {
+        QTimer::singleShot(delay, m_socket, [socket = m_socket, bytes] {
+            socket->write(bytes.data(), static_cast<qint64>(bytes.size()));
+        });
+    }
+
     void finish() override
     {
         m_socket->disconnectFromHost();
@@ -37,6 +57,8 @@
 
 private:
     QPointer<QTcpSocket> m_socket;
+    int m_index;
+    std::string m_request;
 };
 
 }
@@ -54,11 +76,10 @@
     d->m_server.listen(QHostAddress::LocalHost);
     QObject::connect(&d->m_server, &QTcpServer::newConnection, &d->m_server, [this] {
         QTcpSocket *socket = d->m_server.nextPendingConnection();
-        ++d->m_acceptedCount;
-        QObject::connect(socket, &QTcpSocket::readyRead, &d->m_server, [this, socket] {
+        const int index = d->m_acceptedCount++;
+        QObject::connect(socket, &QTcpSocket::readyRead, &d->m_server, [this, socket, index] {
             if (socket->peek(socket->bytesAvailable()).contains("\r\n\r\n")) {
-                socket->readAll();
-                SocketConnection connection(socket);
+                SocketConnection connection(socket, index, socket->readAll().toStdString());
                 onRequest(connection);
             }
         });
--- a/tests/fakes/rawserver.h
+++ b/tests/fakes/rawserver.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -13,7 +14,13 @@
 {
 public:
     virtual ~RawConnection() = default;
+    /** Returns the number of connections that the server had accepted before this one. */
+    virtual int index() const = 0;
+    /** Returns the bytes of the request that has been received last. */
+    virtual std::string request() const = 0;
     virtual void write(const std::string &bytes) = 0;
+    /** Writes @p bytes after @p delay, unless the connection has ended by then. */
+    virtual void writeAfter(std::chrono::milliseconds delay, const std::string &bytes) = 0;
     /** Closes the connection gracefully, with a FIN. */
     virtual void finish() = 0;
     /** Closes the connection with a TCP reset; bytes written before have been sent. */
@@ -34,7 +41,7 @@
     /** Stops listening. */
     void close();
 
-    /** Called when the received bytes contain an empty line, the end of a request header; the bytes are discarded. */
+    /** Called when the received bytes contain an empty line, the end of a request header. */
     std::function<void(RawConnection &)> onRequest;
 
 private:
--- a/tests/responsedecodertest.cpp
+++ b/tests/responsedecodertest.cpp
@@ -1,3 +1,4 @@
+#include "fakes/brokenanswer.h"
 #include "http/httpcodec.h"
 
 #include <gtest/gtest.h>
@@ -43,6 +44,76 @@
     EXPECT_EQ(finishAfter("HTTP/1.1 200 OK\r\n\r\nabc"), DecodeState::Complete);
 }
 
+/** Returns the state of a decoder after a connection that delivers @p bytes one by one and is then closed in an orderly way. */
+DecodeState finishAfterEachByte(const std::string &bytes)
+{
+    HttpResponseDecoder decoder(HttpLimits{}, false);
+    std::string buffer;
+    for (const char byte : bytes) {
+        buffer += byte;
+        const DecodeState state = decoder.decode(buffer);
+        if (state != DecodeState::Incomplete) {
+            return state;
+        }
+    }
+    return decoder.finish();
+}
+
+TEST(HttpResponseDecoder, RejectsBrokenAnswers)
+{
+    const HttpFields fields{{"X-Field", "value"}};
+    const RawAnswer sound = soundAnswer(fields, "twelve bytes");
+    EXPECT_EQ(finishAfter(sound.bytes), DecodeState::Complete);
+    EXPECT_EQ(finishAfterEachByte(sound.bytes), DecodeState::Complete);
+    for (const BrokenAnswer kind : allBrokenAnswers()) {
+        SCOPED_TRACE(nameOf(kind));
+        const RawAnswer broken = brokenAnswer(kind, fields, "twelve bytes");
+        EXPECT_EQ(finishAfter(broken.bytes), DecodeState::Malformed);
+        EXPECT_EQ(finishAfterEachByte(broken.bytes), DecodeState::Malformed);
+        EXPECT_EQ(finishAfter("HTTP/1.1 102 Processing\r\n\r\n" + broken.bytes), DecodeState::Malformed);
+    }
+}
+
+TEST(HttpResponseDecoder, RejectsEachAnswerThatIsCut)
+{
+    const std::string whole = soundAnswer({{"X-Field", "value"}}, "twelve bytes").bytes;
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        EXPECT_EQ(finishAfter(whole.substr(0, size)), DecodeState::Malformed) << size;
+        EXPECT_EQ(finishAfterEachByte(whole.substr(0, size)), DecodeState::Malformed) << size;
+    }
+}
+
+TEST(HttpResponseDecoder, AcceptsEachStatusOfAnAnswer)
+{
+    for (int status = 200; status < 600; ++status) {
+        const std::string head = "HTTP/1.1 " + std::to_string(status) + " Reason\r\nContent-Length: 0\r\n\r\n";
+        EXPECT_EQ(finishAfter(head), DecodeState::Complete) << status;
+    }
+}
+
+TEST(HttpResponseDecoder, SkipsInterimResponses)
+{
+    for (const char *status : {"100", "102", "103", "199"}) {
+        std::string bytes = "HTTP/1.1 " + std::string(status) + " Interim\r\nLink: </a>\r\n\r\n" + soundAnswer({}, "whole").bytes;
+        HttpResponseDecoder decoder(HttpLimits{}, false);
+        EXPECT_EQ(decoder.decode(bytes), DecodeState::Complete) << status;
+        EXPECT_EQ(decoder.takeResponse().body, "whole") << status;
+    }
+}
+
+TEST(HttpResponseDecoder, AcceptsChunkedBodies)
+{
+    // Lines of the body that begin with a blank continue nothing.
+    const std::string chunks = "a\r\n12345678\r\n\r\n4\r\n b\r\n\r\n3;x=y\r\n c \r\n0\r\nX-Trailer: a\r\n\r\n";
+    for (const char *coding : {"chunked", "Chunked", " chunked "}) {
+        std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) + "\r\n\r\n" + chunks;
+        EXPECT_EQ(finishAfterEachByte(bytes), DecodeState::Complete) << coding;
+        HttpResponseDecoder decoder(HttpLimits{}, false);
+        EXPECT_EQ(decoder.decode(bytes), DecodeState::Complete) << coding;
+        EXPECT_EQ(decoder.takeResponse().body, "12345678\r\n b\r\n c ") << coding;
+    }
+}
+
 /** Feeds @p part again and again, without end; returns the state with which the decoder gives up, and the bytes it kept. */
 std::pair<DecodeState, std::size_t> decodeWithoutEnd(std::string start, const std::string &part, std::size_t parts)
 {
