Take no answer whose status is none

Callers saw: an answer with status 000 (also 099, 600 or 999) of an upstream in trouble, with the upstream's stamp, as the answer to their call; a refusal with such a status made them hear 503 "not run" although the call may have run. Cause: Beast takes any three digits for a status, and the decoder asked no more. The readers took what is not 5xx for an answer: gatewayd and entryd passed it on, a probe with it could declare its upstream as leaving for good, the callers' library took it for an outcome, and controld took 000 for the acknowledgement of a write. Change: HttpResponseDecoder, which every reader of HTTP answers uses, ends with DecodeState::Malformed once a header is complete whose status is neither that of an answer (200 to 599) nor of an interim response. HttpClient then reports a lost connection and closes it, as for other bytes that are no answer: such a call may have run.

--- a/src/core/message.cpp
+++ b/src/core/message.cpp
@@ -2,6 +2,11 @@
 
 namespace Plantainweir {
 
+bool isAnswerStatus(int status)
+{
+    return status >= 200 && status <= 599;
+}
+
 std::size_t memorySize(const MessageFields &fields)
 {
     std::size_t bytes = 0;
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -27,6 +27,9 @@
     std::string body;
 };
 
+/** Returns whether a response with @p status answers a request (RFC 9110, section 15); interim responses do not. */
+bool isAnswerStatus(int status);
+
 /** Returns the approximate memory of @p fields in bytes, which for short fields is many times their size in a message. */
 std::size_t memorySize(const MessageFields &fields);
 /** Returns the approximate memory of @p response in bytes. */
--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -1,5 +1,6 @@
 #include "http/httpcodec.h"
 
+#include "core/message.h"
 #include "core/parsenumber.h"
 
 #include <boost/beast/core.hpp>
@@ -187,6 +188,12 @@
     };
 };
 
+/** Returns whether @p status is that of an interim response, which the answer follows (RFC 9110, section 15.2). */
+bool isInterimStatus(int status)
+{
+    return status >= 100 && status < 200;
+}
+
 /** Parses and consumes @p buffer until the message is complete or more bytes are needed. */
 template<typename Parser>
 DecodeState parseBytes(Parser &parser, std::string &buffer, const HttpLimits &limits)
@@ -341,10 +348,21 @@
         m_parser->skip(m_isHead);
     }
 
-    bool isInterim() const
+    DecodeState parse(std::string &buffer)
+    {
+        const DecodeState state = parseBytes(*m_parser, buffer, m_limits);
+        return m_parser->is_header_done() && !isHeaderUnderstood() ? DecodeState::Malformed : state;
+    }
+
+    /** Returns whether the header is that of an answer or of an interim response; Beast takes any three digits for a status. */
+    bool isHeaderUnderstood() const
+    {
+        return isInterimStatus(status()) || isAnswerStatus(status());
+    }
+
+    int status() const
     {
-        const unsigned status = m_parser->get().result_int();
-        return status >= 100 && status < 200;
+        return static_cast<int>(m_parser->get().result_int());
     }
 
     HttpLimits m_limits;
@@ -362,13 +380,13 @@
 
 DecodeState HttpResponseDecoder::decode(std::string &buffer)
 {
-    DecodeState state = parseBytes(*d->m_parser, buffer, d->m_limits);
-    while (state == DecodeState::Complete && d->isInterim()) {
+    DecodeState state = d->parse(buffer);
+    while (state == DecodeState::Complete && isInterimStatus(d->status())) {
         if (++d->m_interimResponses > MaximumInterimResponses) {
             return DecodeState::Malformed;
         }
         d->restart();
-        state = parseBytes(*d->m_parser, buffer, d->m_limits);
+        state = d->parse(buffer);
     }
     return state;
 }
--- a/tests/fakes/brokenanswer.cpp
+++ b/tests/fakes/brokenanswer.cpp
@@ -112,6 +112,14 @@
         return cut(answerOf({}, fields, chunked, chunk(body)));
     case BrokenAnswer::TrailerCut:
         return cut(answerOf({}, fields, chunked, chunk(body) + "0\r\nX-Note: a\r\n"));
+    case BrokenAnswer::StatusZero:
+        return withStatus("000");
+    case BrokenAnswer::StatusBelowRange:
+        return withStatus("099");
+    case BrokenAnswer::StatusAboveRange:
+        return withStatus("600");
+    case BrokenAnswer::StatusLargest:
+        return withStatus("999");
     }
     return {};
 }
--- a/tests/fakes/brokenanswer.h
+++ b/tests/fakes/brokenanswer.h
@@ -36,9 +36,13 @@
     ChunkCut,
     LastChunkMissing,
     TrailerCut,
+    StatusZero,
+    StatusBelowRange,
+    StatusAboveRange,
+    StatusLargest,
 };
 
-constexpr std::array<EnumName<BrokenAnswer>, 25> enumNames(BrokenAnswer)
+constexpr std::array<EnumName<BrokenAnswer>, 29> enumNames(BrokenAnswer)
 {
     return {{
         {BrokenAnswer::StatusShort, "status_short"},
@@ -66,6 +70,10 @@
         {BrokenAnswer::ChunkCut, "chunk_cut"},
         {BrokenAnswer::LastChunkMissing, "last_chunk_missing"},
         {BrokenAnswer::TrailerCut, "trailer_cut"},
+        {BrokenAnswer::StatusZero, "status_zero"},
+        {BrokenAnswer::StatusBelowRange, "status_below_range"},
+        {BrokenAnswer::StatusAboveRange, "status_above_range"},
+        {BrokenAnswer::StatusLargest, "status_largest"},
     }};
 }
 static_assert(isEnumTableOrdered<BrokenAnswer>());
