Take nothing after a switch of protocols for an answer

Callers saw: what an upstream sent after 101, which nobody had asked for, as the answer to their call. Cause: 101 was skipped like the other interim responses, although no HTTP/1.1 follows it. Evidence: 13 cases of protocol_switched in brokenanswerstest failed (gatewayd's and entryd's doors, probes, the store's list, check and watch, controld's lists and writes, callers' library), and responsedecodertest. Change: 101 ends the answer as malformed. Result: 420 of 420 cases and responsedecodertest pass, among them SkipsInterimResponses for 100, 102, 103 and 199.

--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -188,10 +188,14 @@
     };
 };
 
-/** Returns whether @p status is that of an interim response, which the answer follows (RFC 9110, section 15.2). */
+/**
+ * Returns whether @p status is that of an interim response, which the answer follows (RFC 9110, section 15.2). After 101 the
+ * server speaks another protocol, for which no request asks.
+ */
 bool isInterimStatus(int status)
 {
-    return status >= 100 && status < 200;
+    constexpr int SwitchingProtocols = 101;
+    return status >= 100 && status < 200 && status != SwitchingProtocols;
 }
 
 /** Parses and consumes @p buffer until the message is complete or more bytes are needed. */
--- a/tests/fakes/brokenanswer.cpp
+++ b/tests/fakes/brokenanswer.cpp
@@ -120,6 +120,8 @@
         return withStatus("600");
     case BrokenAnswer::StatusLargest:
         return withStatus("999");
+    case BrokenAnswer::ProtocolSwitched:
+        return {.bytes = "HTTP/1.1 101 Switching Protocols\r\n\r\n" + answerOf({}, fields, length, body)};
     }
     return {};
 }
--- a/tests/fakes/brokenanswer.h
+++ b/tests/fakes/brokenanswer.h
@@ -40,9 +40,10 @@
     StatusBelowRange,
     StatusAboveRange,
     StatusLargest,
+    ProtocolSwitched,
 };
 
-constexpr std::array<EnumName<BrokenAnswer>, 29> enumNames(BrokenAnswer)
+constexpr std::array<EnumName<BrokenAnswer>, 30> enumNames(BrokenAnswer)
 {
     return {{
         {BrokenAnswer::StatusShort, "status_short"},
@@ -74,6 +75,7 @@
         {BrokenAnswer::StatusBelowRange, "status_below_range"},
         {BrokenAnswer::StatusAboveRange, "status_above_range"},
         {BrokenAnswer::StatusLargest, "status_largest"},
+        {BrokenAnswer::ProtocolSwitched, "protocol_switched"},
     }};
 }
 static_assert(isEnumTableOrdered<BrokenAnswer>());
