Refuse answers with a field line that begins with a blank

Callers saw: such a line appended to the value of the field before it (X-Note: a, then " X-Other: b", became "X-Note: a X-Other: b"). Where the line was Content-Length, the end of the connection ended the body, and half of it reached the caller as whole, with status 200 and the stamp. Cause: Beast joins a line that begins with a blank or tab with the one before (obs-fold) and leaves no trace of it. Names with other blanks or control bytes it refuses, also a blank in front of the first field. Change: the decoder of responses looks for such lines in the bytes that Beast has consumed as header or trailer, and ends the answer as malformed; RFC 9112, section 5.2, lets a gateway discard it. Beast gets the header apart from the body for this, so that lines of a body are not looked at (AcceptsChunkedBodies). Requests are decoded as before.

--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -198,14 +198,31 @@
     return status >= 100 && status < 200 && status != SwitchingProtocols;
 }
 
+/** What to do with a line of a header or trailer that continues the one before (RFC 9112, section 5.2). */
+enum class FoldedLines {
+    Join,
+    Reject,
+};
+
+bool hasFoldedLine(std::string_view lines)
+{
+    return lines.find("\r\n ") != std::string_view::npos || lines.find("\r\n\t") != std::string_view::npos;
+}
+
 /** Parses and consumes @p buffer until the message is complete or more bytes are needed. */
 template<typename Parser>
-DecodeState parseBytes(Parser &parser, std::string &buffer, const HttpLimits &limits)
+DecodeState parseBytes(Parser &parser, std::string &buffer, const HttpLimits &limits, FoldedLines foldedLines)
 {
     std::size_t consumed = 0;
     beast::error_code error;
     while (!parser.is_done() && consumed < buffer.size()) {
+        const std::size_t bodyBytes = parser.get().body().size;
         const std::size_t count = parser.put(boost::asio::buffer(buffer.data() + consumed, buffer.size() - consumed), error);
+        const bool isBody = parser.get().body().size != bodyBytes;
+        // Beast has joined the lines by now, and the values of the fields do not show it.
+        if (foldedLines == FoldedLines::Reject && !isBody && hasFoldedLine(std::string_view(buffer).substr(consumed, count))) {
+            return DecodeState::Malformed;
+        }
         consumed += count;
         if (error == http::error::need_more) {
             break;
@@ -290,7 +307,7 @@
 
 DecodeState HttpRequestDecoder::decode(std::string &buffer)
 {
-    const DecodeState state = parseBytes(d->m_parser, buffer, d->m_limits);
+    const DecodeState state = parseBytes(d->m_parser, buffer, d->m_limits, FoldedLines::Join);
     // Beast stores the fields of an incomplete header as they arrive.
     if (!d->m_isHeaderCounted) {
         d->m_headerBytes = headerMemory(d->m_parser.get());
@@ -349,12 +366,14 @@
     {
         m_parser.emplace();
         applyLimits(*m_parser, m_limits);
+        // An eager parser takes the header and the body in one step, and lines of the body may begin with a blank.
+        m_parser->eager(false);
         m_parser->skip(m_isHead);
     }
 
     DecodeState parse(std::string &buffer)
     {
-        const DecodeState state = parseBytes(*m_parser, buffer, m_limits);
+        const DecodeState state = parseBytes(*m_parser, buffer, m_limits, FoldedLines::Reject);
         return m_parser->is_header_done() && !isHeaderUnderstood() ? DecodeState::Malformed : state;
     }
 
--- a/tests/fakes/brokenanswer.cpp
+++ b/tests/fakes/brokenanswer.cpp
@@ -122,6 +122,14 @@
         return withStatus("999");
     case BrokenAnswer::ProtocolSwitched:
         return {.bytes = "HTTP/1.1 101 Switching Protocols\r\n\r\n" + answerOf({}, fields, length, body)};
+    case BrokenAnswer::LineFolded:
+        return withLine("X-Note: a\r\n X-Other: b");
+    case BrokenAnswer::LineFoldedByTab:
+        return withLine("X-Note: a\r\n\tX-Other: b");
+    case BrokenAnswer::LengthFolded:
+        return cut(answerOf({}, fields, "X-Note: a\r\n " + length, body.substr(0, body.size() / 2)));
+    case BrokenAnswer::TrailerFolded:
+        return {.bytes = answerOf({}, fields, chunked, chunk(body) + "0\r\nX-Note: a\r\n X-Other: b\r\n\r\n")};
     }
     return {};
 }
--- a/tests/fakes/brokenanswer.h
+++ b/tests/fakes/brokenanswer.h
@@ -41,9 +41,13 @@
     StatusAboveRange,
     StatusLargest,
     ProtocolSwitched,
+    LineFolded,
+    LineFoldedByTab,
+    LengthFolded, ///< The length continues another field, and the body ends early.
+    TrailerFolded,
 };
 
-constexpr std::array<EnumName<BrokenAnswer>, 30> enumNames(BrokenAnswer)
+constexpr std::array<EnumName<BrokenAnswer>, 34> enumNames(BrokenAnswer)
 {
     return {{
         {BrokenAnswer::StatusShort, "status_short"},
@@ -76,6 +80,10 @@
         {BrokenAnswer::StatusAboveRange, "status_above_range"},
         {BrokenAnswer::StatusLargest, "status_largest"},
         {BrokenAnswer::ProtocolSwitched, "protocol_switched"},
+        {BrokenAnswer::LineFolded, "line_folded"},
+        {BrokenAnswer::LineFoldedByTab, "line_folded_by_tab"},
+        {BrokenAnswer::LengthFolded, "length_folded"},
+        {BrokenAnswer::TrailerFolded, "trailer_folded"},
     }};
 }
 static_assert(isEnumTableOrdered<BrokenAnswer>());
