Refuse answers in transfer codings that are not decoded

Callers saw: the coded bytes of an upstream's body (gzip, or chunks inside of chunks) as its body, with status 200 and the stamp, and nothing that told of the coding; with a length beside the coding, that many of its bytes as the whole body. Cause: Beast decodes chunks where chunked is the last coding and leaves the rest in the body, and Transfer-Encoding is not passed on. Change: the decoder accepts Transfer-Encoding only once, with the value chunked, in HTTP/1.1 (RFC 9112, section 6.1); another answer ends as malformed when its header is complete.

--- a/src/http/httpcodec.cpp
+++ b/src/http/httpcodec.cpp
@@ -198,6 +198,18 @@
     return status >= 100 && status < 200 && status != SwitchingProtocols;
 }
 
+/** Returns whether the body is sent in no transfer coding or in chunks only, the one that is decoded (RFC 9112, section 6.1). */
+template<typename Header>
+bool isTransferCodingUnderstood(const Header &header)
+{
+    constexpr unsigned Version11 = 11; // Older versions have no transfer codings.
+    const auto [first, last] = header.equal_range(http::field::transfer_encoding);
+    if (first == last) {
+        return true;
+    }
+    return header.version() == Version11 && std::next(first) == last && beast::iequals(first->value(), "chunked");
+}
+
 /** What to do with a line of a header or trailer that continues the one before (RFC 9112, section 5.2). */
 enum class FoldedLines {
     Join,
@@ -377,10 +389,13 @@
         return m_parser->is_header_done() && !isHeaderUnderstood() ? DecodeState::Malformed : state;
     }
 
-    /** Returns whether the header is that of an answer or of an interim response; Beast takes any three digits for a status. */
+    /**
+     * Returns whether the header is that of an answer or of an interim response, with a body that can be decoded. Beast takes
+     * any three digits for a status, and leaves transfer codings other than chunks in the body.
+     */
     bool isHeaderUnderstood() const
     {
-        return isInterimStatus(status()) || isAnswerStatus(status());
+        return (isInterimStatus(status()) || isAnswerStatus(status())) && isTransferCodingUnderstood(m_parser->get());
     }
 
     int status() const
--- a/tests/fakes/brokenanswer.cpp
+++ b/tests/fakes/brokenanswer.cpp
@@ -5,6 +5,8 @@
 namespace Plantainweir {
 namespace {
 
+constexpr auto CodedBody = "\x1f\x8b coded"; ///< What gzip writes begins with these two bytes.
+
 std::string fieldLines(const HttpFields &fields)
 {
     std::string lines;
@@ -130,6 +132,18 @@
         return cut(answerOf({}, fields, "X-Note: a\r\n " + length, body.substr(0, body.size() / 2)));
     case BrokenAnswer::TrailerFolded:
         return {.bytes = answerOf({}, fields, chunked, chunk(body) + "0\r\nX-Note: a\r\n X-Other: b\r\n\r\n")};
+    case BrokenAnswer::CodingUnknown:
+        return cut(answerOf({}, fields, "Transfer-Encoding: gzip\r\n", CodedBody));
+    case BrokenAnswer::CodingBeforeChunked:
+        return {.bytes = answerOf({}, fields, "Transfer-Encoding: gzip, chunked\r\n", chunkedBody(CodedBody))};
+    case BrokenAnswer::CodingBeforeChunkedInOwnLine:
+        return {.bytes = answerOf({}, fields, "Transfer-Encoding: gzip\r\n" + chunked, chunkedBody(CodedBody))};
+    case BrokenAnswer::CodingBesideLength:
+        return {.bytes = answerOf({}, fields, "Transfer-Encoding: gzip\r\n" + length, std::string(body.size(), 'z'))};
+    case BrokenAnswer::ChunkedTwice:
+        return cut(answerOf({}, fields, "Transfer-Encoding: chunked, chunked\r\n", chunkedBody(chunkedBody(body))));
+    case BrokenAnswer::ChunkedInOldVersion:
+        return cut("HTTP/1.0 200 OK\r\n" + fieldLines(fields) + chunked + "\r\n" + chunkedBody(body));
     }
     return {};
 }
--- a/tests/fakes/brokenanswer.h
+++ b/tests/fakes/brokenanswer.h
@@ -45,9 +45,15 @@
     LineFoldedByTab,
     LengthFolded, ///< The length continues another field, and the body ends early.
     TrailerFolded,
+    CodingUnknown,
+    CodingBeforeChunked,
+    CodingBeforeChunkedInOwnLine,
+    CodingBesideLength,
+    ChunkedTwice,
+    ChunkedInOldVersion,
 };
 
-constexpr std::array<EnumName<BrokenAnswer>, 34> enumNames(BrokenAnswer)
+constexpr std::array<EnumName<BrokenAnswer>, 40> enumNames(BrokenAnswer)
 {
     return {{
         {BrokenAnswer::StatusShort, "status_short"},
@@ -84,6 +90,12 @@
         {BrokenAnswer::LineFoldedByTab, "line_folded_by_tab"},
         {BrokenAnswer::LengthFolded, "length_folded"},
         {BrokenAnswer::TrailerFolded, "trailer_folded"},
+        {BrokenAnswer::CodingUnknown, "coding_unknown"},
+        {BrokenAnswer::CodingBeforeChunked, "coding_before_chunked"},
+        {BrokenAnswer::CodingBeforeChunkedInOwnLine, "coding_before_chunked_in_own_line"},
+        {BrokenAnswer::CodingBesideLength, "coding_beside_length"},
+        {BrokenAnswer::ChunkedTwice, "chunked_twice"},
+        {BrokenAnswer::ChunkedInOldVersion, "chunked_in_old_version"},
     }};
 }
 static_assert(isEnumTableOrdered<BrokenAnswer>());
