Check the answers in replies of other entry VMs

Callers saw: status 000 for a reply of another entryd without a status (its default in the message), and fields that are none, such as "X Note"; a field with a line end reached the caller as two fields. A status above 999 ended entryd: Beast throws std::invalid_argument when the answer is encoded, and nothing catches it. Cause: ForwardReply carries the status as a number and the fields as texts, and what another program says there was passed on as it came. Evidence: AReplyWithoutAStatusOfAnAnswerEndsAsUnknown and AReplyWithAnImpossibleFieldEndsAsUnknown failed, the first for 0, 99, 100, 101, 199, 600 and 999, until the exception "invalid status-code" at 1000 ended it. Change: such a reply is none, as one that names no outcome was before: the call is reported as unknown, since it may have run at the other VM. Other messages between VMs carry no answers of upstreams. Result: brokenpeeranswerstest passes (4 cases, the sound reply among them).

--- a/src/core/message.h
+++ b/src/core/message.h
@@ -29,6 +29,11 @@
 
 /** Returns whether a response with @p status answers a request (RFC 9110, section 15); interim responses do not. */
 bool isAnswerStatus(int status);
+/**
+ * Returns whether @p response can be sent as an answer: its status is one, and its fields have the characters of names and
+ * values (RFC 9110, sections 5.1 and 5.5).
+ */
+bool isWellFormedAnswer(const ResponseMessage &response);
 
 /** Returns the approximate memory of @p fields in bytes, which for short fields is many times their size in a message. */
 std::size_t memorySize(const MessageFields &fields);
--- a/src/rpc/peermessages.cpp
+++ b/src/rpc/peermessages.cpp
@@ -134,7 +134,7 @@
         answer->status = static_cast<int>(message.status());
         answer->fields = readFields(message);
         answer->body = message.body();
-        return answeredReply(std::move(answer));
+        return isWellFormedAnswer(*answer) ? std::optional(answeredReply(std::move(answer))) : std::nullopt;
     }
     case CallOutcome::NotRun: {
         const auto reason = valueNamed<RefusalReason>(message.reason());
