--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -627,6 +627,11 @@
     };
     EXPECT_EQ(outcomeOf(200, {{"X-Plantainweir-Response-Stamp", "s"}}), ProxyAttemptOutcome::Succeeded);
     EXPECT_EQ(outcomeOf(200, {}), ProxyAttemptOutcome::ConnectionLost) << "a successful response without the signature does not come from the upstream";
+    for (const char *coding : {"gzip", "br", "identity", "unheard-of"}) {
+        EXPECT_EQ(outcomeOf(200, {{"X-Plantainweir-Response-Stamp", "s"}, {"content-encoding", coding}}), ProxyAttemptOutcome::ConnectionLost)
+            << "a coded body is not that of the upstream";
+    }
+    EXPECT_EQ(outcomeOf(500, {{"X-Plantainweir-Response-Stamp", "s"}, {"Content-Encoding", "gzip"}}), ProxyAttemptOutcome::ServerError);
     EXPECT_EQ(outcomeOf(503, {{"X-Plantainweir-Not-Executed", "1"}}), ProxyAttemptOutcome::Shed);
     EXPECT_EQ(outcomeOf(503, {}), ProxyAttemptOutcome::ServerError);
     EXPECT_EQ(outcomeOf(504, {}), ProxyAttemptOutcome::ServerError);
