Log responses that are malformed or too large

Cause: an operator saw only that a connection was lost, as for an upstream that crashed; for probes and the store's answers nothing. Change: event 1531, malformed_response, with the endpoint, the request's id and what is wrong, from HttpClient and for replies of other entryds; DecodeState has a table of names.

--- a/src/http/httpclient.cpp
+++ b/src/http/httpclient.cpp
@@ -204,6 +204,8 @@
             return;
         }
         if (state != DecodeState::Complete) {
+            logEvent(LogEvent::MalformedResponse,
+                     {{"endpoint", toString(connection->endpoint)}, {"request", connection->correlation}, {"reason", nameOf(state)}});
             finish(connection, HttpRequestOutcome::ConnectionLost, false);
             return;
         }
--- a/src/http/httpcodec.h
+++ b/src/http/httpcodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/enumnames.h"
 #include "http/httpmessage.h"
 
 #include <chrono>
@@ -26,6 +27,18 @@
     Malformed,
 };
 
+constexpr std::array<EnumName<DecodeState>, 5> enumNames(DecodeState)
+{
+    return {{
+        {DecodeState::Incomplete, "incomplete"},
+        {DecodeState::Complete, "complete"},
+        {DecodeState::HeaderTooLarge, "header_too_large"},
+        {DecodeState::BodyTooLarge, "body_too_large"},
+        {DecodeState::Malformed, "malformed"},
+    }};
+}
+static_assert(isEnumTableOrdered<DecodeState>());
+
 /** Decodes one request from the bytes of a connection. */
 class HttpRequestDecoder
 {
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -82,6 +82,7 @@
     BodyLimitTooLarge = 1528,
     DescriptorsLimited = 1529,
     ReloadRequested = 1530,
+    MalformedResponse = 1531,
     StoreReadingChanged = 1540,
     FeedEnded = 1541,
     FeedMalformed = 1542,
--- a/src/tasks/peerport.cpp
+++ b/src/tasks/peerport.cpp
@@ -1,5 +1,6 @@
 #include "tasks/peerport.h"
 
+#include "observability/logevents.h"
 #include "peer.grpc.pb.h"
 #include "rpc/mailbox.h"
 #include "rpc/peermessages.h"
@@ -173,6 +174,9 @@
             return;
         }
         const auto reply = status.ok() ? fromMessage(open->reply, Clock::now()) : std::nullopt;
+        if (status.ok() && !reply) {
+            logEvent(LogEvent::MalformedResponse, {{"endpoint", open->context.peer()}, {"request", id}, {"reason", "malformed"}});
+        }
         Q_EMIT q->forwardFinished({
             .id = id,
             .outcome = reply ? ForwardOutcome::Replied : ForwardOutcome::ConnectionLost,
--- a/tests/brokenpeeranswerstest.cpp
+++ b/tests/brokenpeeranswerstest.cpp
@@ -91,7 +91,10 @@
 
     void expectUnknown(const wire::ForwardReply &reply)
     {
+        testing::internal::CaptureStderr();
         const HttpRequestResult result = callForwardedTo(reply);
+        const std::string log = testing::internal::GetCapturedStderr();
+        EXPECT_NE(log.find("malformed_response"), std::string::npos) << log;
         ASSERT_EQ(result.outcome, HttpRequestOutcome::Answered) << "the caller gets an answer";
         EXPECT_EQ(outcome(result), "unknown");
         EXPECT_EQ(reason(result), "owner_connection_lost");
--- a/tests/tcpstreamtest.cpp
+++ b/tests/tcpstreamtest.cpp
@@ -94,6 +94,19 @@
     EXPECT_EQ(waitFor(send()).outcome, HttpRequestOutcome::ConnectionLost);
 }
 
+TEST_F(RawServerTest, AMalformedResponseIsLoggedAndItsConnectionClosed)
+{
+    server.onRequest = [](RawConnection &connection) {
+        connection.write("HTTP/1.1 000 OK\r\nCall-Id: call-1\r\nContent-Length: 2\r\n\r\nno");
+    };
+    testing::internal::CaptureStderr();
+    EXPECT_EQ(waitFor(send()).outcome, HttpRequestOutcome::ConnectionLost);
+    const std::string log = testing::internal::GetCapturedStderr();
+    EXPECT_NE(log.find("malformed_response endpoint=" + toString(server.endpoint()) + " request=call-1 reason=malformed"), std::string::npos) << log;
+    EXPECT_EQ(waitFor(send()).outcome, HttpRequestOutcome::ConnectionLost);
+    EXPECT_EQ(server.acceptedCount(), 2);
+}
+
 TEST_F(RawServerTest, LateResponseToAnotherRequestIsDiscarded)
 {
     server.onRequest = [](RawConnection &connection) {
