Put the remembered sizes of the fleet into a file of their own

Cause: the memory of the largest numbers of members belongs to the delegating side of credit, and the registration of the fleet in the store needs the same. Change: FleetSizeMemory and its functions move from creditdelegator.h to seenfleetsizes.h. No behaviour changes.

--- a/src/controllers/creditdelegator.h
+++ b/src/controllers/creditdelegator.h
@@ -3,6 +3,7 @@
 #include "controllers/creditkeeper.h"
 #include "controllers/creditmember.h"
 #include "controllers/creditmessage.h"
+#include "controllers/seenfleetsizes.h"
 
 #include <array>
 #include <map>
@@ -22,20 +23,6 @@
 /** Number of keepers, and of the parts of a share. */
 inline constexpr std::size_t KeeperCount = 2;
 
-/** A number of members that were live at once. */
-struct SeenFleetSize {
-    std::size_t size = 0;
-    TimePoint validUntil;
-};
-
-/** The largest numbers of members that were live at once, as long as they are to be reckoned with. */
-struct FleetSizeMemory {
-    std::vector<SeenFleetSize> sizes; ///< Falling sizes with rising times.
-};
-
-/** Returns the largest number, or zero. */
-SeenFleetSize largestFleetSize(const FleetSizeMemory &memory);
-
 /** One part of the member's share. */
 struct DelegatedPart {
     std::string keeper; ///< Empty if it is not delegated.
@@ -71,12 +58,6 @@
     ShareDelegation delegation;
 };
 
-/** Reckons with @p size members at once, until @p validUntil at least. */
-void rememberFleetSize(FleetSizeMemory &memory, std::size_t size, TimePoint validUntil);
-
-/** Forgets the sizes that are too old at @p now. */
-void forgetFleetSizes(FleetSizeMemory &memory, TimePoint now);
-
 /** Takes the live members into account, and for an hour the largest number of them. */
 void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now);
 
--- a/src/controllers/creditmessage.h
+++ b/src/controllers/creditmessage.h
@@ -11,11 +11,6 @@
 /** Messages that entry VMs exchange about limits of the whole fleet. */
 namespace Plantainweir {
 
-/** Larger fleets are not believed. */
-inline constexpr std::uint32_t MaximumFleetSize = 4096;
-/** How long the largest number of members counts after some have gone: they may only be cut off. */
-inline constexpr std::chrono::hours FleetSizeValidity{1};
-
 /** Most credits that one question asks for. */
 inline constexpr std::uint32_t MaximumAskedCredits = 32;
 
--- a/src/rpc/creditmessages.cpp
+++ b/src/rpc/creditmessages.cpp
@@ -1,5 +1,7 @@
 #include "rpc/creditmessages.h"
 
+#include "controllers/seenfleetsizes.h"
+
 #include <algorithm>
 
 namespace Plantainweir {
