Ping all new seeds at once, however long ago the start was

Callers saw: entry VMs that another one had found in the store stayed apart from it for long, and were missing in its directory. Cause: seeds are pinged at the join interval in the first ten seconds after the start only. Seeds that come later, from the store, wait for the reconnection, which pings one random seed or dead member every ten periods. Change: a new seed starts the join interval anew; a list of the same seeds does not. Evidence: MembershipTest.PingsNewSeedsAtOnceAndAgainUntilTheyAnswer fails without the change (one seed instead of two at the next deadline, and again at the following one). Result: with the change it passes; membershipexplorationtest passes as before.

--- a/src/controllers/membership.cpp
+++ b/src/controllers/membership.cpp
@@ -714,7 +714,15 @@
 
 void handle(const StepContext &context, const SeedsChanged &event)
 {
-    context.membership.seeds = event.seeds;
+    Membership &membership = context.membership;
+    const bool hasNewSeed = std::any_of(event.seeds.begin(), event.seeds.end(), [&membership](const Endpoint &seed) {
+        return std::find(membership.seeds.begin(), membership.seeds.end(), seed) == membership.seeds.end();
+    });
+    membership.seeds = event.seeds;
+    if (hasNewSeed) {
+        membership.nextJoinAt = context.now;
+        membership.joinUntil = context.now + membership.settings.joinDuration;
+    }
 }
 
 void handle(const StepContext &context, const RecordsReceived &event)
--- a/src/controllers/membership.h
+++ b/src/controllers/membership.h
@@ -126,6 +126,7 @@
 /** This member is to announce that it leaves the fleet. */
 struct LeaveRequested {
 };
+/** New seeds are pinged at the join interval, as after the start. */
 struct SeedsChanged {
     std::vector<Endpoint> seeds;
 };
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace Plantainweir {
 namespace {
 
@@ -122,6 +124,28 @@
     EXPECT_EQ(stateOf("c"), MemberState::Suspect);
 }
 
+/** Guards against fleets that know of each other from the store and stay apart: all new seeds are pinged, however long ago the start was. */
+TEST_F(MembershipTest, PingsNewSeedsAtOnceAndAgainUntilTheyAnswer)
+{
+    const Endpoint first{"127.0.0.1", 8001};
+    const Endpoint second{"127.0.0.1", 8002};
+    runFor(60s);
+    step(m_membership, SeedsChanged{{first, second}}, m_now, m_random);
+    const auto pingedSeeds = [this] {
+        std::set<Endpoint> seeds;
+        for (const OutgoingDatagram &outgoing : fire(std::max(Duration(0), Duration(nextDeadline(m_membership) - m_now))).datagrams) {
+            seeds.insert(outgoing.to);
+        }
+        return seeds;
+    };
+    EXPECT_EQ(pingedSeeds(), (std::set<Endpoint>{first, second}));
+    EXPECT_EQ(pingedSeeds(), (std::set<Endpoint>{first, second}));
+    runFor(20s);
+    EXPECT_TRUE(step(m_membership, SeedsChanged{{second, first}}, m_now, m_random).datagrams.empty());
+    EXPECT_GE(nextDeadline(m_membership), m_now);
+    EXPECT_LE(pingedSeeds().size(), 1U) << "seeds that have not answered for long are pinged seldom";
+}
+
 TEST_F(MembershipTest, SuspectsMembersThatAreDeadInAnotherPartition)
 {
     receiveRecords({makeRecord("b", 1)});
