Register each fleet in the store and compare it before it grants credit

Cause: a VM registered itself in the store only if no seed had answered it within 3 s. VMs whose seeds had answered were not registered, so that new VMs whose seeds are gone, or name only new VMs, found nobody but each other, and took themselves for the whole fleet. Nothing brought the two parts together later. The logs distinguish this from keepers that hold too much; none had to be added for it. A VM's member record tells that it has compared the fleet, and the number of members to reckon with. Before a VM knows of a comparison, it delegates no share of the fleet's limits; if the comparison comes late, it waits another 1.5 s. A registration tells the largest fleet within the last hour, so that the shares add up to one even before the two parts have found each other. Why it works: of two registrars that write before they list, one at least sees the other; and a part that cannot be seen is reckoned with by its registered size.

--- a/src/controllers/creditdelegator.cpp
+++ b/src/controllers/creditdelegator.cpp
@@ -146,6 +146,11 @@
 void changeMembers(CreditDelegator &delegator, const std::map<std::string, CreditMember> &members, FleetKnowledge knowledge, TimePoint now)
 {
     rememberFleetSize(delegator.fleetSize, members.size(), now + FleetSizeValidity);
+    const bool isKnown = delegator.knowledge == FleetKnowledge::Unknown && knowledge != FleetKnowledge::Unknown;
+    if (isKnown && delegator.quarantinedUntil <= now - BoundTime) {
+        // So late, it is known because another part of the fleet was found, which may not know the new size yet.
+        delegator.quarantinedUntil = now + BoundTime;
+    }
     if (knowledge > delegator.knowledge) {
         // More of the share may be delegated now.
         delegator.nextRenewalAt = std::min(delegator.nextRenewalAt, now);
--- a/src/controllers/fleetcredit.cpp
+++ b/src/controllers/fleetcredit.cpp
@@ -154,6 +154,10 @@
     for (const CreditMember &member : event.members) {
         credit.members.emplace(member.name, member);
     }
+    if (credit.delegator.knowledge == FleetKnowledge::Unknown && event.knowledge != FleetKnowledge::Unknown) {
+        // Only once: members that tell each other an old number again and again would never forget it.
+        rememberFleetSize(credit.delegator.fleetSize, event.comparedFleetSize, context.now + FleetSizeValidity);
+    }
     changeMembers(credit.delegator, credit.members, event.knowledge, context.now);
 }
 
--- a/src/controllers/fleetcredit.h
+++ b/src/controllers/fleetcredit.h
@@ -28,6 +28,7 @@
 struct CreditMembersChanged {
     std::vector<CreditMember> members; ///< Includes this member itself.
     FleetKnowledge knowledge = FleetKnowledge::Unknown;
+    std::size_t comparedFleetSize = 0; ///< Number of members to reckon with according to the store's registrations.
 };
 struct CreditMessageReceived {
     Endpoint from;
--- a/src/controllers/membership.cpp
+++ b/src/controllers/membership.cpp
@@ -701,6 +701,16 @@
     announceSelf(context, record);
 }
 
+void handle(const StepContext &context, const FleetCompared &event)
+{
+    MemberRecord record = selfRecord(context.membership);
+    if (record.comparedFleetSize == event.fleetSize || record.state == MemberState::Left) {
+        return;
+    }
+    record.comparedFleetSize = event.fleetSize;
+    announceSelf(context, record);
+}
+
 void handle(const StepContext &context, const LeaveRequested &)
 {
     MemberRecord record = selfRecord(context.membership);
--- a/src/controllers/membership.h
+++ b/src/controllers/membership.h
@@ -123,6 +123,10 @@
 struct PlatformReachabilityChanged {
     bool isUnreachable = false;
 };
+/** This member has compared the fleet with the store's registrations; @c fleetSize is the number of members to reckon with. */
+struct FleetCompared {
+    std::size_t fleetSize = 0;
+};
 /** This member is to announce that it leaves the fleet. */
 struct LeaveRequested {
 };
@@ -139,8 +143,15 @@
     std::uint64_t digest = 0;
     std::vector<ObjectVersion> announcedVersions;
 };
-using MembershipEvent = std::
-    variant<MembershipTimerFired, DatagramReceived, EntryChanged, PlatformReachabilityChanged, LeaveRequested, SeedsChanged, RecordsReceived, ObjectsChanged>;
+using MembershipEvent = std::variant<MembershipTimerFired,
+                                     DatagramReceived,
+                                     EntryChanged,
+                                     PlatformReachabilityChanged,
+                                     FleetCompared,
+                                     LeaveRequested,
+                                     SeedsChanged,
+                                     RecordsReceived,
+                                     ObjectsChanged>;
 
 struct OutgoingDatagram {
     Endpoint to;
--- a/src/controllers/membershiprecord.h
+++ b/src/controllers/membershiprecord.h
@@ -50,6 +50,7 @@
     std::string availabilityZone;
     std::uint32_t capacity = 0; ///< Processor share of its VM, in thousandths of a core; zero if not known.
     std::optional<EntryMember> entry; ///< Set while its entryd is connected and ready.
+    std::size_t comparedFleetSize = 0; ///< Members that were to be reckoned with when it compared the fleet with the store; zero before.
     bool isPlatformUnreachable = false; ///< It failed to reach the platform as a watcher; other members should watch instead.
     bool operator==(const MemberRecord &) const = default;
 };
--- a/src/controllers/storeobject.h
+++ b/src/controllers/storeobject.h
@@ -3,6 +3,7 @@
 #include "configuration/routetable.h"
 #include "controllers/upstreamregistry.h"
 #include "core/enumnames.h"
+#include "core/time.h"
 
 #include <cstdint>
 #include <string>
@@ -31,10 +32,12 @@
 }
 static_assert(isEnumTableOrdered<StoreObjectKind>());
 
-/** An entry VM's registration in the store, where other entry VMs find its membership endpoint. */
+/** An entry VM's registration in the store, where other entry VMs find its membership endpoint and the size of its fleet. */
 struct EntryVmRecord {
     std::string name;
     Endpoint membershipEndpoint;
+    std::size_t fleetSize = 0; ///< Largest number of entry VMs that are to be reckoned with; zero if not known.
+    UnixMilliseconds fleetSizeValidUntil; ///< The record counts as old from then on.
     bool operator==(const EntryVmRecord &) const = default;
 };
 
--- a/src/rpc/membershipmessages.cpp
+++ b/src/rpc/membershipmessages.cpp
@@ -91,6 +91,7 @@
         *message.mutable_entry() = entryToMessage(*record.entry);
     }
     message.set_platform_unreachable(record.isPlatformUnreachable);
+    message.set_compared_fleet_size(static_cast<std::uint32_t>(record.comparedFleetSize));
     return message;
 }
 
@@ -111,6 +112,7 @@
                         .availabilityZone = message.availability_zone(),
                         .capacity = message.capacity(),
                         .entry = std::nullopt,
+                        .comparedFleetSize = message.compared_fleet_size(),
                         .isPlatformUnreachable = message.platform_unreachable()};
     if (message.has_entry()) {
         record.entry = entryFromMessage(message);
--- a/src/tasks/credittask.cpp
+++ b/src/tasks/credittask.cpp
@@ -175,9 +175,9 @@
     }
 }
 
-void CreditTask::setMembers(const std::vector<CreditMember> &members, FleetKnowledge knowledge)
+void CreditTask::setMembers(const std::vector<CreditMember> &members, FleetKnowledge knowledge, std::size_t comparedFleetSize)
 {
-    d->handleEvent(CreditMembersChanged{members, knowledge});
+    d->handleEvent(CreditMembersChanged{.members = members, .knowledge = knowledge, .comparedFleetSize = comparedFleetSize});
 }
 
 bool CreditTask::isLimited(const CreditLine &line) const
--- a/src/tasks/credittask.h
+++ b/src/tasks/credittask.h
@@ -45,8 +45,11 @@
     bool listen();
     /** Sets the limits in force. */
     void setTable(const RouteTable &table);
-    /** Sets the live members, including this one, and whether they have found each other (see FleetSizeEstimate). */
-    void setMembers(const std::vector<CreditMember> &members, FleetKnowledge knowledge);
+    /**
+     * Sets the live members, including this one, and whether they have found each other (see FleetSizeEstimate).
+     * @param comparedFleetSize is the number of members to reckon with according to the store.
+     */
+    void setMembers(const std::vector<CreditMember> &members, FleetKnowledge knowledge, std::size_t comparedFleetSize = 0);
 
     /** Returns whether calls need credit of @p line. If not, it must not be requested. */
     bool isLimited(const CreditLine &line) const;
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -12,6 +12,7 @@
 #include "tasks/membershiptask.h"
 #include "tasks/proxytask.h"
 #include "tasks/proxyupstreamport.h"
+#include "tasks/registrationtask.h"
 #include "tasks/storesourcetask.h"
 
 #include <QTimer>
@@ -45,8 +46,6 @@
 constexpr PortShare UpstreamShare{.connections = 3000, .percent = 15}; ///< Towards all upstreams.
 /** All that the clients of these ports make the process hold, as parts of the memory. They need no bodies. */
 constexpr std::size_t QueryMemoryDivisor = 64;
-constexpr int ConflictStatus = 409;
-constexpr int FirstRedirectionStatus = 300;
 /**
  * Largest body of an upstream's response, and all incomplete responses, all incomplete requests or all answers that callers
  * have not read together, as parts of the memory. A complete response is copied up to three times on its way.
@@ -59,10 +58,6 @@
 constexpr std::size_t HeaderMemory = 512 * 1024;
 /** Idle timeout of caller connections until the first configuration arrives. */
 constexpr std::chrono::milliseconds InitialIdleTimeout{60'000};
-/** An entry VM that has found no other member after this time registers itself in the store. */
-constexpr std::chrono::milliseconds SeedResponseTimeout{3000};
-constexpr std::chrono::milliseconds StoreCallTimeout{1500};
-constexpr std::chrono::milliseconds StoreRetryDelay{2000};
 /** Time after which an entry VM reads the store if a whole fleet starts, so that no calls wait. */
 constexpr std::chrono::milliseconds FleetStartDelay{5000};
 /** Calls that arrive while this VM starts wait in the accept queue for at most this time. */
@@ -139,6 +134,43 @@
     };
 }
 
+RegistrationTaskSettings registrationSettings(const GatewaySettings &settings)
+{
+    FleetRegistrationSettings registration;
+    if (settings.seeds.empty()) {
+        // No seed can answer.
+        registration.loneTime = Duration(0);
+    }
+    return {
+        .name = settings.name, .membershipEndpoint = settings.membershipPort, .store = settings.store, .registration = registration, .seed = settings.seed + 3};
+}
+
+/** Returns all known members as far as registrations in the store depend on them. */
+std::vector<RegistrationMember> registrationMembers(const Membership &membership)
+{
+    std::vector<RegistrationMember> members;
+    for (const auto &[name, member] : membership.members) {
+        const MemberRecord &record = member.record;
+        members.push_back({.name = name,
+                           .availabilityZone = record.availabilityZone,
+                           .state = record.state,
+                           .isLeaving = record.entry && record.entry->isLeaving,
+                           .isStoreUnreachable = record.isPlatformUnreachable,
+                           .comparedFleetSize = record.comparedFleetSize});
+    }
+    return members;
+}
+
+/** Returns the number of members to reckon with according to the live members that have compared the fleet with the store; zero if none has. */
+std::size_t comparedFleetSize(const Membership &membership)
+{
+    std::size_t size = 0;
+    for (const auto &[name, member] : membership.members) {
+        size = isLive(member.record.state) ? std::max(size, member.record.comparedFleetSize) : size;
+    }
+    return size;
+}
+
 /** Returns the live members of @p availabilityZone. */
 std::vector<FeedMember> feedMembers(const Membership &membership, const std::string &availabilityZone)
 {
@@ -216,7 +248,7 @@
                     .tolerance = settings.creditTolerance,
                     .seed = settings.seed + 2},
                    m_metrics)
-        , m_storeClient(HttpLimits{})
+        , m_registration(registrationSettings(settings), codec, m_metrics)
     {
         m_operatorsPort.setLimits(queryLimits(OperatorsShare, settings));
         m_proxy.setBodyLimit(settings.memoryBytes / CallMemoryDivisor);
@@ -299,6 +331,15 @@
 
     void connectFleet()
     {
+        connect(&m_membership, &MembershipTask::candidatesChanged, this, [this] {
+            m_registration.setMembers(registrationMembers(m_membership.membership()));
+        });
+        connect(&m_registration, &RegistrationTask::membersRegistered, this, [this](const std::vector<Endpoint> &endpoints) {
+            std::vector<Endpoint> seeds = m_settings.seeds;
+            seeds.insert(seeds.end(), endpoints.begin(), endpoints.end());
+            m_membership.setSeeds(seeds);
+        });
+        connect(&m_registration, &RegistrationTask::fleetCompared, &m_membership, &MembershipTask::setComparedFleetSize);
         connect(&m_membership, &MembershipTask::entriesChanged, this, [this](const std::vector<EntryMember> &entries) {
             m_entries = entries;
             logEvent(LogEvent::EntriesChanged, {{"entries", entries.size()}});
@@ -326,15 +367,6 @@
                 m_membership.mergeRecords(*records);
             }
         });
-        connect(&m_storeClient, &HttpClient::finished, this, &Private::handleRegistrationAnswer);
-        m_seedResponseTimer.setSingleShot(true);
-        connect(&m_seedResponseTimer, &QTimer::timeout, this, [this] {
-            // No seed answered: they are all down, or this is the first entry VM.
-            const bool hasNoOtherMember = liveMembers(m_membership.membership()).size() <= 1;
-            if (hasNoOtherMember && m_registrationRequest == 0) {
-                registerSelf();
-            }
-        });
     }
 
     void connectCredit()
@@ -348,7 +380,10 @@
 
     void updateCreditMembers()
     {
-        m_credit.setMembers(creditMembers(m_membership.membership()), knowledgeOf(m_fleetSize));
+        const Membership &membership = m_membership.membership();
+        // The members that know each other may be a part of the fleet only.
+        const FleetKnowledge knowledge = m_registration.isFleetCompared() ? knowledgeOf(m_fleetSize) : FleetKnowledge::Unknown;
+        m_credit.setMembers(creditMembers(membership), knowledge, comparedFleetSize(membership));
     }
 
     bool start()
@@ -380,10 +415,7 @@
         }
         m_membership.setSeeds(m_settings.seeds);
         m_storeSource.start();
-        if (m_settings.seeds.empty()) {
-            registerSelf();
-        }
-        m_seedResponseTimer.start(SeedResponseTimeout);
+        m_registration.setMembers(registrationMembers(m_membership.membership()));
         return true;
     }
 
@@ -569,52 +601,6 @@
         return local;
     }
 
-    void registerSelf()
-    {
-        const EntryVmRecord record{.name = m_settings.name, .membershipEndpoint = m_settings.membershipPort};
-        m_registrationRequest
-            = m_storeClient.send(m_settings.store, m_codec.encodeRegistration(record, m_isRegistrationStored), Clock::now() + StoreCallTimeout);
-    }
-
-    void listEntryVms()
-    {
-        m_entryVmListRequest = m_storeClient.send(
-            m_settings.store, m_codec.encodeList(StoreObjectKind::EntryVms, {}, ReadConsistency::Consistent), Clock::now() + StoreCallTimeout);
-    }
-
-    void handleRegistrationAnswer(HttpRequestId id, const HttpRequestResult &result)
-    {
-        const bool isAnswered = result.outcome == HttpRequestOutcome::Answered;
-        if (id == m_registrationRequest) {
-            const bool isConflict = isAnswered && result.response.status == ConflictStatus;
-            const bool isWritten = isAnswered && result.response.status < FirstRedirectionStatus;
-            m_isRegistrationStored = isConflict;
-            if (isWritten) {
-                listEntryVms();
-            } else {
-                QTimer::singleShot(isConflict ? std::chrono::milliseconds(0) : StoreRetryDelay, this, &Private::registerSelf);
-            }
-            return;
-        }
-        if (id != m_entryVmListRequest) {
-            return;
-        }
-        StorePage page;
-        if (m_codec.decodePage(StoreObjectKind::EntryVms, result, false, page) != StoreReadOutcome::Page) {
-            QTimer::singleShot(StoreRetryDelay, this, &Private::listEntryVms);
-            return;
-        }
-        std::vector<Endpoint> seeds = m_settings.seeds;
-        for (const StoreObject &object : page.objects) {
-            if (const auto *record = std::get_if<EntryVmRecord>(&object.value)) {
-                seeds.push_back(record->membershipEndpoint);
-            } else if (!object.isDeleted) {
-                logEvent(LogEvent::ObjectUnusable, {{"kind", nameOf(StoreObjectKind::EntryVms)}, {"name", object.name}, {"revision", object.revision}});
-            }
-        }
-        m_membership.setSeeds(seeds);
-    }
-
     void leave()
     {
         if (m_isLeaving) {
@@ -625,9 +611,6 @@
         m_membership.setEntry(selfEntry());
         m_credit.leave();
         m_callerServer.closeAfterResponses();
-        if (m_registrationRequest != 0) {
-            m_storeClient.send(m_settings.store, m_codec.encodeDeregistration(m_settings.name), Clock::now() + StoreCallTimeout);
-        }
         const auto stopTime = std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.stopTime);
         const auto interruptedAfter = std::max(stopTime - ForcedStopMargin, stopTime / 2);
         m_proxy.setInterruption(Clock::now() + interruptedAfter);
@@ -635,6 +618,8 @@
         QTimer::singleShot(stopTime / 2, Qt::PreciseTimer, this, [this] {
             m_proxy.refuseNewCalls();
             m_isDraining = true;
+            // By now another entry VM has registered itself in place of this one.
+            m_registration.leave();
             m_membership.leave();
             m_callerServer.drain();
             stopIfDone();
@@ -666,18 +651,14 @@
     ExchangeServer m_exchangeServer;
     ExchangeClient m_exchangeClient;
     CreditTask m_credit;
-    HttpClient m_storeClient;
+    RegistrationTask m_registration;
     UpstreamRegistry m_upstreamRegistry;
     std::set<std::string> m_evacuatedZones;
     QTimer m_expiryTimer;
-    QTimer m_seedResponseTimer;
     QTimer m_convergenceTimer;
     std::vector<EntryMember> m_entries;
     std::chrono::milliseconds m_longestIdleTimeout{0};
     FleetSizeEstimate m_fleetSize;
-    HttpRequestId m_registrationRequest = 0;
-    HttpRequestId m_entryVmListRequest = 0;
-    bool m_isRegistrationStored = false;
     bool m_isReady = false;
     bool m_isLeaving = false;
     bool m_isDraining = false;
--- a/src/tasks/membershiptask.cpp
+++ b/src/tasks/membershiptask.cpp
@@ -192,6 +192,11 @@
     d->handleEvent(EntryChanged{entry});
 }
 
+void MembershipTask::setComparedFleetSize(std::size_t fleetSize)
+{
+    d->handleEvent(FleetCompared{fleetSize});
+}
+
 void MembershipTask::setPlatformUnreachable(bool isUnreachable)
 {
     d->handleEvent(PlatformReachabilityChanged{isUnreachable});
--- a/src/tasks/membershiptask.h
+++ b/src/tasks/membershiptask.h
@@ -33,6 +33,8 @@
     void setEntry(const std::optional<EntryMember> &entry);
     /** Publishes whether the platform is unreachable from this member. */
     void setPlatformUnreachable(bool isUnreachable);
+    /** Publishes that this member has compared the fleet with the store; @p fleetSize is the number of members to reckon with. */
+    void setComparedFleetSize(std::size_t fleetSize);
     /** Publishes the digest of the objects that this member has, and gossips the versions in @p announcedVersions. */
     void setObjects(std::uint64_t digest, const std::vector<ObjectVersion> &announcedVersions);
     /** Merges records that another member sent. */
--- a/tests/controldtest.cpp
+++ b/tests/controldtest.cpp
@@ -20,6 +20,7 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <limits>
 
 namespace Plantainweir {
 namespace {
@@ -312,6 +313,7 @@
                               .exchangeEndpoint = longEndpoint,
                               .availabilityZone = longText,
                               .entry = entry,
+                              .comparedFleetSize = std::numeric_limits<std::uint32_t>::max(),
                               .isPlatformUnreachable = true};
     datagram.records = {record};
     DisseminationQueue queue;
--- a/tests/creditdelegatortest.cpp
+++ b/tests/creditdelegatortest.cpp
@@ -90,6 +90,20 @@
     EXPECT_EQ(delegatedParts(renewNow()), 0U);
 }
 
+/** Guards against a part of the fleet that waited to be compared and uses its share before the part that it found knows of it. */
+TEST_F(CreditDelegatorTest, DelegatesNothingSoonAfterTheFleetBecameKnownLate)
+{
+    changeMembers(delegator, members, FleetKnowledge::Unknown, now);
+    run(6s);
+    EXPECT_EQ(delegatedParts(renewNow()), 0U);
+    changeMembers(delegator, members, FleetKnowledge::Converged, now);
+    EXPECT_EQ(delegatedParts(renewNow()), 0U);
+    run(1400ms);
+    EXPECT_EQ(delegatedParts(renewNow()), 0U);
+    run(600ms);
+    EXPECT_EQ(delegatedParts(renewNow()), 2U);
+}
+
 TEST_F(CreditDelegatorTest, ASilentKeeperIsReplacedOnceItsPartIsNotBoundAnyMore)
 {
     run(5s);
--- a/tests/fleetcreditexplorationtest.cpp
+++ b/tests/fleetcreditexplorationtest.cpp
@@ -326,6 +326,19 @@
     }
 }
 
+TEST(FleetCredit, ReckonsWithTheMembersThatTheStoreTells)
+{
+    std::mt19937_64 random(1);
+    FleetCredit credit = makeFleetCredit("a", "z", 1, TimePoint(1h));
+    const std::vector<CreditMember> members{{.name = "a", .availabilityZone = "z"}, {.name = "b", .availabilityZone = "z"}};
+    step(credit, CreditMembersChanged{.members = members, .knowledge = FleetKnowledge::Unknown, .comparedFleetSize = 9}, TimePoint(1h), random);
+    EXPECT_EQ(largestFleetSize(credit.delegator.fleetSize).size, 2U);
+    step(credit, CreditMembersChanged{.members = members, .knowledge = FleetKnowledge::Settled, .comparedFleetSize = 7}, TimePoint(1h), random);
+    EXPECT_EQ(largestFleetSize(credit.delegator.fleetSize).size, 7U);
+    step(credit, CreditMembersChanged{.members = members, .knowledge = FleetKnowledge::Converged, .comparedFleetSize = 8}, TimePoint(1h + 30min), random);
+    EXPECT_EQ(largestFleetSize(credit.delegator.fleetSize).size, 7U) << "a size that members tell each other again and again would count forever";
+}
+
 TEST(FleetCreditExploration, NothingIsSentWithoutLimits)
 {
     CreditFleet fleet(1, 20, {});
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include <QJsonArray>
+#include <QJsonDocument>
 #include <QTcpServer>
 #include <QTcpSocket>
 
@@ -301,6 +302,18 @@
         return waitFor(client.send(endpoint, {.method = "GET", .target = target, .fields = {}, .body = {}}, Clock::now() + std::chrono::seconds(5)));
     }
 
+    /** Returns the addresses that the directory at @p endpoint names. */
+    std::set<std::string> directoryEntries(const Endpoint &endpoint)
+    {
+        const std::string target = std::string("/v1/resolve?region=r&zone=a&name=") + Host;
+        const HttpResponse response = get(endpoint, target).response;
+        std::set<std::string> entries;
+        for (const QJsonValue address : QJsonDocument::fromJson(QByteArray::fromStdString(response.body)).object()["addresses"].toArray()) {
+            entries.insert(address.toString().toStdString());
+        }
+        return entries;
+    }
+
     bool isReady()
     {
         return get(settings.readinessPort, "/v1/ready").response.status == 200;
@@ -492,6 +505,91 @@
     EXPECT_EQ(statuses[200] + statuses[429], 40);
 }
 
+/** Guards against two fleets that do not know each other and grant the whole quota each, after the VMs that the seeds name were replaced. */
+TEST_F(GatewayTest, VmsWhoseSeedsAreGoneJoinTheFleetThatServes)
+{
+    constexpr int CallsPerSecond = 20;
+    constexpr int Burst = 10;
+    store.put("config", "main", configurationWithAccount(4, {"secret-1"}, {{"ratePerS", CallsPerSecond}, {"burst", Burst}}));
+    upstream.slots = 50;
+    store.put("servers", "i-1", upstream.registration());
+    GatewaySettings second = settingsOfAnother("e2");
+    GatewaySettings lost = settingsOfAnother("e3");
+    for (GatewaySettings *member : {&settings, &second, &lost}) {
+        member->seeds = {lost.membershipPort};
+    }
+    start();
+    Gateway other(second, Platform::platformCodec());
+    ASSERT_TRUE(other.start());
+    auto seed = std::make_unique<Gateway>(lost, Platform::platformCodec());
+    ASSERT_TRUE(seed->start());
+    EXPECT_TRUE(waitUntil([&] {
+        return directoryEntries(settings.directoryPort).size() == 3;
+    }));
+
+    seed.reset();
+    GatewaySettings third = settingsOfAnother("e4");
+    GatewaySettings fourth = settingsOfAnother("e5");
+    third.seeds = fourth.seeds = settings.seeds;
+    Gateway added(third, Platform::platformCodec());
+    Gateway alsoAdded(fourth, Platform::platformCodec());
+    ASSERT_TRUE(added.start());
+    ASSERT_TRUE(alsoAdded.start());
+    const std::set<std::string> expected{toString(settings.callerPort), toString(second.callerPort), toString(third.callerPort), toString(fourth.callerPort)};
+    for (const Endpoint &directory : {settings.directoryPort, second.directoryPort, third.directoryPort, fourth.directoryPort}) {
+        EXPECT_TRUE(waitUntil([&] {
+            return directoryEntries(directory) == expected;
+        })) << "the directory at "
+            << toString(directory);
+    }
+
+    // From now on both parts are asked for more than the quota.
+    upstream.calls.clear();
+    const TimePoint end = Clock::now() + std::chrono::seconds(5);
+    while (Clock::now() < end) {
+        sendWithKey(settings.callerPort, "/a/x", "secret-1");
+        callWithKey("/a/x", "secret-1");
+        waitFor(sendWithKey(third.callerPort, "/a/x", "secret-1"));
+    }
+    const double window = std::chrono::duration<double>(settings.creditTolerance.quotaWindow).count();
+    const double allowed = (CallsPerSecond * window + Burst) * (1.0 + settings.creditTolerance.quotaOver) + settings.creditTolerance.quotaSlack;
+    EXPECT_LE(static_cast<double>(upstream.calls.size()), allowed);
+    EXPECT_GT(upstream.calls.size(), static_cast<std::size_t>(CallsPerSecond)) << "the quota is hardly used";
+}
+
+TEST_F(GatewayTest, NoQuotaIsGrantedBeforeTheFleetIsComparedWithTheStore)
+{
+    store.put("config", "main", configurationWithAccount(4, {"secret-1"}, {{"ratePerS", 20}, {"burst", 10}}));
+    store.setFaults({.unansweredKind = "plantainweir-entries"});
+    start();
+    Gateway other(settingsOfAnother("e2"), Platform::platformCodec());
+    ASSERT_TRUE(other.start());
+    const TimePoint end = Clock::now() + std::chrono::seconds(6);
+    while (Clock::now() < end) {
+        EXPECT_EQ(callWithKey("/a/x", "secret-1").response.status, 503) << "other VMs that are not known may let calls pass";
+    }
+    EXPECT_TRUE(upstream.calls.empty());
+    store.setFaults({});
+    EXPECT_TRUE(waitUntil([this] {
+        return callWithKey("/a/x", "secret-1").response.status == 200;
+    }));
+}
+
+/** Guards against seeds that are gone: a VM that knows nobody must be found through the store, and read its list again. */
+TEST_F(GatewayTest, VmsWithoutSeedsFindEachOther)
+{
+    GatewaySettings other = settingsOfAnother("e2");
+    other.seeds.clear();
+    start();
+    Gateway second(other, Platform::platformCodec());
+    ASSERT_TRUE(second.start());
+    for (const Endpoint &directory : {settings.directoryPort, other.directoryPort}) {
+        EXPECT_TRUE(waitUntil([&] {
+            return directoryEntries(directory).size() == 2;
+        }));
+    }
+}
+
 TEST_F(GatewayTest, KeysComeAndGoWithVersions)
 {
     store.put("config", "main", configurationWithAccount(4, {"secret-1"}));
--- a/tests/membershiptest.cpp
+++ b/tests/membershiptest.cpp
@@ -146,6 +146,15 @@
     EXPECT_LE(pingedSeeds().size(), 1U) << "seeds that have not answered for long are pinged seldom";
 }
 
+TEST_F(MembershipTest, PublishesOnceThatItHasComparedTheFleet)
+{
+    receiveRecords({makeRecord("b", 1)});
+    const MembershipActions actions = step(m_membership, FleetCompared{7}, m_now, m_random);
+    ASSERT_EQ(actions.changes.size(), 1U);
+    EXPECT_EQ(actions.changes.front().comparedFleetSize, 7U);
+    EXPECT_TRUE(step(m_membership, FleetCompared{7}, m_now, m_random).changes.empty());
+}
+
 TEST_F(MembershipTest, SuspectsMembersThatAreDeadInAnotherPartition)
 {
     receiveRecords({makeRecord("b", 1)});
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -432,6 +432,40 @@
     }
 }
 
+std::optional<EntryVmRecord> decodeEntryVm(const std::string &spec)
+{
+    const std::string body = R"({"hasMore":false,"items":[{"metadata":{"name":"e1"},"spec":)" + spec + R"(}],"storeRevision":9})";
+    StorePage page;
+    const HttpRequestResult result{.outcome = HttpRequestOutcome::Answered, .response = {.status = 200, .fields = {}, .body = body}};
+    EXPECT_EQ(decodePage(StoreObjectKind::EntryVms, result, false, page), StoreReadOutcome::Page);
+    const auto *record = page.objects.empty() ? nullptr : std::get_if<EntryVmRecord>(&page.objects.front().value);
+    return record == nullptr ? std::nullopt : std::optional(*record);
+}
+
+TEST(PlatformStore, ARegistrationOfAnEntryVmIsReadAsItWasWritten)
+{
+    const EntryVmRecord record{.name = "e1",
+                               .membershipEndpoint = {"10.1.0.9", 7720},
+                               .fleetSize = 141,
+                               .fleetSizeValidUntil = UnixMilliseconds(std::chrono::milliseconds(1'790'000'000'123))};
+    for (const bool isUpdate : {false, true}) {
+        const HttpRequest request = encodeRegistration(record, isUpdate);
+        EXPECT_EQ(request.method, isUpdate ? "PUT" : "POST");
+        const QJsonObject spec = parseObject(request.body.c_str()).value("spec").toObject();
+        EXPECT_EQ(decodeEntryVm(QJsonDocument(spec).toJson().toStdString()), record);
+    }
+}
+
+TEST(PlatformStore, ARegistrationWithoutAUsableFleetSizeStillTellsWhereTheEntryVmIs)
+{
+    const EntryVmRecord expected{.name = "e1", .membershipEndpoint = {"10.1.0.9", 7720}};
+    for (const std::string size :
+         {"", R"(,"fleetSize":"7","fleetSizeUntil":"soon")", R"(,"fleetSize":-1,"fleetSizeUntil":-1)", R"(,"fleetSize":1e300,"fleetSizeUntil":1e300)"}) {
+        EXPECT_EQ(decodeEntryVm(R"({"membership":"10.1.0.9:7720")" + size + "}"), expected) << size;
+    }
+    EXPECT_EQ(decodeEntryVm(R"({"membership":"nowhere","fleetSize":7})"), std::nullopt);
+}
+
 TEST(PlatformStore, APageOfNothingButOddEntriesIsAPage)
 {
     for (const std::string odd : {R"({"metadata":{"name":"main"},"spec":{"version":7,"resources":[)", R"({"metadata":{"name":"main"},"spec":")"}) {
