Pause before a registration that is not listed is written again

Cause (found by reading, not reported): a member that does not find its own registration in a list wrote it again at once, and listed again after that. If the object cannot be read, for example because another writer damages it, that goes on without a pause. Change: the usual pause after a failed call comes first. Result: FleetRegistrationTest.ARegistrationThatWasRemovedIsWrittenAgain expected the write at once; it is replaced by ARegistrationThatIsNotListedIsWrittenAgainAfterAPause, which also checks when the write comes, and passes.

--- a/src/controllers/fleetregistration.cpp
+++ b/src/controllers/fleetregistration.cpp
@@ -262,9 +262,10 @@
     }
     registration.hasListed = isListed;
     if (!isListed) {
-        // Another member took this one for gone.
+        // Another member took this one for gone, or the object cannot be read.
         registration.written.reset();
         registration.isObjectKnown = false;
+        scheduleRetry(context);
     }
     registration.nextListAt = context.now + randomPeriod(context);
 }
--- a/tests/fleetregistrationtest.cpp
+++ b/tests/fleetregistrationtest.cpp
@@ -209,12 +209,14 @@
     EXPECT_EQ(remove->name, "x");
 }
 
-TEST_F(FleetRegistrationTest, ARegistrationThatWasRemovedIsWrittenAgain)
+TEST_F(FleetRegistrationTest, ARegistrationThatIsNotListedIsWrittenAgainAfterAPause)
 {
     setMembers({memberNamed("a"), memberNamed("b")});
     runFor(600ms);
     feed(RegistrationWritten{RegistrationWriteOutcome::Written});
-    const auto write = find<WriteRegistration>(answerList({record("b", 2)}));
+    EXPECT_FALSE(find<WriteRegistration>(answerList({record("b", 2)})));
+    EXPECT_TRUE(runFor(1900ms).empty());
+    const auto write = find<WriteRegistration>(runFor(200ms));
     ASSERT_TRUE(write);
     EXPECT_FALSE(write->isUpdate);
 }
