Give each gateway of a test a seed of its own

No caller saw anything: gatewayd draws its seed, and only the test's gateways shared one.

Cause: settingsOfAnother() copied the seed, so all gateways drew the same process number. A keeper keeps shares by that number, so the delegations of all VMs took each other's place; those with a lower sequence were dropped as outdated without a receipt. Evidence: in the log of a failed run the VMs have no or different keepers until the end (credit_keepers_changed keepers="" 2 s and more after all were found), and calls run only as often as one VM's share allows, twice in 0.5 s. How many ran depended on which VM's datagrams came first.

Bounds and checks are unchanged.

--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr auto Host = "rink.example";
+/** Distance between the seeds of two gateways, each of which derives a few seeds for its tasks from its own. */
+constexpr std::uint64_t SeedDistance = 100;
 
 /** An upstream that uses the platform's headers; a test can delay its answers. */
 class RoutedUpstream
@@ -244,10 +246,12 @@
     }
 
     /** Returns the settings of another entry VM of the same fleet. */
-    GatewaySettings settingsOfAnother(const std::string &name) const
+    GatewaySettings settingsOfAnother(const std::string &name)
     {
         GatewaySettings other = settings;
         other.name = name;
+        // Credit messages tell processes apart by numbers that are drawn with this seed.
+        other.seed = settings.seed + ++otherCount * SeedDistance;
         for (Endpoint *port :
              {&other.callerPort, &other.readinessPort, &other.directoryPort, &other.membershipPort, &other.exchangePort, &other.operatorsPort}) {
             *port = freeEndpoint();
@@ -350,6 +354,7 @@
     HttpClient client{HttpLimits{}};
     std::map<HttpRequestId, HttpRequestResult> results;
     int sentCount = 0;
+    std::uint64_t otherCount = 0;
     bool isStopped = false;
 };
 
