Log answers of the store that are ignored as outdated

The log did not tell whether the answers did not arrive, were ignored, or had a version that is too low. Event 1545 (store_answer_outdated) and the counter plantainweir_store_answers_outdated_total tell of answers that the mirror ignores.

No list or watch fails after the store's return:

E1521 56:36.804 store_returned kind=configuration away_ms=997 E1545 56:36.804 store_answer_outdated kind=configuration revision=18 known=31 E1545 56:36.939 store_answer_outdated kind=upstreams revision=18 known=35 E1545 56:39.511 store_answer_outdated kind=configuration revision=27 known=31

--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -91,6 +91,7 @@
     FeedMalformed = 1542,
     FirstReadFailed = 1543,
     WatchMissedChanges = 1544,
+    StoreAnswerOutdated = 1545,
     CreditKeepersChanged = 1550,
     CreditKeepingChanged = 1551,
 };
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -123,6 +123,7 @@
             const StoreObjectKind watched = state.mirror.kind;
             StoreWatchTask *watch = &watchOf(watched);
             connect(watch, &StoreWatchTask::deltaReceived, this, [this](const StoreDelta &delta, TimePoint confirmedAt) {
+                reportIfOutdated(delta);
                 adoptDelta(delta);
                 confirmByStore(delta.kind, confirmedAt, ReadConsistency::Consistent);
                 publishConfirmation();
@@ -416,6 +417,17 @@
         }
     }
 
+    void reportIfOutdated(const StoreDelta &delta)
+    {
+        const std::uint64_t known = kind(delta.kind).mirror.revision;
+        if (delta.revision < known) {
+            logEvent(LogEvent::StoreAnswerOutdated, {{"kind", nameOf(delta.kind)}, {"revision", delta.revision}, {"known", known}});
+            m_metrics.addToCounter("plantainweir_store_answers_outdated_total",
+                                   "Answers of the store that were ignored because they are older than what is known, by kind.",
+                                   std::string(nameOf(delta.kind)));
+        }
+    }
+
     void confirm(StoreObjectKind confirmed, TimePoint at)
     {
         std::optional<TimePoint> &known = kind(confirmed).confirmedAt;
