Hold what was in force when the store's copy lacks it

What callers saw with the commit before: at the store's return from a copy, what the copy lacks was taken for withdrawn.

Cause: the first complete set of objects of an era replaced all that was known of earlier ones.

A mirror now holds an object of an earlier era while the store has an older state of it, by the order of its writer: versions of the configuration, start and sequence number of an upstream's reports. What is missing in the store is held for 2.4 s from the first sight of the era, what is outdated there for 8 s, the configuration without a limit. Event 1547 and a gauge tell how much is held.

An object that a complete set does not name is now deleted at the revision of the set, not at its own, and a deletion that is older than what is known is ignored: the exploration showed that it let a mirror forget the last state of an upstream that had left.

--- a/src/controllers/storeobject.h
+++ b/src/controllers/storeobject.h
@@ -51,11 +51,22 @@
     bool operator==(const EvacuationRecord &) const = default;
 };
 
+/**
+ * Position of an object's state in the order in which its writer wrote them. It does not depend on the store's revisions, so that it holds
+ * when the store returns from a copy. All members are zero if the writer gives none.
+ */
+struct WriterOrder {
+    std::int64_t incarnation = 0; ///< UpstreamRecord::startedAtMs of an upstream.
+    std::uint64_t sequence = 0; ///< RouteTable::version, or the number of an upstream's report since its start.
+    auto operator<=>(const WriterOrder &) const = default;
+};
+
 /** A decoded object of the store. The value is std::monostate if the object is malformed or deleted. */
 struct StoreObject {
     std::string name;
     StoreRevision revision;
     bool isDeleted = false;
+    WriterOrder order; ///< Of a deleted object: of its last state.
     std::variant<std::monostate, RouteTable, UpstreamRecord, EntryVmRecord, EvacuationRecord> value;
     bool operator==(const StoreObject &) const = default;
 };
--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -93,6 +93,7 @@
     WatchMissedChanges = 1544,
     StoreAnswerOutdated = 1545,
     StoreEraChanged = 1546,
+    StoreObjectsHeld = 1547,
     CreditKeepersChanged = 1550,
     CreditKeepingChanged = 1551,
 };
--- a/src/rpc/storemessages.cpp
+++ b/src/rpc/storemessages.cpp
@@ -235,6 +235,8 @@
     message.set_revision(object.revision.number);
     message.set_era(object.revision.era);
     message.set_deleted(object.isDeleted);
+    message.set_writer_incarnation(object.order.incarnation);
+    message.set_writer_sequence(object.order.sequence);
     if (const auto *table = std::get_if<RouteTable>(&object.value)) {
         *message.mutable_route_table() = toMessage(*table);
     } else if (const auto *upstream = std::get_if<UpstreamRecord>(&object.value)) {
@@ -250,7 +252,11 @@
     if (message.name().empty()) {
         return std::nullopt;
     }
-    StoreObject object{.name = message.name(), .revision = {.era = message.era(), .number = message.revision()}, .isDeleted = message.deleted(), .value = {}};
+    StoreObject object{.name = message.name(),
+                       .revision = {.era = message.era(), .number = message.revision()},
+                       .isDeleted = message.deleted(),
+                       .order = {.incarnation = message.writer_incarnation(), .sequence = message.writer_sequence()},
+                       .value = {}};
     if (message.has_route_table()) {
         if (auto table = fromMessage(message.route_table())) {
             object.value = std::move(*table);
@@ -292,6 +298,7 @@
         row->set_era(confirmation.era);
         row->set_age_microseconds(microseconds(confirmation.age));
     }
+    message.set_era_age_microseconds(microseconds(update.eraAge));
     message.set_reading(update.isSenderReading);
     message.set_echoed_microseconds(microseconds(update.echoedAt.time_since_epoch()));
     return message;
@@ -306,10 +313,12 @@
 {
     const auto outage = durationOf(message.outage_microseconds());
     const auto echoed = durationOf(message.echoed_microseconds());
-    if (!outage || !echoed) {
+    const auto eraAge = durationOf(message.era_age_microseconds());
+    if (!outage || !echoed || !eraAge) {
         return std::nullopt;
     }
-    FeedUpdate update{.outage = *outage, .deltas = {}, .confirmations = {}, .isSenderReading = message.reading(), .echoedAt = TimePoint(*echoed)};
+    FeedUpdate update{
+        .outage = *outage, .deltas = {}, .confirmations = {}, .eraAge = *eraAge, .isSenderReading = message.reading(), .echoedAt = TimePoint(*echoed)};
     for (const StoreProtocol::Delta &row : message.deltas()) {
         auto delta = fromMessage(row);
         if (!delta) {
--- a/src/rpc/storemessages.h
+++ b/src/rpc/storemessages.h
@@ -32,6 +32,7 @@
     Duration outage{}; ///< Set if the store answers again after an outage of this length.
     std::vector<StoreDelta> deltas;
     std::vector<StoreConfirmation> confirmations; ///< By the store to the sender itself.
+    Duration eraAge{}; ///< Time for which the sender has known the newest era, a minute at most.
     bool isSenderReading = false; ///< Whether the sender reads the store itself.
     TimePoint echoedAt; ///< The newest FeedRequest::sentAt that the sender has received, so that a delayed update looks older, not younger.
     bool operator==(const FeedUpdate &) const = default;
--- a/src/tasks/storefeedserver.cpp
+++ b/src/tasks/storefeedserver.cpp
@@ -39,6 +39,16 @@
             new Holder(bytes)};
 }
 
+/** Returns the positions of a follower that has just opened a feed. */
+FedPositions positionsOf(const FedRevisions &revisions)
+{
+    FedPositions positions;
+    for (std::size_t index = 0; index < positions.size(); ++index) {
+        positions.at(index).revision = revisions.at(index);
+    }
+    return positions;
+}
+
 /** Decodes a request; nothing is returned if it is malformed. */
 std::optional<FeedRequest> decodeRequest(const grpc::ByteBuffer &bytes)
 {
@@ -117,7 +127,7 @@
         return m_known && !m_isWriting && !m_isFinished;
     }
 
-    std::optional<FedRevisions> m_known; ///< What the follower has, once it has said it.
+    std::optional<FedPositions> m_known; ///< What the follower has, once it has said it.
     std::uint64_t m_echo = 0; ///< The newest time that the follower has sent.
     Duration m_outage{}; ///< To be reported with the next update.
     bool m_isUpdateDue = true;
@@ -215,7 +225,7 @@
         }
         feed->m_echo = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(request->sentAt.time_since_epoch()).count());
         if (!feed->m_known) {
-            feed->m_known = request->revisions;
+            feed->m_known = positionsOf(request->revisions);
         }
         feed->readNext();
         requestUpdate(id, *feed);
@@ -278,7 +288,7 @@
     }
 }
 
-void StoreFeedServer::send(FeedId feed, const EncodedFeedUpdate &update, const FedRevisions &known)
+void StoreFeedServer::send(FeedId feed, const EncodedFeedUpdate &update, const FedPositions &known)
 {
     FeedStream *stream = d->find(feed);
     if (stream == nullptr || !stream->canWrite()) {
--- a/src/tasks/storefeedserver.h
+++ b/src/tasks/storefeedserver.h
@@ -14,6 +14,9 @@
 
 class Metrics;
 
+/** How much of the mirrors of all kinds that are fed a follower has received, by StoreObjectKind. */
+using FedPositions = std::array<MirrorPosition, FedStoreKinds>;
+
 /** Identifies an open feed; unique within a server. */
 using FeedId = quint64;
 
@@ -38,15 +41,15 @@
     void publish(Duration outage = {});
     /**
      * Sends @p update on @p feed, in answer to updateRequested(). The server adds the echo. Feeds share the bytes of an update.
-     * @param known has the revisions that the follower has once it has received the update.
+     * @param known is what the follower has once it has received the update.
      */
-    void send(FeedId feed, const EncodedFeedUpdate &update, const FedRevisions &known);
+    void send(FeedId feed, const EncodedFeedUpdate &update, const FedPositions &known);
     /** Ends all feeds. */
     void close();
 
 Q_SIGNALS:
-    /** @p known has the revisions that the follower has; exactly one send() must follow, before the slot returns. */
-    void updateRequested(FeedId feed, const FedRevisions &known, Duration outage);
+    /** @p known is what the follower has; exactly one send() must follow, before the slot returns. */
+    void updateRequested(FeedId feed, const FedPositions &known, Duration outage);
 
 private:
     class Private;
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -12,6 +12,7 @@
 #include <QTimer>
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 #include <vector>
 
@@ -26,7 +27,7 @@
 /** The last update that was encoded. Most followers have the same revisions and need the same update. */
 struct CachedUpdate {
     EncodedFeedUpdate update;
-    FedRevisions known; ///< Revisions that the update starts from.
+    FedPositions known; ///< What the update starts from.
     TimePoint reusableUntil;
 };
 
@@ -58,12 +59,15 @@
     return time ? std::optional(*time + state.extraAge) : std::nullopt;
 }
 
+/** Longer ages of an era are the same for all that depends on them. */
+constexpr std::chrono::minutes MaximumEraAge{1};
+
 /** Replaces malformed objects, which feeds do not carry: a follower must not use an earlier version of them either. */
 void dropMalformed(StoreDelta &delta)
 {
     if (delta.isComplete) {
         std::erase_if(delta.objects, [](const StoreObject &object) {
-            return object.value.index() == 0;
+            return object.value.index() == 0 && !object.isDeleted;
         });
         return;
     }
@@ -98,6 +102,8 @@
         connect(&m_timer, &QTimer::timeout, this, [this] {
             handleEvent(SourceTimerFired{});
         });
+        m_releaseTimer.setSingleShot(true);
+        connect(&m_releaseTimer, &QTimer::timeout, this, &Private::releaseObjects);
         connectReading();
         connectFirstRead();
         connectFeeds();
@@ -108,7 +114,9 @@
         for (const KindState &state : m_kinds) {
             const StoreObjectKind watched = state.mirror.kind;
             StoreWatchTask *watch = &watchOf(watched);
-            connect(watch, &StoreWatchTask::eraSeen, this, &Private::noteEra);
+            connect(watch, &StoreWatchTask::eraSeen, this, [this](std::uint64_t era) {
+                noteEra(era, suspendAwareNow());
+            });
             connect(watch, &StoreWatchTask::deltaReceived, this, [this](const StoreDelta &delta, TimePoint confirmedAt) {
                 reportIfOutdated(delta);
                 adoptDelta(delta);
@@ -334,7 +342,7 @@
      */
     void handleFirstList(const StoreDelta &delta, TimePoint sentAt)
     {
-        noteEra(delta.revision.era);
+        noteEra(delta.revision.era, sentAt);
         adoptDelta(delta);
         if (delta.kind == StoreObjectKind::Configuration) {
             confirm(delta.kind, sentAt);
@@ -397,13 +405,27 @@
         return revisions;
     }
 
-    /** Lets all watches discard answers of eras before @p era, and list their objects again if it is new. */
-    void noteEra(std::uint64_t era)
+    FedPositions positions() const
+    {
+        FedPositions positions;
+        for (const KindState &state : m_kinds) {
+            positions.at(static_cast<std::size_t>(state.mirror.kind)) = positionOf(state.mirror);
+        }
+        return positions;
+    }
+
+    /**
+     * Lets all watches discard answers of eras before @p era, and list their objects again if it is new.
+     * @param since is a time at which the store was in this era.
+     */
+    void noteEra(std::uint64_t era, TimePoint since)
     {
         if (era <= m_era) {
+            m_eraSince = era == m_era ? std::min(m_eraSince, since) : m_eraSince;
             return;
         }
         const std::uint64_t previous = std::exchange(m_era, era);
+        m_eraSince = since;
         m_metrics.setGauge("plantainweir_store_era", "Newest era of the store that is known.", static_cast<double>(era));
         if (previous != 0) {
             logEvent(LogEvent::StoreEraChanged, {{"era", era}, {"previous", previous}});
@@ -416,10 +438,48 @@
 
     void adoptDelta(const StoreDelta &delta)
     {
-        const std::vector<StoreObject> changed = adopt(kind(delta.kind).mirror, delta);
+        StoreMirror &mirror = kind(delta.kind).mirror;
+        const std::size_t held = mirror.held.size();
+        const std::vector<StoreObject> changed = adopt(mirror, delta, m_eraSince);
+        reportChanges(mirror, changed, held);
+        // Objects that come from another VM may have been held for long enough.
+        releaseObjects();
+    }
+
+    /** Puts into force what the store has in place of objects that are held no longer. */
+    void releaseObjects()
+    {
+        std::optional<TimePoint> next;
+        for (KindState &state : m_kinds) {
+            const std::size_t held = state.mirror.held.size();
+            const std::vector<StoreObject> released = releaseHeld(state.mirror, suspendAwareNow());
+            reportChanges(state.mirror, released, held);
+            const auto release = nextRelease(state.mirror);
+            next = release ? std::min(next.value_or(*release), *release) : next;
+            if (!released.empty()) {
+                m_feedServer.publish();
+            }
+        }
+        if (next) {
+            const Duration wait = std::max(Duration(0), Duration(*next - suspendAwareNow()));
+            m_releaseTimer.start(std::chrono::ceil<std::chrono::milliseconds>(wait));
+        }
+    }
+
+    /** Reports the changes of @p mirror, which held @p held objects before. */
+    void reportChanges(const StoreMirror &mirror, const std::vector<StoreObject> &changed, std::size_t held)
+    {
         m_cached = {};
+        if (mirror.held.size() != held) {
+            logEvent(LogEvent::StoreObjectsHeld, {{"kind", nameOf(mirror.kind)}, {"held", mirror.held.size()}, {"era", m_era}});
+            const auto sum = std::accumulate(m_kinds.begin(), m_kinds.end(), std::size_t{0}, [](std::size_t count, const KindState &state) {
+                return count + state.mirror.held.size();
+            });
+            m_metrics.setGauge(
+                "plantainweir_store_objects_held", "Objects of earlier eras that are held in place of what the store has.", static_cast<double>(sum));
+        }
         if (!changed.empty()) {
-            Q_EMIT q->objectsChanged(delta.kind, changed);
+            Q_EMIT q->objectsChanged(mirror.kind, changed);
         }
     }
 
@@ -486,7 +546,7 @@
     /** The objects are as current as the check if their watch was waiting for changes when it started, and has missed none. */
     void handleCheck(const StoreCheck &check)
     {
-        noteEra(check.era);
+        noteEra(check.era, suspendAwareNow());
         bool hasConfirmed = false;
         for (const CheckedWatch &checked : check.watches) {
             StoreWatchTask &watch = watchOf(checked.watch.kind);
@@ -535,9 +595,9 @@
             // It is not passed on: readers follow each other, and each tells its followers of its own outages.
             Q_EMIT q->storeRecovered(update.outage);
         }
-        const FedRevisions before = revisions();
+        const FedPositions before = positions();
         for (const StoreDelta &delta : update.deltas) {
-            noteEra(delta.revision.era);
+            noteEra(delta.revision.era, suspendAwareNow() - update.eraAge);
             if (isRead(delta.kind)) {
                 adoptDelta(delta);
             }
@@ -549,7 +609,7 @@
         }
         handleEvent(FeedReceived{.member = member, .hasObjects = hasAllKinds(), .confirmedAt = confirmedAt(), .senderConfirmedAt = senderConfirmation(update)});
         // Only changes are passed on. Confirmations would seem to become younger with each entry VM that passes them on.
-        if (before != revisions()) {
+        if (before != positions()) {
             m_feedServer.publish();
         }
     }
@@ -579,7 +639,7 @@
         return confirmedKinds < m_kinds.size() ? std::nullopt : oldest;
     }
 
-    void sendUpdate(FeedId feed, const FedRevisions &known, Duration outage)
+    void sendUpdate(FeedId feed, const FedPositions &known, Duration outage)
     {
         const TimePoint now = suspendAwareNow();
         const bool isReusable = outage == Duration::zero() && now <= m_cached.reusableUntil && m_cached.known == known;
@@ -588,16 +648,17 @@
                         .known = known,
                         .reusableUntil = outage == Duration::zero() ? now + UpdateReuseTime : TimePoint{}};
         }
-        m_feedServer.send(feed, m_cached.update, revisions());
+        m_feedServer.send(feed, m_cached.update, positions());
     }
 
-    FeedUpdate makeUpdate(const FedRevisions &known, Duration outage, TimePoint now)
+    FeedUpdate makeUpdate(const FedPositions &known, Duration outage, TimePoint now)
     {
-        FeedUpdate update{.outage = outage, .deltas = {}, .confirmations = {}, .isSenderReading = m_source.isReading};
+        const Duration eraAge = std::clamp<Duration>(now - m_eraSince, Duration(0), MaximumEraAge);
+        FeedUpdate update{.outage = outage, .deltas = {}, .confirmations = {}, .eraAge = eraAge, .isSenderReading = m_source.isReading};
         for (const KindState &state : m_kinds) {
-            const StoreRevision &knownRevision = known.at(static_cast<std::size_t>(state.mirror.kind));
-            if (state.mirror.revision > knownRevision) {
-                update.deltas.push_back(deltaSince(state.mirror, knownRevision));
+            const MirrorPosition &position = known.at(static_cast<std::size_t>(state.mirror.kind));
+            if (hasNewsSince(state.mirror, position)) {
+                update.deltas.push_back(deltaSince(state.mirror, position));
                 dropMalformed(update.deltas.back());
             }
             if (m_source.isReading && state.storeConfirmedAt) {
@@ -627,7 +688,9 @@
     bool m_isCurrent = false;
     StoreReadingPace m_pace;
     CachedUpdate m_cached;
+    QTimer m_releaseTimer;
     std::uint64_t m_era = 0; ///< Newest era of the store that is known.
+    TimePoint m_eraSince; ///< The earliest time at which the store is known to have been in it.
 };
 
 StoreSourceTask::StoreSourceTask(const StoreSourceTaskSettings &settings, const GatewayCodec &codec, Metrics &metrics, QObject *parent)
--- a/tests/platformcodectest.cpp
+++ b/tests/platformcodectest.cpp
@@ -167,6 +167,23 @@
     EXPECT_EQ(revisionOf(410, {{"Store-Era", "8"}}), (StoreRevision{.era = 8}));
 }
 
+TEST(PlatformStore, ObjectsTellTheOrderOfTheirWriters)
+{
+    const auto orderIn = [](StoreObjectKind kind, const std::string &name, const std::string &spec) {
+        StorePage page;
+        const std::string body = fmt::format(R"({{"items":[{{"metadata":{{"name":"{}","revision":5}},"spec":{}}}],"storeRevision":9}})", name, spec);
+        HttpResponse response{.status = 200, .fields = {}, .body = body};
+        decodePage(kind, {.outcome = HttpRequestOutcome::Answered, .response = std::move(response)}, false, page);
+        return page.objects.at(0).order;
+    };
+    const std::string upstream = R"("service":"desk","address":"10.0.0.1:80","zone":"a","version":"v1","slots":3,"state":"ready","cold":"0ms","sequence":17)";
+    EXPECT_EQ(orderIn(StoreObjectKind::Upstreams, "i-1", "{" + upstream + R"(,"born":1790000000000})"),
+              (WriterOrder{.incarnation = 1'790'000'000'000, .sequence = 17}));
+    EXPECT_EQ(orderIn(StoreObjectKind::Upstreams, "i-1", "{" + upstream + "}"), (WriterOrder{.incarnation = 0, .sequence = 17}));
+    EXPECT_EQ(orderIn(StoreObjectKind::Upstreams, "i-1", "{}"), WriterOrder{}) << "it names no upstream";
+    EXPECT_EQ(orderIn(StoreObjectKind::Configuration, "main", R"({"version":12,"resources":[]})"), (WriterOrder{.sequence = 12}));
+}
+
 TEST(PlatformStore, AnOddOrMissingEraIsNone)
 {
     EXPECT_EQ(revisionOf(200, {}), (StoreRevision{.era = 0, .number = 9}));
