Register the fleet again when the store returns from a copy

What callers could have seen: if the copy lacks the registrations of a fleet, VMs that start with stale seeds do not find it, and both use whole quotas until the next regular list of the first fleet's registrars, up to 11 s later, and 2 s more before they register again.

Cause: registrars took what the store had acknowledged for kept until a list showed that it is not.

A registrar that learns of a new era, from any answer or feed, writes its registration again and lists the others consistently afterwards, as after its first registration: of two writes one comes before the other's list. Answers of an earlier era do not count; without an era they are asked for again after the usual pause.

--- a/src/controllers/fleetregistration.cpp
+++ b/src/controllers/fleetregistration.cpp
@@ -165,6 +165,33 @@
     return Duration(std::uniform_int_distribution<Duration::rep>(period * 9 / 10, period * 11 / 10)(context.random));
 }
 
+/** Registers anew if @p era is new: the store may lack this member's registration, and that of others. */
+void noteEra(FleetRegistration &registration, std::uint64_t era)
+{
+    if (era <= registration.era) {
+        return;
+    }
+    const bool isReturned = registration.era != 0;
+    registration.era = era;
+    if (isReturned) {
+        registration.written.reset();
+        registration.isObjectKnown = false;
+        registration.hasListed = false;
+    }
+}
+
+/** Returns whether an answer of @p era is of an earlier one than the newest; then the call is repeated. */
+bool isOutdated(RegistrationContext &context, std::uint64_t era)
+{
+    FleetRegistration &registration = context.registration;
+    noteEra(registration, era);
+    if (era < registration.era && era == 0) {
+        // Further answers may not tell their era either.
+        scheduleRetry(context);
+    }
+    return era < registration.era;
+}
+
 void handle(RegistrationContext &context, const RegistrationMembersChanged &event)
 {
     FleetRegistration &registration = context.registration;
@@ -194,6 +221,9 @@
 {
     FleetRegistration &registration = context.registration;
     registration.phase = RegistrationPhase::Idle;
+    if (isOutdated(context, event.era)) {
+        return;
+    }
     switch (event.outcome) {
     case RegistrationWriteOutcome::Written:
         registration.written = registration.writing;
@@ -234,6 +264,9 @@
 {
     FleetRegistration &registration = context.registration;
     registration.phase = RegistrationPhase::Idle;
+    if (isOutdated(context, event.era)) {
+        return;
+    }
     if (!event.records) {
         scheduleRetry(context);
         return;
@@ -260,8 +293,9 @@
     if (!registration.hasListed) {
         registration.answersUntil = context.now + registration.settings.answerTime;
     }
-    registration.hasListed = isListed;
-    if (!isListed) {
+    // After the store's return, others may have looked for this member before it has registered again.
+    registration.hasListed = isListed && registration.written;
+    if (!isListed && registration.written) {
         // Another member took this one for gone, or the object cannot be read.
         registration.written.reset();
         registration.isObjectKnown = false;
@@ -270,6 +304,11 @@
     registration.nextListAt = context.now + randomPeriod(context);
 }
 
+void handle(RegistrationContext &context, const RegistrationEraSeen &event)
+{
+    noteEra(context.registration, event.era);
+}
+
 void handle(RegistrationContext &, const RegistrationTimerFired &) {}
 
 void handle(RegistrationContext &context, const RegistrationLeaveRequested &)
--- a/src/controllers/fleetregistration.h
+++ b/src/controllers/fleetregistration.h
@@ -25,6 +25,9 @@
  * given them time to answer. Before, none of its members knows how many VMs share the limits of the fleet. A registration
  * also tells the largest number of members, which is to be reckoned with even if none of them can be reached.
  *
+ * When the store returns from a copy of itself, it may lack registrations. The registrars then write theirs again and list the
+ * others afterwards, as if they registered for the first time. Answers of an earlier era of the store count as failed calls.
+ *
  * A pure step function without I/O; RegistrationTask runs it. All times are suspend-aware (core/suspendawareclock.h).
  */
 namespace Plantainweir {
@@ -106,6 +109,7 @@
     bool isObjectKnown = false; ///< Whether the store has an object of this member, as far as is known.
     std::optional<SeenFleetSize> written; ///< What the store acknowledged, if anything.
     SeenFleetSize writing; ///< What is being written.
+    std::uint64_t era = 0; ///< Newest era of the store that is known.
     bool hasListed = false; ///< Whether the registrations have been listed since this member registered.
     TimePoint retryAt; ///< Nothing is sent before, after a call has failed.
     TimePoint nextListAt;
@@ -120,19 +124,25 @@
 };
 struct RegistrationWritten {
     RegistrationWriteOutcome outcome = RegistrationWriteOutcome::Failed;
+    std::uint64_t era = 0; ///< Of the answer.
 };
 /** The store's registrations; empty if they could not be read. */
 struct RegistrationsListed {
     std::optional<std::vector<EntryVmRecord>> records;
     UnixMilliseconds wallClock; ///< The current time, with which the validity of the records is compared.
+    std::uint64_t era = 0; ///< Of the answer.
+};
+/** An answer of the store shows that it is in @c era. */
+struct RegistrationEraSeen {
+    std::uint64_t era = 0;
 };
 struct RegistrationTimerFired {
 };
 /** This member is going to stop. */
 struct RegistrationLeaveRequested {
 };
-using RegistrationEvent
-    = std::variant<RegistrationMembersChanged, RegistrationWritten, RegistrationsListed, RegistrationTimerFired, RegistrationLeaveRequested>;
+using RegistrationEvent = std::
+    variant<RegistrationMembersChanged, RegistrationWritten, RegistrationsListed, RegistrationEraSeen, RegistrationTimerFired, RegistrationLeaveRequested>;
 
 struct WriteRegistration {
     std::size_t fleetSize = 0;
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -339,6 +339,7 @@
             seeds.insert(seeds.end(), endpoints.begin(), endpoints.end());
             m_membership.setSeeds(seeds);
         });
+        connect(&m_storeSource, &StoreSourceTask::eraChanged, &m_registration, &RegistrationTask::noteEra);
         connect(&m_registration, &RegistrationTask::fleetCompared, &m_membership, &MembershipTask::setComparedFleetSize);
         connect(&m_membership, &MembershipTask::entriesChanged, this, [this](const std::vector<EntryMember> &entries) {
             m_entries = entries;
--- a/src/tasks/gatewaycodec.h
+++ b/src/tasks/gatewaycodec.h
@@ -57,6 +57,8 @@
     HttpRequest (*encodeWatch)(StoreObjectKind kind, std::uint64_t revision, Duration wait, ReadConsistency consistency);
     /** Decodes the answer to a list or watch request into @p page. */
     StoreReadOutcome (*decodePage)(StoreObjectKind kind, const HttpRequestResult &result, bool isWatch, StorePage &page);
+    /** Returns the era in which the store gave @p response; zero if it does not tell. */
+    std::uint64_t (*decodeStoreEra)(const HttpResponse &response);
     HttpRequest (*encodeRegistration)(const EntryVmRecord &record, bool isUpdate);
     HttpRequest (*encodeDeregistration)(const std::string &name);
 };
--- a/src/tasks/registrationtask.cpp
+++ b/src/tasks/registrationtask.cpp
@@ -71,12 +71,12 @@
     {
         connect(&m_client, &HttpClient::finished, this, &Private::handleAnswer);
         connect(&m_list, &StoreListTask::listed, this, [this](const StoreDelta &delta) {
-            handleEvent(RegistrationsListed{.records = recordsOf(delta.objects), .wallClock = wallClockNow()});
+            handleEvent(RegistrationsListed{.records = recordsOf(delta.objects), .wallClock = wallClockNow(), .era = delta.revision.era});
             reportList(delta.objects.size());
         });
         connect(&m_list, &StoreListTask::failed, this, [this] {
             reportFailure("list");
-            handleEvent(RegistrationsListed{.records = std::nullopt, .wallClock = wallClockNow()});
+            handleEvent(RegistrationsListed{.records = std::nullopt, .wallClock = wallClockNow(), .era = m_registration.era});
         });
         m_timer.setSingleShot(true);
         connect(&m_timer, &QTimer::timeout, this, [this] {
@@ -156,7 +156,8 @@
         if (outcome == RegistrationWriteOutcome::Failed) {
             reportFailure("write");
         }
-        handleEvent(RegistrationWritten{outcome});
+        const bool isAnswered = result.outcome == HttpRequestOutcome::Answered;
+        handleEvent(RegistrationWritten{.outcome = outcome, .era = isAnswered ? m_codec.decodeStoreEra(result.response) : m_registration.era});
     }
 
     static void reportFailure(const char *call)
@@ -201,6 +202,11 @@
     d->handleEvent(RegistrationMembersChanged{members});
 }
 
+void RegistrationTask::noteEra(std::uint64_t era)
+{
+    d->handleEvent(RegistrationEraSeen{era});
+}
+
 void RegistrationTask::leave()
 {
     d->handleEvent(RegistrationLeaveRequested{});
--- a/src/tasks/registrationtask.h
+++ b/src/tasks/registrationtask.h
@@ -31,6 +31,8 @@
 
     /** Sets all members that are known, with this one. The first call starts the task. */
     void setMembers(const std::vector<RegistrationMember> &members);
+    /** Notes that the store is in @p era; if it has returned from a copy of itself, this member may have to register again. */
+    void noteEra(std::uint64_t era);
     /** Removes this member's registration from the store, and writes none from now on. */
     void leave();
 
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -434,6 +434,7 @@
         for (StoreWatchTask *watch : watches()) {
             watch->setKnownEra(era);
         }
+        Q_EMIT q->eraChanged(era);
     }
 
     void adoptDelta(const StoreDelta &delta)
--- a/src/tasks/storesourcetask.h
+++ b/src/tasks/storesourcetask.h
@@ -60,6 +60,8 @@
     void currentChanged(bool isCurrent);
     /** The store answers again after an outage; emitted before the objects that it answers with. */
     void storeRecovered(Duration outage);
+    /** The store is in @p era, which is newer than the one that was known. */
+    void eraChanged(std::uint64_t era);
     /** The other members should know whether this one can read the store. */
     void reachabilityChanged(bool isUnreachable);
 
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -156,6 +156,9 @@
 
     void remove(const std::string &kind, const std::string &name)
     {
+        if (!m_content.objects[kind].contains(name)) {
+            return;
+        }
         m_content.history.push_back({++m_content.revision, kind, m_content.objects[kind][name], true});
         m_content.objects[kind].erase(name);
         answerWatches();
@@ -281,6 +284,12 @@
     d->remove(kind, name);
 }
 
+bool FakeStore::has(const std::string &kind, const std::string &name) const
+{
+    const auto objects = d->m_content.objects.find(kind);
+    return objects != d->m_content.objects.end() && objects->second.contains(name);
+}
+
 void FakeStore::takeCopy()
 {
     d->m_copy = d->m_content;
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -47,6 +47,7 @@
     void setFaults(const FakeStoreFaults &faults);
     void put(const std::string &kind, const std::string &name, const QJsonObject &spec);
     void remove(const std::string &kind, const std::string &name);
+    bool has(const std::string &kind, const std::string &name) const;
     /** Copies all objects, with the revision and the history, for returnFromCopy(). */
     void takeCopy();
     /** Replaces all content by the copy, and rises to the next era. Revisions since then are given out again. */
--- a/tests/fleetregistrationtest.cpp
+++ b/tests/fleetregistrationtest.cpp
@@ -221,6 +221,69 @@
     EXPECT_FALSE(write->isUpdate);
 }
 
+/** Lets the member register and list in era 1. */
+class RegisteredInAnEra : public FleetRegistrationTest
+{
+protected:
+    RegisteredInAnEra()
+    {
+        setMembers({memberNamed("a"), memberNamed("b")});
+        runFor(600ms);
+        feed(RegistrationWritten{.outcome = RegistrationWriteOutcome::Written, .era = 1});
+        feed(RegistrationsListed{.records = {{record("a", 2)}}, .wallClock = WallClock, .era = 1});
+        EXPECT_TRUE(m_registration.isCompared);
+        runFor(3s);
+    }
+};
+
+// Guards against fleets that start after the store's return, find no registration and use whole quotas of their own.
+TEST_F(RegisteredInAnEra, ARegistrarWritesAgainAtTheStoresReturnAndListsConsistentlyAfterwards)
+{
+    const auto write = find<WriteRegistration>(feed(RegistrationEraSeen{2}));
+    ASSERT_TRUE(write);
+    EXPECT_FALSE(write->isUpdate) << "the copy may lack it";
+    const auto update = find<WriteRegistration>(feed(RegistrationWritten{.outcome = RegistrationWriteOutcome::Exists, .era = 2}));
+    ASSERT_TRUE(update);
+    EXPECT_TRUE(update->isUpdate);
+    const auto list = find<ListRegistrations>(feed(RegistrationWritten{.outcome = RegistrationWriteOutcome::Written, .era = 2}));
+    ASSERT_TRUE(list);
+    EXPECT_EQ(list->consistency, ReadConsistency::Consistent);
+    feed(RegistrationsListed{.records = {{record("a", 2)}}, .wallClock = WallClock, .era = 2});
+    EXPECT_TRUE(m_registration.isCompared);
+    EXPECT_TRUE(feed(RegistrationEraSeen{2}).empty());
+    EXPECT_TRUE(runFor(8s).empty()) << "the next list is the regular one";
+}
+
+TEST_F(RegisteredInAnEra, AListThatShowsTheReturnIsFollowedByAWriteAndAnotherList)
+{
+    ASSERT_TRUE(find<ListRegistrations>(runFor(12s)));
+    ASSERT_TRUE(find<WriteRegistration>(feed(RegistrationsListed{.records = {{record("a", 2)}}, .wallClock = WallClock, .era = 3})));
+    EXPECT_TRUE(find<ListRegistrations>(feed(RegistrationWritten{.outcome = RegistrationWriteOutcome::Written, .era = 3})));
+}
+
+TEST_F(RegisteredInAnEra, AnswersOfAnEarlierEraDoNotCount)
+{
+    ASSERT_TRUE(find<WriteRegistration>(feed(RegistrationEraSeen{2})));
+    EXPECT_TRUE(find<WriteRegistration>(feed(RegistrationWritten{.outcome = RegistrationWriteOutcome::Written, .era = 1}))) << "without a pause";
+    EXPECT_FALSE(m_registration.written);
+    ASSERT_TRUE(find<ListRegistrations>(feed(RegistrationWritten{.outcome = RegistrationWriteOutcome::Written, .era = 2})));
+    EXPECT_TRUE(feed(RegistrationsListed{.records = {{record("a", 2), record("x", 5)}}, .wallClock = WallClock, .era = 0}).empty());
+    EXPECT_TRUE(m_registration.unknown.empty());
+    EXPECT_TRUE(find<ListRegistrations>(runFor(2100ms)));
+}
+
+TEST_F(RegisteredInAnEra, OthersThanRegistrarsWriteNothingAtTheStoresReturn)
+{
+    std::vector<RegistrationMember> members{memberNamed("a")};
+    for (int index = 0; index < 20; ++index) {
+        members.push_back(memberNamed("m" + std::to_string(index), "z" + std::to_string(index % 3)));
+    }
+    setMembers(members);
+    ASSERT_FALSE(m_registration.dutySince) << "others have a higher rank";
+    EXPECT_TRUE(feed(RegistrationEraSeen{2}).empty());
+    EXPECT_TRUE(runFor(1min).empty());
+}
+
 TEST_F(FleetRegistrationTest, ALeavingMemberRemovesItsRegistration)
 {
     setMembers({memberNamed("a"), memberNamed("b")});
@@ -346,6 +409,18 @@
         return m_callCount;
     }
 
+    /** The store returns without any registration; each VM learns of it within @p noticeTime. */
+    void returnEmpty(Duration noticeTime)
+    {
+        m_store.clear();
+        ++m_era;
+        for (std::size_t index = 0; index < m_vms.size(); ++index) {
+            after(milliseconds(0, static_cast<std::size_t>(toMilliseconds(noticeTime))), [this, index, era = m_era] {
+                feed(index, RegistrationEraSeen{era});
+            });
+        }
+    }
+
     bool isStoreDown = false;
 
 private:
@@ -527,10 +602,10 @@
         call(index, [this, index, record, isUpdate = action.isUpdate]() -> RegistrationEvent {
             const bool exists = m_store.contains(record.name);
             if (exists != isUpdate) {
-                return RegistrationWritten{exists ? RegistrationWriteOutcome::Exists : RegistrationWriteOutcome::Missing};
+                return RegistrationWritten{.outcome = exists ? RegistrationWriteOutcome::Exists : RegistrationWriteOutcome::Missing, .era = m_era};
             }
             m_store[nameOf(index)] = record;
-            return RegistrationWritten{RegistrationWriteOutcome::Written};
+            return RegistrationWritten{.outcome = RegistrationWriteOutcome::Written, .era = m_era};
         });
     }
 
@@ -541,7 +616,7 @@
             for (const auto &[name, record] : m_store) {
                 records.push_back(record);
             }
-            return RegistrationsListed{.records = records, .wallClock = wallClock()};
+            return RegistrationsListed{.records = records, .wallClock = wallClock(), .era = m_era};
         });
     }
 
@@ -576,7 +651,9 @@
         if (isStoreDown) {
             afterOf(index, 1500ms, [this, index] {
                 const bool isWriting = m_vms[index].registration.phase == RegistrationPhase::Writing;
-                feed(index, isWriting ? RegistrationEvent(RegistrationWritten{}) : RegistrationEvent(RegistrationsListed{std::nullopt, wallClock()}));
+                const std::uint64_t era = m_vms[index].registration.era;
+                feed(index,
+                     isWriting ? RegistrationEvent(RegistrationWritten{.era = era}) : RegistrationEvent(RegistrationsListed{std::nullopt, wallClock(), era}));
             });
             return;
         }
@@ -599,6 +676,7 @@
     TimePoint m_now{1h};
     std::vector<Vm> m_vms;
     std::map<std::string, EntryVmRecord> m_store;
+    std::uint64_t m_era = 1;
     std::priority_queue<Scheduled> m_queue;
     std::uint64_t m_order = 0;
     std::size_t m_callCount = 0;
@@ -660,6 +738,33 @@
     }
 }
 
+// Guards against two fleets of which each uses whole quotas, because the store has lost the registrations of the first one.
+TEST(FleetRegistrationModel, AFleetThatIsStartedAroundTheStoresReturnOwnsNoShareTwice)
+{
+    for (std::uint64_t seed = 1; seed <= exploredSeeds(); ++seed) {
+        SCOPED_TRACE(seed);
+        RegistrationModel model(seed, 10);
+        startFleet(model, 0, 7, {0, 1, 2});
+        model.advance(10s);
+        const Duration returnAfter = model.milliseconds(0, 3000);
+        const Duration startAfter = model.milliseconds(0, 3000);
+        EXPECT_LE(largestSum(model, std::min(returnAfter, startAfter)), 1.0 + 1e-9);
+        if (returnAfter <= startAfter) {
+            model.returnEmpty(500ms);
+            EXPECT_LE(largestSum(model, startAfter - returnAfter), 1.0 + 1e-9);
+            startFleet(model, 7, 10, {7, 8, 9});
+        } else {
+            startFleet(model, 7, 10, {7, 8, 9});
+            EXPECT_LE(largestSum(model, returnAfter - startAfter), 1.0 + 1e-9);
+            model.returnEmpty(500ms);
+        }
+        EXPECT_LE(largestSum(model, 15s), 1.0 + 1e-9);
+        EXPECT_TRUE(model.hasAllFoundEachOther());
+        EXPECT_TRUE(model.isEachCompared());
+        EXPECT_NEAR(model.ownedShares(), 1.0, 1e-9);
+    }
+}
+
 TEST(FleetRegistrationModel, NothingIsOwnedByAFleetThatCannotBeCompared)
 {
     RegistrationModel model(1, 10);
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -439,6 +439,23 @@
     EXPECT_EQ(callWithKey("/a/x", "k1").response.status, 200);
 }
 
+// Guards against fleets that do not find each other, because the store has lost the registration of one of them.
+TEST_F(GatewayTest, RegistersAgainAtTheStoresReturnFromACopy)
+{
+    store.takeCopy();
+    start();
+    const auto isRegistered = [this] {
+        return store.has("plantainweir-entries", "e1");
+    };
+    ASSERT_TRUE(waitUntil(isRegistered));
+    wait(std::chrono::milliseconds(500));
+    store.returnFromCopy();
+    ASSERT_FALSE(isRegistered());
+    const TimePoint returnedAt = Clock::now();
+    EXPECT_TRUE(waitUntil(isRegistered));
+    EXPECT_LT(Clock::now() - returnedAt, std::chrono::seconds(2));
+}
+
 TEST_F(GatewayTest, NewConfigurationComesIntoForceAndAnOlderOneDoesNot)
 {
     start();
