Tell followers what the store has in place of held objects

A VM that was cut off in a drill and got what another one holds could keep an upstream for good that had left since, or take up an earlier state of one: it took an object that the sender holds for one that the store has, or assumed that the store has none.

Cause: deltas named held objects like all others. Deltas now also carry what the store has instead (Delta.stored); only that, and objects of the era itself, count as present in the store. Of two objects that are held by different VMs the later one by its writer's order stays.

--- a/src/controllers/storemirror.cpp
+++ b/src/controllers/storemirror.cpp
@@ -41,6 +41,15 @@
     mirror.held.insert(mirrored.object.name);
 }
 
+/** Returns whether @p known is later than @p object of another era, which another mirror holds. */
+bool isLaterThanHeld(const StoreObject &known, const StoreObject &object)
+{
+    if (known.revision.era > object.revision.era) {
+        return known.isDeleted || !staysInForce(object, known);
+    }
+    return object.isDeleted ? known.order > object.order : staysInForce(known, object);
+}
+
 void putInForce(StoreMirror &mirror, MirroredObject &mirrored, MirroredObject replacement)
 {
     if (replacement.stored) {
@@ -60,9 +69,7 @@
 {
     const bool isStored = object.revision.era == revision.era; // Otherwise the sender holds it.
     const StoreObject known = mirrored.object;
-    const bool isKnownLater = known.revision.era > object.revision.era;
-    const bool staysKnown = isKnownLater ? known.isDeleted || !staysInForce(object, known) : staysInForce(known, object);
-    if (staysKnown) {
+    if (isStored ? staysInForce(known, object) : isLaterThanHeld(known, object)) {
         if (isStored) {
             hold(mirror, mirrored, object);
         }
@@ -134,11 +141,13 @@
 {
     std::set<std::string_view> present;
     for (const StoreObject &object : delta.objects) {
-        // What the sender holds as deleted may exist in the store.
-        if (!object.isDeleted || object.revision.era < delta.revision.era) {
+        if (!object.isDeleted && object.revision.era == delta.revision.era) {
             present.insert(object.name);
         }
     }
+    for (const StoreObject &object : delta.stored) {
+        present.insert(object.name);
+    }
     std::vector<StoreObject> missing;
     for (const auto &[name, mirrored] : mirror.objects) {
         const StoreObject &stored = mirrored.stored ? *mirrored.stored : mirrored.object;
@@ -199,9 +208,9 @@
     if (delta.revision.era < mirror.revision.era || (isFirstOfEra && !delta.isComplete)) {
         return {};
     }
-    std::vector<StoreObject> objects = delta.objects;
     if (delta.revision < mirror.revision) {
         // Revisions do not tell whether the mirror has what the sender holds.
+        std::vector<StoreObject> objects = delta.objects;
         std::erase_if(objects, [&mirror, &delta](const StoreObject &object) {
             return object.revision.era == delta.revision.era || !replaceObject(mirror, object, mirror.revision);
         });
@@ -211,6 +220,9 @@
         mirror.missingHeldUntil = eraSince + MissingHoldTime;
         mirror.outdatedHeldUntil = eraSince + OutdatedHoldTime;
     }
+    // What is held replaces what the store has.
+    std::vector<StoreObject> objects = delta.stored;
+    objects.insert(objects.end(), delta.objects.begin(), delta.objects.end());
     const bool namesOnlyExisting = delta.isComplete || isSet(delta.since);
     if (namesOnlyExisting) {
         std::vector<StoreObject> missing = missingObjects(mirror, delta);
@@ -280,6 +292,9 @@
         const bool isPresent = !mirrored.object.isDeleted || mirrored.lateChange != 0;
         const bool isIncluded = delta.isComplete ? isPresent : mirrored.changedAt > revision;
         const bool isLate = mirrored.lateChange > position.lateChanges;
+        if ((isIncluded || isLate) && mirrored.stored && !mirrored.stored->isDeleted) {
+            delta.stored.push_back(*mirrored.stored);
+        }
         if (isIncluded || isLate) {
             delta.objects.push_back(mirrored.object);
         }
--- a/src/controllers/storemirror.h
+++ b/src/controllers/storemirror.h
@@ -30,6 +30,7 @@
      */
     StoreRevision since;
     std::vector<StoreObject> objects; ///< Those of earlier eras are held by the sender.
+    std::vector<StoreObject> stored; ///< What the store has instead of objects that the sender holds; those that it lacks are left out.
     bool operator==(const StoreDelta &) const = default;
 };
 
--- a/src/rpc/storemessages.cpp
+++ b/src/rpc/storemessages.cpp
@@ -223,6 +223,13 @@
         }
         delta.objects.push_back(std::move(*object));
     }
+    for (const StoreProtocol::Object &row : message.stored()) {
+        auto object = fromMessage(row);
+        if (!object) {
+            return std::nullopt;
+        }
+        delta.stored.push_back(std::move(*object));
+    }
     return delta;
 }
 
@@ -282,6 +289,9 @@
     for (const StoreObject &object : delta.objects) {
         *message.add_objects() = toMessage(object);
     }
+    for (const StoreObject &object : delta.stored) {
+        *message.add_stored() = toMessage(object);
+    }
     return message;
 }
 
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -65,6 +65,9 @@
 /** Replaces malformed objects, which feeds do not carry: a follower must not use an earlier version of them either. */
 void dropMalformed(StoreDelta &delta)
 {
+    std::erase_if(delta.stored, [](const StoreObject &object) {
+        return object.value.index() == 0;
+    });
     if (delta.isComplete) {
         std::erase_if(delta.objects, [](const StoreObject &object) {
             return object.value.index() == 0 && !object.isDeleted;
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -886,6 +886,27 @@
     EXPECT_LT(Clock::now() - returnedAt, 5s);
 }
 
+TEST_F(EvacuationTest, TheyHoldAtTheStoresReturnFromACopyUntilTheyAreWrittenAgain)
+{
+    store.takeCopy();
+    store.put("evacuations", "a", {});
+    store.put("evacuations", "b", {});
+    ASSERT_TRUE(bothKnow({"a", "b"}));
+    store.returnFromCopy();
+    const TimePoint returnedAt = Clock::now();
+    while (Clock::now() < returnedAt + 1800ms) {
+        wait(20ms);
+        ASSERT_EQ(reader->evacuated, (std::set<std::string>{"a", "b"}));
+        ASSERT_EQ(follower.evacuated, (std::set<std::string>{"a", "b"}));
+    }
+    store.put("evacuations", "a", {});
+    store.put("evacuations", "c", {});
+    EXPECT_TRUE(bothKnow({"a", "c"})) << "nobody wished for b again";
+    EXPECT_LT(Clock::now() - returnedAt, 5s);
+    store.remove("evacuations", "a");
+    EXPECT_TRUE(bothKnow({"c"}));
+}
+
 TEST_F(EvacuationTest, AMemberThatStartsLearnsOfThemBeforeItServes)
 {
     store.put("evacuations", "a", {});
