Let the store of the soak return from a copy

In each phase with all faults, the soak's store goes away for up to 0.9 s and returns from a copy up to 4 s old, sometimes twice within a second; waiting watches are closed or stay silent. Operators and upstreams write again what they had written. A generator of its own selects the times, so that the faults of a seed stay the same. Upstreams number their reports and tell their start, as the platform demands.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -121,6 +121,7 @@
         , m_callRandom(settings.seed + 1)
         , m_crowdRandom(settings.seed + 2)
         , m_oddRandom(settings.seed + 3)
+        , m_returnRandom(settings.seed + 4)
         , m_client(HttpLimits{})
     {
         m_history.isTimingChecked = settings.isTimingChecked;
@@ -300,11 +301,23 @@
                                 Clock::now());
             }
         });
-        m_store.put("servers", added.id(), added.registration("ready"));
+        reportUpstream(added, "ready");
         m_upstreams.push_back(std::move(upstream));
         return added;
     }
 
+    void reportUpstream(SoakUpstream &upstream, const QString &state)
+    {
+        m_reports[upstream.id()] = upstream.nextReport(state);
+        m_store.put("servers", upstream.id(), m_reports[upstream.id()]);
+    }
+
+    void removeUpstream(const std::string &id)
+    {
+        m_reports.erase(id);
+        m_store.remove("servers", id);
+    }
+
     void changeConfiguration(const std::string &service)
     {
         const auto route = [](const char *name, const char *prefix, const char *kind, const std::string &target) {
@@ -328,7 +341,8 @@
                                          {"metadata", QJsonObject{{"name", name}}},
                                          {"spec", QJsonObject{{"apiKeys", QJsonArray{key}}, {"ratePerS", callsPerSecond}, {"burst", callsPerSecond}}}});
         }
-        m_store.put("config", "main", {{"version", ++m_version}, {"resources", resources}});
+        m_configuration = {{"version", ++m_version}, {"resources", resources}};
+        m_store.put("config", "main", m_configuration);
         recordRouteChange(m_history, service, Clock::now());
     }
 
@@ -412,6 +426,9 @@
             if (phase % 2 != 0 && m_activeOddities == 0) {
                 injectOddity();
             }
+            if (phase % 2 != 0 && m_activeReturns == 0) {
+                injectReturn();
+            }
             injectFault(static_cast<SoakFault>(phase % 2 == 0 ? FirstPlannedFault + randomIndex(enumCount<SoakFault>() - FirstPlannedFault)
                                                               : randomIndex(enumCount<SoakFault>())));
             runEventLoopFor(randomTime(100, 700));
@@ -445,7 +462,7 @@
 
     std::size_t activeFaults() const
     {
-        return m_activeFaults + m_activeCrowds + m_activeOddities;
+        return m_activeFaults + m_activeCrowds + m_activeOddities + m_activeReturns;
     }
 
     void injectOddity()
@@ -490,7 +507,7 @@
         addUpstream(upstream.service(), upstream.availabilityZone());
         scheduleOddityEnd([this, &upstream] {
             if (!m_history.leavingSince.contains(upstream.id())) {
-                m_store.remove("servers", upstream.id());
+                removeUpstream(upstream.id());
                 recordLeaving(m_history, upstream.id(), Clock::now());
             }
         });
@@ -515,6 +532,67 @@
         });
     }
 
+    milliseconds randomReturnTime(int shortest, int longest)
+    {
+        return milliseconds(std::uniform_int_distribution<int>(shortest, longest)(m_returnRandom));
+    }
+
+    /** Lets the store go away for a moment and return from a copy that it has made some time before, twice in some cases. */
+    void injectReturn()
+    {
+        ++m_activeReturns;
+        recordFault(m_history, false, Clock::now());
+        m_store.takeCopy();
+        const milliseconds awayAt = randomReturnTime(500, 3000);
+        const milliseconds returnAt = awayAt + randomReturnTime(0, 900);
+        const bool isSilent = m_returnRandom() % 2 == 0;
+        const auto watches = m_returnRandom() % 4 == 0 ? FakeStoreWatches::Silent : FakeStoreWatches::Closed;
+        runAfter(awayAt, [this, isSilent] {
+            m_store.setFaults({.isUnresponsive = isSilent, .isBusy = !isSilent});
+        });
+        const bool isRepeated = m_returnRandom() % 4 == 0;
+        const milliseconds lastReturnAt = returnAt + (isRepeated ? randomReturnTime(100, 1000) : milliseconds(0));
+        runAfter(returnAt, [this, watches] {
+            m_store.setFaults({});
+            m_store.returnFromCopy(watches);
+        });
+        if (isRepeated) {
+            runAfter(lastReturnAt, [this, watches] {
+                m_store.returnFromCopy(watches);
+            });
+        }
+        runAfter(lastReturnAt + randomReturnTime(50, 600), [this] {
+            writeAgain();
+        });
+        runAfter(lastReturnAt + milliseconds(1600), [this] {
+            --m_activeReturns;
+            recordFault(m_history, activeFaults() == 0, Clock::now());
+        });
+    }
+
+    /** Operators and upstreams write again what the copy may lack. */
+    void writeAgain()
+    {
+        m_store.put("config", "main", m_configuration);
+        for (const char *zone : Zones) {
+            if (m_history.evacuatedSince.contains(zone)) {
+                m_store.put("evacuations", zone, {});
+            } else {
+                m_store.remove("evacuations", zone);
+            }
+        }
+        for (const auto &upstream : m_upstreams) {
+            runAfter(randomReturnTime(0, 900), [this, &upstream = *upstream] {
+                const auto report = m_reports.find(upstream.id());
+                if (report != m_reports.end()) {
+                    reportUpstream(upstream, report->second["state"].toString());
+                } else {
+                    m_store.remove("servers", upstream.id());
+                }
+            });
+        }
+    }
+
     /** Lets clients that do not behave connect to one port of an entry VM for some time. */
     void injectCrowd()
     {
@@ -576,7 +654,7 @@
             scheduleFaultEnd([] {});
             return;
         case SoakFault::UpstreamLost:
-            m_store.remove("servers", upstream.id());
+            removeUpstream(upstream.id());
             recordLeaving(m_history, upstream.id(), Clock::now());
             upstream.proxy().setFault(LinkFault::Reset);
             addUpstream(upstream.service(), upstream.availabilityZone());
@@ -652,10 +730,10 @@
             return;
         }
         addUpstream(upstream.service(), upstream.availabilityZone());
-        m_store.put("servers", upstream.id(), upstream.registration("draining"));
+        reportUpstream(upstream, "draining");
         recordLeaving(m_history, upstream.id(), Clock::now());
         runAfter(randomTime(2500, 4000), [this, id = upstream.id()] {
-            m_store.remove("servers", id);
+            removeUpstream(id);
         });
     }
 
@@ -686,6 +764,7 @@
     std::mt19937_64 m_callRandom;
     std::mt19937_64 m_crowdRandom; ///< Crowds come beside the faults, so that the faults of a seed stay the same.
     std::mt19937_64 m_oddRandom; ///< The same for odd upstreams, datagrams and callers.
+    std::mt19937_64 m_returnRandom; ///< The same for returns of the store from a copy.
     std::unique_ptr<Crowd> m_crowd;
     SoakHistory m_history;
     FakeStore m_store;
@@ -697,6 +776,9 @@
     std::size_t m_activeFaults = 0;
     std::size_t m_activeCrowds = 0;
     std::size_t m_activeOddities = 0;
+    std::size_t m_activeReturns = 0;
+    QJsonObject m_configuration; ///< The latest one.
+    std::map<std::string, QJsonObject> m_reports; ///< The latest reports of the upstreams that are registered, by id.
     bool m_areCallersVanishing = false;
     int m_version = 0;
     std::uint64_t m_lastCall = 0;
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -2,6 +2,7 @@
 
 #include "http/httpserver.h"
 
+#include <QDateTime>
 #include <QTimer>
 
 #include <fmt/core.h>
@@ -90,6 +91,8 @@
     std::mt19937_64 m_random;
     HttpServer m_server;
     std::unique_ptr<LoopbackProxy> m_proxy;
+    qint64 m_startedAtMs = QDateTime::currentMSecsSinceEpoch();
+    int m_sequence = 0; ///< Number of the last report to the store.
     std::uint32_t m_running = 0;
     UpstreamOddity m_oddity = UpstreamOddity::None;
 };
@@ -131,7 +134,7 @@
     d->m_oddity = oddity;
 }
 
-QJsonObject SoakUpstream::registration(const QString &state) const
+QJsonObject SoakUpstream::nextReport(const QString &state)
 {
     return {{"service", QString::fromStdString(d->m_service)},
             {"address", QString::fromStdString(toString(d->m_proxy->endpoint()))},
@@ -140,7 +143,8 @@
             {"slots", static_cast<int>(Slots)},
             {"state", state},
             {"cold", "0ms"},
-            {"sequence", 1}};
+            {"sequence", ++d->m_sequence},
+            {"born", d->m_startedAtMs}};
 }
 
 }
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -47,7 +47,8 @@
     UpstreamOddity oddity() const;
     void setOddity(UpstreamOddity oddity);
     /** Returns the object that registers the upstream in the store; @p state is "ready", or "draining" if it leaves. */
-    QJsonObject registration(const QString &state) const;
+    /** Returns the next report to the store, with a number of its own. */
+    QJsonObject nextReport(const QString &state);
 
 Q_SIGNALS:
     void started(const std::string &requestId);
