Log each answer of the store that is discarded for its era

Answers of an earlier era, or without one, reach no mirror and counted as failed calls only, so that the log did not tell why. Event 1545 names both eras. Objects are moved into the mirror rather than copied twice, and some comments say more.

--- a/src/controllers/storemirror.cpp
+++ b/src/controllers/storemirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Plantainweir {
 namespace {
@@ -50,6 +51,7 @@
     return object.isDeleted ? known.order > object.order : staysInForce(known, object);
 }
 
+/** Replaces @p mirrored, and notes whether it is held from now on. */
 void putInForce(StoreMirror &mirror, MirroredObject &mirrored, MirroredObject replacement)
 {
     if (replacement.stored) {
@@ -81,10 +83,11 @@
         replacement.lateChange = ++mirror.lateChanges;
         replacement.stored = mirrored.stored.value_or(stored);
     }
-    putInForce(mirror, mirrored, replacement);
+    putInForce(mirror, mirrored, std::move(replacement));
     return !(known.isDeleted && object.isDeleted);
 }
 
+/** Adopts @p object, which is not known; returns whether it exists. */
 bool addObject(StoreMirror &mirror, const StoreObject &object, const StoreRevision &revision)
 {
     MirroredObject added{.object = object, .changedAt = std::max(revision, object.revision)};
@@ -94,7 +97,7 @@
             added.stored = deletionOf(object, revision);
         }
     }
-    putInForce(mirror, mirror.objects[object.name], added);
+    putInForce(mirror, mirror.objects[object.name], std::move(added));
     return !object.isDeleted;
 }
 
@@ -116,7 +119,7 @@
         hold(mirror, mirrored, deletionOf(known, revision));
     }
     if (isHeld && mirrored.lateChange == 0) {
-        // The sender's store has the object that is held as deleted; others must not take it for missing there.
+        // Deltas name objects that are held as deleted only if they are late changes.
         mirrored.lateChange = ++mirror.lateChanges;
     }
     const bool isOutdated = object.revision < known.revision;
@@ -132,7 +135,7 @@
         replacement.lateChange = ++mirror.lateChanges;
         replacement.stored = mirrored.stored;
     }
-    putInForce(mirror, mirrored, replacement);
+    putInForce(mirror, mirrored, std::move(replacement));
     return !(wasDeleted && object.isDeleted);
 }
 
@@ -288,14 +291,13 @@
     StoreDelta delta{
         .kind = mirror.kind, .isComplete = isComplete, .revision = mirror.revision, .since = isComplete ? StoreRevision{} : revision, .objects = {}};
     for (const auto &[name, mirrored] : mirror.objects) {
-        // An object that is held as deleted may exist in the store.
-        const bool isPresent = !mirrored.object.isDeleted || mirrored.lateChange != 0;
-        const bool isIncluded = delta.isComplete ? isPresent : mirrored.changedAt > revision;
+        const bool isInCompleteDelta = !mirrored.object.isDeleted || mirrored.lateChange != 0;
         const bool isLate = mirrored.lateChange > position.lateChanges;
-        if ((isIncluded || isLate) && mirrored.stored && !mirrored.stored->isDeleted) {
+        const bool isIncluded = isLate || (delta.isComplete ? isInCompleteDelta : mirrored.changedAt > revision);
+        if (isIncluded && mirrored.stored && !mirrored.stored->isDeleted) {
             delta.stored.push_back(*mirrored.stored);
         }
-        if (isIncluded || isLate) {
+        if (isIncluded) {
             delta.objects.push_back(mirrored.object);
         }
     }
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -222,7 +222,7 @@
         {LogEvent::StoreAnswerOutdated,
          Info,
          "store_answer_outdated",
-         "An answer of the store is older than what is known, and is ignored; the fields give both revisions."},
+         "An answer of the store is older than what is known, and is ignored; the fields give both eras, and both revisions if they are of one era."},
         {LogEvent::StoreEraChanged,
          Warning,
          "store_era_changed",
--- a/src/tasks/storewatchtask.cpp
+++ b/src/tasks/storewatchtask.cpp
@@ -130,6 +130,9 @@
         if (page.ignoredObjects > 0) {
             logEvent(LogEvent::ObjectsUnnamed, {{"kind", nameOf(m_kind)}, {"objects", page.ignoredObjects}});
         }
+        if (outcome != StoreReadOutcome::Failed && page.revision.era < m_watch.era) {
+            logEvent(LogEvent::StoreAnswerOutdated, {{"kind", nameOf(m_kind)}, {"era", page.revision.era}, {"known_era", m_watch.era}});
+        }
         switch (outcome) {
         case StoreReadOutcome::Failed:
             handleEvent(StoreCallFailed{});
