Test a VM that starts after the store's return beside one that serves

Both VMs read the store, as in a zone with few VMs. The one that starts gets the configuration that the other one holds by the feed of its first seconds, and serves no withdrawn key.

--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -439,6 +439,28 @@
     EXPECT_EQ(callWithKey("/a/x", "k1").response.status, 200);
 }
 
+// Guards against a VM that starts in the drill and serves withdrawn keys, because the store's copy has them. Both VMs read the store.
+TEST_F(GatewayTest, AVmThatStartsAfterTheStoresReturnServesWhatTheOthersHold)
+{
+    store.put("config", "main", configurationWithAccount(3, {"k1", "k2"}));
+    start();
+    store.takeCopy();
+    store.put("config", "main", configurationWithAccount(5, {"k1"}));
+    wait(settings.changeBound);
+    ASSERT_EQ(callWithKey("/a/x", "k2").response.status, 401);
+    store.returnFromCopy();
+    const GatewaySettings other = settingsOfAnother("e2");
+    Gateway started(other, Platform::platformCodec());
+    ASSERT_TRUE(started.start());
+    wait(settings.changeBound);
+    for (int call = 0; call < 10; ++call) {
+        EXPECT_EQ(waitFor(sendWithKey(other.callerPort, "/a/x", "k2")).response.status, 401);
+        EXPECT_EQ(callWithKey("/a/x", "k2").response.status, 401);
+        wait(std::chrono::milliseconds(300));
+    }
+    EXPECT_EQ(waitFor(sendWithKey(other.callerPort, "/a/x", "k1")).response.status, 200);
+}
+
 // Guards against fleets that do not find each other, because the store has lost the registration of one of them.
 TEST_F(GatewayTest, RegistersAgainAtTheStoresReturnFromACopy)
 {
