Verify the watches early enough to read what they have missed

Cause: only consistent checks find what a silent watch has missed if stale answers hide it, and they came once in each change bound. The time to ask, list and apply came on top of it.

They now come once in each maximum age of knowledge, the bound less 0.75 s.

StoreSourceSettings::changeBound has no other use and is gone.

--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -31,7 +31,8 @@
 constexpr std::chrono::milliseconds MinimumMaximumAge{1000};
 /** Pace of a reader that no other member follows. With followers, the age of their knowledge bounds both intervals. */
 constexpr std::chrono::milliseconds UnfollowedBatchInterval{1300};
-constexpr std::chrono::milliseconds UnfollowedCheckPeriod{1500};
+/** A consistent check comes up to half of this too late, which RefreshTime allows for. */
+constexpr std::chrono::milliseconds UnfollowedCheckPeriod{750};
 /** Number of checks in a verification period; all but one of them are stale and cheap. */
 constexpr int ChecksPerVerification = 2;
 
@@ -392,7 +393,8 @@
     const StoreSourceSettings &settings = source.settings;
     StoreReadingPace pace;
     pace.changeBatchInterval = UnfollowedBatchInterval;
-    pace.checks.verificationPeriod = settings.changeBound;
+    // What stale answers hide counts as unknown, like all that is older.
+    pace.checks.verificationPeriod = settings.maximumAge;
     pace.checks.period = std::min<Duration>(UnfollowedCheckPeriod, pace.checks.verificationPeriod / ChecksPerVerification);
     if (!source.isSmallZone) {
         pace.changeBatchInterval = std::min<Duration>(pace.changeBatchInterval, settings.maximumAge / 2);
--- a/src/controllers/storesource.h
+++ b/src/controllers/storesource.h
@@ -27,7 +27,6 @@
 
 struct StoreSourceSettings {
     Duration maximumAge = std::chrono::seconds(2); ///< Age of the knowledge from which on a member reads the store itself.
-    Duration changeBound = std::chrono::seconds(2); ///< Time in which an acknowledged change must be in force.
     Duration startDelay = std::chrono::seconds(1); ///< Longest time after the start to wait for objects that are known to be current.
     Duration firstReadDelay = std::chrono::seconds(1); ///< Time after the start after which a member without objects reads the first ones.
     std::size_t readersPerZone = 2;
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -126,7 +126,6 @@
         .name = settings.name,
         .store = settings.store,
         .source = {.maximumAge = maximumAge,
-                   .changeBound = settings.changeBound,
                    .startDelay = settings.isFleetStarting ? FleetStartDelay : maximumAge,
                    .firstReadDelay = settings.isFleetStarting ? Duration(FleetStartDelay) : Duration(0)},
         .evacuationBound = settings.evacuationBound,
--- a/tests/fakes/fakestore.cpp
+++ b/tests/fakes/fakestore.cpp
@@ -310,6 +310,11 @@
     d->dropWatchesAndHistory();
 }
 
+void FakeStore::silenceWatches()
+{
+    d->m_watches.clear();
+}
+
 int FakeStore::callCount() const
 {
     return d->m_callCount;
--- a/tests/fakes/fakestore.h
+++ b/tests/fakes/fakestore.h
@@ -55,6 +55,8 @@
     std::uint64_t revision() const;
     /** Closes all pending watches without an answer and discards the history, so that a watch from an older revision gets status 410. */
     void dropWatchesAndHistory();
+    /** Never answers the watches that wait now; their connections stay open. */
+    void silenceWatches();
     /** Returns the number of requests since the start, without stale reads, which have the parameter `serializable`. */
     int callCount() const;
     /** Returns the number of all requests for objects of @p kind since the start. */
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -511,6 +511,30 @@
     EXPECT_TRUE(repeatUntilStatus("/b/x", 200));
 }
 
+// Guards against a VM that serves an older version for longer than the bound, because its watch had fallen silent before the change.
+TEST_F(GatewayTest, AChangeBehindASilentWatchIsInForceWithinTheBoundAlthoughStaleAnswersHideIt)
+{
+    start();
+    for (int version = 5; version < 8; ++version) {
+        store.setFaults({.answerDelay = std::chrono::milliseconds(50)});
+        // The watches wait again, and their pause after the last change has ended.
+        wait(std::chrono::milliseconds(3500));
+        store.silenceWatches();
+        store.setFaults({.isStaleReadFrozen = true, .answerDelay = std::chrono::milliseconds(50)});
+        const int calls = store.callCount();
+        ASSERT_TRUE(waitUntil([this, calls] {
+            return store.callCount() > calls;
+        }));
+        // The longest time passes before the next consistent check.
+        wait(std::chrono::milliseconds(5));
+        const std::string prefix = "/version-" + std::to_string(version) + "/";
+        store.put("config", "main", configuration(version, QString::fromStdString(prefix)));
+        const TimePoint changedAt = Clock::now();
+        EXPECT_TRUE(repeatUntilStatus(prefix + "x", 200));
+        EXPECT_LT(Clock::now() - changedAt, settings.changeBound);
+    }
+}
+
 TEST_F(GatewayTest, ServesCallsForTheAccountOfTheirKey)
 {
     testing::internal::CaptureStderr();
--- a/tests/storesourcetest.cpp
+++ b/tests/storesourcetest.cpp
@@ -474,6 +474,7 @@
         StoreSource source;
         source.settings.maximumAge = maximumKnowledgeAge(bound);
         const StoreReadingPace pace = readingPace(source);
+        EXPECT_LT(pace.checks.verificationPeriod + pace.checks.period / 2, bound) << "only consistent checks find all that a silent watch has missed";
         EXPECT_LT(pace.changeBatchInterval + pace.checks.period + feedRequestPeriod(source.settings), source.settings.maximumAge)
             << "followers must not read the store in normal operation";
     }
@@ -615,10 +616,8 @@
         member.cutUntil = cutUntil;
         member.isolatedUntil = isolatedUntil;
         member.disturbedUntil = std::max(disturbedUntil, m_now);
-        member.source = makeStoreSource("e" + std::to_string(index),
-                                        {.maximumAge = maximumKnowledgeAge(m_bounds.change), .changeBound = m_bounds.change, .startDelay = 1200ms},
-                                        m_now,
-                                        m_random);
+        member.source
+            = makeStoreSource("e" + std::to_string(index), {.maximumAge = maximumKnowledgeAge(m_bounds.change), .startDelay = 1200ms}, m_now, m_random);
         member.nextCheckAt = m_now;
         publishMembers();
     }
