Tell from whom a VM has a version of the configuration

Logs told which version came into force, but not from whom, nor at which revision of the store: a version from a watch, a list, a first read and a feed looked the same.

StoreSourceTask::objectsChanged now passes a KnowledgeOrigin: the source, the member that sent a feed, and the revision with its era. routes_in_force (E1510) logs them, the version before, and the revision at which the store took the version. Gateway logs it, as ProxyTask knows nothing of the store.

StoreSourceTaskTest.TellsFromWhomAVersionCame, and a check of the first read in AMemberThatStartsAfterAnAcknowledgementKnowsTheConfigurationThatWasAcknowledged pass.

--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -184,6 +184,16 @@
     return members;
 }
 
+void addOrigin(std::vector<LogField> &fields, const StoreObject &object, const KnowledgeOrigin &origin)
+{
+    fields.insert(fields.end(),
+                  {{"object_revision", object.revision.number},
+                   {"revision", origin.revision.number},
+                   {"era", origin.revision.era},
+                   {"source", nameOf(origin.source)},
+                   {"member", origin.member}});
+}
+
 FleetKnowledge knowledgeOf(const FleetSizeEstimate &fleet)
 {
     if (fleet.isConverged) {
@@ -298,21 +308,7 @@
 
     void connectStore()
     {
-        connect(&m_storeSource, &StoreSourceTask::objectsChanged, this, [this](StoreObjectKind kind, const std::vector<StoreObject> &objects) {
-            switch (kind) {
-            case StoreObjectKind::Configuration:
-                applyRouteTables(objects);
-                return;
-            case StoreObjectKind::Upstreams:
-                applyUpstreamRecords(objects);
-                return;
-            case StoreObjectKind::Evacuations:
-                applyEvacuations(objects);
-                return;
-            case StoreObjectKind::EntryVms:
-                return;
-            }
-        });
+        connect(&m_storeSource, &StoreSourceTask::objectsChanged, this, &Private::applyObjects);
         connect(&m_storeSource, &StoreSourceTask::listed, this, &Private::updateReadiness);
         connect(&m_storeSource, &StoreSourceTask::currentChanged, &m_proxy, &ProxyTask::setRouteTableFresh);
         connect(&m_storeSource, &StoreSourceTask::storeRecovered, this, [this](Duration outage) {
@@ -425,7 +421,24 @@
         return false;
     }
 
-    void applyRouteTables(const std::vector<StoreObject> &objects)
+    void applyObjects(StoreObjectKind kind, const std::vector<StoreObject> &objects, const KnowledgeOrigin &origin)
+    {
+        switch (kind) {
+        case StoreObjectKind::Configuration:
+            applyRouteTables(objects, origin);
+            return;
+        case StoreObjectKind::Upstreams:
+            applyUpstreamRecords(objects);
+            return;
+        case StoreObjectKind::Evacuations:
+            applyEvacuations(objects);
+            return;
+        case StoreObjectKind::EntryVms:
+            return;
+        }
+    }
+
+    void applyRouteTables(const std::vector<StoreObject> &objects, const KnowledgeOrigin &origin)
     {
         for (const StoreObject &object : objects) {
             const auto *table = std::get_if<RouteTable>(&object.value);
@@ -434,7 +447,9 @@
                          {{"kind", nameOf(StoreObjectKind::Configuration)}, {"name", object.name}, {"revision", object.revision.number}});
                 continue;
             }
+            const std::uint64_t previous = m_proxy.table().version;
             if (m_proxy.setRouteTable(*table)) {
+                reportRoutesInForce(object, *table, previous, origin);
                 applyCallerLimits(table->limits);
                 m_credit.setTable(*table);
                 publishUpstreams();
@@ -443,6 +458,14 @@
         updateReadiness();
     }
 
+    static void reportRoutesInForce(const StoreObject &object, const RouteTable &table, std::uint64_t previous, const KnowledgeOrigin &origin)
+    {
+        std::vector<LogField> fields{{"version", table.version}, {"previous", previous}};
+        addOrigin(fields, object, origin);
+        fields.insert(fields.end(), {{"routes", table.routes.size()}, {"services", table.services.size()}, {"accounts", table.accounts.size()}});
+        logEvent(LogEvent::RoutesInForce, fields);
+    }
+
     /**
      * Applies new limits. The idle timeout stays the longest one of all configurations so far, since callers may still
      * rely on it.
--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -551,8 +551,6 @@
     }
     d->m_table = table;
     d->m_accounts = makeAccountIndex(d->m_table);
-    logEvent(LogEvent::RoutesInForce,
-             {{"version", table.version}, {"routes", table.routes.size()}, {"services", table.services.size()}, {"accounts", table.accounts.size()}});
     return true;
 }
 
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -122,7 +122,7 @@
             });
             connect(watch, &StoreWatchTask::deltaReceived, this, [this](const StoreDelta &delta, TimePoint confirmedAt) {
                 reportIfOutdated(delta);
-                adoptDelta(delta);
+                adoptDelta(delta, delta.isComplete ? KnowledgeSource::StoreList : KnowledgeSource::StoreWatch);
                 confirmByStore(delta.kind, confirmedAt, ReadConsistency::Consistent);
                 publishConfirmation();
             });
@@ -346,7 +346,7 @@
     void handleFirstList(const StoreDelta &delta, TimePoint sentAt)
     {
         noteEra(delta.revision.era, sentAt);
-        adoptDelta(delta);
+        adoptDelta(delta, KnowledgeSource::FirstRead);
         if (delta.kind == StoreObjectKind::Configuration) {
             confirm(delta.kind, sentAt);
         }
@@ -440,12 +440,13 @@
         Q_EMIT q->eraChanged(era);
     }
 
-    void adoptDelta(const StoreDelta &delta)
+    /** @param member is the entry VM that sent @p delta, if it came from a feed. */
+    void adoptDelta(const StoreDelta &delta, KnowledgeSource source, const std::string &member = {})
     {
         StoreMirror &mirror = kind(delta.kind).mirror;
         const std::size_t held = mirror.held.size();
         const std::vector<StoreObject> changed = adopt(mirror, delta, m_eraSince);
-        reportChanges(mirror, changed, held);
+        reportChanges(mirror, changed, held, {.source = source, .member = member, .revision = delta.revision});
         // Objects that come from another VM may have been held for long enough.
         releaseObjects();
     }
@@ -457,7 +458,7 @@
         for (KindState &state : m_kinds) {
             const std::size_t held = state.mirror.held.size();
             const std::vector<StoreObject> released = releaseHeld(state.mirror, suspendAwareNow());
-            reportChanges(state.mirror, released, held);
+            reportChanges(state.mirror, released, held, {.source = KnowledgeSource::HoldEnded, .member = {}, .revision = state.mirror.revision});
             const auto release = nextRelease(state.mirror);
             next = release ? std::min(next.value_or(*release), *release) : next;
             if (!released.empty()) {
@@ -471,7 +472,7 @@
     }
 
     /** Reports the changes of @p mirror, which held @p held objects before. */
-    void reportChanges(const StoreMirror &mirror, const std::vector<StoreObject> &changed, std::size_t held)
+    void reportChanges(const StoreMirror &mirror, const std::vector<StoreObject> &changed, std::size_t held, const KnowledgeOrigin &origin)
     {
         m_cached = {};
         if (mirror.held.size() != held) {
@@ -483,7 +484,7 @@
                 "plantainweir_store_objects_held", "Objects of earlier eras that are held in place of what the store has.", static_cast<double>(sum));
         }
         if (!changed.empty()) {
-            Q_EMIT q->objectsChanged(mirror.kind, changed);
+            Q_EMIT q->objectsChanged(mirror.kind, changed, origin);
         }
     }
 
@@ -603,7 +604,7 @@
         for (const StoreDelta &delta : update.deltas) {
             noteEra(delta.revision.era, suspendAwareNow() - update.eraAge);
             if (isRead(delta.kind)) {
-                adoptDelta(delta);
+                adoptDelta(delta, KnowledgeSource::Feed, member);
             }
         }
         for (const StoreConfirmation &confirmation : update.confirmations) {
--- a/src/tasks/storesourcetask.h
+++ b/src/tasks/storesourcetask.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "controllers/knowledgeorigin.h"
 #include "controllers/storesource.h"
 #include "tasks/gatewaycodec.h"
 
@@ -53,7 +54,7 @@
     bool isListed() const;
 
 Q_SIGNALS:
-    void objectsChanged(StoreObjectKind kind, const std::vector<StoreObject> &objects);
+    void objectsChanged(StoreObjectKind kind, const std::vector<StoreObject> &objects, const KnowledgeOrigin &origin);
     /** isListed() has become true. */
     void listed();
     /** Whether the configuration is known to have been current a short while ago has changed; at first it is not. */
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -106,6 +106,12 @@
                 upstreams[object.name] = object.isDeleted ? "gone" : upstream != nullptr && upstream->isDraining ? "draining" : "ready";
             }
         });
+        using Objects = std::vector<StoreObject>;
+        QObject::connect(&m_source, &StoreSourceTask::objectsChanged, &m_source, [this](StoreObjectKind kind, const Objects &, const KnowledgeOrigin &origin) {
+            if (kind == StoreObjectKind::Configuration) {
+                versionOrigin = origin;
+            }
+        });
         QObject::connect(&m_source, &StoreSourceTask::currentChanged, &m_source, [this](bool isNowCurrent) {
             isCurrent = isNowCurrent;
         });
@@ -145,6 +151,7 @@
 
     std::uint64_t version = 0;
     std::size_t routes = 0;
+    KnowledgeOrigin versionOrigin;
     std::map<std::string, std::string> upstreams;
     std::set<std::string> evacuated;
     bool isCurrent = false;
@@ -317,6 +324,22 @@
     EXPECT_TRUE(follower.isCurrent);
 }
 
+TEST_F(StoreSourceTaskTest, TellsFromWhomAVersionCame)
+{
+    EXPECT_TRUE(waitUntil([this] {
+        return reader.isCurrent && follower.isCurrent;
+    }));
+    EXPECT_EQ(reader.versionOrigin.source, KnowledgeSource::StoreList);
+    wait(1500ms);
+    store.put("config", "main", configuration(5));
+    EXPECT_TRUE(waitUntil([this] {
+        return follower.version == 5;
+    }));
+    const StoreRevision revision{.era = 1, .number = store.revision()};
+    EXPECT_EQ(reader.versionOrigin, (KnowledgeOrigin{.source = KnowledgeSource::StoreWatch, .member = {}, .revision = revision}));
+    EXPECT_EQ(follower.versionOrigin, (KnowledgeOrigin{.source = KnowledgeSource::Feed, .member = "reader", .revision = revision}));
+}
+
 // Guards against a copy of a large configuration for each feed while it is sent.
 TEST_F(StoreSourceTaskTest, ALargeConfigurationIsNotCopiedForEachFeed)
 {
@@ -387,6 +410,7 @@
         return restarted.source().isListed();
     }));
     EXPECT_EQ(versionWhenListed, 4U) << "a stale read does not show the last change yet";
+    EXPECT_EQ(restarted.versionOrigin.source, KnowledgeSource::FirstRead);
 }
 
 TEST_F(StoreSourceTaskTest, KnowledgeStaysCurrentWhileTheStoreIsSlow)
