Warn of a version that is lower than the one in force

A version that was not higher than the one in force was dropped without a word. A lower one is now a warning, routes_outdated (E1548), with both versions and from whom it came; the same version again is no news.

GatewayTest.NewConfigurationComesIntoForceAndAnOlderOneDoesNot checks the line, and that of the version that was adopted; it passes.

--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -94,6 +94,7 @@
     StoreAnswerOutdated = 1545,
     StoreEraChanged = 1546,
     StoreObjectsHeld = 1547,
+    RoutesOutdated = 1548,
     CreditKeepersChanged = 1550,
     CreditKeepingChanged = 1551,
 };
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -453,6 +453,8 @@
                 applyCallerLimits(table->limits);
                 m_credit.setTable(*table);
                 publishUpstreams();
+            } else if (table->version < previous) {
+                reportRoutesOutdated(object, *table, previous, origin);
             }
         }
         updateReadiness();
@@ -466,6 +468,13 @@
         logEvent(LogEvent::RoutesInForce, fields);
     }
 
+    static void reportRoutesOutdated(const StoreObject &object, const RouteTable &table, std::uint64_t inForce, const KnowledgeOrigin &origin)
+    {
+        std::vector<LogField> fields{{"version", table.version}, {"in_force", inForce}};
+        addOrigin(fields, object, origin);
+        logEvent(LogEvent::RoutesOutdated, fields);
+    }
+
     /**
      * Applies new limits. The idle timeout stays the longest one of all configurations so far, since callers may still
      * rely on it.
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -480,6 +480,7 @@
 
 TEST_F(GatewayTest, NewConfigurationComesIntoForceAndAnOlderOneDoesNot)
 {
+    testing::internal::CaptureStderr();
     start();
     EXPECT_EQ(statusOf("/a/x"), 200);
     store.put("config", "main", configuration(5, "/b/"));
@@ -489,6 +490,9 @@
     store.put("config", "main", configuration(6, "/c/"));
     EXPECT_TRUE(repeatUntilStatus("/c/x", 200));
     EXPECT_EQ(statusOf("/a/x"), 404);
+    const std::string log = testing::internal::GetCapturedStderr();
+    EXPECT_NE(log.find("routes_in_force version=5 previous=3 "), std::string::npos) << log;
+    EXPECT_NE(log.find("routes_outdated version=4 in_force=5 "), std::string::npos) << log;
 }
 
 TEST_F(GatewayTest, ChangeMissedByWatchesIsFoundOnceTheyAreClosed)
