Log a call with the version that admitted it

call_ended (E1502) named the version in force when the call ended. A call that had waited, or was repeated or hedged while a version came into force, seemed to have been decided by the newer one.

`routes` is now the version by which the call was admitted or refused.

ProxyCreditTest.TheEndOfACallNamesTheVersionThatAdmittedIt passes.

--- a/src/tasks/proxytask.cpp
+++ b/src/tasks/proxytask.cpp
@@ -40,6 +40,7 @@
     std::optional<PendingAdmission> pending;
     std::optional<CreditDecision> credit; ///< Credit of the client account that the call uses.
     std::string route;
+    std::uint64_t tableVersion = 0; ///< Of the route table that the call was admitted by.
     std::optional<std::string> account; ///< See OutgoingProxyAttempt::account.
     std::string lastUpstream; ///< Of the attempt that started or ended last.
     std::uint32_t attempts = 0;
@@ -118,7 +119,10 @@
         const std::string account = accountName(context);
         holdBody(call.exchange, call.call.bodyBytes);
         m_calls.emplace(call.exchange,
-                        OpenCall{.incoming = call, .route = route.name, .account = m_table.accounts.empty() ? std::nullopt : std::optional(account)});
+                        OpenCall{.incoming = call,
+                                 .route = route.name,
+                                 .tableVersion = m_table.version,
+                                 .account = m_table.accounts.empty() ? std::nullopt : std::optional(account)});
         const ProxyCallAdmitted admitted{
             .id = call.exchange,
             .service = nextService(roundRobinOf(route)),
@@ -447,7 +451,7 @@
                                      {"upstream", call.lastUpstream},
                                      {"attempts", call.attempts},
                                      {"ms", age.count()},
-                                     {"routes", m_table.version}};
+                                     {"routes", call.tableVersion}};
         addAccount(fields, call.account.value_or(""));
         logEvent(LogEvent::CallEnded, fields);
         countAccountCall(call.account.value_or(""), reply.outcome);
--- a/tests/proxycredittest.cpp
+++ b/tests/proxycredittest.cpp
@@ -97,6 +97,19 @@
     EXPECT_TRUE(replies.empty());
 }
 
+TEST_F(ProxyCreditTest, TheEndOfACallNamesTheVersionThatAdmittedIt)
+{
+    testing::internal::CaptureStderr();
+    admit(1, s_limitedKey);
+    RouteTable next = makeTable();
+    next.version = 2;
+    EXPECT_TRUE(task.setRouteTable(next));
+    task.finishCredit(requested.at(0).first, {.outcome = CreditOutcome::Denied});
+    const std::string log = testing::internal::GetCapturedStderr();
+    EXPECT_NE(log.find("call_ended"), std::string::npos);
+    EXPECT_NE(log.find(" routes=1 "), std::string::npos) << log;
+}
+
 TEST_F(ProxyCreditTest, ACallOfAnUnlimitedAccountNeedsNone)
 {
     admit(1, s_unlimitedKey);
