Warn of consistent answers that contradict what was known

store_answer_outdated (E1545) was an info line in all cases, also if a consistent answer of the same era was older than what the VM had known before it asked, which a sound store does not give. Users keep warnings only.

Such an answer is now a warning of its own, store_answer_contradictory (E1549). An answer of an earlier era stays an info line, as does one during whose call the mirror advanced: other VMs feed later changes meanwhile. The first read of the configuration is consistent and is compared as well.

StoreWithoutEras.AnAnswerThatContradictsWhatWasKnownIsAWarning passes, and StoreReturnTest.LateAnswersOfTheEarlierEraReplaceNothing checks that late answers of an earlier era cause no such warning. An answer that a feed overtook in the same era has no test.

--- a/src/observability/logevents.h
+++ b/src/observability/logevents.h
@@ -95,6 +95,7 @@
     StoreEraChanged = 1546,
     StoreObjectsHeld = 1547,
     RoutesOutdated = 1548,
+    StoreAnswerContradictory = 1549,
     CreditKeepersChanged = 1550,
     CreditKeepingChanged = 1551,
 };
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -34,6 +34,7 @@
 /** What is known about one kind of object. */
 struct KindState {
     StoreMirror mirror;
+    TimePoint reachedAt; ///< When the mirror reached its revision.
     std::optional<TimePoint> confirmedAt; ///< Time at which the mirror was known to be complete.
     std::optional<TimePoint> storeConfirmedAt; ///< The same, from the answers of the store to this entry VM only.
     std::optional<TimePoint> verifiedAt; ///< The same, from its consistent answers only.
@@ -120,9 +121,10 @@
             connect(watch, &StoreWatchTask::eraSeen, this, [this](std::uint64_t era) {
                 noteEra(era, suspendAwareNow());
             });
-            connect(watch, &StoreWatchTask::deltaReceived, this, [this](const StoreDelta &delta, TimePoint confirmedAt) {
-                reportIfOutdated(delta);
-                adoptDelta(delta, delta.isComplete ? KnowledgeSource::StoreList : KnowledgeSource::StoreWatch);
+            connect(watch, &StoreWatchTask::deltaReceived, this, [this](const StoreDelta &delta, TimePoint confirmedAt, TimePoint sentAt) {
+                const KnowledgeSource source = delta.isComplete ? KnowledgeSource::StoreList : KnowledgeSource::StoreWatch;
+                reportIfOutdated(delta, source, sentAt);
+                adoptDelta(delta, source);
                 confirmByStore(delta.kind, confirmedAt, ReadConsistency::Consistent);
                 publishConfirmation();
             });
@@ -346,6 +348,9 @@
     void handleFirstList(const StoreDelta &delta, TimePoint sentAt)
     {
         noteEra(delta.revision.era, sentAt);
+        if (delta.kind == StoreObjectKind::Configuration) {
+            reportIfOutdated(delta, KnowledgeSource::FirstRead, sentAt);
+        }
         adoptDelta(delta, KnowledgeSource::FirstRead);
         if (delta.kind == StoreObjectKind::Configuration) {
             confirm(delta.kind, sentAt);
@@ -443,8 +448,12 @@
     /** @param member is the entry VM that sent @p delta, if it came from a feed. */
     void adoptDelta(const StoreDelta &delta, KnowledgeSource source, const std::string &member = {})
     {
-        StoreMirror &mirror = kind(delta.kind).mirror;
+        KindState &state = kind(delta.kind);
+        StoreMirror &mirror = state.mirror;
         const std::size_t held = mirror.held.size();
+        if (delta.revision > mirror.revision) {
+            state.reachedAt = suspendAwareNow();
+        }
         const std::vector<StoreObject> changed = adopt(mirror, delta, m_eraSince);
         reportChanges(mirror, changed, held, {.source = source, .member = member, .revision = delta.revision});
         // Objects that come from another VM may have been held for long enough.
@@ -488,12 +497,17 @@
         }
     }
 
-    void reportIfOutdated(const StoreDelta &delta)
+    /** Reports the consistent answer @p delta to a call that was sent at @p sentAt if it is older than what is known. */
+    void reportIfOutdated(const StoreDelta &delta, KnowledgeSource source, TimePoint sentAt)
     {
-        const StoreRevision known = kind(delta.kind).mirror.revision;
+        const KindState &state = kind(delta.kind);
+        const StoreRevision known = state.mirror.revision;
         if (delta.revision < known) {
-            logEvent(LogEvent::StoreAnswerOutdated,
+            // While the store answered, other entry VMs may have told of later changes.
+            const bool isContradiction = delta.revision.era == known.era && state.reachedAt < sentAt;
+            logEvent(isContradiction ? LogEvent::StoreAnswerContradictory : LogEvent::StoreAnswerOutdated,
                      {{"kind", nameOf(delta.kind)},
+                      {"source", nameOf(source)},
                       {"era", delta.revision.era},
                       {"revision", delta.revision.number},
                       {"known_era", known.era},
--- a/src/tasks/storewatchtask.cpp
+++ b/src/tasks/storewatchtask.cpp
@@ -113,7 +113,8 @@
 
     void execute(const CompleteStoreList &action)
     {
-        Q_EMIT q->deltaReceived({.kind = m_kind, .isComplete = true, .revision = action.revision, .objects = std::move(m_listedObjects)}, m_listStartedAt);
+        Q_EMIT q->deltaReceived(
+            {.kind = m_kind, .isComplete = true, .revision = action.revision, .objects = std::move(m_listedObjects)}, m_listStartedAt, m_listStartedAt);
         m_listedObjects.clear();
     }
 
@@ -158,8 +159,8 @@
             return;
         }
         const bool wasSuspended = suspendedTime() - m_suspendedBefore > MaximumSuspension;
-        Q_EMIT q->deltaReceived({.kind = m_kind, .isComplete = false, .revision = page.revision, .objects = page.objects},
-                                wasSuspended ? m_sentAt : suspendAwareNow());
+        Q_EMIT q->deltaReceived(
+            {.kind = m_kind, .isComplete = false, .revision = page.revision, .objects = page.objects}, wasSuspended ? m_sentAt : suspendAwareNow(), m_sentAt);
         handleEvent(StoreChangesReceived{page.revision, page.objects.empty()});
     }
 
--- a/src/tasks/storewatchtask.h
+++ b/src/tasks/storewatchtask.h
@@ -49,8 +49,8 @@
 Q_SIGNALS:
     /** An answer shows that the store is in @p era, which was not known; emitted before what the answer contains. */
     void eraSeen(std::uint64_t era);
-    /** A complete list or changes were received. @p confirmedAt is a time as of which nothing is missing. */
-    void deltaReceived(const StoreDelta &delta, TimePoint confirmedAt);
+    /** A complete list or changes were received, which were asked for at @p sentAt. @p confirmedAt is a time as of which nothing is missing. */
+    void deltaReceived(const StoreDelta &delta, TimePoint confirmedAt, TimePoint sentAt);
     /** A watch is waiting for changes now. */
     void watchStarted();
     void storeUnreachable();
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -1044,6 +1044,7 @@
     configure(4, 8);
     store.put("servers", "lost", registration());
     ASSERT_TRUE(bothHaveVersion(8));
+    testing::internal::CaptureStderr();
     // Lists that were asked for before the return are answered after it.
     store.setFaults({.answerDelay = 700ms});
     store.dropWatchesAndHistory();
@@ -1054,6 +1055,7 @@
     EXPECT_TRUE(bothHaveVersion(9));
     EXPECT_TRUE(bothKnow("lost", "gone"));
     wait(1500ms);
+    EXPECT_EQ(testing::internal::GetCapturedStderr().find("store_answer_contradictory"), std::string::npos);
     EXPECT_EQ(reader.version, 9U);
     EXPECT_EQ(follower.version, 9U);
     EXPECT_TRUE(bothKnow("lost", "gone"));
@@ -1152,6 +1154,26 @@
     }));
 }
 
+TEST(StoreWithoutEras, AnAnswerThatContradictsWhatWasKnownIsAWarning)
+{
+    FakeStore store;
+    store.setFaults({.eraField = ""});
+    store.put("config", "main", configuration(3));
+    store.put("servers", "i-1", registration());
+    store.takeCopy();
+    store.put("config", "main", configuration(4));
+    Entry reader("reader", store.endpoint());
+    reader.source().setMembers({reader.member("reader", 500)}, true);
+    EXPECT_TRUE(waitUntil([&] {
+        return reader.isCurrent && reader.version == 4;
+    }));
+    testing::internal::CaptureStderr();
+    store.returnFromCopy();
+    wait(1500ms);
+    const std::string log = testing::internal::GetCapturedStderr();
+    EXPECT_NE(log.find("warning store_answer_contradictory kind=configuration source=store_list"), std::string::npos) << log;
+}
+
 TEST_F(StoreSourceTaskTest, WaitsWithoutSpinning)
 {
     EXPECT_TRUE(waitUntil([this] {
