Show the version in force and the revision that a VM knows

The operators' port showed neither the version in force nor how far a VM knows the store. New: plantainweir_route_table_version, plantainweir_configuration_revision, and plantainweir_route_tables_total by source. store_era_changed (E1546), a warning, gives the revision of the configuration that was known before, in which VMs may have differed.

GatewayTest.NewConfigurationComesIntoForceAndAnOlderOneDoesNot finds them at /metrics; it passes.

--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -232,7 +232,7 @@
         {LogEvent::StoreEraChanged,
          Warning,
          "store_era_changed",
-         "The store has returned from a copy of itself, and may have lost changes; gatewayd lists the objects again."},
+         "The store has returned from a copy of itself, and may have lost changes; gatewayd lists the objects again. The revision is the one known before."},
         {LogEvent::StoreObjectsHeld,
          Info,
          "store_objects_held",
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -460,12 +460,15 @@
         updateReadiness();
     }
 
-    static void reportRoutesInForce(const StoreObject &object, const RouteTable &table, std::uint64_t previous, const KnowledgeOrigin &origin)
+    void reportRoutesInForce(const StoreObject &object, const RouteTable &table, std::uint64_t previous, const KnowledgeOrigin &origin)
     {
         std::vector<LogField> fields{{"version", table.version}, {"previous", previous}};
         addOrigin(fields, object, origin);
         fields.insert(fields.end(), {{"routes", table.routes.size()}, {"services", table.services.size()}, {"accounts", table.accounts.size()}});
         logEvent(LogEvent::RoutesInForce, fields);
+        m_metrics.setGauge("plantainweir_route_table_version", "Version of the route table that is in force.", static_cast<double>(table.version));
+        m_metrics.addToCounter(
+            "plantainweir_route_tables_total", "Route tables that were put into force, by their source.", std::string(nameOf(origin.source)));
     }
 
     static void reportRoutesOutdated(const StoreObject &object, const RouteTable &table, std::uint64_t inForce, const KnowledgeOrigin &origin)
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -436,7 +436,8 @@
         m_eraSince = since;
         m_metrics.setGauge("plantainweir_store_era", "Newest era of the store that is known.", static_cast<double>(era));
         if (previous != 0) {
-            logEvent(LogEvent::StoreEraChanged, {{"era", era}, {"previous", previous}});
+            const StoreRevision known = kind(StoreObjectKind::Configuration).mirror.revision;
+            logEvent(LogEvent::StoreEraChanged, {{"era", era}, {"previous", previous}, {"configuration_revision", known.number}});
             m_metrics.addToCounter("plantainweir_store_eras_total", "New eras of the store since the start: it has returned from a copy of itself.");
         }
         for (StoreWatchTask *watch : watches()) {
@@ -455,6 +456,11 @@
             state.reachedAt = suspendAwareNow();
         }
         const std::vector<StoreObject> changed = adopt(mirror, delta, m_eraSince);
+        if (delta.kind == StoreObjectKind::Configuration) {
+            m_metrics.setGauge("plantainweir_configuration_revision",
+                               "Revision of the store up to which all changes of the configuration are known.",
+                               static_cast<double>(mirror.revision.number));
+        }
         reportChanges(mirror, changed, held, {.source = source, .member = member, .revision = delta.revision});
         // Objects that come from another VM may have been held for long enough.
         releaseObjects();
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -488,8 +488,15 @@
     EXPECT_EQ(statusOf("/a/x"), 404);
     store.put("config", "main", configuration(4, "/a/"));
     store.put("config", "main", configuration(6, "/c/"));
+    const std::uint64_t writtenAt = store.revision();
     EXPECT_TRUE(repeatUntilStatus("/c/x", 200));
     EXPECT_EQ(statusOf("/a/x"), 404);
+    const std::string metrics = get(settings.operatorsPort, "/metrics").response.body;
+    EXPECT_NE(metrics.find("plantainweir_route_table_version 6\n"), std::string::npos) << metrics;
+    const std::string revision = "\nplantainweir_configuration_revision ";
+    ASSERT_NE(metrics.find(revision), std::string::npos) << metrics;
+    EXPECT_GE(std::stoull(metrics.substr(metrics.find(revision) + revision.size())), writtenAt);
+    EXPECT_NE(metrics.find("plantainweir_route_tables_total{reason=\"store_watch\"} "), std::string::npos) << metrics;
     const std::string log = testing::internal::GetCapturedStderr();
     EXPECT_NE(log.find("routes_in_force version=5 previous=3 "), std::string::npos) << log;
     EXPECT_NE(log.find("routes_outdated version=4 in_force=5 "), std::string::npos) << log;
