--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -439,6 +439,35 @@
     EXPECT_EQ(callWithKey("/a/x", "k1").response.status, 200);
 }
 
+// Guards against VMs of which some adopt a version after the store's return, and those that had read more of the lost changes do not.
+TEST_F(GatewayTest, AVersionAfterTheStoresReturnComesIntoForceAlsoWhereMoreOfTheLostChangesWasKnown)
+{
+    start();
+    // From now on, the VM watches the store and lists its objects no more.
+    wait(std::chrono::milliseconds(2500));
+    store.takeCopy();
+    for (int change = 0; change < 10; ++change) {
+        store.put("servers", "lost", upstream.registration("draining"));
+        store.remove("servers", "lost");
+    }
+    const GatewaySettings other = settingsOfAnother("e2");
+    Gateway ahead(other, Platform::platformCodec());
+    ASSERT_TRUE(ahead.start());
+    const auto statusAt = [this](const Endpoint &port, const std::string &target) {
+        const HttpRequest request{
+            .method = "GET", .target = target, .fields = {{"Host", Host}, {"X-Plantainweir-Request-Id", "id-" + std::to_string(++sentCount)}}, .body = {}};
+        return waitFor(client.send(port, request, Clock::now() + std::chrono::seconds(10))).response.status;
+    };
+    ASSERT_EQ(statusAt(other.callerPort, "/a/x"), 200);
+    wait(settings.changeBound);
+    store.returnFromCopy();
+    wait(std::chrono::milliseconds(3500));
+    store.put("config", "main", configuration(5, "/b/"));
+    wait(settings.changeBound);
+    EXPECT_EQ(statusAt(settings.callerPort, "/b/x"), 200);
+    EXPECT_EQ(statusAt(other.callerPort, "/b/x"), 200);
+}
+
 // Guards against a VM that starts in the drill and serves withdrawn keys, because the store's copy has them. Both VMs read the store.
 TEST_F(GatewayTest, AVmThatStartsAfterTheStoresReturnServesWhatTheOthersHold)
 {
