Take a list of the store for what there is, although more was known

A VM that starts after the store's return reads the upstreams stale. If the answer tells the new era with a revision of the earlier one, all changes up to that revision were ignored: an upstream that drains got calls for good. The same held for a store that tells no era: a version after its return was never in force.

Cause: a list below the mirror's revision was ignored as late, although the store was asked for it after the mirror had reached that revision. Lists are consistent, so such a one shows that the store does not have what the mirror has.

It now replaces the objects of its kind, with the warning store_answer_contradictory. StoreWithoutEras.AVersionAfterItsReturnFromACopyIsKnown and StoreSourceTask.AMemberThatStartsWithStaleObjectsOfBeforeTheStoresReturnFollowsTheStore failed before (nothing known within 30 s).

--- a/src/controllers/storemirror.cpp
+++ b/src/controllers/storemirror.cpp
@@ -242,6 +242,18 @@
     return objects;
 }
 
+std::vector<StoreObject> replaceByEarlier(StoreMirror &mirror, const StoreDelta &list)
+{
+    const StoreMirror before = std::exchange(mirror, {.kind = mirror.kind, .lateChanges = mirror.lateChanges});
+    std::vector<StoreObject> changed = adopt(mirror, list);
+    for (const auto &[name, mirrored] : before.objects) {
+        if (!mirrored.object.isDeleted && !mirror.objects.contains(name)) {
+            changed.push_back(deletionOf(mirrored.object, list.revision));
+        }
+    }
+    return changed;
+}
+
 std::vector<StoreObject> releaseHeld(StoreMirror &mirror, TimePoint now)
 {
     std::vector<StoreObject> released;
--- a/src/controllers/storemirror.h
+++ b/src/controllers/storemirror.h
@@ -76,6 +76,12 @@
  */
 std::vector<StoreObject> adopt(StoreMirror &mirror, const StoreDelta &delta, TimePoint eraSince = {});
 
+/**
+ * Replaces all that @p mirror holds by @p list, a complete list of an earlier revision of the same era, and returns the objects that this
+ * changes, with those that are missing from the list as deleted.
+ */
+std::vector<StoreObject> replaceByEarlier(StoreMirror &mirror, const StoreDelta &list);
+
 /** Puts into force what the store has in place of objects whose time to be held has ended; returns what changed. */
 std::vector<StoreObject> releaseHeld(StoreMirror &mirror, TimePoint now);
 
--- a/src/observability/logevents.cpp
+++ b/src/observability/logevents.cpp
@@ -244,7 +244,8 @@
         {LogEvent::StoreAnswerContradictory,
          Warning,
          "store_answer_contradictory",
-         "A consistent answer of the store is older, in the same era, than what was known before it was asked for, and is ignored."},
+         "A consistent answer of the store is older, in the same era, than what was known before it was asked for. A list replaces what was known, changes are "
+         "ignored."},
         {LogEvent::CreditKeepersChanged,
          Info,
          "credit_keepers_changed",
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -38,6 +38,7 @@
     std::optional<TimePoint> confirmedAt; ///< Time at which the mirror was known to be complete.
     std::optional<TimePoint> storeConfirmedAt; ///< The same, from the answers of the store to this entry VM only.
     std::optional<TimePoint> verifiedAt; ///< The same, from its consistent answers only.
+    TimePoint reachedAt; ///< When the mirror reached its revision.
     bool isFirstRead = false; ///< Whether the first read has answered for this kind.
     Duration extraAge{}; ///< How much older than StoreSourceSettings::maximumAge the knowledge may become.
 };
@@ -124,7 +125,11 @@
             connect(watch, &StoreWatchTask::deltaReceived, this, [this](const StoreDelta &delta, TimePoint confirmedAt, TimePoint sentAt) {
                 const KnowledgeSource source = delta.isComplete ? KnowledgeSource::StoreList : KnowledgeSource::StoreWatch;
                 reportIfOutdated(delta, source, sentAt);
-                adoptDelta(delta, source);
+                if (delta.isComplete && isContradictory(delta, sentAt)) {
+                    replaceObjects(delta, source);
+                } else {
+                    adoptDelta(delta, source);
+                }
                 confirmByStore(delta.kind, confirmedAt, ReadConsistency::Consistent);
                 publishConfirmation();
             });
@@ -446,6 +451,27 @@
         Q_EMIT q->eraChanged(era);
     }
 
+    /**
+     * Returns whether the store lacks in @p delta what was known when it was asked for it, at @p sentAt, although its era is the same. Other
+     * entry VMs may tell of later changes while it answers.
+     */
+    bool isContradictory(const StoreDelta &delta, TimePoint sentAt) const
+    {
+        const KindState &state = m_kinds.at(static_cast<std::size_t>(delta.kind));
+        const StoreRevision &known = state.mirror.revision;
+        return delta.revision.era == known.era && delta.revision < known && state.reachedAt < sentAt;
+    }
+
+    /** Replaces objects of a revision that the store has never reached, or has lost without telling a new era. */
+    void replaceObjects(const StoreDelta &list, KnowledgeSource source)
+    {
+        KindState &state = kind(list.kind);
+        const std::size_t held = state.mirror.held.size();
+        const std::vector<StoreObject> changed = replaceByEarlier(state.mirror, list);
+        state.reachedAt = suspendAwareNow();
+        reportChanges(state.mirror, changed, held, {.source = source, .member = {}, .revision = list.revision});
+    }
+
     /** @param member is the entry VM that sent @p delta, if it came from a feed. */
     void adoptDelta(const StoreDelta &delta, KnowledgeSource source, const std::string &member = {})
     {
@@ -506,12 +532,9 @@
     /** Reports the consistent answer @p delta to a call that was sent at @p sentAt if it is older than what is known. */
     void reportIfOutdated(const StoreDelta &delta, KnowledgeSource source, TimePoint sentAt)
     {
-        const KindState &state = kind(delta.kind);
-        const StoreRevision known = state.mirror.revision;
+        const StoreRevision known = kind(delta.kind).mirror.revision;
         if (delta.revision < known) {
-            // While the store answered, other entry VMs may have told of later changes.
-            const bool isContradiction = delta.revision.era == known.era && state.reachedAt < sentAt;
-            logEvent(isContradiction ? LogEvent::StoreAnswerContradictory : LogEvent::StoreAnswerOutdated,
+            logEvent(isContradictory(delta, sentAt) ? LogEvent::StoreAnswerContradictory : LogEvent::StoreAnswerOutdated,
                      {{"kind", nameOf(delta.kind)},
                       {"source", nameOf(source)},
                       {"era", delta.revision.era},
--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -1174,6 +1174,64 @@
     EXPECT_NE(log.find("warning store_answer_contradictory kind=configuration source=store_list"), std::string::npos) << log;
 }
 
+// Guards against review/12 where no answer tells the store's return: a version that came after it was never in force.
+TEST(StoreWithoutEras, AVersionAfterItsReturnFromACopyIsKnown)
+{
+    FakeStore store;
+    store.setFaults({.eraField = ""});
+    store.put("config", "main", configuration(3));
+    store.put("servers", "i-1", registration());
+    Entry entry("e1", store.endpoint());
+    entry.source().setMembers({entry.member("e1", 500)}, true);
+    ASSERT_TRUE(waitUntil([&entry] {
+        return entry.isCurrent && entry.version == 3;
+    }));
+    store.takeCopy();
+    for (int version = 4; version < 20; ++version) {
+        store.put("config", "main", configuration(version));
+        store.put("servers", "lost", registration("ready", version));
+    }
+    ASSERT_TRUE(waitUntil([&entry] {
+        return entry.version == 19 && entry.upstreams["lost"] == "ready";
+    }));
+    store.returnFromCopy();
+    wait(1500ms);
+    store.put("config", "main", configuration(21));
+    const TimePoint changedAt = Clock::now();
+    EXPECT_TRUE(waitUntil([&entry] {
+        return entry.version == 21;
+    }));
+    EXPECT_LT(Clock::now() - changedAt, 2s) << "the change bound";
+    EXPECT_EQ(entry.upstreams["lost"], "gone");
+}
+
+// Guards against calls to upstreams that drain: a stale answer told the new era with a revision of the old one, and later changes were ignored.
+TEST(StoreSourceTask, AMemberThatStartsWithStaleObjectsOfBeforeTheStoresReturnFollowsTheStore)
+{
+    FakeStore store;
+    store.put("config", "main", configuration(3));
+    store.put("servers", "i-1", registration());
+    store.takeCopy();
+    for (int sequence = 2; sequence < 20; ++sequence) {
+        store.put("servers", "lost", registration("ready", sequence));
+    }
+    store.setFaults({.isStaleReadFrozen = true});
+    store.returnFromCopy();
+    Entry entry("e1", store.endpoint(), 1, std::nullopt, 0ms);
+    entry.source().setMembers({entry.member("e1", 500)}, true);
+    ASSERT_TRUE(waitUntil([&entry] {
+        return entry.isCurrent && entry.upstreams["i-1"] == "ready";
+    }));
+    wait(1500ms);
+    store.put("servers", "i-1", registration("draining", 2));
+    const TimePoint changedAt = Clock::now();
+    EXPECT_TRUE(waitUntil([&entry] {
+        return entry.upstreams["i-1"] == "draining";
+    }));
+    EXPECT_LT(Clock::now() - changedAt, 2s) << "the drain bound";
+    EXPECT_EQ(entry.upstreams["lost"], "gone");
+}
+
 TEST_F(StoreSourceTaskTest, WaitsWithoutSpinning)
 {
     EXPECT_TRUE(waitUntil([this] {
