Let VMs of small zones follow others while the store turns them away

Callers saw: a VM that the store turns away (503, silence) while it serves the other VMs and the operator goes on to serve the version that it had, for as long as the store does so, beyond the 2 s of the change bound and the 5 s that an unstable store adds.

Cause: in a zone of fewer than eight VMs all read the store, so that members of such a zone opened no feeds at all. One that gets no answer reported this, stopped reading and asked for the store's return, but learned nothing from the others meanwhile.

Now such a VM, once the store has not answered it for 3 s, opens feeds from two VMs of its zone that reach the store, or from two of other zones if none does, until the store answers it again. The mirror takes what they feed as it does in large zones.

AMemberOfASmallZoneThatTheStoreTurnsAwayFollowsOthers failed before (no feeds). The test of other zones uses an event field that is new. TurnedAwayGatewayTest passes now and was not run on the code before.

Zones of eight and more are as before: two readers that are both turned away are replaced after 3 s.

--- a/src/controllers/storesource.cpp
+++ b/src/controllers/storesource.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint32_t MaximumRetryDoublings = 4;
 /** A feed without a message for this time counts as broken. */
 constexpr std::chrono::milliseconds FeedSilence{3000};
-/** A reader that the store has not answered for this time leaves the reading to others. */
+/** A reader that the store has not answered for this time leaves the reading to others, and follows them. */
 constexpr std::chrono::milliseconds ReaderSilence{3000};
 constexpr std::chrono::seconds UnreachableReportTime{20};
 /** Part of a bound that is left for reading the store and for applying what was read. */
@@ -129,6 +129,27 @@
     }
 }
 
+std::vector<FeedMember> membersThatReachTheStore(const StoreSource &source, std::vector<FeedMember> members)
+{
+    std::erase_if(members, [&source](const FeedMember &member) {
+        return member.isStoreUnreachable || member.name == source.self;
+    });
+    return members;
+}
+
+/** Returns the members that a member of a small zone follows: none as long as the store answers it. */
+std::vector<FeedMember> substituteReaders(const StoreSource &source, TimePoint now)
+{
+    if (now < source.storeConfirmedAt + ReaderSilence) {
+        return {};
+    }
+    std::vector<FeedMember> members = membersThatReachTheStore(source, source.members);
+    if (members.empty()) {
+        members = membersThatReachTheStore(source, source.otherZoneMembers);
+    }
+    return chooseReaders(std::move(members), source.settings.readersPerZone);
+}
+
 /** Chooses the readers. While members still learn of each other, only some of them are known. */
 void updateReaders(StepContext &context)
 {
@@ -141,7 +162,7 @@
     });
     const bool isSettled = !isStarting || (source.isFleetKnown && context.now >= source.startedAt + SettlingTime);
     source.isReader = isChosen && isSettled;
-    updateFeeds(context, source.isSmallZone ? std::vector<FeedMember>() : readers);
+    updateFeeds(context, source.isSmallZone ? substituteReaders(source, context.now) : readers);
 }
 
 void updateFollowability(StepContext &context)
@@ -224,6 +245,7 @@
 void handle(StepContext &context, const FeedMembersChanged &event)
 {
     context.source.members = event.members;
+    context.source.otherZoneMembers = event.otherZoneMembers;
     context.source.isFleetKnown = event.isFleetKnown;
 }
 
@@ -340,6 +362,7 @@
         include(*source.confirmedAt + source.settings.maximumAge);
     }
     include(source.nextCheckAt);
+    include(source.storeConfirmedAt + ReaderSilence);
     if (source.isReading) {
         include(source.followableSince.value_or(now) + FollowableTime);
         include(source.readingSince + MinimumReadingTime);
--- a/src/controllers/storesource.h
+++ b/src/controllers/storesource.h
@@ -20,20 +20,26 @@
  * age: the time since the store confirmed to some reader that nothing was missing. A member whose knowledge exceeds the
  * maximum age reads the store itself, whatever the readers claim.
  *
+ * In a small zone all members read the store. One that the store has not answered for a while follows members that it answers, of its
+ * own zone or else of others: the store may turn some VMs away for long and accept changes meanwhile.
+ *
  * A pure step function without I/O; StoreSourceTask runs it. All times are suspend-aware (core/suspendawareclock.h), so
  * that a member that was suspended knows that its knowledge has aged.
  */
 namespace Plantainweir {
 
+/** In a zone with fewer members, all of them read the store. */
+constexpr std::size_t MinimumMembersWithReaders = 8;
+
 struct StoreSourceSettings {
     Duration maximumAge = std::chrono::seconds(2); ///< Age of the knowledge from which on a member reads the store itself.
     Duration startDelay = std::chrono::seconds(1); ///< Longest time after the start to wait for objects that are known to be current.
     Duration firstReadDelay = std::chrono::seconds(1); ///< Time after the start after which a member without objects reads the first ones.
     std::size_t readersPerZone = 2;
-    std::size_t minimumMembers = 8; ///< In a zone with fewer members, all of them read the store.
+    std::size_t minimumMembers = MinimumMembersWithReaders;
 };
 
-/** A live member of this member's availability zone. */
+/** A live member of the fleet. */
 struct FeedMember {
     std::string name;
     Endpoint feedEndpoint;
@@ -55,6 +61,7 @@
     StoreSourceSettings settings;
     std::string self;
     std::vector<FeedMember> members; ///< Of this availability zone, with this member.
+    std::vector<FeedMember> otherZoneMembers; ///< Of other availability zones, if this one is small.
     bool isFleetKnown = false; ///< Whether another member's records have been received.
     bool isSmallZone = false; ///< Whether all members read the store, because the zone has few of them.
     bool isReader = false; ///< Whether this member is among the readers that it chooses.
@@ -83,6 +90,7 @@
 struct FeedMembersChanged {
     std::vector<FeedMember> members;
     bool isFleetKnown = false;
+    std::vector<FeedMember> otherZoneMembers = {};
 };
 /** A feed delivered a message. */
 struct FeedReceived {
--- a/src/tasks/gateway.cpp
+++ b/src/tasks/gateway.cpp
@@ -170,13 +170,20 @@
     return size;
 }
 
-/** Returns the live members of @p availabilityZone. */
-std::vector<FeedMember> feedMembers(const Membership &membership, const std::string &availabilityZone)
+/** Where members that may feed this one are. */
+enum class FeedZone {
+    Own,
+    Other,
+};
+
+/** Returns the live members of @p availabilityZone, or those of all others. */
+std::vector<FeedMember> feedMembers(const Membership &membership, const std::string &availabilityZone, FeedZone zone)
 {
     std::vector<FeedMember> members;
     for (const auto &[name, member] : membership.members) {
         const MemberRecord &record = member.record;
-        if (isLive(record.state) && record.availabilityZone == availabilityZone) {
+        const bool isOwnZone = record.availabilityZone == availabilityZone;
+        if (isLive(record.state) && isOwnZone == (zone == FeedZone::Own)) {
             members.push_back(
                 {.name = name, .feedEndpoint = record.exchangeEndpoint, .capacity = record.capacity, .isStoreUnreachable = record.isPlatformUnreachable});
         }
@@ -345,7 +352,11 @@
         connect(&m_convergenceTimer, &QTimer::timeout, this, &Private::updateFleetShare);
         connect(&m_membership, &MembershipTask::candidatesChanged, this, [this] {
             const Membership &membership = m_membership.membership();
-            m_storeSource.setMembers(feedMembers(membership, m_settings.availabilityZone), membership.isSynchronized);
+            const std::vector<FeedMember> members = feedMembers(membership, m_settings.availabilityZone, FeedZone::Own);
+            const bool isSmallZone = members.size() < MinimumMembersWithReaders;
+            m_storeSource.setMembers(members,
+                                     membership.isSynchronized,
+                                     isSmallZone ? feedMembers(membership, m_settings.availabilityZone, FeedZone::Other) : std::vector<FeedMember>());
         });
         connect(&m_membership, &MembershipTask::memberComparisonRequested, &m_exchangeClient, &ExchangeClient::compareMembers, Qt::QueuedConnection);
         connect(&m_exchangeServer, &ExchangeServer::membersRequested, this, [this](ExchangeCallId call, const BucketDigests &digests, const std::string &zone) {
--- a/src/tasks/storesourcetask.cpp
+++ b/src/tasks/storesourcetask.cpp
@@ -38,7 +38,6 @@
     std::optional<TimePoint> confirmedAt; ///< Time at which the mirror was known to be complete.
     std::optional<TimePoint> storeConfirmedAt; ///< The same, from the answers of the store to this entry VM only.
     std::optional<TimePoint> verifiedAt; ///< The same, from its consistent answers only.
-    TimePoint reachedAt; ///< When the mirror reached its revision.
     bool isFirstRead = false; ///< Whether the first read has answered for this kind.
     Duration extraAge{}; ///< How much older than StoreSourceSettings::maximumAge the knowledge may become.
 };
@@ -764,9 +763,9 @@
     d->m_feedServer.close();
 }
 
-void StoreSourceTask::setMembers(const std::vector<FeedMember> &members, bool isFleetKnown)
+void StoreSourceTask::setMembers(const std::vector<FeedMember> &members, bool isFleetKnown, const std::vector<FeedMember> &otherZoneMembers)
 {
-    d->handleEvent(FeedMembersChanged{members, isFleetKnown});
+    d->handleEvent(FeedMembersChanged{members, isFleetKnown, otherZoneMembers});
 }
 
 bool StoreSourceTask::isListed() const
--- a/src/tasks/storesourcetask.h
+++ b/src/tasks/storesourcetask.h
@@ -44,8 +44,11 @@
     /** Ends all feeds to other entry VMs; to be called before the gRPC server is shut down. */
     void closeFeeds();
 
-    /** Sets the live members of this availability zone, and whether other members have sent their records. */
-    void setMembers(const std::vector<FeedMember> &members, bool isFleetKnown);
+    /**
+     * Sets the live members of this availability zone, whether other members have sent their records, and the live members of
+     * other zones, which only a small zone needs.
+     */
+    void setMembers(const std::vector<FeedMember> &members, bool isFleetKnown, const std::vector<FeedMember> &otherZoneMembers = {});
 
     /**
      * Returns whether all objects of all kinds have been received. Until feeds or the store confirm them, upstreams may be
--- a/tests/gatewaytest.cpp
+++ b/tests/gatewaytest.cpp
@@ -468,6 +468,45 @@
     EXPECT_EQ(statusAt(other.callerPort, "/b/x"), 200);
 }
 
+/** A VM that the store turns away while it serves the one of GatewayTest. A second store plays that. */
+class TurnedAwayGatewayTest : public GatewayTest, public testing::WithParamInterface<std::string>
+{
+protected:
+    TurnedAwayGatewayTest()
+    {
+        turningAway.put("config", "main", configuration(3));
+        turningAway.put("servers", "i-1", upstream.registration());
+    }
+
+    FakeStore turningAway;
+};
+
+// Guards against VMs of small zones that serve an old version for as long as the store turns them away.
+TEST_P(TurnedAwayGatewayTest, AVersionComesIntoForceAlsoWhereTheStoreDoesNotAnswer)
+{
+    constexpr std::chrono::seconds StretchByUnstableStore{5};
+    start();
+    GatewaySettings other = settingsOfAnother("e2");
+    other.availabilityZone = GetParam();
+    other.store = turningAway.endpoint();
+    Gateway turnedAway(other, Platform::platformCodec());
+    ASSERT_TRUE(turnedAway.start());
+    const auto statusOf = [this, &other](const std::string &target) {
+        return waitFor(sendWithKey(other.callerPort, target, "k1")).response.status;
+    };
+    ASSERT_TRUE(waitUntil([&statusOf] {
+        return statusOf("/a/x") == 200;
+    }));
+    wait(settings.changeBound);
+    turningAway.setFaults({.isBusy = true});
+    store.put("config", "main", configuration(4, "/b/"));
+    wait(settings.changeBound + StretchByUnstableStore);
+    EXPECT_EQ(statusOf("/b/x"), 200);
+    EXPECT_NE(statusOf("/a/x"), 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(Zones, TurnedAwayGatewayTest, testing::Values("a", "b"));
+
 // Guards against a VM that starts in the drill and serves withdrawn keys, because the store's copy has them. Both VMs read the store.
 TEST_F(GatewayTest, AVmThatStartsAfterTheStoresReturnServesWhatTheOthersHold)
 {
--- a/tests/storesourcetest.cpp
+++ b/tests/storesourcetest.cpp
@@ -465,6 +465,45 @@
     EXPECT_LT(now - returnedAt, 2s) << "a list and its changes must follow within the stability window of 3 s";
 }
 
+// Guards against VMs of small zones that serve an old version for as long as the store turns them away.
+TEST_F(StoreSourceTest, AMemberOfASmallZoneThatTheStoreTurnsAwayFollowsOthers)
+{
+    zone = makeZone(3);
+    make("e1");
+    feed(FeedMembersChanged{zone, true});
+    advance(1100ms);
+    feed(StoreConfirmed{now});
+    EXPECT_TRUE(source.feeds.empty());
+    advance(2900ms);
+    EXPECT_TRUE(source.feeds.empty());
+    advance(200ms);
+    EXPECT_EQ(count<OpenFeed>(), 2U);
+    EXPECT_TRUE(source.feeds.contains("e0"));
+    EXPECT_TRUE(source.feeds.contains("e2"));
+    feed(StoreConfirmed{now});
+    EXPECT_EQ(count<CloseFeed>(), 2U);
+    EXPECT_TRUE(source.feeds.empty()) << "the store answers again";
+}
+
+// Guards against the same where the store turns away all VMs of a zone.
+TEST_F(StoreSourceTest, MembersOfASmallZoneThatTheStoreTurnsAwayFollowThoseOfOthers)
+{
+    zone = makeZone(2);
+    const std::vector<FeedMember> others{makeMember("e20"), makeMember("e21"), makeMember("e22")};
+    make("e1");
+    feed(FeedMembersChanged{zone, true, others});
+    advance(1100ms);
+    feed(StoreConfirmed{now});
+    advance(3100ms);
+    EXPECT_EQ(source.feeds.size(), 1U) << "the other member of its zone has reported nothing yet";
+    zone[0].isStoreUnreachable = zone[1].isStoreUnreachable = true;
+    feed(FeedMembersChanged{zone, true, others});
+    EXPECT_EQ(count<OpenFeed>(), 2U);
+    EXPECT_FALSE(source.feeds.contains("e0"));
+    feed(StoreConfirmed{now});
+    EXPECT_TRUE(source.feeds.empty());
+}
+
 TEST(StoreSourceAge, LeavesTimeToReadTheStoreWithinTheBound)
 {
     EXPECT_EQ(maximumKnowledgeAge(3s), 2250ms);
