Test that each of two readers lists each kind once at the store's return

That the store gets at most one list a kind and reader was shown with one reader only. Its waiting watches stay silent, so that each reader learns of the era from its checks or from the configuration.

--- a/tests/storesourcetasktest.cpp
+++ b/tests/storesourcetasktest.cpp
@@ -1133,6 +1133,40 @@
     }
 }
 
+// Guards against lists of each reader for what the other one has listed already, or of the follower.
+TEST(StoreReturn, EachKindIsListedOnceByEachOfTwoReaders)
+{
+    FakeStore store;
+    store.put("config", "main", configuration(3));
+    store.put("servers", "i-1", registration());
+    Entry first("first", store.endpoint(), 2);
+    Entry second("second", store.endpoint(), 2);
+    Entry follower("follower", store.endpoint(), 2);
+    const std::vector<FeedMember> members{first.member("first", 500), second.member("second", 400), follower.member("follower", 100)};
+    const std::array entries{&first, &second, &follower};
+    for (Entry *entry : entries) {
+        entry->source().setMembers(members, true);
+    }
+    const auto allHave = [&](std::uint64_t version) {
+        return waitUntil([&] {
+            return std::all_of(entries.begin(), entries.end(), [version](const Entry *entry) {
+                return entry->isCurrent && entry->version == version;
+            });
+        });
+    };
+    ASSERT_TRUE(allHave(3));
+    wait(2500ms);
+    const int configurations = store.listCountOf("config");
+    const int upstreams = store.listCountOf("servers");
+    store.takeCopy();
+    store.returnFromCopy(FakeStoreWatches::Silent);
+    store.put("config", "main", configuration(4));
+    EXPECT_TRUE(allHave(4));
+    wait(2500ms);
+    EXPECT_EQ(store.listCountOf("config"), configurations + 2);
+    EXPECT_EQ(store.listCountOf("servers"), upstreams + 2);
+}
+
 TEST(StoreWithoutEras, IsFollowed)
 {
     FakeStore store;
