Test that quotas hold at the store's return until they are written again

Quotas had no test of their own: they are part of the configuration, of which the highest version holds. The test passes on the present code; the rate of the copy does not come into force, also not an hour later, and a later version does.

--- a/tests/storemirrortest.cpp
+++ b/tests/storemirrortest.cpp
@@ -315,6 +315,28 @@
     EXPECT_EQ(versionOf(mirror), 8U);
 }
 
+// Guards against a quota that was lowered and applies as before with the store's copy.
+TEST(StoreMirrorAfterAReturn, QuotasOfTheHighestVersionHoldUntilTheyAreWrittenAgain)
+{
+    const auto limited = [](const StoreRevision &revision, std::uint64_t version, double callsPerSecond) {
+        StoreObject object = configuration(revision, version);
+        std::get<RouteTable>(object.value).accounts["shop"] = {.name = "shop", .callsPerSecond = callsPerSecond, .burst = 1.0};
+        return object;
+    };
+    const auto limitOf = [](const StoreMirror &mirror) {
+        return std::get<RouteTable>(mirror.objects.at("main").object.value).accounts.at("shop").callsPerSecond;
+    };
+    StoreMirror mirror{.kind = Configuration};
+    learn(mirror, listed(Configuration, Lost, {limited(Lost, 6, 2.0)}));
+    EXPECT_TRUE(learn(mirror, listed(Configuration, Returned, {limited(Copied, 3, 90.0)})).empty());
+    EXPECT_EQ(limitOf(mirror), 2.0);
+    EXPECT_TRUE(releaseHeld(mirror, Start + 1h).empty());
+    EXPECT_EQ(limitOf(mirror), 2.0);
+    const StoreRevision later{.era = 2, .number = 21};
+    learn(mirror, changed(Configuration, later, {limited(later, 7, 5.0)}));
+    EXPECT_EQ(limitOf(mirror), 5.0);
+}
+
 TEST(StoreMirrorAfterAReturn, AConfigurationThatTheCopyLacksHolds)
 {
     StoreMirror mirror{.kind = Configuration};
